--- /dev/null
+++ b/include/teaselspread/error.h
@@ -0,0 +1,111 @@
+// The closed list of error kinds and the answer that each one gives.
+#ifndef TEASELSPREAD_ERROR_H_
+#define TEASELSPREAD_ERROR_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include <tl/expected.hpp>
+
+namespace teaselspread {
+
+// Whether the upstream did the work. Callers decide on a repeat by this alone.
+enum class Execution : std::uint8_t { kNotRun, kRan, kUnknown };
+
+// Everything that can go wrong. Add a row to kErrorTable with each new kind.
+enum class ErrorKind : std::uint8_t {
+  // The request itself.
+  kBadRequest,
+  kNoRoute,
+  kHeadersTooLarge,
+  kBodyTooLarge,
+  kKeyMissing,
+  kKeyMismatch,
+  // Refused before the run.
+  kNotReady,
+  kLeaving,
+  kNoUpstream,
+  kConnectionLimit,
+  kQueueFull,
+  kDeadlineTooShort,
+  kQueueTimeout,
+  kMemoryBudget,
+  kRetryBudget,
+  kCrashSuspect,
+  kClaimUnavailable,
+  kInProgress,
+  // After the run began.
+  kConnectFailed,
+  kUpstreamShed,
+  kUpstreamFailed,
+  kTruncated,
+  kWrongAnswer,
+  kTimeout,
+  kSilentConnection,
+  kCancelled,
+  kOutcomeUnknown,
+  // Configuration.
+  kSettings,
+  kConfigSyntax,
+  kConfigInvalid,
+  kConfigConflict,
+  kDigestMismatch,
+  kStaleVersion,
+  kMissingParent,
+  // Between processes.
+  kFrameMalformed,
+  kFrameVersion,
+  kPeerBusy,
+  kPeerUnreachable,
+  kLogUnavailable,
+  kLogExpired,
+  kAppendUnknown,
+  // The command line and the rest.
+  kUsage,
+  kInternal,
+  kCount,
+};
+
+// One row of the table from kind to answer.
+struct ErrorAnswer {
+  ErrorKind kind;
+  std::string_view name;
+  int http_status;
+  Execution execution;
+  // Tell the caller when to come back (Retry-After, spread at random).
+  bool retry_after;
+  // Another upstream may be tried at once, even for a non-idempotent request.
+  bool retry_elsewhere;
+};
+
+// The row of `kind`. Precondition: kind < kCount. Thread safe.
+[[nodiscard]] const ErrorAnswer& AnswerOf(ErrorKind kind);
+
+// Short stable name of `kind`, used as a counter label. Thread safe.
+[[nodiscard]] std::string_view NameOf(ErrorKind kind);
+
+// "not-run", "ran" or "unknown": the value of the answer header that says
+// whether the request ran. Thread safe.
+[[nodiscard]] std::string_view NameOf(Execution execution);
+
+// An error as a value: its kind and one line for a person.
+struct [[nodiscard]] Error {
+  ErrorKind kind = ErrorKind::kInternal;
+  std::string message;
+};
+
+template <class T>
+using Result = tl::expected<T, Error>;
+
+// A failed Result of any type. Thread safe.
+[[nodiscard]] inline tl::unexpected<Error> Fail(ErrorKind kind,
+                                                std::string message) {
+  return tl::make_unexpected(Error{kind, std::move(message)});
+}
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_ERROR_H_
--- /dev/null
+++ b/include/teaselspread/snapshot.h
@@ -0,0 +1,102 @@
+// One configuration in force at one data centre: the typed, checked form.
+#ifndef TEASELSPREAD_SNAPSHOT_H_
+#define TEASELSPREAD_SNAPSHOT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include "teaselspread/types.h"
+
+namespace teaselspread {
+
+// Order in which waiting requests are served: lower runs first.
+enum class Priority : std::uint8_t { kInternal, kNormal, kBackground };
+
+// "internal", "normal" or "background". Thread safe.
+[[nodiscard]] std::string_view NameOf(Priority priority);
+
+struct ServiceConfig {
+  std::string name;
+  // Version that serves while no move of the service has changed it.
+  std::string version;
+  // Requests that may wait at one gatekeeper.
+  int queue_limit = 64;
+  // Connections that one target accepts.
+  int connections = 128;
+  // Time over which a cold upstream's share grows to its full one.
+  Duration warm_up = std::chrono::seconds(5);
+};
+
+struct RouteConfig {
+  std::string name;
+  std::string service;
+  std::string method;
+  std::string path_prefix;
+  Priority priority = Priority::kNormal;
+  // Non-idempotent requests need an Idempotency-Key and run at most once.
+  bool idempotent = true;
+  Duration deadline = std::chrono::seconds(2);
+  std::size_t max_body_bytes = 1U << 20;
+};
+
+// Bounds beyond which the new version counts as bad, compared with the old one
+// at the same time on the same route.
+struct MoveBounds {
+  // Added failure ratio, 0..1.
+  double extra_failures = 0.02;
+  // Factor on latency.
+  double slowdown = 2.0;
+};
+
+struct MoveConfig {
+  std::string id;
+  std::string service;
+  std::string from;
+  std::string to;
+  TimePoint start;
+  TimePoint by;
+  // Time at full share without a fault before the move counts as done.
+  Duration watch = std::chrono::seconds(30);
+  MoveBounds bounds;
+  // The operator takes the move back by setting this.
+  bool withdrawn = false;
+};
+
+struct LimitsConfig {
+  std::size_t max_header_bytes = 4096;
+  std::size_t max_body_bytes = 64U << 20;
+  // Bytes of bodies that one node holds at a time.
+  std::size_t body_memory_bytes = 256U << 20;
+  // Retries allowed as a share of recent first attempts.
+  double retry_budget = 0.1;
+  // Longest stretch without a byte on a connection in use.
+  Duration silence = std::chrono::seconds(5);
+};
+
+// Immutable once made. A request keeps the one it began with.
+struct Snapshot
+    : boost::intrusive_ref_counter<Snapshot, boost::thread_safe_counter> {
+  ConfigVersion version = 0;
+  std::string deployment;
+  std::string data_center;
+  // Every data centre of the deployment, sorted.
+  std::vector<std::string> data_centers;
+  std::map<std::string, ServiceConfig> services;
+  // Longest path_prefix first, so that the first match is the best one.
+  std::vector<RouteConfig> routes;
+  std::map<std::string, MoveConfig> moves;
+  LimitsConfig limits;
+};
+
+using SnapshotPtr = boost::intrusive_ptr<const Snapshot>;
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_SNAPSHOT_H_
--- /dev/null
+++ b/include/teaselspread/types.h
@@ -0,0 +1,39 @@
+// Time, randomness and the small value types that every module shares.
+#ifndef TEASELSPREAD_TYPES_H_
+#define TEASELSPREAD_TYPES_H_
+
+#include <chrono>
+#include <cstdint>
+#include <random>
+#include <string>
+
+namespace teaselspread {
+
+// Decisions never read a clock: the caller passes the time in. Daemons pass the
+// system clock; tests and measurements pass a virtual one.
+using Duration = std::chrono::microseconds;
+using TimePoint = std::chrono::time_point<std::chrono::system_clock, Duration>;
+
+// Seeded by the caller, so that every decision can be repeated.
+using Rng = std::mt19937_64;
+
+// Offset of the accepted record in the platform's log; 0 means "none yet".
+using ConfigVersion = std::uint64_t;
+
+// An IP number and a port.
+struct Address {
+  std::string host;
+  std::uint16_t port = 0;
+
+  bool operator==(const Address&) const = default;
+  auto operator<=>(const Address&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->host, this->port);
+  }
+};
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_TYPES_H_
