Add the micro-kernel: services by name, typed messages, timers

Services must find each other without sharing structs, and decisions must be driven on a virtual clock. One queue and one timer map serve both: Advance(now) is the only way time moves. A clock set back keeps the kernel's time; messages that nobody takes are counted.

--- /dev/null
+++ b/include/teaselspread/kernel.h
@@ -0,0 +1,102 @@
+// The micro-kernel: services registered by name, typed messages between them,
+// a timer queue, and counters of what could not be delivered.
+#ifndef TEASELSPREAD_KERNEL_H_
+#define TEASELSPREAD_KERNEL_H_
+
+#include <any>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <typeindex>
+#include <utility>
+
+#include "teaselspread/counters.h"
+#include "teaselspread/types.h"
+
+namespace teaselspread {
+
+enum class KernelEvent : std::uint8_t {
+  kDelivered,
+  kTimerFired,
+  // A message to a name that nobody registered: a wiring fault.
+  kUnknownService,
+  // A message of a type that the named service does not take.
+  kUnknownMessage,
+  kCount,
+};
+
+// Stable name of a kernel counter. Thread safe.
+[[nodiscard]] std::string_view NameOf(KernelEvent event);
+
+// Not thread safe: everything but Counters() belongs to the one thread that
+// calls Advance(). Other threads hand work over through that thread's loop.
+class Kernel {
+ public:
+  // Makes `handler` the receiver of messages of type M for `service`. A second
+  // registration of the same pair replaces the first.
+  template <class M>
+  void Register(std::string_view service,
+                std::function<void(const M&)> handler) {
+    auto erased = [handler = std::move(handler)](const std::any& message) {
+      handler(std::any_cast<const M&>(message));
+    };
+    this->services[std::string(service)].insert_or_assign(
+        std::type_index(typeid(M)), std::move(erased));
+  }
+
+  // Queues `message`; it is delivered by the next Advance(), in order.
+  template <class M>
+  void Post(std::string_view service, M message) {
+    this->queue.push_back(
+        Envelope{std::string(service), std::any(std::move(message))});
+  }
+
+  // Queues `message` for delivery at `when`. Timers of the same instant fire
+  // in the order in which they were set.
+  template <class M>
+  void PostAt(TimePoint when, std::string_view service, M message) {
+    this->timers.emplace(
+        when, Envelope{std::string(service), std::any(std::move(message))});
+  }
+
+  // Sets the time, fires what is due and delivers until the queue is empty.
+  // Time never goes back: an earlier `to` delivers, but keeps the clock.
+  void Advance(TimePoint to);
+
+  // Time of the last Advance().
+  [[nodiscard]] TimePoint Now() const { return this->now; }
+
+  // When the next timer is due; none when no timer is set.
+  [[nodiscard]] std::optional<TimePoint> NextWake() const;
+
+  // Thread safe.
+  [[nodiscard]] const CounterTable<KernelEvent>& Counters() const {
+    return this->counters;
+  }
+
+ private:
+  using Handler = std::function<void(const std::any&)>;
+  struct Envelope {
+    std::string service;
+    std::any message;
+  };
+
+  void FireDueTimers();
+  void Deliver(const Envelope& envelope);
+
+  TimePoint now;
+  std::map<std::string, std::map<std::type_index, Handler>, std::less<>>
+      services;
+  std::deque<Envelope> queue;
+  std::multimap<TimePoint, Envelope> timers;
+  CounterTable<KernelEvent> counters;
+};
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_KERNEL_H_
