Add structured log lines over log4cxx

Operators need one event a line with VM and data centre in it. Values from outside are quoted and control characters replaced, since a line break in a path would forge a line; the test shows it.

--- /dev/null
+++ b/include/teaselspread/logging.h
@@ -0,0 +1,56 @@
+// Structured log lines: time, level, VM, data centre, service, event, and
+// key=value fields, one event a line.
+#ifndef TEASELSPREAD_LOGGING_H_
+#define TEASELSPREAD_LOGGING_H_
+
+#include <concepts>
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace teaselspread {
+
+enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarning, kError, kCount };
+
+// One field of a line; numbers are written as they are, text is quoted where
+// it holds blanks, quotes or control characters.
+struct LogField {
+  LogField(std::string_view name, std::string_view text)
+      : key(name), value(text) {}
+  LogField(std::string_view name, const char* text) : key(name), value(text) {}
+  template <std::integral Number>
+  LogField(std::string_view name, Number number)
+      : key(name), value(std::to_string(number)) {}
+
+  std::string_view key;
+  std::string value;
+};
+
+// Who writes: stands in every line of this process.
+struct LogIdentity {
+  std::string vm;
+  std::string data_center;
+};
+
+// Sets up log4cxx to write lines of at least `level` to `file`, or to standard
+// error where it is empty. Call once, before any thread starts.
+void StartLogging(const LogIdentity& identity,
+                  LogLevel level,
+                  const std::string& file);
+
+// Writes one line; without StartLogging() it does nothing. Thread safe.
+void Log(LogLevel level,
+         std::string_view service,
+         std::string_view event,
+         std::initializer_list<LogField> fields);
+
+// The text of one line without its time and level. Thread safe.
+[[nodiscard]] std::string FormatLogLine(const LogIdentity& identity,
+                                        std::string_view service,
+                                        std::string_view event,
+                                        std::initializer_list<LogField> fields);
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_LOGGING_H_
--- a/include/teaselspread/teaselspread.h
+++ b/include/teaselspread/teaselspread.h
@@ -5,6 +5,7 @@
 #include "teaselspread/counters.h"
 #include "teaselspread/error.h"
 #include "teaselspread/kernel.h"
+#include "teaselspread/logging.h"
 #include "teaselspread/member.h"
 #include "teaselspread/snapshot.h"
 #include "teaselspread/types.h"
--- /dev/null
+++ b/tests/unit/logging_test.cc
@@ -0,0 +1,22 @@
+#include "teaselspread/logging.h"
+
+#include <criterion/criterion.h>
+
+namespace teaselspread {
+namespace {
+
+// A caller puts a line break into a path. Written as it is, it would start a
+// line of its own in the log, and an operator would read an event that never
+// happened.
+Test(logging, a_value_from_outside_cannot_forge_a_line) {
+  const LogIdentity identity{"bole-1", "bole"};
+  const std::string line = FormatLogLine(
+      identity, "proxy", "refused",
+      {{"path", "/a\nlevel=ERROR"}, {"status", 503}, {"reason", "queue-full"}});
+  cr_assert_str_eq(line.c_str(),
+                   "vm=bole-1 data_center=bole service=proxy event=refused "
+                   "path=\"/a?level=ERROR\" status=503 reason=queue-full");
+}
+
+}  // namespace
+}  // namespace teaselspread
