--- /dev/null
+++ b/src/node/transport.cc
@@ -0,0 +1,261 @@
+#include "node/transport.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace teaselspread {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using asio::ip::udp;
+using ErrorCode = boost::system::error_code;
+
+constexpr std::array<std::string_view,
+                     static_cast<std::size_t>(TransportEvent::kCount)>
+    kEventNames = {
+        "datagram-sent",    "datagram-received", "datagram-send-failed",
+        "stream-sent",      "stream-received",   "stream-connect-failed",
+        "stream-timed-out", "stream-too-long",   "stream-refused-too-many",
+        "bytes-sent",       "bytes-received"};
+
+// A stream that has gone silent must not hold its buffer for ever.
+constexpr std::chrono::seconds kStreamTimeLimit{5};
+constexpr std::size_t kMaxStreamBytes = 16U << 20;
+constexpr std::size_t kFirstStreamBuffer = 16U << 10;
+constexpr int kMaxStreamsIn = 32;
+constexpr int kBindAttempts = 20;
+
+template <class Protocol>
+Result<typename Protocol::endpoint> EndpointOf(const Address& address) {
+  ErrorCode error;
+  const auto ip = asio::ip::make_address(address.host, error);
+  if (error)
+    return Fail(ErrorKind::kSettings, address.host + " is no IP number");
+  return typename Protocol::endpoint(ip, address.port);
+}
+
+}  // namespace
+
+std::string_view NameOf(TransportEvent event) {
+  return kEventNames.at(static_cast<std::size_t>(event));
+}
+
+struct Transport::Incoming : std::enable_shared_from_this<Incoming> {
+  Incoming(Transport& owner, tcp::socket accepted)
+      : transport(owner),
+        socket(std::move(accepted)),
+        timer(owner.io, kStreamTimeLimit) {
+    ++this->transport.streams_in;
+  }
+  ~Incoming() { --this->transport.streams_in; }
+  Incoming(const Incoming&) = delete;
+  Incoming& operator=(const Incoming&) = delete;
+
+  void Start() {
+    this->timer.async_wait([self = this->shared_from_this()](ErrorCode error) {
+      if (error)
+        return;
+      self->transport.counters.Add(TransportEvent::kStreamTimedOut);
+      ErrorCode ignored;
+      self->socket.close(ignored);
+    });
+    this->Read();
+  }
+
+  void Read() {
+    this->frame.resize(std::min(
+        kMaxStreamBytes + 1, std::max(kFirstStreamBuffer, this->filled * 2)));
+    this->socket.async_read_some(
+        asio::buffer(this->frame.data() + this->filled,
+                     this->frame.size() - this->filled),
+        [self = this->shared_from_this()](ErrorCode error, std::size_t bytes) {
+          self->filled += bytes;
+          self->Continue(error);
+        });
+  }
+
+  void Continue(ErrorCode error) {
+    if (this->filled > kMaxStreamBytes) {
+      this->transport.counters.Add(TransportEvent::kStreamTooLong);
+      this->timer.cancel();
+      return;
+    }
+    if (!error) {
+      this->Read();
+      return;
+    }
+    this->timer.cancel();
+    // Anything but a clean end is a broken stream: its frame is not whole.
+    if (error != asio::error::eof)
+      return;
+    this->transport.counters.Add(TransportEvent::kStreamReceived);
+    this->transport.counters.Add(TransportEvent::kBytesReceived, this->filled);
+    this->transport.handler(Address{},
+                            std::string_view(this->frame.data(), this->filled));
+  }
+
+  Transport& transport;
+  tcp::socket socket;
+  asio::steady_timer timer;
+  std::string frame;
+  std::size_t filled = 0;
+};
+
+struct Transport::Outgoing : std::enable_shared_from_this<Outgoing> {
+  Outgoing(Transport& owner, std::string bytes)
+      : transport(owner),
+        socket(owner.io),
+        timer(owner.io, kStreamTimeLimit),
+        frame(std::move(bytes)) {}
+
+  void Start(const tcp::endpoint& to) {
+    this->timer.async_wait([self = this->shared_from_this()](ErrorCode error) {
+      if (error)
+        return;
+      self->transport.counters.Add(TransportEvent::kStreamTimedOut);
+      ErrorCode ignored;
+      self->socket.close(ignored);
+    });
+    this->socket.async_connect(
+        to, [self = this->shared_from_this()](ErrorCode error) {
+          if (error) {
+            self->transport.counters.Add(TransportEvent::kStreamConnectFailed);
+            self->timer.cancel();
+            return;
+          }
+          self->Write();
+        });
+  }
+
+  void Write() {
+    asio::async_write(
+        this->socket, asio::buffer(this->frame),
+        [self = this->shared_from_this()](ErrorCode error, std::size_t bytes) {
+          self->timer.cancel();
+          self->transport.counters.Add(TransportEvent::kBytesSent, bytes);
+          if (error)
+            return;
+          self->transport.counters.Add(TransportEvent::kStreamSent);
+          ErrorCode ignored;
+          self->socket.shutdown(tcp::socket::shutdown_send, ignored);
+        });
+  }
+
+  Transport& transport;
+  tcp::socket socket;
+  asio::steady_timer timer;
+  std::string frame;
+};
+
+Transport::Transport(asio::io_context& loop, FrameHandler frame_handler)
+    : io(loop),
+      handler(std::move(frame_handler)),
+      datagram_socket(loop),
+      acceptor(loop) {}
+
+Result<Address> Transport::Listen(const Address& address) {
+  const auto wanted = EndpointOf<udp>(address);
+  if (!wanted)
+    return tl::make_unexpected(wanted.error());
+  ErrorCode error;
+  // With port 0 the UDP port is the kernel's choice and TCP must get the same
+  // number; another program may hold it, so a few draws are made.
+  for (int attempt = 0; attempt < kBindAttempts; ++attempt) {
+    ErrorCode ignored;
+    this->datagram_socket.close(ignored);
+    this->acceptor.close(ignored);
+    this->datagram_socket.open(wanted->protocol(), error);
+    if (!error)
+      this->datagram_socket.bind(*wanted, error);
+    if (error)
+      continue;
+    const auto bound = this->datagram_socket.local_endpoint();
+    const tcp::endpoint stream_end(bound.address(), bound.port());
+    this->acceptor.open(stream_end.protocol(), ignored);
+    this->acceptor.set_option(tcp::acceptor::reuse_address(true), ignored);
+    this->acceptor.bind(stream_end, error);
+    if (!error)
+      this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+      continue;
+    this->ReceiveDatagram();
+    this->AcceptStream();
+    return Address{bound.address().to_string(), bound.port()};
+  }
+  return Fail(ErrorKind::kSettings, "cannot listen on " + address.host + ":" +
+                                        std::to_string(address.port) + ": " +
+                                        error.message());
+}
+
+void Transport::SendDatagram(const Address& to, std::string_view frame) {
+  const auto endpoint = EndpointOf<udp>(to);
+  ErrorCode error = asio::error::invalid_argument;
+  if (endpoint)
+    this->datagram_socket.send_to(asio::buffer(frame.data(), frame.size()),
+                                  *endpoint, 0, error);
+  if (error) {
+    this->counters.Add(TransportEvent::kDatagramSendFailed);
+    return;
+  }
+  this->counters.Add(TransportEvent::kDatagramSent);
+  this->counters.Add(TransportEvent::kBytesSent, frame.size());
+}
+
+void Transport::SendStream(const Address& to, std::string frame) {
+  const auto endpoint = EndpointOf<tcp>(to);
+  if (!endpoint) {
+    this->counters.Add(TransportEvent::kStreamConnectFailed);
+    return;
+  }
+  std::make_shared<Outgoing>(*this, std::move(frame))->Start(*endpoint);
+}
+
+void Transport::Close() {
+  ErrorCode ignored;
+  this->datagram_socket.close(ignored);
+  this->acceptor.close(ignored);
+}
+
+void Transport::ReceiveDatagram() {
+  this->datagram_socket.async_receive_from(
+      asio::buffer(this->datagram), this->datagram_from,
+      [this](ErrorCode error, std::size_t bytes) {
+        if (error == asio::error::operation_aborted ||
+            !this->datagram_socket.is_open())
+          return;
+        // An error here is an ICMP answer to an earlier send: the peer's port
+        // is closed. Membership finds that out by itself.
+        if (!error) {
+          this->counters.Add(TransportEvent::kDatagramReceived);
+          this->counters.Add(TransportEvent::kBytesReceived, bytes);
+          this->handler(Address{this->datagram_from.address().to_string(),
+                                this->datagram_from.port()},
+                        std::string_view(this->datagram.data(), bytes));
+        }
+        this->ReceiveDatagram();
+      });
+}
+
+void Transport::AcceptStream() {
+  this->acceptor.async_accept([this](ErrorCode error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted || !this->acceptor.is_open())
+      return;
+    // An error here is a lack of descriptors, most likely: the streams under
+    // way free them.
+    if (error || this->streams_in >= kMaxStreamsIn)
+      this->counters.Add(TransportEvent::kStreamRefusedTooMany);
+    else
+      std::make_shared<Incoming>(*this, std::move(socket))->Start();
+    this->AcceptStream();
+  });
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/src/node/transport.h
@@ -0,0 +1,92 @@
+// Frames between nodes: datagrams over UDP, larger ones over TCP.
+#ifndef TEASELSPREAD_NODE_TRANSPORT_H_
+#define TEASELSPREAD_NODE_TRANSPORT_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include "teaselspread/counters.h"
+#include "teaselspread/error.h"
+#include "teaselspread/types.h"
+
+namespace teaselspread {
+
+enum class TransportEvent : std::uint8_t {
+  kDatagramSent,
+  kDatagramReceived,
+  kDatagramSendFailed,
+  kStreamSent,
+  kStreamReceived,
+  kStreamConnectFailed,
+  kStreamTimedOut,
+  kStreamTooLong,
+  kStreamRefusedTooMany,
+  kBytesSent,
+  kBytesReceived,
+  kCount,
+};
+
+// Stable name of a transport counter. Thread safe.
+[[nodiscard]] std::string_view NameOf(TransportEvent event);
+
+// Carries opaque frames. A stream carries one frame and ends: the answer, if
+// any, is a frame of its own to the sender's control address. This keeps every
+// exchange one-way, so that no half-open connection is ever waited on.
+//
+// Boost.Asio stands in for cxxtools here: its UdpReceiver is no Selectable and
+// cannot share a loop with timers and TCP.
+//
+// Not thread safe: belongs to the thread that runs `io`.
+class Transport {
+ public:
+  using FrameHandler =
+      std::function<void(const Address& from, std::string_view frame)>;
+
+  Transport(boost::asio::io_context& io, FrameHandler handler);
+
+  // Binds UDP and TCP to `address`; a port of 0 takes a free one for both.
+  // Errors: kSettings when the address cannot be bound.
+  [[nodiscard]] Result<Address> Listen(const Address& address);
+
+  // Sends one frame without waiting; losses are the receiver's to repair.
+  void SendDatagram(const Address& to, std::string_view frame);
+  void SendStream(const Address& to, std::string frame);
+
+  // Closes the listening sockets. Streams under way end by their time limit.
+  void Close();
+
+  // Thread safe.
+  [[nodiscard]] const CounterTable<TransportEvent>& Counters() const {
+    return this->counters;
+  }
+
+ private:
+  struct Incoming;
+  struct Outgoing;
+
+  void ReceiveDatagram();
+  void AcceptStream();
+
+  static constexpr std::size_t kMaxDatagramBytes = 65536;
+
+  boost::asio::io_context& io;
+  FrameHandler handler;
+  boost::asio::ip::udp::socket datagram_socket;
+  boost::asio::ip::tcp::acceptor acceptor;
+  boost::asio::ip::udp::endpoint datagram_from;
+  std::array<char, kMaxDatagramBytes> datagram{};
+  int streams_in = 0;
+  CounterTable<TransportEvent> counters;
+};
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_NODE_TRANSPORT_H_
