Fold the log's records into one checked configuration

A change counts only if its parent is the accepted head at its place in the log, so that every reader comes to the same verdict. A reader that starts late waits for a checkpoint that reaches back far enough and judges what came between by itself.

--- /dev/null
+++ b/src/config/delta.cc
@@ -0,0 +1,74 @@
+#include <array>
+#include <memory>
+
+#include <xxhash.h>
+
+#include "teaselspread/config.h"
+
+namespace teaselspread {
+namespace {
+
+struct FreeState {
+  void operator()(XXH3_state_t* state) const { XXH3_freeState(state); }
+};
+
+// The size goes first, so that no two lists of leaves give the same bytes.
+void Update(XXH3_state_t* state, std::string_view text) {
+  std::array<unsigned char, 4> size{};
+  for (std::size_t i = 0; i < size.size(); ++i)
+    size.at(i) = static_cast<unsigned char>(text.size() >> (8 * i));
+  XXH3_128bits_update(state, size.data(), size.size());
+  XXH3_128bits_update(state, text.data(), text.size());
+}
+
+std::string HexText(std::uint64_t value) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string text(16, '0');
+  for (auto digit = text.rbegin(); digit != text.rend(); ++digit, value >>= 4)
+    *digit = kDigits[value & 0xf];
+  return text;
+}
+
+}  // namespace
+
+Digest DigestOf(const Document& document) {
+  const std::unique_ptr<XXH3_state_t, FreeState> state(XXH3_createState());
+  XXH3_128bits_reset(state.get());
+  for (const auto& [path, value] : document.leaves) {
+    Update(state.get(), path);
+    Update(state.get(), value);
+  }
+  const XXH128_hash_t hash = XXH3_128bits_digest(state.get());
+  return {hash.high64, hash.low64};
+}
+
+std::string ToString(const Digest& digest) {
+  return HexText(digest.high) + HexText(digest.low);
+}
+
+Delta MakeDelta(const Document& from, const Document& to) {
+  Delta delta;
+  auto old_leaf = from.leaves.begin();
+  for (const auto& [path, value] : to.leaves) {
+    for (; old_leaf != from.leaves.end() && old_leaf->first < path; ++old_leaf)
+      delta.removed.push_back(old_leaf->first);
+    const bool held = old_leaf != from.leaves.end() && old_leaf->first == path;
+    if (!held || old_leaf->second != value)
+      delta.set.emplace_hint(delta.set.end(), path, value);
+    if (held)
+      ++old_leaf;
+  }
+  for (; old_leaf != from.leaves.end(); ++old_leaf)
+    delta.removed.push_back(old_leaf->first);
+  return delta;
+}
+
+Document ApplyDelta(Document from, const Delta& delta) {
+  for (const std::string& path : delta.removed)
+    from.leaves.erase(path);
+  for (const auto& [path, value] : delta.set)
+    from.leaves.insert_or_assign(path, value);
+  return from;
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/src/config/fold.cc
@@ -0,0 +1,154 @@
+#include <algorithm>
+#include <array>
+
+#include "config/judge.h"
+#include "teaselspread/config_log.h"
+
+namespace teaselspread {
+namespace {
+
+// Bounds on records that wait for a checkpoint. A checkpoint is written a few
+// records after the last one that it covers, so more would seldom help.
+constexpr std::size_t kMaxPending = 256;
+constexpr std::size_t kMaxPendingBytes = 8U << 20;
+
+constexpr std::array<std::string_view,
+                     static_cast<std::size_t>(FoldReason::kCount)>
+    kReasonNames = {"accepted",        "conflict",
+                    "digest-mismatch", "invalid",
+                    "duplicate",       "checkpoint-adopted",
+                    "checkpoint-seen", "checkpoint-unusable",
+                    "pending",         "opaque",
+                    "malformed",       "unknown-format",
+                    "already-folded"};
+
+void Count(FoldState& state, FoldReason reason) {
+  ++state.counters.at(static_cast<std::size_t>(reason));
+}
+
+void ClearPending(FoldState& state, LogOffset floor) {
+  state.pending.clear();
+  state.pending_bytes = 0;
+  state.pending_floor = floor;
+}
+
+void DropOldestPending(FoldState& state) {
+  state.pending_floor = state.pending.front().offset;
+  state.pending_bytes -= state.pending.front().bytes.size();
+  state.pending.pop_front();
+}
+
+FoldReason Keep(FoldState& state, LogOffset offset, std::string_view bytes) {
+  state.pending.push_back({offset, std::string(bytes)});
+  state.pending_bytes += bytes.size();
+  while (state.pending.size() > kMaxPending ||
+         state.pending_bytes > kMaxPendingBytes) {
+    DropOldestPending(state);
+  }
+  return FoldReason::kPending;
+}
+
+void StopJudging(FoldState& state, LogOffset floor) {
+  state.is_current = false;
+  ClearPending(state, floor);
+}
+
+// Precondition: state.is_current.
+FoldReason Judge(Folding& folding, LogOffset offset, const LogRecord& record) {
+  if (const auto* change = std::get_if<ChangeRecord>(&record))
+    return JudgeChange(folding, offset, *change);
+  if (const auto* origin = std::get_if<OriginRecord>(&record))
+    return JudgeOrigin(folding, offset, *origin);
+  if (const auto* checkpoint = std::get_if<CheckpointRecord>(&record))
+    return SeeCheckpoint(folding.state, offset, *checkpoint);
+  return FoldReason::kOpaque;
+}
+
+// Judges what came between the last record that the checkpoint covers and the
+// checkpoint itself, so that a late reader stands where all others stand.
+void Replay(Folding& folding, LogOffset through) {
+  std::deque<PendingRecord> pending;
+  pending.swap(folding.state.pending);
+  ClearPending(folding.state, through);
+  for (const PendingRecord& kept : pending) {
+    if (kept.offset <= through)
+      continue;
+    if (const auto record = DecodeRecord(kept.bytes))
+      Count(folding.state, Judge(folding, kept.offset, *record));
+  }
+}
+
+FoldReason TakeWhileWaiting(Folding& folding,
+                            LogOffset offset,
+                            const LogRecord& record,
+                            std::string_view bytes) {
+  if (const auto* checkpoint = std::get_if<CheckpointRecord>(&record)) {
+    if (!AdoptCheckpoint(folding, offset, *checkpoint))
+      return FoldReason::kCheckpointUnusable;
+    Replay(folding, checkpoint->through);
+    return FoldReason::kCheckpointAdopted;
+  }
+  if (const auto* origin = std::get_if<OriginRecord>(&record);
+      origin != nullptr && IsGoodOrigin(offset, *origin)) {
+    ClearPending(folding.state, offset);
+    return JudgeOrigin(folding, offset, *origin);
+  }
+  return Keep(folding.state, offset, bytes);
+}
+
+FoldReason Take(Folding& folding,
+                LogOffset offset,
+                std::string_view bytes,
+                std::optional<OpaqueRecord>& opaque) {
+  auto record = DecodeRecord(bytes);
+  if (!record) {
+    if (record.error().kind != ErrorKind::kFrameVersion)
+      return FoldReason::kMalformed;
+    StopJudging(folding.state, offset);
+    return FoldReason::kUnknownFormat;
+  }
+  if (auto* found = std::get_if<OpaqueRecord>(&*record)) {
+    opaque = std::move(*found);
+    return FoldReason::kOpaque;
+  }
+  if (folding.state.is_current)
+    return Judge(folding, offset, *record);
+  return TakeWhileWaiting(folding, offset, *record, bytes);
+}
+
+std::optional<VersionStep> StepOf(const Folding& folding) {
+  if (!folding.before)
+    return std::nullopt;
+  return VersionStep{folding.from, folding.state.head,
+                     MakeDelta(*folding.before, folding.state.document)};
+}
+
+}  // namespace
+
+std::string_view NameOf(FoldReason reason) {
+  return kReasonNames.at(static_cast<std::size_t>(reason));
+}
+
+FoldResult Fold(FoldState& state, LogOffset offset, std::string_view bytes) {
+  FoldResult result;
+  if (offset <= state.position) {
+    result.reason = FoldReason::kAlreadyFolded;
+  } else {
+    SkipTo(state, offset);
+    state.position = offset;
+    Folding folding{state};
+    result.reason = Take(folding, offset, bytes, result.opaque);
+    result.step = StepOf(folding);
+  }
+  Count(state, result.reason);
+  return result;
+}
+
+void SkipTo(FoldState& state, LogOffset first) {
+  if (first <= state.position + 1)
+    return;
+  StopJudging(state, first - 1);
+  state.position = first - 1;
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/src/config/merge.h
@@ -0,0 +1,53 @@
+// The merged view of base and overlay, and problems found by path.
+#ifndef TEASELSPREAD_CONFIG_MERGE_H_
+#define TEASELSPREAD_CONFIG_MERGE_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+#include "teaselspread/config.h"
+
+namespace teaselspread {
+
+// What is wrong with the leaf or entry at `path`, which is a whole path of a
+// document, so that the source line can be found.
+struct Problem {
+  std::string path;
+  std::string text;
+};
+
+template <class T>
+using Checked = tl::expected<T, Problem>;
+
+inline tl::unexpected<Problem> Wrong(std::string path, std::string text) {
+  return tl::make_unexpected(Problem{std::move(path), std::move(text)});
+}
+
+inline constexpr std::string_view kBasePrefix = "base/";
+inline constexpr std::string_view kOverlayPrefix = "overlay/";
+
+// "overlay/<data_center>/". Thread safe.
+[[nodiscard]] std::string OverlayPrefixOf(std::string_view data_center);
+
+// One leaf of the merged view; it points into the document.
+struct MergedLeaf {
+  // Without "base/" or "overlay/<data centre>/".
+  std::string_view path;
+  std::string_view value;
+  // The whole path, for problems.
+  std::string_view origin;
+};
+
+// Leaves in force at `data_center`, sorted by path. A deletion of something
+// that the base lacks is a problem, since it is most likely a slip of the pen.
+// Precondition: the document outlives the result. Thread safe.
+[[nodiscard]] Checked<std::vector<MergedLeaf>> Merge(
+    const Document& document,
+    std::string_view data_center);
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_CONFIG_MERGE_H_
--- /dev/null
+++ b/src/config/publish.cc
@@ -0,0 +1,95 @@
+// The records that writers make out of a fold's state.
+#include <random>
+
+#include "teaselspread/config_log.h"
+
+namespace teaselspread {
+namespace {
+
+// A third of the retention leaves two more tries before the oldest expires.
+constexpr int kAgeShare = 3;
+// While the newest checkpoint's writer seems to live in the future, its age is
+// unknown; a clock that runs ahead must not hold back the next checkpoint.
+constexpr int kDoubtfulAgeShare = 12;
+
+bool IsOld(const CheckpointRule& rule,
+           const FoldState& state,
+           TimePoint watched_since,
+           TimePoint now) {
+  const Duration seen = now - watched_since;
+  if (state.checkpoint_written_at > now)
+    return seen > rule.retention / kDoubtfulAgeShare;
+  return now - state.checkpoint_written_at > rule.retention / kAgeShare;
+}
+
+bool IsWanted(const CheckpointRule& rule,
+              const FoldState& state,
+              const CheckpointTimer& timer,
+              TimePoint now) {
+  if (!state.is_current || state.head == 0)
+    return false;
+  // The records may be about to expire, for all that a fresh reader knows.
+  if (state.checkpoint_offset == 0)
+    return true;
+  return state.changes_since_checkpoint >= rule.changes ||
+         IsOld(rule, state, timer.watched_since.value_or(now), now);
+}
+
+Duration RandomWait(const CheckpointRule& rule, Rng& rng) {
+  std::uniform_int_distribution<Duration::rep> wait(0, rule.spread.count());
+  return Duration(wait(rng));
+}
+
+}  // namespace
+
+ChangeRecord MakeChange(const FoldState& state,
+                        const Document& to,
+                        std::string publish_id) {
+  ChangeRecord change{std::move(publish_id), state.head, DigestOf(to), {}};
+  Delta delta = MakeDelta(state.document, to);
+  if (delta.set.size() + delta.removed.size() < to.leaves.size())
+    change.content = std::move(delta);
+  else
+    change.content = to;
+  return change;
+}
+
+CheckpointRecord MakeCheckpoint(const FoldState& state, TimePoint now) {
+  return {state.head,
+          state.head_publish_id,
+          state.digest,
+          state.position,
+          now,
+          state.document,
+          {state.outcomes.begin(), state.outcomes.end()}};
+}
+
+OriginRecord MakeOrigin(const FoldState& state,
+                        const Document& to,
+                        std::string publish_id) {
+  return {std::move(publish_id), state.position, DigestOf(to), to};
+}
+
+bool CheckpointDue(const CheckpointRule& rule,
+                   const FoldState& state,
+                   CheckpointTimer& timer,
+                   TimePoint now,
+                   Rng& rng) {
+  if (!timer.watched_since || timer.watched != state.checkpoint_offset) {
+    timer.watched = state.checkpoint_offset;
+    timer.watched_since = now;
+    timer.write_at.reset();
+  }
+  if (!IsWanted(rule, state, timer, now)) {
+    timer.write_at.reset();
+    return false;
+  }
+  if (!timer.write_at)
+    timer.write_at = now + RandomWait(rule, rng);
+  if (now < *timer.write_at)
+    return false;
+  timer.write_at = now + rule.spread + RandomWait(rule, rng);
+  return true;
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/src/config/record.cc
@@ -0,0 +1,233 @@
+#include <array>
+#include <exception>
+#include <sstream>
+
+#include <xxhash.h>
+
+#include "base/text.h"
+#include "config/archive.h"
+#include "teaselspread/config_log.h"
+
+namespace teaselspread {
+namespace {
+
+// Frame: magic, format, kind, checksum of the body, body.
+constexpr std::string_view kMagic = "TSPR";
+constexpr std::uint8_t kFormat = 1;
+constexpr std::size_t kChecksumAt = 6;
+constexpr std::size_t kBodyAt = kChecksumAt + 8;
+
+enum class Kind : std::uint8_t { kChange, kCheckpoint, kOrigin, kOpaque };
+enum class Content : std::uint8_t { kDelta, kFull };
+
+void SaveDigest(OutputArchive& archive, const Digest& digest) {
+  archive(digest.high, digest.low);
+}
+
+void LoadDigest(InputArchive& archive, Digest& digest) {
+  archive(digest.high, digest.low);
+}
+
+void SaveDelta(OutputArchive& archive, const Delta& delta) {
+  SaveLeaves(archive, delta.set);
+  archive(static_cast<std::uint32_t>(delta.removed.size()));
+  std::string_view previous;
+  for (const std::string& path : delta.removed) {
+    SavePath(archive, path, previous);
+    previous = path;
+  }
+}
+
+void LoadDelta(InputArchive& archive, Delta& delta) {
+  LoadLeaves(archive, delta.set);
+  std::uint32_t count = 0;
+  archive(count);
+  std::string previous;
+  for (std::uint32_t i = 0; i < count; ++i) {
+    std::string path;
+    LoadPath(archive, path, previous);
+    previous = path;
+    delta.removed.push_back(std::move(path));
+  }
+}
+
+void SaveOutcome(OutputArchive& archive, const PublishOutcome& outcome) {
+  SaveText(archive, outcome.publish_id);
+  archive(outcome.offset, static_cast<std::uint8_t>(outcome.reason),
+          outcome.head);
+  SaveText(archive, outcome.head_publish_id);
+  SaveText(archive, outcome.message);
+}
+
+void LoadOutcome(InputArchive& archive, PublishOutcome& outcome) {
+  std::uint8_t reason = 0;
+  LoadText(archive, outcome.publish_id);
+  archive(outcome.offset, reason, outcome.head);
+  if (reason >= static_cast<std::uint8_t>(FoldReason::kCount))
+    throw cereal::Exception("no such fold reason");
+  outcome.reason = static_cast<FoldReason>(reason);
+  LoadText(archive, outcome.head_publish_id);
+  LoadText(archive, outcome.message);
+}
+
+struct BodyWriter {
+  OutputArchive& archive;
+
+  Kind operator()(const ChangeRecord& record) const {
+    SaveText(this->archive, record.publish_id);
+    this->archive(record.parent);
+    SaveDigest(this->archive, record.digest);
+    if (const auto* delta = std::get_if<Delta>(&record.content)) {
+      this->archive(static_cast<std::uint8_t>(Content::kDelta));
+      SaveDelta(this->archive, *delta);
+    } else {
+      this->archive(static_cast<std::uint8_t>(Content::kFull));
+      SaveLeaves(this->archive, std::get<Document>(record.content).leaves);
+    }
+    return Kind::kChange;
+  }
+
+  Kind operator()(const CheckpointRecord& record) const {
+    this->archive(record.version);
+    SaveText(this->archive, record.publish_id);
+    SaveDigest(this->archive, record.digest);
+    this->archive(record.through,
+                  static_cast<std::int64_t>(
+                      record.written_at.time_since_epoch().count()));
+    SaveLeaves(this->archive, record.document.leaves);
+    this->archive(static_cast<std::uint32_t>(record.outcomes.size()));
+    for (const PublishOutcome& outcome : record.outcomes)
+      SaveOutcome(this->archive, outcome);
+    return Kind::kCheckpoint;
+  }
+
+  Kind operator()(const OriginRecord& record) const {
+    SaveText(this->archive, record.publish_id);
+    this->archive(record.through);
+    SaveDigest(this->archive, record.digest);
+    SaveLeaves(this->archive, record.document.leaves);
+    return Kind::kOrigin;
+  }
+
+  Kind operator()(const OpaqueRecord& record) const {
+    SaveText(this->archive, record.kind);
+    SaveText(this->archive, record.bytes);
+    return Kind::kOpaque;
+  }
+};
+
+ChangeRecord LoadChange(InputArchive& archive) {
+  ChangeRecord record;
+  LoadText(archive, record.publish_id);
+  archive(record.parent);
+  LoadDigest(archive, record.digest);
+  std::uint8_t content = 0;
+  archive(content);
+  if (content == static_cast<std::uint8_t>(Content::kDelta)) {
+    LoadDelta(archive, record.content.emplace<Delta>());
+  } else if (content == static_cast<std::uint8_t>(Content::kFull)) {
+    LoadLeaves(archive, record.content.emplace<Document>().leaves);
+  } else {
+    throw cereal::Exception("no such content");
+  }
+  return record;
+}
+
+CheckpointRecord LoadCheckpoint(InputArchive& archive) {
+  CheckpointRecord record;
+  archive(record.version);
+  LoadText(archive, record.publish_id);
+  LoadDigest(archive, record.digest);
+  std::int64_t written_at = 0;
+  archive(record.through, written_at);
+  record.written_at = TimePoint(Duration(written_at));
+  LoadLeaves(archive, record.document.leaves);
+  std::uint32_t count = 0;
+  archive(count);
+  for (std::uint32_t i = 0; i < count; ++i)
+    LoadOutcome(archive, record.outcomes.emplace_back());
+  return record;
+}
+
+OriginRecord LoadOrigin(InputArchive& archive) {
+  OriginRecord record;
+  LoadText(archive, record.publish_id);
+  archive(record.through);
+  LoadDigest(archive, record.digest);
+  LoadLeaves(archive, record.document.leaves);
+  return record;
+}
+
+OpaqueRecord LoadOpaque(InputArchive& archive) {
+  OpaqueRecord record;
+  LoadText(archive, record.kind);
+  LoadText(archive, record.bytes);
+  return record;
+}
+
+// Throws cereal::Exception on bytes that do not fit.
+LogRecord LoadBody(Kind kind, InputArchive& archive) {
+  switch (kind) {
+    case Kind::kChange:
+      return LoadChange(archive);
+    case Kind::kCheckpoint:
+      return LoadCheckpoint(archive);
+    case Kind::kOrigin:
+      return LoadOrigin(archive);
+    case Kind::kOpaque:
+      return LoadOpaque(archive);
+  }
+  throw cereal::Exception("no such kind");
+}
+
+std::string ChecksumText(std::string_view head, std::string_view body) {
+  XXH64_hash_t hash = XXH3_64bits_withSeed(
+      body.data(), body.size(), XXH3_64bits(head.data(), head.size()));
+  std::string text;
+  for (std::size_t i = 0; i < sizeof(hash); ++i, hash >>= 8)
+    text += static_cast<char>(hash & 0xff);
+  return text;
+}
+
+}  // namespace
+
+std::string EncodeRecord(const LogRecord& record) {
+  std::ostringstream stream;
+  Kind kind = Kind::kOpaque;
+  {
+    OutputArchive archive(stream);
+    kind = std::visit(BodyWriter{archive}, record);
+  }
+  const std::string body = std::move(stream).str();
+  std::string bytes(kMagic);
+  bytes += static_cast<char>(kFormat);
+  bytes += static_cast<char>(kind);
+  bytes += ChecksumText(bytes, body);
+  bytes += body;
+  return bytes;
+}
+
+Result<LogRecord> DecodeRecord(std::string_view bytes) {
+  if (bytes.size() < kBodyAt || !bytes.starts_with(kMagic))
+    return Fail(ErrorKind::kFrameMalformed, "no record of teaselspread");
+  const std::string_view body = bytes.substr(kBodyAt);
+  if (ChecksumText(bytes.substr(0, kChecksumAt), body) !=
+      bytes.substr(kChecksumAt, kBodyAt - kChecksumAt)) {
+    return Fail(ErrorKind::kFrameMalformed, "the record's checksum is wrong");
+  }
+  if (const auto format = static_cast<std::uint8_t>(bytes[kMagic.size()]);
+      format != kFormat) {
+    return Fail(ErrorKind::kFrameVersion,
+                Concat("the record has format ", unsigned{format},
+                       ", this release reads ", unsigned{kFormat}));
+  }
+  try {
+    std::istringstream stream{std::string(body)};
+    InputArchive archive(stream);
+    return LoadBody(static_cast<Kind>(bytes[kMagic.size() + 1]), archive);
+  } catch (const std::exception& error) {
+    return Fail(ErrorKind::kFrameMalformed, error.what());
+  }
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/src/config/references.cc
@@ -0,0 +1,137 @@
+#include "config/references.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "base/text.h"
+
+namespace teaselspread {
+namespace {
+
+using MovesOfService = std::map<std::string, std::vector<const MoveConfig*>>;
+
+Checked<void> CheckRoute(const Snapshot& snapshot, const RouteConfig& route) {
+  const std::string path = Concat("routes/", route.name);
+  if (!snapshot.services.contains(route.service)) {
+    return Wrong(path + "/service",
+                 Concat("no service is called ", route.service));
+  }
+  if (route.max_body_bytes > snapshot.limits.max_body_bytes) {
+    return Wrong(path + "/max_body_bytes",
+                 Concat("expected at most limits/max_body_bytes, ",
+                        snapshot.limits.max_body_bytes));
+  }
+  return {};
+}
+
+// Two routes of one method and prefix would leave it to chance which deadline
+// and which at-most-once rule a request gets.
+Checked<void> CheckRoutes(const Snapshot& snapshot) {
+  std::map<std::pair<std::string_view, std::string_view>, std::string_view>
+      seen;
+  for (const RouteConfig& route : snapshot.routes) {
+    if (auto checked = CheckRoute(snapshot, route); !checked)
+      return checked;
+    const auto [other, is_new] =
+        seen.try_emplace({route.method, route.path_prefix}, route.name);
+    if (!is_new) {
+      return Wrong(Concat("routes/", route.name, "/path_prefix"),
+                   Concat("route ", other->second, " already takes ",
+                          route.method, " ", route.path_prefix));
+    }
+  }
+  return {};
+}
+
+Checked<void> CheckMove(const Snapshot& snapshot, const MoveConfig& move) {
+  const std::string path = Concat("moves/", move.id);
+  if (!snapshot.services.contains(move.service)) {
+    return Wrong(path + "/service",
+                 Concat("no service is called ", move.service));
+  }
+  if (move.from == move.to)
+    return Wrong(path + "/to", "expected another version than from");
+  if (move.by <= move.start)
+    return Wrong(path + "/by", "expected a time after start");
+  return {};
+}
+
+// The versions that a service may have when a move begins: its own, and those
+// that other moves lead to. A finished move may stay in the file after the
+// operator has set the service to its new version.
+Checked<void> CheckVersions(const ServiceConfig& service,
+                            const std::vector<const MoveConfig*>& moves) {
+  std::set<std::string_view> known = {service.version};
+  for (const MoveConfig* move : moves) {
+    if (move->to == service.version)
+      known.insert(move->from);
+    if (!known.contains(move->from)) {
+      return Wrong(
+          Concat("moves/", move->id, "/from"),
+          Concat("expected the version of ", service.name, ", ",
+                 service.version, ", or one that an earlier move leads to"));
+    }
+    known.insert(move->to);
+  }
+  return {};
+}
+
+// Two moves of one service at a time would pull its traffic in two directions.
+Checked<void> CheckOverlap(const std::vector<const MoveConfig*>& moves) {
+  for (std::size_t i = 1; i < moves.size(); ++i) {
+    const MoveConfig& earlier = *moves[i - 1];
+    const MoveConfig& later = *moves[i];
+    if (later.start < earlier.by + earlier.watch) {
+      return Wrong(Concat("moves/", later.id, "/start"),
+                   Concat("overlaps move ", earlier.id,
+                          " of the same service, which ends with its "
+                          "watch after by"));
+    }
+  }
+  return {};
+}
+
+Checked<void> CheckMoves(const Snapshot& snapshot) {
+  MovesOfService by_service;
+  for (const auto& [id, move] : snapshot.moves) {
+    if (auto checked = CheckMove(snapshot, move); !checked)
+      return checked;
+    if (!move.withdrawn)
+      by_service[move.service].push_back(&move);
+  }
+  for (auto& [service, moves] : by_service) {
+    std::sort(moves.begin(), moves.end(), [](const auto* a, const auto* b) {
+      return std::tie(a->start, a->id) < std::tie(b->start, b->id);
+    });
+    if (auto checked = CheckOverlap(moves); !checked)
+      return checked;
+    if (auto checked = CheckVersions(snapshot.services.at(service), moves);
+        !checked) {
+      return checked;
+    }
+  }
+  return {};
+}
+
+Checked<void> CheckLimits(const LimitsConfig& limits) {
+  if (limits.max_body_bytes > limits.body_memory_bytes) {
+    return Wrong("limits/max_body_bytes",
+                 Concat("expected at most limits/body_memory_bytes, ",
+                        limits.body_memory_bytes));
+  }
+  return {};
+}
+
+}  // namespace
+
+Checked<void> CheckReferences(const Snapshot& snapshot) {
+  if (auto checked = CheckLimits(snapshot.limits); !checked)
+    return checked;
+  if (auto checked = CheckRoutes(snapshot); !checked)
+    return checked;
+  return CheckMoves(snapshot);
+}
+
+}  // namespace teaselspread
