--- /dev/null
+++ b/src/membership/base.cc
@@ -0,0 +1,139 @@
+#include <algorithm>
+#include <array>
+#include <unordered_set>
+
+#include <xxhash.h>
+
+#include "membership/internal.h"
+
+namespace teaselspread {
+namespace {
+
+constexpr auto kCounts = static_cast<std::size_t>(MembershipCount::kCount);
+constexpr std::array<std::string_view, kCounts> kCountNames = {
+    "probe-failed",      "suspected",     "refuted",
+    "declared-dead",     "pause-noticed", "rumour-dropped",
+    "wrong-data-center", "wrong-target",  "budget-deferred"};
+
+}  // namespace
+
+std::string_view NameOf(MembershipCount reason) {
+  return kCountNames.at(static_cast<std::size_t>(reason));
+}
+
+Sender SenderOf(const Membership& state, TimePoint now) {
+  std::uint32_t age = kAgeUnknown;
+  if (state.fresh_as_of != TimePoint{} && state.fresh_as_of <= now) {
+    const auto exact =
+        std::chrono::ceil<std::chrono::milliseconds>(now - state.fresh_as_of);
+    if (exact.count() < kAgeUnknown)
+      age = static_cast<std::uint32_t>(exact.count());
+  }
+  return Sender{state.self.id, state.self.incarnation, state.self.control,
+                state.self.held, age};
+}
+
+std::size_t CountLive(const Membership& state) {
+  return static_cast<std::size_t>(std::count_if(
+      state.members.begin(), state.members.end(),
+      [](const auto& row) { return membership::IsLive(row.second); }));
+}
+
+std::vector<Member> LiveMembers(const Membership& state) {
+  std::vector<Member> live;
+  for (const auto& [id, entry] : state.members) {
+    if (membership::IsLive(entry))
+      live.push_back(entry.member);
+  }
+  return live;
+}
+
+const Member* FindMember(const Membership& state, const std::string& id) {
+  if (id == state.self.id)
+    return &state.self;
+  const auto found = state.members.find(id);
+  return found == state.members.end() ? nullptr : &found->second.member;
+}
+
+namespace membership {
+
+void Count(Membership& state, MembershipCount reason) {
+  ++state.counts.at(static_cast<std::size_t>(reason));
+}
+
+bool IsLive(const MemberEntry& entry) {
+  return entry.member.status == MemberStatus::kAlive ||
+         entry.member.status == MemberStatus::kSuspect;
+}
+
+Duration RandomUpTo(Duration limit, Rng& rng) {
+  if (limit <= Duration::zero())
+    return Duration::zero();
+  return Duration{
+      std::uniform_int_distribution<Duration::rep>(0, limit.count())(rng)};
+}
+
+std::vector<const MemberEntry*> PickLive(const Membership& state,
+                                         std::size_t count,
+                                         const std::string& except,
+                                         Rng& rng) {
+  std::vector<const MemberEntry*> picked;
+  if (state.order.empty())
+    return picked;
+  std::uniform_int_distribution<std::size_t> any(0, state.order.size() - 1);
+  // Dead ids stay in the order until the next round: try a few more times.
+  const std::size_t tries = 4 * count + state.order.size() % 16;
+  for (std::size_t i = 0; i < tries && picked.size() < count; ++i) {
+    const auto found = state.members.find(state.order[any(rng)]);
+    if (found == state.members.end() || !IsLive(found->second) ||
+        found->first == except)
+      continue;
+    const MemberEntry* entry = &found->second;
+    if (std::find(picked.begin(), picked.end(), entry) == picked.end())
+      picked.push_back(entry);
+  }
+  return picked;
+}
+
+void Send(Call& call, const Address& to, Message message) {
+  call.actions.sends.push_back({to, Transport::kDatagram, std::move(message)});
+}
+
+void SendExchange(Call& call, const Address& to, bool reply_wanted) {
+  StateExchange exchange;
+  exchange.from = SenderOf(call.state, call.now);
+  exchange.reply_wanted = reply_wanted;
+  exchange.members.push_back(call.state.self);
+  for (const auto& [id, entry] : call.state.members)
+    exchange.members.push_back(entry.member);
+  for (const auto& [key, rumour] : call.state.opaque)
+    exchange.rumours.push_back(rumour);
+  call.actions.sends.push_back({to, Transport::kStream, std::move(exchange)});
+}
+
+std::uint64_t DigestOf(const Membership& state) {
+  const auto hash = [](const Member& member) {
+    return XXH3_64bits_withSeed(member.id.data(), member.id.size(),
+                                member.incarnation);
+  };
+  std::uint64_t digest =
+      state.self.status == MemberStatus::kAlive ? hash(state.self) : 0;
+  for (const auto& [id, entry] : state.members) {
+    if (IsLive(entry))
+      digest ^= hash(entry.member);
+  }
+  for (const auto& [key, rumour] : state.opaque) {
+    digest ^= XXH3_64bits_withSeed(key.second.data(), key.second.size(),
+                                   rumour.version);
+  }
+  return digest;
+}
+
+void SendDigest(Call& call, const Address& to, bool reply_wanted) {
+  Send(call, to,
+       StateDigest{SenderOf(call.state, call.now), reply_wanted,
+                   DigestOf(call.state)});
+}
+
+}  // namespace membership
+}  // namespace teaselspread
--- /dev/null
+++ b/src/membership/membership.cc
@@ -0,0 +1,300 @@
+#include "teaselspread/membership.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+
+#include "membership/internal.h"
+
+namespace teaselspread {
+namespace {
+
+using membership::Call;
+
+// After a pause the timers say that members are silent, while their answers
+// wait unread in the socket. Acting on the timers would have healthy members
+// declared dead (seen as a burst of refutations after each long pause). So
+// probes are dropped, suspicions get the lost time back, and nothing is said of
+// others until one of them has been heard.
+void NotePause(Call& call, Duration lateness) {
+  Membership& state = call.state;
+  membership::Count(state, MembershipCount::kPauseNoticed);
+  membership::Degrade(state);
+  state.probe.reset();
+  state.relays.clear();
+  state.queue.clear();
+  for (auto& [id, entry] : state.members) {
+    if (entry.member.status == MemberStatus::kSuspect)
+      entry.suspect_deadline += lateness;
+  }
+  state.next_probe = call.now + state.settings.period;
+  state.next_exchange = call.now + state.settings.exchange_interval;
+  const auto peers = membership::PickLive(state, 2, state.self.id, call.rng);
+  if (peers.empty())
+    return;
+  state.doubt_until = call.now + state.settings.doubt_time;
+  // Others may hold an accusation by now: answer it before it is heard.
+  if (!state.leaving)
+    membership::Refute(call, state.self.incarnation);
+  for (const MemberEntry* peer : peers)
+    membership::SendDigest(call, peer->member.control, true);
+}
+
+void Begin(Call& call) {
+  Membership& state = call.state;
+  call.now = std::max(call.now, state.latest);
+  state.latest = call.now;
+  const Duration lateness = call.now - state.expected_wake;
+  if (lateness > state.settings.pause_threshold)
+    NotePause(call, lateness);
+}
+
+MembershipActions Finish(Call& call) {
+  call.state.expected_wake = std::max(call.now, NextWake(call.state));
+  return std::move(call.actions);
+}
+
+void ExchangeWithSeeds(Call& call) {
+  std::vector<Address> seeds = call.state.seeds;
+  std::erase(seeds, call.state.self.control);
+  std::shuffle(seeds.begin(), seeds.end(), call.rng);
+  constexpr std::size_t kAtOnce = 2;
+  seeds.resize(std::min(seeds.size(), kAtOnce));
+  for (const Address& seed : seeds)
+    membership::SendExchange(call, seed, true);
+}
+
+// A member taken for dead is not probed, so two halves of a healed cut would
+// never speak again. One of the dead is pinged now and then with the accusation
+// in front, which it can refute.
+void PingOneDead(Call& call) {
+  std::vector<const MemberEntry*> dead;
+  for (const auto& [id, entry] : call.state.members) {
+    if (entry.member.status == MemberStatus::kDead)
+      dead.push_back(&entry);
+  }
+  if (dead.empty())
+    return;
+  std::uniform_int_distribution<std::size_t> any(0, dead.size() - 1);
+  const Member& target = dead[any(call.rng)]->member;
+  membership::Send(
+      call, target.control,
+      Ping{SenderOf(call.state, call.now), call.state.next_sequence++,
+           target.id, membership::TakeRumours(call, target.id)});
+}
+
+void TickReconnect(Call& call) {
+  Membership& state = call.state;
+  if (call.now < state.next_reconnect)
+    return;
+  const Duration interval = state.settings.reconnect_interval;
+  state.next_reconnect =
+      call.now + interval / 2 + membership::RandomUpTo(interval, call.rng);
+  if (!state.joined || CountLive(state) == 0)
+    ExchangeWithSeeds(call);
+  PingOneDead(call);
+}
+
+void TickExchange(Call& call) {
+  Membership& state = call.state;
+  if (call.now < state.next_exchange)
+    return;
+  const Duration interval = state.settings.exchange_interval;
+  state.next_exchange =
+      call.now + interval / 2 + membership::RandomUpTo(interval, call.rng);
+  for (const MemberEntry* peer :
+       membership::PickLive(state, 1, state.self.id, call.rng))
+    membership::SendDigest(call, peer->member.control, false);
+}
+
+void ObserveSender(Call& call, const Sender& from) {
+  if (from.id == call.state.self.id)
+    return;
+  if (const auto found = call.state.members.find(from.id);
+      found != call.state.members.end()) {
+    Member& member = found->second.member;
+    if (StartOf(member.incarnation) == StartOf(from.incarnation))
+      member.held = std::max(member.held, from.held);
+  }
+  call.actions.versions.push_back(
+      {from.id, from.incarnation, from.control, from.held, TimePoint{}});
+}
+
+void Merge(Call& call, const StateExchange& exchange) {
+  Membership& state = call.state;
+  for (const Member& member : exchange.members) {
+    const bool own = member.id == exchange.from.id;
+    membership::ApplyMember(
+        call, member,
+        own ? membership::Source::kOwnEntry : membership::Source::kExchange);
+  }
+  for (const OpaqueRumour& rumour : exchange.rumours)
+    membership::ApplyOpaque(call, rumour);
+  state.joined = true;
+  state.doubt_until = TimePoint{};
+  if (exchange.reply_wanted)
+    membership::SendExchange(call, exchange.from.control, false);
+}
+
+void Compare(Call& call, const StateDigest& digest) {
+  if (digest.digest != membership::DigestOf(call.state)) {
+    membership::SendExchange(call, digest.from.control, true);
+    return;
+  }
+  call.state.doubt_until = TimePoint{};
+  if (digest.reply_wanted)
+    membership::SendDigest(call, digest.from.control, false);
+}
+
+struct Dispatch {
+  Call& call;
+
+  void operator()(const Ping& message) const {
+    membership::ApplyRumours(this->call, message.rumours);
+    membership::ReceivePing(this->call, message);
+  }
+  void operator()(const PingRequest& message) const {
+    membership::ApplyRumours(this->call, message.rumours);
+    membership::ReceivePingRequest(this->call, message);
+  }
+  void operator()(const Ack& message) const {
+    membership::ReceiveAck(this->call, message);
+    membership::ApplyRumours(this->call, message.rumours);
+  }
+  void operator()(const Nack& message) const {
+    membership::ReceiveNack(this->call, message);
+  }
+  void operator()(const Gossip& message) const {
+    membership::ApplyRumours(this->call, message.rumours);
+  }
+  void operator()(const StateExchange& message) const {
+    Merge(this->call, message);
+  }
+  void operator()(const StateDigest& message) const {
+    Compare(this->call, message);
+  }
+  // Kinds of the spread module.
+  template <class Other>
+  void operator()(const Other& /*message*/) const {}
+};
+
+}  // namespace
+
+Membership MakeMembership(const MembershipSettings& settings,
+                          const Member& self,
+                          std::vector<Address> seeds,
+                          TimePoint now) {
+  Membership state;
+  state.settings = settings;
+  state.self = self;
+  state.self.status = MemberStatus::kAlive;
+  state.seeds = std::move(seeds);
+  state.rumour_tokens = static_cast<double>(settings.rumour_burst_bytes);
+  state.tokens_at = now;
+  state.latest = now;
+  state.next_probe = now;
+  state.next_gossip = TimePoint::max();
+  state.next_exchange = now + settings.exchange_interval;
+  state.next_reconnect = now;
+  state.expected_wake = now;
+  return state;
+}
+
+TimePoint NextWake(const Membership& state) {
+  TimePoint wake = std::min({state.next_probe, state.next_gossip,
+                             state.next_exchange, state.next_reconnect});
+  if (state.probe) {
+    wake = std::min(wake, state.probe->deadline);
+    if (!state.probe->indirect_sent)
+      wake = std::min(wake, state.probe->indirect_at);
+  }
+  for (const auto& [sequence, relay] : state.relays)
+    wake = std::min(wake, relay.nack_at);
+  return wake;
+}
+
+MembershipActions TickMembership(Membership& state, TimePoint now, Rng& rng) {
+  Call call{state, now, rng, {}};
+  Begin(call);
+  membership::TickSuspicions(call);
+  membership::TickProbe(call);
+  membership::TickGossip(call);
+  TickReconnect(call);
+  TickExchange(call);
+  return Finish(call);
+}
+
+MembershipActions ReceiveMembership(Membership& state,
+                                    const Message& message,
+                                    TimePoint now,
+                                    Rng& rng) {
+  Call call{state, now, rng, {}};
+  Begin(call);
+  ObserveSender(call, SenderOf(message));
+  std::visit(Dispatch{call}, message);
+  return Finish(call);
+}
+
+MembershipActions SetAnnouncement(Membership& state,
+                                  const Announcement& announcement,
+                                  TimePoint now,
+                                  Rng& rng) {
+  Call call{state, now, rng, {}};
+  Begin(call);
+  if (state.self.upstream != announcement) {
+    state.self.upstream = announcement;
+    ++state.self.incarnation;
+    membership::QueueSelf(call);
+    membership::GossipNow(call, state.settings.gossip_fan_out);
+  }
+  return Finish(call);
+}
+
+void SetHeld(Membership& state, ConfigVersion held, TimePoint fresh_as_of) {
+  state.self.held = std::max(state.self.held, held);
+  state.fresh_as_of = std::max(state.fresh_as_of, fresh_as_of);
+}
+
+MembershipActions Leave(Membership& state, TimePoint now, Rng& rng) {
+  Call call{state, now, rng, {}};
+  Begin(call);
+  state.leaving = true;
+  state.self.status = MemberStatus::kLeft;
+  ++state.self.incarnation;
+  membership::QueueRumour(call,
+                          Accusation{state.self.id, state.self.incarnation,
+                                     MemberStatus::kLeft, state.self.id});
+  // The process may end soon: several rounds' worth of rumours go out now.
+  constexpr std::size_t kRounds = 3;
+  membership::GossipNow(call, kRounds * state.settings.gossip_fan_out);
+  return Finish(call);
+}
+
+Result<MembershipActions> Spread(Membership& state,
+                                 const OpaqueRumour& rumour,
+                                 TimePoint now,
+                                 Rng& rng) {
+  const std::size_t bytes = rumour.key.size() + rumour.body.size();
+  if (bytes > kMaxOpaqueBytes) {
+    return Fail(
+        ErrorKind::kBodyTooLarge,
+        absl::StrCat("rumour of ", bytes, " bytes, at most ", kMaxOpaqueBytes));
+  }
+  Call call{state, now, rng, {}};
+  Begin(call);
+  membership::ApplyOpaque(call, rumour);
+  call.actions.rumours.clear();
+  membership::GossipNow(call, state.settings.gossip_fan_out);
+  return Finish(call);
+}
+
+void ForgetRumour(Membership& state, Topic topic, const std::string& key) {
+  state.opaque.erase({topic, key});
+}
+
+bool InDoubt(const Membership& state, TimePoint now) {
+  return now < state.doubt_until;
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/src/membership/probe.cc
@@ -0,0 +1,185 @@
+#include <algorithm>
+#include <utility>
+
+#include "membership/internal.h"
+
+namespace teaselspread::membership {
+namespace {
+
+int Widening(const Membership& state) {
+  return state.awareness + 1;
+}
+
+void Recover(Membership& state) {
+  state.awareness = std::max(0, state.awareness - 1);
+}
+
+// The next live member in this round; nullptr when there is none.
+MemberEntry* NextTarget(Call& call) {
+  Membership& state = call.state;
+  for (int round = 0; round < 2; ++round) {
+    while (state.next_in_order < state.order.size()) {
+      const auto found = state.members.find(state.order[state.next_in_order++]);
+      if (found != state.members.end() && IsLive(found->second))
+        return &found->second;
+    }
+    std::erase_if(state.order, [&state](const std::string& id) {
+      const auto found = state.members.find(id);
+      return found == state.members.end() || !IsLive(found->second);
+    });
+    std::shuffle(state.order.begin(), state.order.end(), call.rng);
+    state.next_in_order = 0;
+  }
+  return nullptr;
+}
+
+void StartProbe(Call& call) {
+  Membership& state = call.state;
+  const Duration period = state.settings.period * Widening(state);
+  state.next_probe = call.now + period;
+  const MemberEntry* target = NextTarget(call);
+  if (target == nullptr)
+    return;
+  Probe probe;
+  probe.target = target->member.id;
+  probe.incarnation = target->member.incarnation;
+  probe.sequence = state.next_sequence++;
+  probe.sent = call.now;
+  probe.indirect_at = call.now + state.settings.probe_timeout * Widening(state);
+  probe.deadline = call.now + period;
+  const Address to = target->member.control;
+  state.probe = probe;
+  Send(call, to,
+       Ping{SenderOf(state, call.now), probe.sequence, probe.target,
+            TakeRumours(call, probe.target)});
+}
+
+void StartIndirect(Call& call, Probe& probe) {
+  Membership& state = call.state;
+  probe.indirect_sent = true;
+  const auto found = state.members.find(probe.target);
+  if (found == state.members.end())
+    return;
+  const Address target = found->second.member.control;
+  for (const MemberEntry* helper : PickLive(
+           state, state.settings.indirect_probes, probe.target, call.rng)) {
+    ++probe.nacks_expected;
+    Send(call, helper->member.control,
+         PingRequest{SenderOf(state, call.now), probe.sequence, probe.target,
+                     target, TakeRumours(call, helper->member.id)});
+  }
+}
+
+// Helpers that could not reach the target said so; helpers that stayed silent
+// speak against this node's own links, so it doubts itself.
+void FinishFailed(Call& call, const Probe& probe) {
+  Membership& state = call.state;
+  Count(state, MembershipCount::kProbeFailed);
+  if (probe.nacks_seen < probe.nacks_expected)
+    Degrade(state);
+  const auto found = state.members.find(probe.target);
+  if (found == state.members.end() || !IsLive(found->second) ||
+      found->second.member.incarnation != probe.incarnation ||
+      InDoubt(state, call.now))
+    return;
+  Count(state, MembershipCount::kSuspected);
+  Suspect(call, found->second, state.self.id);
+}
+
+void TickRelays(Call& call) {
+  Membership& state = call.state;
+  for (auto row = state.relays.begin(); row != state.relays.end();) {
+    if (row->second.nack_at > call.now) {
+      ++row;
+      continue;
+    }
+    Send(call, row->second.requester,
+         Nack{SenderOf(state, call.now), row->second.requester_sequence});
+    row = state.relays.erase(row);
+  }
+}
+
+}  // namespace
+
+void Degrade(Membership& state) {
+  state.awareness = std::min(state.settings.max_awareness, state.awareness + 1);
+}
+
+void AddToOrder(Call& call, const std::string& id) {
+  std::vector<std::string>& order = call.state.order;
+  if (std::find(order.begin(), order.end(), id) != order.end())
+    return;
+  std::uniform_int_distribution<std::size_t> any(0, order.size());
+  order.insert(order.begin() + static_cast<std::ptrdiff_t>(any(call.rng)), id);
+}
+
+void TickProbe(Call& call) {
+  Membership& state = call.state;
+  TickRelays(call);
+  if (state.probe && !state.probe->indirect_sent &&
+      call.now >= state.probe->indirect_at)
+    StartIndirect(call, *state.probe);
+  if (state.probe && call.now >= state.probe->deadline) {
+    const Probe failed = std::move(*state.probe);
+    state.probe.reset();
+    FinishFailed(call, failed);
+  }
+  if (!state.probe && call.now >= state.next_probe)
+    StartProbe(call);
+}
+
+void ReceivePing(Call& call, const Ping& ping) {
+  if (ping.target != call.state.self.id) {
+    Count(call.state, MembershipCount::kWrongTarget);
+    return;
+  }
+  Send(call, ping.from.control,
+       Ack{SenderOf(call.state, call.now), ping.sequence, ping.target,
+           TakeRumours(call, ping.from.id)});
+}
+
+void ReceivePingRequest(Call& call, const PingRequest& request) {
+  Membership& state = call.state;
+  const std::uint32_t sequence = state.next_sequence++;
+  RelayedProbe relay;
+  relay.requester = request.from.control;
+  relay.requester_sequence = request.sequence;
+  relay.nack_at = call.now + state.settings.probe_timeout;
+  state.relays.emplace(sequence, relay);
+  Send(call, request.target_address,
+       Ping{SenderOf(state, call.now), sequence, request.target,
+            TakeRumours(call, request.target)});
+}
+
+void ReceiveAck(Call& call, const Ack& ack) {
+  Membership& state = call.state;
+  if (const auto relay = state.relays.find(ack.sequence);
+      relay != state.relays.end()) {
+    Send(call, relay->second.requester,
+         Ack{SenderOf(state, call.now),
+             relay->second.requester_sequence,
+             ack.target,
+             {}});
+    state.relays.erase(relay);
+    return;
+  }
+  if (!state.probe || state.probe->sequence != ack.sequence ||
+      state.probe->target != ack.target)
+    return;
+  // Age counts from before the question, so a slow answer never makes the
+  // peer's version look newer than it was.
+  if (ack.from.id == ack.target && ack.from.log_age_ms != kAgeUnknown &&
+      !call.actions.versions.empty()) {
+    call.actions.versions.back().fresh_as_of =
+        state.probe->sent - std::chrono::milliseconds(ack.from.log_age_ms);
+  }
+  state.probe.reset();
+  Recover(state);
+}
+
+void ReceiveNack(Call& call, const Nack& nack) {
+  if (call.state.probe && call.state.probe->sequence == nack.sequence)
+    ++call.state.probe->nacks_seen;
+}
+
+}  // namespace teaselspread::membership
--- /dev/null
+++ b/src/membership/rumours.cc
@@ -0,0 +1,132 @@
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "membership/internal.h"
+
+namespace teaselspread::membership {
+namespace {
+
+// Room left for the sender's part, a probe's target and the frame header.
+constexpr std::size_t kRumourRoom = kMaxDatagramBytes - 200;
+
+std::string SubjectOf(const Member& member) {
+  return "m/" + member.id;
+}
+std::string SubjectOf(const Accusation& accusation) {
+  return "m/" + accusation.id;
+}
+std::string SubjectOf(const OpaqueRumour& rumour) {
+  return std::string(NameOf(rumour.topic)) + '/' + rumour.key;
+}
+
+std::size_t TransmitLimit(const Membership& state) {
+  const auto members = static_cast<double>(CountLive(state) + 1);
+  const auto rounds =
+      static_cast<std::size_t>(std::ceil(std::log10(members + 1)));
+  return state.settings.retransmit_factor * std::max<std::size_t>(1, rounds);
+}
+
+void RefillTokens(Membership& state, TimePoint now) {
+  const double seconds =
+      std::chrono::duration<double>(now - state.tokens_at).count();
+  state.tokens_at = now;
+  const auto burst = static_cast<double>(state.settings.rumour_burst_bytes);
+  const auto rate = static_cast<double>(state.settings.rumour_bytes_per_second);
+  state.rumour_tokens = std::min(burst, state.rumour_tokens + seconds * rate);
+}
+
+// The queue's rows, least sent first.
+std::vector<std::map<std::string, QueuedRumour>::iterator> ByTransmits(
+    Membership& state) {
+  std::vector<std::map<std::string, QueuedRumour>::iterator> rows;
+  for (auto row = state.queue.begin(); row != state.queue.end(); ++row)
+    rows.push_back(row);
+  std::stable_sort(rows.begin(), rows.end(), [](auto left, auto right) {
+    return left->second.transmits < right->second.transmits;
+  });
+  return rows;
+}
+
+// Tells a member that it is accused, before anything else: it can then refute
+// with its next message, while a rumour among others might reach it too late.
+void TakeBuddyNotice(const Membership& state,
+                     const std::string& to,
+                     std::vector<Rumour>& taken) {
+  const auto found = state.members.find(to);
+  if (found == state.members.end())
+    return;
+  const Member& member = found->second.member;
+  if (member.status == MemberStatus::kSuspect ||
+      member.status == MemberStatus::kDead)
+    taken.emplace_back(Accusation{member.id, member.incarnation, member.status,
+                                  state.self.id});
+}
+
+}  // namespace
+
+void QueueRumour(Call& call, Rumour rumour) {
+  std::string subject =
+      std::visit([](const auto& typed) { return SubjectOf(typed); }, rumour);
+  QueuedRumour queued{std::move(rumour), 0, 0};
+  queued.bytes = EncodedSize(queued.rumour);
+  call.state.queue.insert_or_assign(std::move(subject), std::move(queued));
+  const TimePoint soon =
+      call.now + RandomUpTo(call.state.settings.gossip_interval, call.rng);
+  call.state.next_gossip = std::min(call.state.next_gossip, soon);
+}
+
+void QueueSelf(Call& call) {
+  QueueRumour(call, call.state.self);
+}
+
+std::vector<Rumour> TakeRumours(Call& call, const std::string& to) {
+  Membership& state = call.state;
+  std::vector<Rumour> taken;
+  TakeBuddyNotice(state, to, taken);
+  if (state.queue.empty())
+    return taken;
+  RefillTokens(state, call.now);
+  const std::size_t limit = TransmitLimit(state);
+  const std::string own = SubjectOf(state.self);
+  std::size_t room = kRumourRoom;
+  for (const auto& row : ByTransmits(state)) {
+    QueuedRumour& queued = row->second;
+    if (queued.bytes > room)
+      continue;
+    const auto cost = static_cast<double>(queued.bytes);
+    if (state.rumour_tokens < cost && row->first != own) {
+      Count(state, MembershipCount::kBudgetDeferred);
+      break;
+    }
+    state.rumour_tokens -= cost;
+    room -= queued.bytes;
+    taken.push_back(queued.rumour);
+    if (++queued.transmits >= limit)
+      state.queue.erase(row);
+  }
+  return taken;
+}
+
+void GossipNow(Call& call, std::size_t fan_out) {
+  for (const MemberEntry* entry :
+       PickLive(call.state, fan_out, call.state.self.id, call.rng)) {
+    std::vector<Rumour> rumours = TakeRumours(call, entry->member.id);
+    if (rumours.empty())
+      return;
+    Send(call, entry->member.control,
+         Gossip{SenderOf(call.state, call.now), std::move(rumours)});
+  }
+}
+
+void TickGossip(Call& call) {
+  Membership& state = call.state;
+  if (call.now < state.next_gossip)
+    return;
+  GossipNow(call, state.settings.gossip_fan_out);
+  state.next_gossip = state.queue.empty()
+                          ? TimePoint::max()
+                          : call.now + state.settings.gossip_interval;
+}
+
+}  // namespace teaselspread::membership
--- /dev/null
+++ b/src/spread/base.cc
@@ -0,0 +1,141 @@
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <utility>
+
+#include <xxhash.h>
+
+#include "spread/internal.h"
+
+namespace teaselspread {
+namespace {
+
+constexpr auto kCounts = static_cast<std::size_t>(SpreadCount::kCount);
+constexpr std::array<std::string_view, kCounts> kCountNames = {
+    "push-sent",           "push-retried",       "push-adopted",
+    "push-duplicate",      "pull-sent",          "pull-timeout",
+    "pull-busy-heard",     "pull-busy-sent",     "chain-served",
+    "snapshot-served",     "below-held-refused", "update-rejected",
+    "applied-unwitnessed", "vouch-refused",      "pause-noticed"};
+
+}  // namespace
+
+std::string_view NameOf(SpreadCount reason) {
+  return kCountNames.at(static_cast<std::size_t>(reason));
+}
+
+Sender SenderOf(const SpreadState& state, TimePoint now) {
+  std::uint32_t age = kAgeUnknown;
+  if (state.fresh_as_of != TimePoint{} && state.fresh_as_of <= now) {
+    const auto exact =
+        std::chrono::ceil<std::chrono::milliseconds>(now - state.fresh_as_of);
+    if (exact.count() < kAgeUnknown)
+      age = static_cast<std::uint32_t>(exact.count());
+  }
+  return Sender{state.id, state.incarnation, state.control, state.held, age};
+}
+
+std::vector<std::string> ReadersOf(const SpreadState& state) {
+  std::vector<std::pair<std::uint64_t, const std::string*>> ranked;
+  if (!state.leaving)
+    ranked.emplace_back(spread::RankOf(state.id, spread::kReaderSeed),
+                        &state.id);
+  for (const auto& [id, peer] : state.peers) {
+    if (spread::IsLive(peer))
+      ranked.emplace_back(peer.reader_rank, &id);
+  }
+  const std::size_t count = std::min(state.settings.readers, ranked.size());
+  const auto middle = ranked.begin() + static_cast<std::ptrdiff_t>(count);
+  std::partial_sort(ranked.begin(), middle, ranked.end(), std::greater<>{});
+  std::vector<std::string> readers;
+  for (std::size_t i = 0; i < count; ++i)
+    readers.push_back(*ranked[i].second);
+  return readers;
+}
+
+bool IsReader(const SpreadState& state, TimePoint now) {
+  if (state.leaving || now < state.started + state.settings.reader_delay)
+    return false;
+  const std::uint64_t own = spread::RankOf(state.id, spread::kReaderSeed);
+  const auto better = std::count_if(
+      state.peers.begin(), state.peers.end(), [own](const auto& row) {
+        return spread::IsLive(row.second) && row.second.reader_rank > own;
+      });
+  return static_cast<std::size_t>(better) < state.settings.readers;
+}
+
+bool IsReady(const SpreadState& state) {
+  return state.floor_settled && state.held > 0 && state.held >= state.floor;
+}
+
+namespace spread {
+
+void Count(SpreadState& state, SpreadCount reason) {
+  ++state.counts.at(static_cast<std::size_t>(reason));
+}
+
+bool IsLive(const SpreadPeer& peer) {
+  return peer.status == MemberStatus::kAlive ||
+         peer.status == MemberStatus::kSuspect;
+}
+
+Duration RandomUpTo(Duration limit, Rng& rng) {
+  if (limit <= Duration::zero())
+    return Duration::zero();
+  return Duration{
+      std::uniform_int_distribution<Duration::rep>(0, limit.count())(rng)};
+}
+
+void Send(Call& call, const Address& to, Message message) {
+  call.actions.sends.push_back({to, Transport::kDatagram, std::move(message)});
+}
+
+void SendStream(Call& call, const Address& to, Message message) {
+  call.actions.sends.push_back({to, Transport::kStream, std::move(message)});
+}
+
+std::uint64_t RankOf(const std::string& id, std::uint64_t seed) {
+  return XXH3_64bits_withSeed(id.data(), id.size(), seed);
+}
+
+std::uint64_t SeedOf(const std::string& text) {
+  return XXH3_64bits(text.data(), text.size());
+}
+
+std::vector<std::string> TreeOrder(const SpreadState& state,
+                                   ConfigVersion version) {
+  std::vector<std::pair<std::uint64_t, const std::string*>> ranked;
+  ranked.reserve(state.peers.size() + 1);
+  ranked.emplace_back(RankOf(state.id, version), &state.id);
+  for (const auto& [id, peer] : state.peers) {
+    if (IsLive(peer))
+      ranked.emplace_back(RankOf(id, version), &id);
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<std::string> order;
+  order.reserve(ranked.size());
+  for (const auto& [rank, id] : ranked)
+    order.push_back(*id);
+  return order;
+}
+
+std::vector<const SpreadPeer*> RankedWitnesses(const SpreadState& state,
+                                               std::size_t count,
+                                               bool include_gone) {
+  std::vector<const SpreadPeer*> ranked;
+  for (const auto& [id, peer] : state.peers) {
+    if (IsLive(peer) || (include_gone && peer.status == MemberStatus::kDead))
+      ranked.push_back(&peer);
+  }
+  const std::size_t wanted = std::min(count, ranked.size());
+  const auto middle = ranked.begin() + static_cast<std::ptrdiff_t>(wanted);
+  std::partial_sort(ranked.begin(), middle, ranked.end(),
+                    [](const SpreadPeer* left, const SpreadPeer* right) {
+                      return left->witness_rank > right->witness_rank;
+                    });
+  ranked.resize(wanted);
+  return ranked;
+}
+
+}  // namespace spread
+}  // namespace teaselspread
--- /dev/null
+++ b/src/spread/floor.cc
@@ -0,0 +1,135 @@
+#include <algorithm>
+
+#include "spread/internal.h"
+
+namespace teaselspread::spread {
+namespace {
+
+// Vouches needed: two of three witnesses, so that any two that confirmed a
+// version and any two that are asked have one in common.
+constexpr std::size_t kVouchesNeeded = 2;
+constexpr std::size_t kQueriesRemembered = 8;
+
+void Settle(Call& call, ConfigVersion floor) {
+  SpreadState& state = call.state;
+  state.floor = std::max(state.floor, floor);
+  state.floor_settled = true;
+  state.floor_asked.clear();
+  if (state.floor > TipOf(state))
+    WantVersion(call, state.floor);
+  Advance(call);
+}
+
+// A side of a cut that has lost most members cannot know what the others have
+// told their witnesses since.
+bool HearsMost(const SpreadState& state) {
+  std::size_t live = 1;
+  std::size_t known = 1;
+  for (const auto& [id, peer] : state.peers) {
+    if (IsLive(peer))
+      ++live;
+    if (peer.status != MemberStatus::kLeft)
+      ++known;
+  }
+  return 2 * live > known;
+}
+
+Vouch VouchFor(const SpreadState& state,
+               const Sender& asker,
+               const SpreadPeer* peer,
+               TimePoint now) {
+  if (!state.floor_settled || now < state.doubt_until || !HearsMost(state))
+    return Vouch::kNone;
+  if (peer == nullptr || peer->first_start >= StartOf(asker.incarnation))
+    return Vouch::kNewVm;
+  return peer->recorded ? Vouch::kRecorded : Vouch::kNone;
+}
+
+void Ask(Call& call, const SpreadPeer& peer) {
+  Send(call, peer.control,
+       FloorQuery{SenderOf(call.state, call.now), call.state.next_sequence});
+}
+
+}  // namespace
+
+void NoteFresh(Call& call, ConfigVersion version, TimePoint as_of) {
+  SpreadState& state = call.state;
+  if (state.held >= version)
+    state.fresh_as_of = std::max(state.fresh_as_of, as_of);
+  else if (as_of > state.pending_fresh.as_of)
+    state.pending_fresh = {version, as_of};
+  // Whatever this VM held before its restart was in the log by then.
+  if (!state.floor_settled && as_of >= state.started)
+    Settle(call, version);
+}
+
+void TickFloor(Call& call) {
+  SpreadState& state = call.state;
+  if (state.floor_settled || call.now < state.next_floor_ask)
+    return;
+  state.next_floor_ask = call.now + state.settings.floor_retry / 2 +
+                         RandomUpTo(state.settings.floor_retry, call.rng);
+  state.floor_asked[state.next_sequence] = call.now;
+  while (state.floor_asked.size() > kQueriesRemembered)
+    state.floor_asked.erase(state.floor_asked.begin());
+  // Gone ones keep their place: if the two that were told are gone, others
+  // must not be taken for them.
+  std::set<std::string> asked;
+  for (const SpreadPeer* peer :
+       RankedWitnesses(state, state.settings.witnesses, true)) {
+    if (IsLive(*peer) && asked.insert(peer->id).second)
+      Ask(call, *peer);
+  }
+  for (const std::string& reader : ReadersOf(state)) {
+    const auto peer = state.peers.find(reader);
+    if (peer != state.peers.end() && asked.insert(reader).second)
+      Ask(call, peer->second);
+  }
+  ++state.next_sequence;
+}
+
+void ReceiveFloorQuery(Call& call, const FloorQuery& query) {
+  SpreadState& state = call.state;
+  const auto found = state.peers.find(query.from.id);
+  const SpreadPeer* peer =
+      found == state.peers.end() ? nullptr : &found->second;
+  FloorReply reply;
+  reply.from = SenderOf(state, call.now);
+  reply.sequence = query.sequence;
+  reply.vouch = VouchFor(state, query.from, peer, call.now);
+  reply.floor = std::max(state.held, peer == nullptr ? 0 : peer->remembered);
+  if (reply.vouch == Vouch::kNone)
+    Count(state, SpreadCount::kVouchRefused);
+  Send(call, query.from.control, reply);
+}
+
+void ReceiveFloorReply(Call& call, const FloorReply& reply) {
+  SpreadState& state = call.state;
+  const auto asked = state.floor_asked.find(reply.sequence);
+  if (state.floor_settled || asked == state.floor_asked.end())
+    return;
+  // Even a reply that vouches for nothing may name a version to reach.
+  state.floor = std::max(state.floor, reply.floor);
+  if (reply.from.log_age_ms != kAgeUnknown) {
+    NoteFresh(call, reply.from.held,
+              asked->second - std::chrono::milliseconds(reply.from.log_age_ms));
+    if (state.floor_settled)
+      return;
+  }
+  if (reply.vouch == Vouch::kNone)
+    return;
+  const auto witnesses = RankedWitnesses(state, state.settings.witnesses, true);
+  const bool is_witness = std::any_of(
+      witnesses.begin(), witnesses.end(),
+      [&reply](const SpreadPeer* peer) { return peer->id == reply.from.id; });
+  if (!is_witness)
+    return;
+  state.vouches[reply.from.id] = reply.floor;
+  std::size_t vouched = 0;
+  for (const SpreadPeer* peer : witnesses)
+    vouched += state.vouches.contains(peer->id) ? 1 : 0;
+  if (vouched >= kVouchesNeeded)
+    Settle(call, state.floor);
+}
+
+}  // namespace teaselspread::spread
--- /dev/null
+++ b/src/spread/notice.cc
@@ -0,0 +1,97 @@
+#include <algorithm>
+#include <utility>
+
+#include "spread/internal.h"
+
+namespace teaselspread::spread {
+namespace {
+
+constexpr std::size_t kNoticesRemembered = 16;
+// One notice in this many goes to a configured address instead of a learned
+// one, so that a data centre whose speakers have all changed is found again.
+constexpr unsigned kSeedOneIn = 4;
+
+std::optional<Address> PickAddress(Call& call, const std::string& name) {
+  const SpreadState& state = call.state;
+  std::vector<Address> choices;
+  const auto learned = state.remote_speakers.find(name);
+  const bool use_learned =
+      learned != state.remote_speakers.end() && call.rng() % kSeedOneIn != 0;
+  if (use_learned) {
+    for (const SpeakerAddress& speaker : learned->second)
+      choices.push_back(speaker.control);
+  }
+  if (choices.empty()) {
+    const auto configured = state.settings.remotes.find(name);
+    if (configured != state.settings.remotes.end())
+      choices = configured->second;
+  }
+  if (choices.empty())
+    return std::nullopt;
+  std::uniform_int_distribution<std::size_t> any(0, choices.size() - 1);
+  return choices[any(call.rng)];
+}
+
+VersionNotice MakeNotice(Call& call, std::uint32_t sequence, bool reply) {
+  SpreadState& state = call.state;
+  VersionNotice notice;
+  notice.from = SenderOf(state, call.now);
+  notice.data_center = state.data_center;
+  notice.sequence = sequence;
+  notice.reply = reply;
+  for (const std::string& id : ReadersOf(state)) {
+    const auto peer = state.peers.find(id);
+    notice.speakers.push_back(
+        {id, peer == state.peers.end() ? state.control : peer->second.control});
+  }
+  return notice;
+}
+
+}  // namespace
+
+void TickNotices(Call& call) {
+  SpreadState& state = call.state;
+  if (call.now < state.next_notice)
+    return;
+  const Duration interval = state.settings.notice_interval;
+  state.next_notice = call.now + interval / 2 + RandomUpTo(interval, call.rng);
+  if (!IsReader(state, call.now))
+    return;
+  std::vector<std::string> names;
+  for (const auto& [name, addresses] : state.settings.remotes) {
+    if (name != state.data_center)
+      names.push_back(name);
+  }
+  std::shuffle(names.begin(), names.end(), call.rng);
+  names.resize(std::min(names.size(), state.settings.notice_fan_out));
+  const std::uint32_t sequence = state.next_sequence++;
+  state.notices_sent[sequence] = call.now;
+  while (state.notices_sent.size() > kNoticesRemembered)
+    state.notices_sent.erase(state.notices_sent.begin());
+  for (const std::string& name : names) {
+    if (const std::optional<Address> to = PickAddress(call, name))
+      Send(call, *to, MakeNotice(call, sequence, false));
+  }
+}
+
+void ReceiveNotice(Call& call, const VersionNotice& notice) {
+  SpreadState& state = call.state;
+  if (notice.data_center == state.data_center)
+    return;
+  state.remote_speakers[notice.data_center] = notice.speakers;
+  if (!notice.reply)
+    Send(call, notice.from.control, MakeNotice(call, notice.sequence, true));
+  const auto sent = state.notices_sent.find(notice.sequence);
+  if (notice.reply && sent != state.notices_sent.end() &&
+      notice.from.log_age_ms != kAgeUnknown) {
+    NoteFresh(call, notice.from.held,
+              sent->second - std::chrono::milliseconds(notice.from.log_age_ms));
+  }
+  if (notice.from.held <= TipOf(state))
+    return;
+  state.remote_source = {notice.from.control, notice.from.held};
+  state.highest_heard = std::max(state.highest_heard, notice.from.held);
+  SchedulePull(call, Duration::zero());
+}
+
+}  // namespace teaselspread::spread
--- /dev/null
+++ b/src/spread/record.cc
@@ -0,0 +1,134 @@
+#include <algorithm>
+#include <utility>
+
+#include "spread/internal.h"
+
+namespace teaselspread::spread {
+namespace {
+
+std::size_t Quorum(const SpreadState& state) {
+  const auto live = static_cast<std::size_t>(
+      std::count_if(state.peers.begin(), state.peers.end(),
+                    [](const auto& row) { return IsLive(row.second); }));
+  const std::size_t asked = std::min(state.settings.witnesses, live);
+  return asked == 0 ? 0 : asked / 2 + 1;
+}
+
+// Asks the best witnesses first and, with each retry, as many more: the best
+// ones may just have died.
+void AskWitnesses(Call& call, Recording& recording) {
+  SpreadState& state = call.state;
+  recording.asked += state.settings.witnesses;
+  recording.due = call.now + state.settings.record_retry;
+  for (const SpreadPeer* peer :
+       RankedWitnesses(state, recording.asked, false)) {
+    if (!recording.acks.contains(peer->id))
+      Send(call, peer->control,
+           RecordHeld{SenderOf(state, call.now), recording.version});
+  }
+}
+
+void HandOut(Call& call) {
+  SpreadState& state = call.state;
+  state.applying = state.recording->version;
+  state.recording.reset();
+  call.actions.apply = CollectToApply(state, state.applying);
+  if (call.actions.apply.empty())
+    state.applying = 0;
+}
+
+bool PatienceOver(const SpreadState& state, TimePoint now) {
+  const Recording& recording = *state.recording;
+  return state.from_log.contains(recording.version) &&
+         now - recording.started >= state.settings.record_patience;
+}
+
+void TryHandOut(Call& call) {
+  SpreadState& state = call.state;
+  if (!state.recording)
+    return;
+  if (state.recording->acks.size() >= Quorum(state))
+    return HandOut(call);
+  // Cut from all its witnesses but not from the log: the log is the witness.
+  if (PatienceOver(state, call.now)) {
+    Count(state, SpreadCount::kAppliedUnwitnessed);
+    HandOut(call);
+  }
+}
+
+// A witness that restarted has forgotten, and a new member may rank higher: the
+// best live ones are told again what is held.
+void Repair(Call& call) {
+  SpreadState& state = call.state;
+  if (call.now < state.next_repair)
+    return;
+  state.next_repair = call.now + state.settings.record_repair;
+  if (state.held == 0)
+    return;
+  for (const SpreadPeer* peer :
+       RankedWitnesses(state, state.settings.witnesses, false)) {
+    const auto ack = state.witness_acks.find(peer->id);
+    const bool told = ack != state.witness_acks.end() &&
+                      ack->second.start == peer->start &&
+                      ack->second.version >= state.held;
+    if (!told)
+      Send(call, peer->control,
+           RecordHeld{SenderOf(state, call.now), state.held});
+  }
+}
+
+}  // namespace
+
+void StartRecording(Call& call, ConfigVersion version) {
+  Recording recording;
+  recording.version = version;
+  recording.started = call.now;
+  AskWitnesses(call, recording);
+  call.state.recording = std::move(recording);
+  TryHandOut(call);
+}
+
+void TickRecording(Call& call) {
+  SpreadState& state = call.state;
+  if (state.recording && state.recording->due <= call.now)
+    AskWitnesses(call, *state.recording);
+  TryHandOut(call);
+  Repair(call);
+}
+
+void ReceiveRecordHeld(Call& call, const RecordHeld& record) {
+  SpreadState& state = call.state;
+  SpreadPeer& peer = state.peers[record.from.id];
+  if (peer.id.empty()) {
+    // Not heard of as a member yet: remembered, but not counted as live.
+    peer.id = record.from.id;
+    peer.status = MemberStatus::kLeft;
+    peer.control = record.from.control;
+    peer.start = StartOf(record.from.incarnation);
+    peer.first_start = peer.start;
+    peer.gone_since = call.now;
+    peer.reader_rank = RankOf(peer.id, kReaderSeed);
+    peer.witness_rank = RankOf(peer.id, SeedOf(state.id));
+  }
+  peer.remembered = std::max(peer.remembered, record.version);
+  peer.recorded = true;
+  Send(call, record.from.control,
+       RecordAck{SenderOf(state, call.now), record.version});
+}
+
+void ReceiveRecordAck(Call& call, const RecordAck& ack) {
+  SpreadState& state = call.state;
+  WitnessAck& known = state.witness_acks[ack.from.id];
+  const std::uint64_t start = StartOf(ack.from.incarnation);
+  if (start >= known.start) {
+    known.version = start > known.start ? ack.version
+                                        : std::max(known.version, ack.version);
+    known.start = start;
+  }
+  if (!state.recording || ack.version != state.recording->version)
+    return;
+  state.recording->acks.insert(ack.from.id);
+  TryHandOut(call);
+}
+
+}  // namespace teaselspread::spread
--- /dev/null
+++ b/src/spread/store.cc
@@ -0,0 +1,127 @@
+#include <algorithm>
+#include <utility>
+
+#include "spread/internal.h"
+
+namespace teaselspread::spread {
+namespace {
+
+void Erase(SpreadState& state,
+           std::map<ConfigVersion, ConfigUpdate>::iterator row) {
+  state.update_bytes -= row->second.body.size();
+  state.updates.erase(row);
+}
+
+void Prune(SpreadState& state) {
+  while (!state.updates.empty() &&
+         (state.updates.size() > state.settings.chain_length ||
+          state.update_bytes > state.settings.chain_bytes)) {
+    // Above what is held only the oldest is needed next: never drop that.
+    if (state.updates.begin()->first > state.held)
+      return;
+    Erase(state, state.updates.begin());
+  }
+}
+
+// The update that can follow `version` directly; nullptr when there is a gap.
+const ConfigUpdate* Following(const SpreadState& state, ConfigVersion version) {
+  for (auto row = state.updates.upper_bound(version);
+       row != state.updates.end(); ++row) {
+    if (row->second.full || row->second.parent == version)
+      return &row->second;
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+ConfigVersion TipOf(const SpreadState& state) {
+  ConfigVersion tip = state.held;
+  while (const ConfigUpdate* next = Following(state, tip))
+    tip = next->version;
+  return tip;
+}
+
+bool Store(Call& call, const ConfigUpdate& update) {
+  SpreadState& state = call.state;
+  if (update.version <= state.held) {
+    Count(state, SpreadCount::kBelowHeldRefused);
+    return false;
+  }
+  const auto [row, added] = state.updates.emplace(update.version, update);
+  if (!added) {
+    if (!update.full || row->second.full)
+      return false;
+    // A snapshot closes the gap that its delta could not.
+    state.update_bytes -= row->second.body.size();
+    row->second = update;
+  }
+  state.update_bytes += update.body.size();
+  Prune(state);
+  return added;
+}
+
+std::vector<ConfigUpdate> CollectFor(const SpreadState& state,
+                                     ConfigVersion have) {
+  std::vector<ConfigUpdate> chain;
+  std::size_t bytes = 0;
+  ConfigVersion at = have;
+  while (at < state.held && at > 0) {
+    const auto next = state.updates.upper_bound(at);
+    if (next == state.updates.end() || next->second.full ||
+        next->second.parent != at)
+      break;
+    at = next->first;
+    bytes += next->second.body.size();
+    chain.push_back(next->second);
+  }
+  if (at == state.held && bytes <= state.snapshot.body.size())
+    return chain;
+  if (have >= state.held)
+    return {};
+  return {state.snapshot};
+}
+
+std::vector<ConfigUpdate> CollectToApply(const SpreadState& state,
+                                         ConfigVersion up_to) {
+  std::vector<ConfigUpdate> chain;
+  ConfigVersion at = state.held;
+  while (at < up_to) {
+    const ConfigUpdate* next = Following(state, at);
+    if (next == nullptr)
+      break;
+    // Whatever a snapshot replaces need not be applied before it.
+    if (next->full)
+      chain.clear();
+    chain.push_back(*next);
+    at = next->version;
+  }
+  return chain;
+}
+
+void Advance(Call& call) {
+  SpreadState& state = call.state;
+  if (!state.floor_settled || state.applying != 0 || state.recording)
+    return;
+  const ConfigVersion tip = TipOf(state);
+  if (tip > state.held && tip >= state.floor)
+    StartRecording(call, tip);
+}
+
+void Learn(Call& call, const ConfigUpdate& update, Path path) {
+  SpreadState& state = call.state;
+  state.highest_heard = std::max(state.highest_heard, update.version);
+  if (!Store(call, update)) {
+    if (path == Path::kTree)
+      Count(state, SpreadCount::kPushDuplicate);
+    return;
+  }
+  if (path == Path::kLog)
+    state.from_log.insert(update.version);
+  if (path == Path::kLog || path == Path::kRemote)
+    StartOrigin(call, update.version);
+  if (path != Path::kPull)
+    ForwardToChildren(call, update.version);
+}
+
+}  // namespace teaselspread::spread
