Moves: evidence, judge, schedule, verdicts and the account as pure decisions

The share of the new version is the least of schedule, evidence and capacity. Evidence is a table of grow-only counters (largest cell, summed rows), the judge is a sequential likelihood-ratio test per route in short strata, verdicts and the reports of data centres are joins. Evidence rows carry the move's id, so that a repeated move does not inherit the answers of the one before.

--- /dev/null
+++ b/include/teaselspread/judge.h
@@ -0,0 +1,136 @@
+// Is the new version worse than the old one at the same time on the same route?
+//
+// A sequential test. Answers of both versions are collected in short strata of
+// time. In each stratum the likelihood that the new version is worse by a
+// stated amount is divided by the likelihood that both share one ratio, with
+// the ratio itself unknown: half its weight lies on the history of the old
+// version, half anywhere, so that a fault that both share explains itself. The
+// logarithms add up over the strata and are never carried below zero, so that a
+// fault which begins late is seen as soon as one at the start.
+#ifndef TEASELSPREAD_JUDGE_H_
+#define TEASELSPREAD_JUDGE_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "teaselspread/evidence.h"
+#include "teaselspread/snapshot.h"
+#include "teaselspread/types.h"
+#include "teaselspread/verdict.h"
+
+namespace teaselspread {
+
+// Thresholds in natural logarithms of a likelihood ratio. The curve that they
+// were chosen from is in docs/design/0003-moves.md.
+struct JudgeSettings {
+  // Exposure stops growing, and is halved at most, from here.
+  double suspect = 3;
+  // The new version gets nothing until the old one has confirmed the fault.
+  double hold = 10;
+  // A stratum closes when both versions gave this many answers...
+  std::uint64_t stratum_answers = 10;
+  Duration stratum_least = std::chrono::seconds(1);
+  // ... or at this age.
+  Duration stratum_most = std::chrono::seconds(120);
+  // The hold lasts at least this long, because counters of the two versions
+  // travel apart and a shared fault may show on the new one first.
+  Duration hold_least = std::chrono::seconds(3);
+  Duration hold_most = std::chrono::seconds(120);
+  // Answers of the old version during the hold.
+  std::uint64_t hold_answers = 3;
+  // Early exits of new upstreams before they can count as crashing on start.
+  std::uint64_t early_exits = 4;
+};
+
+enum class Metric : std::uint8_t { kFailures, kLatency, kShedding, kCount };
+inline constexpr auto kMetrics = static_cast<std::size_t>(Metric::kCount);
+// Sizes of the fault that are tested side by side.
+inline constexpr std::size_t kAlternatives = 3;
+
+// Bad answers out of so many.
+struct Tally {
+  double total = 0;
+  double bad = 0;
+};
+
+// The two versions in one stratum.
+struct Pair {
+  Tally fresh;
+  Tally old;
+};
+
+// The size of a fault, as added ratios.
+struct FaultSize {
+  // Difference that is still no fault.
+  double tolerated = 0;
+  double fault = 0;
+};
+
+// Logarithm of the likelihood ratio of one stratum; zero without an answer of
+// the new version. `history` is the old version's ratio before the stratum.
+// Thread safe.
+[[nodiscard]] double LogRatio(const Pair& pair, double history, FaultSize size);
+
+// What the judge keeps for one route ("*" is all of them together).
+struct RouteJudge {
+  EvidenceCells seen_new;
+  EvidenceCells seen_old;
+  // The old version before the open stratum.
+  EvidenceCells history;
+  EvidenceCells open_new;
+  EvidenceCells open_old;
+  TimePoint opened;
+  std::array<std::array<double, kAlternatives>, kMetrics> sums{};
+};
+
+enum class Finding : std::uint8_t { kCalm, kSuspect, kHeld, kBad };
+
+struct JudgeState {
+  std::map<std::string, RouteJudge> routes;
+  bool started = false;
+  // Epoch while nothing is held.
+  TimePoint held_since;
+  // Answers of the old version when the hold began.
+  std::uint64_t old_runs_at_hold = 0;
+};
+
+// The strongest test at this moment.
+struct Judgement {
+  Finding finding = Finding::kCalm;
+  VerdictReason reason = VerdictReason::kNone;
+  std::string route;
+  double score = 0;
+  Pair pair;
+};
+
+// Totals of one route, the sum of rows known at this moment.
+struct RouteTotals {
+  EvidenceCells fresh;
+  EvidenceCells old;
+};
+
+// Feeds the totals of this moment and says what they show. The first call only
+// takes note of them: what happened before cannot be put side by side.
+// `old_serves` is false when no upstream of the old version is ready, so that
+// waiting for its answers is pointless.
+// Precondition: `now` does not go back. Not thread safe.
+[[nodiscard]] Judgement StepJudge(
+    JudgeState& state,
+    const JudgeSettings& settings,
+    const MoveBounds& bounds,
+    const std::map<std::string, RouteTotals>& totals,
+    bool old_serves,
+    TimePoint now);
+
+// New upstreams that announce themselves and vanish again and again, when the
+// old ones do not. Thread safe for constant arguments.
+[[nodiscard]] bool CrashesOnStart(const JudgeSettings& settings,
+                                  const EvidenceCells& fresh,
+                                  const EvidenceCells& old);
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_JUDGE_H_
--- /dev/null
+++ b/include/teaselspread/move_account.h
@@ -0,0 +1,78 @@
+// The account of moves that operators read: what is known, and what is not.
+#ifndef TEASELSPREAD_MOVE_ACCOUNT_H_
+#define TEASELSPREAD_MOVE_ACCOUNT_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "teaselspread/moves.h"
+#include "teaselspread/snapshot.h"
+#include "teaselspread/types.h"
+#include "teaselspread/verdict.h"
+
+namespace teaselspread {
+
+enum class AccountState : std::uint8_t {
+  kWaiting,
+  kRunning,
+  // `by` has passed and the move has not ended.
+  kLate,
+  // The verdict is done, but a data centre cannot be heard or has not said that
+  // it knows: it may still take the move back.
+  kUnconfirmed,
+  kDone,
+  kTakenBack,
+  kCount,
+};
+
+// Stable names for the text and JSON forms. Thread safe.
+[[nodiscard]] std::string_view NameOf(AccountState state);
+
+// One data centre in the account of one move.
+struct AccountDataCenter {
+  std::string name;
+  // False: the figures are the last ones heard, or none at all.
+  bool heard = false;
+  bool reported = false;
+  DataCenterReport report;
+};
+
+struct AccountRow {
+  std::string move;
+  std::string service;
+  std::string from;
+  std::string to;
+  AccountState state = AccountState::kWaiting;
+  TimePoint start;
+  TimePoint by;
+  // Until `by`; negative when it has passed.
+  Duration left{0};
+  std::vector<AccountDataCenter> data_centers;
+  VerdictReason reason = VerdictReason::kNone;
+  // One or more sentences for a person.
+  std::string explanation;
+  // What the node that answers cannot know, one sentence each.
+  std::vector<std::string> unknown;
+};
+
+// One row for each move of the snapshot, ordered by start. A row says kDone
+// only when every data centre is heard and has said that it knows the verdict.
+// Not thread safe.
+[[nodiscard]] std::vector<AccountRow> MakeAccount(const MovesState& state,
+                                                  const Snapshot& snapshot,
+                                                  const MoveCapacity& capacity,
+                                                  TimePoint now);
+
+// For people, one block of lines for each move. Thread safe.
+[[nodiscard]] std::string FormatAccountText(
+    const std::vector<AccountRow>& account);
+
+// One JSON array. Times are seconds since the epoch. Thread safe.
+[[nodiscard]] std::string FormatAccountJson(
+    const std::vector<AccountRow>& account);
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_MOVE_ACCOUNT_H_
--- /dev/null
+++ b/src/moves/evidence.cc
@@ -0,0 +1,268 @@
+#include "teaselspread/evidence.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "moves/wire.h"
+
+namespace teaselspread {
+namespace {
+
+constexpr double kFirstBound = 500.0;  // microseconds
+constexpr double kBucketsPerDoubling = 2.5;
+// An upstream that vanishes later than this did not crash on start.
+constexpr Duration kEarlyLife = std::chrono::seconds(30);
+
+EvidenceCells* FindOrAdd(EvidenceTable& table, const EvidenceKey& key) {
+  if (auto found = table.rows.find(key); found != table.rows.end()) {
+    found->second.revision = ++table.revision;
+    return &found->second.cells;
+  }
+  if (table.rows.size() >= kMaxEvidenceRows) {
+    ++table.refused;
+    return nullptr;
+  }
+  StoredCells& stored = table.rows[key];
+  stored.revision = ++table.revision;
+  return &stored.cells;
+}
+
+void CountLatency(EvidenceCells& cells, const AnswerSample& sample) {
+  if (sample.cold && cells.cold < kColdAnswers) {
+    ++cells.cold;
+    return;
+  }
+  ++cells.latency.at(LatencyBucketOf(sample.latency));
+}
+
+template <class T>
+bool Raise(T& mine, T theirs) {
+  if (theirs <= mine)
+    return false;
+  mine = theirs;
+  return true;
+}
+
+bool MergeCells(EvidenceCells& mine, const EvidenceCells& theirs) {
+  bool grew = Raise(mine.runs, theirs.runs);
+  grew |= Raise(mine.failures, theirs.failures);
+  grew |= Raise(mine.shed, theirs.shed);
+  grew |= Raise(mine.crash_suspects, theirs.crash_suspects);
+  grew |= Raise(mine.cold, theirs.cold);
+  grew |= Raise(mine.starts, theirs.starts);
+  grew |= Raise(mine.early_exits, theirs.early_exits);
+  for (std::size_t i = 0; i < kLatencyBuckets; ++i)
+    grew |= Raise(mine.latency[i], theirs.latency[i]);
+  return grew;
+}
+
+bool Matches(std::string_view wanted, const std::string& value) {
+  return wanted.empty() || wanted == value;
+}
+
+// Most buckets of a row are empty: a bit for each says which ones follow.
+constexpr std::size_t kMaskBytes = (kLatencyBuckets + 7) / 8;
+using BucketMask = std::array<std::uint8_t, kMaskBytes>;
+
+bool Holds(const BucketMask& mask, std::size_t bucket) {
+  return ((mask.at(bucket / 8) >> (bucket % 8)) & 1U) != 0;
+}
+
+template <class Archive>
+void SaveLatency(Archive& archive, const EvidenceCells& cells) {
+  BucketMask mask{};
+  for (std::size_t i = 0; i < kLatencyBuckets; ++i) {
+    if (cells.latency[i] != 0)
+      mask.at(i / 8) |= static_cast<std::uint8_t>(1U << (i % 8));
+  }
+  archive(cereal::binary_data(mask.data(), mask.size()));
+  for (std::uint32_t count : cells.latency) {
+    if (count != 0)
+      archive(count);
+  }
+}
+
+template <class Archive>
+void LoadLatency(Archive& archive, EvidenceCells& cells) {
+  BucketMask mask{};
+  archive(cereal::binary_data(mask.data(), mask.size()));
+  for (std::size_t i = 0; i < kLatencyBuckets; ++i) {
+    if (Holds(mask, i))
+      archive(cells.latency[i]);
+  }
+}
+
+}  // namespace
+
+std::size_t LatencyBucketOf(Duration latency) {
+  const auto micros = static_cast<double>(latency.count());
+  if (micros <= kFirstBound)
+    return 0;
+  const double index =
+      std::ceil(std::log2(micros / kFirstBound) * kBucketsPerDoubling);
+  return std::min(static_cast<std::size_t>(index), kLatencyBuckets - 1);
+}
+
+Duration LatencyBound(std::size_t bucket) {
+  const double doublings = static_cast<double>(bucket) / kBucketsPerDoubling;
+  return Duration(std::llround(kFirstBound * std::exp2(doublings)));
+}
+
+Duration LatencyQuantile(const EvidenceCells& cells, double quantile) {
+  std::uint64_t total = 0;
+  for (std::uint32_t count : cells.latency)
+    total += count;
+  if (total == 0)
+    return Duration(0);
+  const double wanted = quantile * static_cast<double>(total);
+  double seen = 0;
+  for (std::size_t i = 0; i < kLatencyBuckets; ++i) {
+    seen += cells.latency[i];
+    if (cells.latency[i] != 0 && seen >= wanted)
+      return LatencyBound(i);
+  }
+  return LatencyBound(kLatencyBuckets - 1);
+}
+
+void RecordAnswer(EvidenceTable& table,
+                  const EvidenceKey& key,
+                  const AnswerSample& sample) {
+  EvidenceCells* cells = FindOrAdd(table, key);
+  if (cells == nullptr)
+    return;
+  switch (sample.outcome) {
+    case AnswerOutcome::kCrashSuspect:
+      ++cells->crash_suspects;
+      return;
+    case AnswerOutcome::kShed:
+      ++cells->shed;
+      return;
+    case AnswerOutcome::kFailed:
+    case AnswerOutcome::kTimeout:
+      ++cells->runs;
+      ++cells->failures;
+      return;
+    case AnswerOutcome::kGood:
+      ++cells->runs;
+      CountLatency(*cells, sample);
+      return;
+  }
+}
+
+void RecordStart(EvidenceTable& table, EvidenceKey key) {
+  key.route.clear();
+  if (EvidenceCells* cells = FindOrAdd(table, key); cells != nullptr)
+    ++cells->starts;
+}
+
+void RecordExit(EvidenceTable& table, EvidenceKey key, Duration lifetime) {
+  if (lifetime > kEarlyLife)
+    return;
+  key.route.clear();
+  if (EvidenceCells* cells = FindOrAdd(table, key); cells != nullptr)
+    ++cells->early_exits;
+}
+
+bool MergeRow(EvidenceTable& table, const EvidenceRow& row) {
+  auto found = table.rows.find(row.key);
+  if (found == table.rows.end()) {
+    EvidenceCells* cells = FindOrAdd(table, row.key);
+    if (cells == nullptr)
+      return false;
+    *cells = row.cells;
+    return true;
+  }
+  if (!MergeCells(found->second.cells, row.cells))
+    return false;
+  found->second.revision = ++table.revision;
+  return true;
+}
+
+std::vector<EvidenceRow> RowsSince(const EvidenceTable& table,
+                                   std::uint64_t revision,
+                                   std::size_t limit,
+                                   std::uint64_t* reached) {
+  std::vector<std::pair<std::uint64_t, const EvidenceKey*>> changed;
+  for (const auto& [key, stored] : table.rows) {
+    if (stored.revision > revision)
+      changed.emplace_back(stored.revision, &key);
+  }
+  std::sort(changed.begin(), changed.end());
+  if (changed.size() > limit)
+    changed.resize(limit);
+  *reached = changed.empty() ? revision : changed.back().first;
+  std::vector<EvidenceRow> rows;
+  rows.reserve(changed.size());
+  for (const auto& [at, key] : changed)
+    rows.push_back({*key, table.rows.at(*key).cells});
+  return rows;
+}
+
+EvidenceCells TotalOf(const EvidenceTable& table,
+                      std::string_view move,
+                      std::string_view data_center,
+                      std::string_view version,
+                      std::string_view route) {
+  EvidenceCells total;
+  EvidenceKey first;
+  first.move = std::string(move);
+  for (auto row = table.rows.lower_bound(first);
+       row != table.rows.end() && row->first.move == move; ++row) {
+    const EvidenceKey& key = row->first;
+    if (Matches(data_center, key.data_center) &&
+        Matches(version, key.version) && Matches(route, key.route))
+      AddCells(total, row->second.cells);
+  }
+  return total;
+}
+
+void PurgeEvidence(EvidenceTable& table, const std::set<std::string>& live) {
+  std::erase_if(table.rows, [&live](const auto& row) {
+    return live.count(row.first.move) == 0;
+  });
+}
+
+void AddCells(EvidenceCells& cells, const EvidenceCells& other) {
+  cells.runs += other.runs;
+  cells.failures += other.failures;
+  cells.shed += other.shed;
+  cells.crash_suspects += other.crash_suspects;
+  cells.cold += other.cold;
+  cells.starts += other.starts;
+  cells.early_exits += other.early_exits;
+  for (std::size_t i = 0; i < kLatencyBuckets; ++i)
+    cells.latency[i] += other.latency[i];
+}
+
+std::string EncodeRow(const EvidenceRow& row) {
+  return moves::Encode([&row](auto& archive) {
+    moves::SaveText(archive, row.key.move);
+    moves::SaveText(archive, row.key.node);
+    archive(row.key.incarnation);
+    moves::SaveText(archive, row.key.data_center);
+    moves::SaveText(archive, row.key.version);
+    moves::SaveText(archive, row.key.route);
+    const EvidenceCells& cells = row.cells;
+    archive(cells.runs, cells.failures, cells.shed, cells.crash_suspects,
+            cells.cold, cells.starts, cells.early_exits);
+    SaveLatency(archive, cells);
+  });
+}
+
+Result<EvidenceRow> DecodeRow(std::string_view bytes) {
+  return moves::Decode<EvidenceRow>(bytes, [](auto& archive, EvidenceRow& row) {
+    moves::LoadText(archive, row.key.move);
+    moves::LoadText(archive, row.key.node);
+    archive(row.key.incarnation);
+    moves::LoadText(archive, row.key.data_center);
+    moves::LoadText(archive, row.key.version);
+    moves::LoadText(archive, row.key.route);
+    EvidenceCells& cells = row.cells;
+    archive(cells.runs, cells.failures, cells.shed, cells.crash_suspects,
+            cells.cold, cells.starts, cells.early_exits);
+    LoadLatency(archive, cells);
+    return true;
+  });
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/src/moves/step.cc
@@ -0,0 +1,341 @@
+#include <algorithm>
+#include <cmath>
+
+#include "moves/effect.h"
+#include "moves/schedule.h"
+#include "teaselspread/moves.h"
+
+namespace teaselspread {
+namespace {
+
+using moves::StageOf;
+using moves::WaitsForEarlier;
+
+constexpr double kFull = 0.999;
+constexpr std::string_view kAllRoutes = "*";
+// Verdicts kept for moves that the configuration no longer names.
+constexpr std::size_t kMaxVerdicts = 512;
+// A report is sent early when the share has changed by this much.
+constexpr double kShareStep = 0.05;
+// Below this rate a data centre cannot judge by its own answers alone.
+constexpr double kLittleTraffic = 5;
+// Demand that is taken before any was seen: asks for the most evidence.
+constexpr double kUnknownRate = 1000;
+
+// Everything that one step of one move looks at.
+struct StepInput {
+  const Snapshot& snapshot;
+  const EvidenceTable& evidence;
+  const MoveCapacity& capacity;
+  TimePoint now;
+};
+
+using Actions = std::vector<MoveAction>;
+
+int SlotsOf(const MoveCapacity& capacity,
+            const std::string& service,
+            const std::string& version) {
+  const auto found = capacity.ready_slots.find({service, version});
+  return found == capacity.ready_slots.end() ? 0 : found->second;
+}
+
+void TakeConfig(MoveState& move, const MoveConfig& config) {
+  if (move.config.id.empty()) {
+    move.config = config;
+    return;
+  }
+  const std::string from = move.config.from;
+  const std::string to = move.config.to;
+  move.renamed = config.from != from || config.to != to;
+  move.config = config;
+  move.config.from = from;
+  move.config.to = to;
+}
+
+Verdict MakeVerdict(const MovesState& state,
+                    const MoveConfig& move,
+                    MoveStage stage,
+                    VerdictReason reason,
+                    TimePoint now) {
+  Verdict verdict;
+  verdict.move = move.id;
+  verdict.service = move.service;
+  verdict.from = move.from;
+  verdict.to = move.to;
+  verdict.stage = stage;
+  verdict.reason = reason;
+  verdict.at = now;
+  verdict.data_center = state.data_center;
+  return verdict;
+}
+
+void Give(MovesState& state, Verdict verdict, Actions& actions) {
+  if (MergeVerdict(state, verdict))
+    actions.push_back({MoveActionKind::kSpreadVerdict, std::move(verdict), {}});
+}
+
+// Answers by route of the own data centre, "*" for all routes. With little
+// traffic the other data centres' answers are added to "*": alone, none of
+// them would see enough to judge by.
+std::map<std::string, RouteTotals> TotalsOf(const MovesState& state,
+                                            const MoveState& move,
+                                            const EvidenceTable& evidence) {
+  std::map<std::string, RouteTotals> totals;
+  const bool pooled = move.demand.rate < kLittleTraffic;
+  RouteTotals& all = totals[std::string(kAllRoutes)];
+  EvidenceKey first;
+  first.move = move.config.id;
+  for (auto row = evidence.rows.lower_bound(first);
+       row != evidence.rows.end() && row->first.move == move.config.id; ++row) {
+    const EvidenceKey& key = row->first;
+    const bool own = key.data_center == state.data_center;
+    if (!own && !pooled)
+      continue;
+    const bool fresh = key.version == move.config.to;
+    if (!fresh && key.version != move.config.from)
+      continue;
+    AddCells(fresh ? all.fresh : all.old, row->second.cells);
+    if (!own || key.route.empty())
+      continue;
+    RouteTotals& route = totals[key.route];
+    AddCells(fresh ? route.fresh : route.old, row->second.cells);
+  }
+  return totals;
+}
+
+void TakeBack(MovesState& state,
+              const MoveState& move,
+              VerdictReason reason,
+              TimePoint now,
+              Actions& actions) {
+  Verdict verdict =
+      MakeVerdict(state, move.config, MoveStage::kTakenBack, reason, now);
+  const Judgement& seen = move.judgement;
+  verdict.route = seen.route;
+  const auto ratio = [](const Tally& tally) {
+    return tally.total > 0 ? tally.bad / tally.total : 0;
+  };
+  verdict.new_ratio = ratio(seen.pair.fresh);
+  verdict.old_ratio = ratio(seen.pair.old);
+  verdict.new_runs = static_cast<std::uint64_t>(seen.pair.fresh.total);
+  verdict.old_runs = static_cast<std::uint64_t>(seen.pair.old.total);
+  Give(state, std::move(verdict), actions);
+}
+
+struct Limited {
+  double share = 1;
+  ShareLimit limit = ShareLimit::kNone;
+};
+
+void LimitTo(Limited& limited, double share, ShareLimit limit) {
+  if (share < limited.share)
+    limited = {share, limit};
+}
+
+Limited ShareNow(const MovesSettings& settings,
+                 MoveState& move,
+                 const StepInput& in,
+                 const EvidenceCells& fresh) {
+  const MoveConfig& config = move.config;
+  if (in.now < config.start)
+    return {0, ShareLimit::kNotStarted};
+  Demand demand = move.demand;
+  if (!demand.known)
+    demand.rate = std::max(demand.rate, kUnknownRate);
+  const moves::Ramp ramp = moves::RampOf(settings, config, demand.rate);
+  const bool calm = move.judgement.finding == Finding::kCalm;
+  const std::uint64_t good = fresh.runs - std::min(fresh.runs, fresh.failures);
+  if (calm) {
+    move.evidence_share =
+        std::max(move.evidence_share,
+                 moves::EvidenceShare(settings, ramp, demand, good));
+  }
+  const int old_slots = SlotsOf(in.capacity, config.service, config.from);
+  const int new_slots = SlotsOf(in.capacity, config.service, config.to);
+  Limited limited;
+  LimitTo(limited, moves::ScheduleShare(ramp, config.start, in.now),
+          ShareLimit::kSchedule);
+  LimitTo(limited, move.evidence_share, ShareLimit::kEvidence);
+  LimitTo(limited, moves::CapacityShare(settings, demand, new_slots, old_slots),
+          ShareLimit::kCapacity);
+  // Without the old version beside it nothing tells a fault of the new one
+  // from a shared fault, so a doubt at full share asks for answers of both.
+  if (!calm && old_slots > 0)
+    LimitTo(limited, 0.5, ShareLimit::kSuspicion);
+  if (move.judgement.finding == Finding::kHeld && old_slots > 0)
+    LimitTo(limited, 0, ShareLimit::kHold);
+  return limited;
+}
+
+void NoteFullShare(MovesState& state, MoveState& move, TimePoint now) {
+  if (move.share < kFull) {
+    move.full_since = TimePoint();
+    return;
+  }
+  if (move.full_since != TimePoint())
+    return;
+  move.full_since = now;
+  // After a restart: the data centre was there before this node was.
+  const auto own = state.reports.find({move.config.id, state.data_center});
+  if (own == state.reports.end())
+    return;
+  const DataCenterReport& report = own->second;
+  const bool recent = now - report.at < state.settings.unheard_after;
+  if (recent && report.full_since != TimePoint())
+    move.full_since = std::min(move.full_since, report.full_since);
+}
+
+void Report(MovesState& state,
+            MoveState& move,
+            const StepInput& in,
+            const RouteTotals& own,
+            Actions& actions) {
+  DataCenterReport report;
+  report.move = move.config.id;
+  report.data_center = state.data_center;
+  report.at = in.now;
+  report.share = move.share;
+  report.full_since = move.full_since;
+  report.clean = move.stage != MoveStage::kTakenBack &&
+                 move.full_since != TimePoint() &&
+                 in.now - move.full_since >= move.config.watch &&
+                 move.judgement.finding == Finding::kCalm;
+  report.stage = move.stage;
+  report.new_runs = own.fresh.runs;
+  report.new_failures = own.fresh.failures;
+  report.old_runs = own.old.runs;
+  report.old_failures = own.old.failures;
+  DataCenterReport& kept = state.reports[{report.move, report.data_center}];
+  const bool changed = kept.clean != report.clean ||
+                       kept.stage != report.stage ||
+                       std::abs(kept.share - report.share) >= kShareStep ||
+                       kept.full_since != report.full_since;
+  if (!changed && in.now - move.reported_at < state.settings.report_every)
+    return;
+  kept = JoinReports(kept, report);
+  move.reported_at = in.now;
+  actions.push_back({MoveActionKind::kSpreadReport, {}, kept});
+}
+
+bool EveryDataCenterIsClean(const MovesState& state,
+                            const MoveState& move,
+                            const StepInput& in) {
+  for (const std::string& data_center : in.snapshot.data_centers) {
+    const auto report = state.reports.find({move.config.id, data_center});
+    if (report == state.reports.end() || !report->second.clean)
+      return false;
+    if (in.now - report->second.at > state.settings.unheard_after)
+      return false;
+  }
+  return true;
+}
+
+void AppendIfDue(MovesState& state,
+                 MoveState& move,
+                 TimePoint now,
+                 Actions& actions) {
+  const auto found = state.verdicts.find(move.config.id);
+  if (found == state.verdicts.end())
+    return;
+  const MovesSettings& settings = state.settings;
+  const bool logged = move.logged_at != TimePoint() &&
+                      now - move.logged_at < settings.append_again;
+  if (logged || (move.appended_at != TimePoint() &&
+                 now - move.appended_at < settings.append_every))
+    return;
+  move.appended_at = now;
+  actions.push_back({MoveActionKind::kAppendVerdict, found->second, {}});
+}
+
+void StepRunning(MovesState& state,
+                 MoveState& move,
+                 const StepInput& in,
+                 Actions& actions) {
+  const MoveConfig& config = move.config;
+  const std::map<std::string, RouteTotals> totals =
+      TotalsOf(state, move, in.evidence);
+  RouteTotals own;
+  own.fresh = TotalOf(in.evidence, config.id, state.data_center, config.to, "");
+  own.old = TotalOf(in.evidence, config.id, state.data_center, config.from, "");
+  EvidenceCells both = own.fresh;
+  AddCells(both, own.old);
+  moves::ObserveDemand(move.demand, both, in.now);
+  const bool old_serves = SlotsOf(in.capacity, config.service, config.from) > 0;
+  move.judgement = StepJudge(move.judge, state.settings.judge, config.bounds,
+                             totals, old_serves, in.now);
+  if (move.judgement.finding == Finding::kBad)
+    TakeBack(state, move, move.judgement.reason, in.now, actions);
+  else if (CrashesOnStart(state.settings.judge, own.fresh, own.old))
+    TakeBack(state, move, VerdictReason::kCrashOnStart, in.now, actions);
+  Limited limited{0, ShareLimit::kEarlierMove};
+  if (!WaitsForEarlier(state, in.snapshot, config))
+    limited = ShareNow(state.settings, move, in, own.fresh);
+  move.share = limited.share;
+  move.limit = limited.limit;
+  NoteFullShare(state, move, in.now);
+  Report(state, move, in, own, actions);
+  if (EveryDataCenterIsClean(state, move, in)) {
+    Give(state,
+         MakeVerdict(state, config, MoveStage::kDone,
+                     VerdictReason::kWatchClean, in.now),
+         actions);
+  }
+}
+
+void StepOne(MovesState& state,
+             MoveState& move,
+             const StepInput& in,
+             Actions& actions) {
+  if (move.config.withdrawn &&
+      StageOf(state, move.config.id) != MoveStage::kTakenBack) {
+    Give(state,
+         MakeVerdict(state, move.config, MoveStage::kTakenBack,
+                     VerdictReason::kWithdrawn, in.now),
+         actions);
+  }
+  move.stage = StageOf(state, move.config.id);
+  if (move.stage == MoveStage::kRunning)
+    StepRunning(state, move, in, actions);
+  move.stage = StageOf(state, move.config.id);
+  if (move.stage != MoveStage::kRunning) {
+    move.share = move.stage == MoveStage::kDone ? 1 : 0;
+    move.limit = ShareLimit::kNone;
+    Report(state, move, in, {}, actions);
+  }
+  AppendIfDue(state, move, in.now, actions);
+}
+
+// Forgets moves that the configuration no longer names. Their verdicts stay as
+// long as there is room, so that an id that comes back does not start again.
+void Forget(MovesState& state, const Snapshot& snapshot) {
+  const auto gone = [&snapshot](const std::string& move) {
+    return snapshot.moves.count(move) == 0;
+  };
+  std::erase_if(state.moves, [&](const auto& m) { return gone(m.first); });
+  std::erase_if(state.reports,
+                [&](const auto& r) { return gone(r.first.first); });
+  for (auto v = state.verdicts.begin();
+       v != state.verdicts.end() && state.verdicts.size() > kMaxVerdicts;) {
+    v = gone(v->first) ? state.verdicts.erase(v) : std::next(v);
+  }
+}
+
+}  // namespace
+
+std::vector<MoveAction> StepMoves(MovesState& state,
+                                  const Snapshot& snapshot,
+                                  const EvidenceTable& evidence,
+                                  const MoveCapacity& capacity,
+                                  TimePoint now) {
+  Actions actions;
+  Forget(state, snapshot);
+  const StepInput in{snapshot, evidence, capacity, now};
+  for (const auto& [id, config] : snapshot.moves) {
+    MoveState& move = state.moves[id];
+    TakeConfig(move, config);
+    StepOne(state, move, in, actions);
+  }
+  return actions;
+}
+
+}  // namespace teaselspread
