--- /dev/null
+++ b/include/teaselspread/routing.h
@@ -0,0 +1,135 @@
+// Which route a request belongs to and which upstream serves it.
+//
+// The table holds only what one node knows by itself: the members that it was
+// told of, its own requests in flight, and the load that answers carried back.
+#ifndef TEASELSPREAD_ROUTING_H_
+#define TEASELSPREAD_ROUTING_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "teaselspread/error.h"
+#include "teaselspread/member.h"
+#include "teaselspread/snapshot.h"
+#include "teaselspread/types.h"
+
+namespace teaselspread {
+
+// The first route of `snapshot` whose method and path prefix fit, or null. An
+// empty method in a route fits every method; a prefix ends at a path segment.
+// The pointer lives as long as the snapshot. Thread safe.
+[[nodiscard]] const RouteConfig* MatchRoute(const Snapshot& snapshot,
+                                            std::string_view method,
+                                            std::string_view path);
+
+// How an upstream's answer counts for ejection. Shedding is load, not a fault.
+enum class AnswerKind : std::uint8_t { kGood, kFailed, kTimedOut, kShed };
+
+// When a target is taken out because its answers fail.
+struct EjectionSettings {
+  // Failures in a row that eject. One is enough after a return, until the
+  // first good answer: a target that is still broken gets one request only.
+  int consecutive_failures = 5;
+  // A timeout counts for this many failures.
+  int timeout_weight = 1;
+  // First time out; doubles with each ejection in a row up to the longest.
+  Duration base_time = std::chrono::seconds(2);
+  Duration longest_time = std::chrono::seconds(60);
+  // Largest share of a group that may be out. A fault of everything behind the
+  // targets (a shared store, say) would otherwise eject all of them.
+  double max_share = 0.34;
+};
+
+// One upstream that may get work, as this node sees it.
+struct Target {
+  std::string id;
+  Address http;
+  bool own = false;
+  int slots = 1;
+  TimePoint ready_since;
+  Duration warm_up{};
+  // This node's requests that are under way there.
+  int in_flight = 0;
+  // Load of other nodes' requests, from the last answer; fades with its age.
+  double others_load = 0;
+  TimePoint load_seen;
+  int failures_in_row = 0;
+  int ejections_in_row = 0;
+  TimePoint ejected_until;
+};
+
+// The targets of one version of one service.
+struct TargetGroup {
+  std::vector<Target> targets;
+  // Index of the upstream beside this node, or -1.
+  int own = -1;
+};
+
+// What one node knows of all upstreams in its data centre.
+struct UpstreamTable {
+  // By service, then by version.
+  std::map<std::string,
+           std::map<std::string, TargetGroup, std::less<>>,
+           std::less<>>
+      services;
+  EjectionSettings ejection;
+  // Exact count of running and waiting requests at this node's gatekeeper.
+  int own_load = 0;
+};
+
+// Replaces the targets by the ready upstreams of the alive members of
+// `data_center`; load and ejection of those that stay are kept. Anything
+// suspect, dead, left, warming or leaving is left out at once. Invalidates
+// every Target pointer. Not thread safe.
+void UpdateTargets(UpstreamTable& table,
+                   const Snapshot& snapshot,
+                   std::span<const Member> members,
+                   std::string_view own_id,
+                   std::string_view data_center);
+
+// The target for one request: the own upstream if it has a free slot, else the
+// better of two at random by load for each warmed-up slot. `excluded` holds
+// the ids that were tried already. Fails with kNoUpstream. The pointer is
+// valid until the next UpdateTargets. Not thread safe.
+[[nodiscard]] Result<const Target*> ChooseUpstream(
+    const UpstreamTable& table,
+    std::string_view service,
+    std::string_view version,
+    std::span<const std::string> excluded,
+    TimePoint now,
+    Rng& rng);
+
+// A request was sent to the target `id`. Unknown ids are ignored. Not thread
+// safe.
+void OnSent(UpstreamTable& table,
+            std::string_view service,
+            std::string_view version,
+            std::string_view id);
+
+// The answer of one earlier OnSent. `load` is what the answer carried back:
+// running and waiting requests at that gatekeeper, or -1 if it carried none.
+// Not thread safe.
+void OnAnswer(UpstreamTable& table,
+              std::string_view service,
+              std::string_view version,
+              std::string_view id,
+              AnswerKind kind,
+              int load,
+              TimePoint now);
+
+// Share of full weight that a target has while it warms up, 0.1..1. Thread
+// safe.
+[[nodiscard]] double WarmUpWeight(const Target& target, TimePoint now);
+
+// Whether the target is out because its answers failed. Thread safe.
+[[nodiscard]] bool IsEjected(const Target& target, TimePoint now);
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_ROUTING_H_
--- /dev/null
+++ b/src/admission/estimate.cc
@@ -0,0 +1,49 @@
+#include "admission/estimate.h"
+
+#include <cmath>
+
+namespace teaselspread {
+namespace {
+
+// Weight of the newest run: about the last ten runs count.
+constexpr double kNewest = 0.1;
+
+void Learn(ServiceTime& time, double took_us) {
+  if (time.mean_us == 0) {
+    time.mean_us = took_us;
+    time.deviation_us = took_us / 2;
+    return;
+  }
+  const double error = took_us - time.mean_us;
+  time.mean_us += kNewest * error;
+  time.deviation_us += kNewest * (std::abs(error) - time.deviation_us);
+}
+
+}  // namespace
+
+void LearnServiceTime(Gatekeeper& gate,
+                      const std::string& route,
+                      Duration took) {
+  const auto took_us = static_cast<double>(took.count());
+  Learn(gate.service_times[route], took_us);
+  Learn(gate.all_routes, took_us);
+}
+
+Duration ExpectedTime(const Gatekeeper& gate, std::string_view route) {
+  const auto found = gate.service_times.find(route);
+  const ServiceTime& time =
+      found == gate.service_times.end() ? gate.all_routes : found->second;
+  return Duration(static_cast<std::int64_t>(time.mean_us));
+}
+
+Duration ExpectedWait(const Gatekeeper& gate, std::size_t ahead) {
+  const int slots = gate.settings.slots > 0 ? gate.settings.slots : 1;
+  const double turns = static_cast<double>(ahead + 1) / slots;
+  return Duration(static_cast<std::int64_t>(turns * gate.all_routes.mean_us));
+}
+
+TimePoint LatestStart(const Gatekeeper& gate, const Arrival& arrival) {
+  return arrival.deadline - ExpectedTime(gate, arrival.route);
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/src/admission/estimate.h
@@ -0,0 +1,28 @@
+// Estimates of service time and wait, private to admission.
+#ifndef TEASELSPREAD_ADMISSION_ESTIMATE_H_
+#define TEASELSPREAD_ADMISSION_ESTIMATE_H_
+
+#include <cstddef>
+#include <string>
+
+#include "teaselspread/admission.h"
+
+namespace teaselspread {
+
+// One run of `route` took this long. Not thread safe.
+void LearnServiceTime(Gatekeeper& gate,
+                      const std::string& route,
+                      Duration took);
+
+// Time until a slot frees for a request with `ahead` waiting before it. Not
+// thread safe.
+[[nodiscard]] Duration ExpectedWait(const Gatekeeper& gate, std::size_t ahead);
+
+// The last moment at which it may start and still make its deadline. Not
+// thread safe.
+[[nodiscard]] TimePoint LatestStart(const Gatekeeper& gate,
+                                    const Arrival& arrival);
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_ADMISSION_ESTIMATE_H_
--- /dev/null
+++ b/src/connections/connections.cc
@@ -0,0 +1,114 @@
+#include "teaselspread/connections.h"
+
+#include <algorithm>
+#include <array>
+
+namespace teaselspread {
+namespace {
+
+constexpr std::array<std::string_view, 6> kNames = {
+    "whole", "timeout", "cancelled", "short-body", "silent", "error"};
+
+// What cut a silent connection (a restarted firewall, say) cut every other one
+// that existed then. Only a byte heard after that moment shows that it lives.
+bool IsTrusted(const ConnectionPool& pool,
+               const Connection& connection,
+               TimePoint now) {
+  if (connection.last_byte <= pool.distrust_until)
+    return false;
+  return now - connection.last_byte <= pool.settings.longest_idle;
+}
+
+std::vector<std::uint64_t> DropUntrusted(ConnectionPool& pool, TimePoint now) {
+  std::vector<std::uint64_t> dropped;
+  for (const Connection& connection : pool.connections) {
+    if (!connection.in_use && !IsTrusted(pool, connection, now))
+      dropped.push_back(connection.id);
+  }
+  std::erase_if(pool.connections, [&](const Connection& connection) {
+    return !connection.in_use && !IsTrusted(pool, connection, now);
+  });
+  return dropped;
+}
+
+Connection* Find(ConnectionPool& pool, std::uint64_t id) {
+  const auto found = std::find_if(
+      pool.connections.begin(), pool.connections.end(),
+      [id](const Connection& connection) { return connection.id == id; });
+  return found == pool.connections.end() ? nullptr : &*found;
+}
+
+}  // namespace
+
+std::string_view NameOf(ConnectionEnd end) {
+  return kNames.at(static_cast<std::size_t>(end));
+}
+
+Acquired Acquire(ConnectionPool& pool, TimePoint now) {
+  Acquired acquired;
+  acquired.close = DropUntrusted(pool, now);
+  Connection* latest = nullptr;
+  for (Connection& connection : pool.connections) {
+    if (connection.in_use)
+      continue;
+    if (latest == nullptr || connection.last_byte > latest->last_byte)
+      latest = &connection;
+  }
+  if (latest != nullptr) {
+    latest->in_use = true;
+    // The time without a byte counts from the request, not from the last use.
+    latest->last_byte = now;
+    acquired.kind = AcquireKind::kReuse;
+    acquired.id = latest->id;
+    return acquired;
+  }
+  const auto open = static_cast<int>(pool.connections.size());
+  if (open >= pool.settings.most)
+    return acquired;
+  acquired.kind = AcquireKind::kOpen;
+  acquired.id = pool.next_id++;
+  pool.connections.push_back({acquired.id, now, now, true});
+  return acquired;
+}
+
+void OnByte(ConnectionPool& pool, std::uint64_t id, TimePoint now) {
+  if (Connection* connection = Find(pool, id))
+    connection->last_byte = now;
+}
+
+std::vector<std::uint64_t> Release(ConnectionPool& pool,
+                                   std::uint64_t id,
+                                   ConnectionEnd end,
+                                   TimePoint now) {
+  Connection* connection = Find(pool, id);
+  if (connection == nullptr)
+    return {};
+  if (end == ConnectionEnd::kWhole) {
+    connection->in_use = false;
+    connection->last_byte = now;
+    return {};
+  }
+  const TimePoint quiet_since = connection->last_byte;
+  std::erase_if(pool.connections,
+                [id](const Connection& other) { return other.id == id; });
+  std::vector<std::uint64_t> close = {id};
+  if (end == ConnectionEnd::kSilent) {
+    pool.distrust_until = std::max(pool.distrust_until, quiet_since);
+    const std::vector<std::uint64_t> dropped = DropUntrusted(pool, now);
+    close.insert(close.end(), dropped.begin(), dropped.end());
+  }
+  return close;
+}
+
+std::vector<std::uint64_t> SilentOnes(const ConnectionPool& pool,
+                                      TimePoint now) {
+  std::vector<std::uint64_t> silent;
+  for (const Connection& connection : pool.connections) {
+    const bool quiet = now - connection.last_byte > pool.settings.silence;
+    if (connection.in_use && quiet)
+      silent.push_back(connection.id);
+  }
+  return silent;
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/src/retry/retry.cc
@@ -0,0 +1,77 @@
+#include "teaselspread/retry.h"
+
+#include <algorithm>
+#include <array>
+
+namespace teaselspread {
+namespace {
+
+constexpr std::array<std::string_view,
+                     static_cast<std::size_t>(RetryReason::kCount)>
+    kNames = {"retried-not-run",  "retried-idempotent", "refused-may-have-run",
+              "refused-no-use",   "refused-deadline",   "refused-budget",
+              "refused-attempts", "refused-no-other"};
+
+// Kinds that a second attempt on another upstream can mend, if the request is
+// idempotent. The caller's own mistakes and its cancellation stay as they are.
+bool MayBeMendedElsewhere(ErrorKind kind) {
+  const ErrorAnswer& answer = AnswerOf(kind);
+  if (answer.retry_elsewhere)
+    return true;
+  return answer.execution == Execution::kUnknown &&
+         kind != ErrorKind::kCancelled && kind != ErrorKind::kInProgress &&
+         kind != ErrorKind::kOutcomeUnknown && kind != ErrorKind::kInternal;
+}
+
+RetryReason Judge(const RetryBudget& budget,
+                  const FailedAttempt& attempt,
+                  TimePoint now) {
+  if (!MayBeMendedElsewhere(attempt.kind))
+    return RetryReason::kRefusedNoUse;
+  if (!attempt.not_run && !attempt.idempotent)
+    return RetryReason::kRefusedMayHaveRun;
+  if (attempt.attempts_made >= budget.settings.most_attempts)
+    return RetryReason::kRefusedAttempts;
+  if (!attempt.other_upstream)
+    return RetryReason::kRefusedNoOther;
+  if (now + attempt.attempt_time >= attempt.deadline)
+    return RetryReason::kRefusedDeadline;
+  if (budget.tokens < 1)
+    return RetryReason::kRefusedBudget;
+  return attempt.not_run ? RetryReason::kRetriedNotRun
+                         : RetryReason::kRetriedIdempotent;
+}
+
+}  // namespace
+
+std::string_view NameOf(RetryReason reason) {
+  return kNames.at(static_cast<std::size_t>(reason));
+}
+
+bool IsRetry(RetryReason reason) {
+  return reason == RetryReason::kRetriedNotRun ||
+         reason == RetryReason::kRetriedIdempotent;
+}
+
+void OnFirstAttempt(RetryBudget& budget) {
+  budget.tokens =
+      std::min(budget.settings.burst, budget.tokens + budget.settings.share);
+}
+
+RetryReason DecideRetry(RetryBudget& budget,
+                        const FailedAttempt& attempt,
+                        TimePoint now) {
+  const RetryReason reason = Judge(budget, attempt, now);
+  if (IsRetry(reason))
+    budget.tokens -= 1;
+  budget.counters.Add(reason);
+  return reason;
+}
+
+Duration SpreadRetryAfter(Duration base, Rng& rng) {
+  if (base <= Duration{})
+    return base;
+  return base + Duration(rng() % static_cast<std::uint64_t>(base.count()));
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/src/routing/choose.cc
@@ -0,0 +1,104 @@
+#include <algorithm>
+
+#include "teaselspread/routing.h"
+
+namespace teaselspread {
+namespace {
+
+// Load that an answer carried back halves in this time: what others sent a
+// while ago has been served since.
+constexpr Duration kLoadHalfLife = std::chrono::milliseconds(50);
+constexpr double kLeastWeight = 0.1;
+// Draws before a full scan. With the cap on ejections two thirds of a group
+// are in, so that eight draws all miss once in 6,561.
+constexpr int kDraws = 8;
+
+double OthersLoad(const Target& target, TimePoint now) {
+  const auto age = static_cast<double>((now - target.load_seen).count());
+  const auto half = static_cast<double>(kLoadHalfLife.count());
+  return age <= 0 ? target.others_load
+                  : target.others_load * half / (half + age);
+}
+
+double Score(const Target& target, TimePoint now) {
+  const double load = target.in_flight + OthersLoad(target, now) + 1;
+  return load / (target.slots * WarmUpWeight(target, now));
+}
+
+bool IsUsable(const Target& target,
+              std::span<const std::string> excluded,
+              TimePoint now) {
+  if (IsEjected(target, now))
+    return false;
+  return std::find(excluded.begin(), excluded.end(), target.id) ==
+         excluded.end();
+}
+
+// While it warms up the own upstream has fewer slots to offer, too.
+bool OwnHasFreeSlot(const UpstreamTable& table,
+                    const Target& own,
+                    TimePoint now) {
+  return table.own_load < own.slots * WarmUpWeight(own, now);
+}
+
+const Target* Draw(const TargetGroup& group,
+                   std::span<const std::string> excluded,
+                   TimePoint now,
+                   Rng& rng) {
+  for (int i = 0; i < kDraws; ++i) {
+    const Target& target = group.targets[rng() % group.targets.size()];
+    if (IsUsable(target, excluded, now))
+      return &target;
+  }
+  const Target* best = nullptr;
+  for (const Target& target : group.targets) {
+    if (!IsUsable(target, excluded, now))
+      continue;
+    if (best == nullptr || Score(target, now) < Score(*best, now))
+      best = &target;
+  }
+  return best;
+}
+
+const TargetGroup* FindGroup(const UpstreamTable& table,
+                             std::string_view service,
+                             std::string_view version) {
+  const auto versions = table.services.find(service);
+  if (versions == table.services.end())
+    return nullptr;
+  const auto group = versions->second.find(version);
+  return group == versions->second.end() ? nullptr : &group->second;
+}
+
+}  // namespace
+
+double WarmUpWeight(const Target& target, TimePoint now) {
+  if (target.warm_up <= Duration{})
+    return 1.0;
+  const auto age = static_cast<double>((now - target.ready_since).count());
+  const double share = age / static_cast<double>(target.warm_up.count());
+  return std::clamp(share, kLeastWeight, 1.0);
+}
+
+Result<const Target*> ChooseUpstream(const UpstreamTable& table,
+                                     std::string_view service,
+                                     std::string_view version,
+                                     std::span<const std::string> excluded,
+                                     TimePoint now,
+                                     Rng& rng) {
+  const TargetGroup* group = FindGroup(table, service, version);
+  if (group == nullptr || group->targets.empty())
+    return Fail(ErrorKind::kNoUpstream, "no ready upstream of this version");
+  if (group->own >= 0) {
+    const Target& own = group->targets[static_cast<std::size_t>(group->own)];
+    if (IsUsable(own, excluded, now) && OwnHasFreeSlot(table, own, now))
+      return &own;
+  }
+  const Target* first = Draw(*group, excluded, now, rng);
+  if (first == nullptr)
+    return Fail(ErrorKind::kNoUpstream, "every upstream was tried or is out");
+  const Target* second = Draw(*group, excluded, now, rng);
+  return Score(*second, now) < Score(*first, now) ? second : first;
+}
+
+}  // namespace teaselspread
