--- a/include/teaselspread/error.h
+++ b/include/teaselspread/error.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -87,6 +88,9 @@
 // Short stable name of `kind`, used as a counter label. Thread safe.
 [[nodiscard]] std::string_view NameOf(ErrorKind kind);
 
+// The kind called `name`; none when no kind is. Thread safe.
+[[nodiscard]] std::optional<ErrorKind> KindNamed(std::string_view name);
+
 // "not-run", "ran" or "unknown": the value of the answer header that says
 // whether the request ran. Thread safe.
 [[nodiscard]] std::string_view NameOf(Execution execution);
--- a/include/teaselspread/wire.h
+++ b/include/teaselspread/wire.h
@@ -29,7 +29,7 @@
 inline constexpr std::size_t kMaxDatagramBytes = 1200;
 // Longest frame that a stream accepts unless the reader is told otherwise.
 inline constexpr std::size_t kMaxStreamFrameBytes = 4U << 20;
-inline constexpr std::size_t kMaxOpaqueBytes = 400;
+inline constexpr std::size_t kMaxOpaqueBytes = 512;
 inline constexpr std::uint32_t kAgeUnknown =
     std::numeric_limits<std::uint32_t>::max();
 
@@ -61,10 +61,17 @@
   kVerdict,
   kCrashSuspect,
   kMoveEvidence,
+  kMoveReport,
   kCount
 };
 
-// "verdict", "crash-suspect" or "move-evidence". Thread safe.
+// Modules that send frames of their own between nodes.
+enum class Module : std::uint8_t { kMoves, kClaims, kCount };
+
+// "moves" or "claims". Thread safe.
+[[nodiscard]] std::string_view NameOf(Module module);
+
+// "verdict", "crash-suspect", "move-evidence" or "move-report". Thread safe.
 [[nodiscard]] std::string_view NameOf(Topic topic);
 
 // Last version wins, per (topic, key). `body` is at most kMaxOpaqueBytes.
@@ -228,6 +235,13 @@
   std::vector<SpeakerAddress> speakers;
 };
 
+// Bytes that only the named module reads; also between data centres.
+struct ModuleFrame {
+  Sender from;
+  Module module = Module::kMoves;
+  std::string body;
+};
+
 using Message = std::variant<Ping,
                              PingRequest,
                              Ack,
@@ -244,7 +258,8 @@
                              RecordAck,
                              FloorQuery,
                              FloorReply,
-                             VersionNotice>;
+                             VersionNotice,
+                             ModuleFrame>;
 
 inline constexpr std::size_t kMessageKinds = std::variant_size_v<Message>;
 
--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -1,5 +1,6 @@
 #include "teaselspread/error.h"
 
+#include <algorithm>
 #include <array>
 
 namespace teaselspread {
@@ -77,6 +78,15 @@
   return AnswerOf(kind).name;
 }
 
+std::optional<ErrorKind> KindNamed(std::string_view name) {
+  const auto* row =
+      std::find_if(kErrorTable.begin(), kErrorTable.end(),
+                   [&](const ErrorAnswer& each) { return each.name == name; });
+  if (row == kErrorTable.end())
+    return std::nullopt;
+  return row->kind;
+}
+
 std::string_view NameOf(Execution execution) {
   return kExecutionNames.at(static_cast<std::size_t>(execution));
 }
--- a/src/node/transport.cc
+++ b/src/node/frame_transport.cc
@@ -1,4 +1,4 @@
-#include "node/transport.h"
+#include "node/frame_transport.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address.hpp>
@@ -48,8 +48,8 @@
   return kEventNames.at(static_cast<std::size_t>(event));
 }
 
-struct Transport::Incoming : std::enable_shared_from_this<Incoming> {
-  Incoming(Transport& owner, tcp::socket accepted)
+struct FrameTransport::Incoming : std::enable_shared_from_this<Incoming> {
+  Incoming(FrameTransport& owner, tcp::socket accepted)
       : transport(owner),
         socket(std::move(accepted)),
         timer(owner.io, kStreamTimeLimit) {
@@ -102,15 +102,15 @@
                             std::string_view(this->frame.data(), this->filled));
   }
 
-  Transport& transport;
+  FrameTransport& transport;
   tcp::socket socket;
   asio::steady_timer timer;
   std::string frame;
   std::size_t filled = 0;
 };
 
-struct Transport::Outgoing : std::enable_shared_from_this<Outgoing> {
-  Outgoing(Transport& owner, std::string bytes)
+struct FrameTransport::Outgoing : std::enable_shared_from_this<Outgoing> {
+  Outgoing(FrameTransport& owner, std::string bytes)
       : transport(owner),
         socket(owner.io),
         timer(owner.io, kStreamTimeLimit),
@@ -149,19 +149,19 @@
         });
   }
 
-  Transport& transport;
+  FrameTransport& transport;
   tcp::socket socket;
   asio::steady_timer timer;
   std::string frame;
 };
 
-Transport::Transport(asio::io_context& loop, FrameHandler frame_handler)
+FrameTransport::FrameTransport(asio::io_context& loop, FrameHandler frame_handler)
     : io(loop),
       handler(std::move(frame_handler)),
       datagram_socket(loop),
       acceptor(loop) {}
 
-Result<Address> Transport::Listen(const Address& address) {
+Result<Address> FrameTransport::Listen(const Address& address) {
   const auto wanted = EndpointOf<udp>(address);
   if (!wanted)
     return tl::make_unexpected(wanted.error());
@@ -195,7 +195,7 @@
                                         error.message());
 }
 
-void Transport::SendDatagram(const Address& to, std::string_view frame) {
+void FrameTransport::SendDatagram(const Address& to, std::string_view frame) {
   const auto endpoint = EndpointOf<udp>(to);
   ErrorCode error = asio::error::invalid_argument;
   if (endpoint)
@@ -209,7 +209,7 @@
   this->counters.Add(TransportEvent::kBytesSent, frame.size());
 }
 
-void Transport::SendStream(const Address& to, std::string frame) {
+void FrameTransport::SendStream(const Address& to, std::string frame) {
   const auto endpoint = EndpointOf<tcp>(to);
   if (!endpoint) {
     this->counters.Add(TransportEvent::kStreamConnectFailed);
@@ -218,13 +218,13 @@
   std::make_shared<Outgoing>(*this, std::move(frame))->Start(*endpoint);
 }
 
-void Transport::Close() {
+void FrameTransport::Close() {
   ErrorCode ignored;
   this->datagram_socket.close(ignored);
   this->acceptor.close(ignored);
 }
 
-void Transport::ReceiveDatagram() {
+void FrameTransport::ReceiveDatagram() {
   this->datagram_socket.async_receive_from(
       asio::buffer(this->datagram), this->datagram_from,
       [this](ErrorCode error, std::size_t bytes) {
@@ -244,7 +244,7 @@
       });
 }
 
-void Transport::AcceptStream() {
+void FrameTransport::AcceptStream() {
   this->acceptor.async_accept([this](ErrorCode error, tcp::socket socket) {
     if (error == asio::error::operation_aborted || !this->acceptor.is_open())
       return;
--- a/src/node/transport.h
+++ b/src/node/frame_transport.h
@@ -1,6 +1,6 @@
 // Frames between nodes: datagrams over UDP, larger ones over TCP.
-#ifndef TEASELSPREAD_NODE_TRANSPORT_H_
-#define TEASELSPREAD_NODE_TRANSPORT_H_
+#ifndef TEASELSPREAD_NODE_FRAME_TRANSPORT_H_
+#define TEASELSPREAD_NODE_FRAME_TRANSPORT_H_
 
 #include <array>
 #include <cstddef>
@@ -45,12 +45,12 @@
 // cannot share a loop with timers and TCP.
 //
 // Not thread safe: belongs to the thread that runs `io`.
-class Transport {
+class FrameTransport {
  public:
   using FrameHandler =
       std::function<void(const Address& from, std::string_view frame)>;
 
-  Transport(boost::asio::io_context& io, FrameHandler handler);
+  FrameTransport(boost::asio::io_context& io, FrameHandler handler);
 
   // Binds UDP and TCP to `address`; a port of 0 takes a free one for both.
   // Errors: kSettings when the address cannot be bound.
@@ -75,18 +75,18 @@
   void ReceiveDatagram();
   void AcceptStream();
 
-  static constexpr std::size_t kMaxDatagramBytes = 65536;
+  static constexpr std::size_t kReceiveBytes = 65536;
 
   boost::asio::io_context& io;
   FrameHandler handler;
   boost::asio::ip::udp::socket datagram_socket;
   boost::asio::ip::tcp::acceptor acceptor;
   boost::asio::ip::udp::endpoint datagram_from;
-  std::array<char, kMaxDatagramBytes> datagram{};
+  std::array<char, kReceiveBytes> datagram{};
   int streams_in = 0;
   CounterTable<TransportEvent> counters;
 };
 
 }  // namespace teaselspread
 
-#endif  // TEASELSPREAD_NODE_TRANSPORT_H_
+#endif  // TEASELSPREAD_NODE_FRAME_TRANSPORT_H_
--- /dev/null
+++ b/src/node/gate.cc
@@ -0,0 +1,355 @@
+// The gatekeeper's side of the request path.
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <utility>
+
+#include <xxhash.h>
+
+#include "node/requests.h"
+#include "teaselspread/logging.h"
+
+namespace teaselspread {
+namespace {
+
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(200);
+constexpr Duration kReuseForOnce = std::chrono::seconds(1);
+constexpr Duration kReuse = std::chrono::seconds(15);
+constexpr Duration kLongestWait = std::chrono::milliseconds(100);
+
+Fingerprint FingerprintOf(const Call& call) {
+  return FingerprintOf(
+      call.request.method, call.request.target,
+      XXH3_64bits(call.request.body.data(), call.request.body.size()));
+}
+
+// Why the upstream beside this node cannot take the call at all.
+Result<void> CheckUpstream(const Requests& service,
+                           const Call& call,
+                           const std::string& version) {
+  const Announcement& own = service.upstream.announcement;
+  if (service.leaving)
+    return Fail(ErrorKind::kLeaving, "the node is leaving");
+  if (own.state == UpstreamState::kNone)
+    return Fail(ErrorKind::kNotReady, "no upstream is announced here");
+  if (own.service != call.route->service)
+    return Fail(ErrorKind::kNotReady, "another service runs here");
+  // The entry's view is older than this node's: the version was replaced.
+  if (!version.empty() && own.version != version)
+    return Fail(ErrorKind::kNotReady, "another version runs here");
+  return {};
+}
+
+// Waits until the gate lets the request run or refuses it.
+std::optional<Refusal> WaitForTurn(Requests& service,
+                                   std::unique_lock<std::mutex>& lock,
+                                   std::uint64_t id,
+                                   Waiter& waiter) {
+  service.waiters.emplace(id, &waiter);
+  while (!waiter.may_run && !waiter.refusal) {
+    // Each waiter wakes the whole queue's expiry, so one that is given up on is
+    // answered at that moment, not when the next slot comes free.
+    const TimePoint now = SystemNow();
+    const TimePoint wake = std::min(
+        NextExpiry(service.gatekeeper).value_or(now + kLongestWait),
+        now + kLongestWait);
+    waiter.changed.wait_until(lock, wake);
+    if (!waiter.may_run && !waiter.refusal)
+      Apply(service, Expire(service.gatekeeper, SystemNow(), service.rng));
+  }
+  service.waiters.erase(id);
+  return waiter.refusal;
+}
+
+// Holds a slot of the upstream from admission to Release().
+class Slot {
+ public:
+  Slot(Requests& owner, std::uint64_t id) : service(owner), request(id) {}
+  ~Slot() { this->Release(Duration{}, false); }
+  Slot(const Slot&) = delete;
+  Slot& operator=(const Slot&) = delete;
+
+  void Release(Duration took, bool counts) {
+    if (this->released)
+      return;
+    this->released = true;
+    const std::scoped_lock lock(this->service.gate);
+    this->service.running.erase(this->request);
+    Apply(this->service, Finish(this->service.gatekeeper, this->request, took,
+                                counts, SystemNow(), this->service.rng));
+    this->service.table.own_load = LoadOf(this->service.gatekeeper);
+  }
+
+ private:
+  Requests& service;
+  std::uint64_t request;
+  bool released = false;
+};
+
+struct Admitted {
+  Address upstream;
+  Announcement announcement;
+  bool suspect = false;
+};
+
+Result<Admitted> Admit(Requests& service,
+                       const Call& call,
+                       const std::string& version,
+                       Fingerprint fingerprint,
+                       std::uint64_t id,
+                       Duration& retry_after) {
+  std::unique_lock lock(service.gate);
+  if (const auto usable = CheckUpstream(service, call, version); !usable)
+    return tl::make_unexpected(usable.error());
+  const SuspectState state =
+      StateOf(service.suspects, fingerprint, SystemNow());
+  if (state == SuspectState::kRefused) {
+    retry_after = service.suspects.settings.memory;
+    return Fail(ErrorKind::kCrashSuspect,
+                "this request was running when upstreams crashed");
+  }
+  Arrival arrival;
+  arrival.id = id;
+  arrival.route = call.route->name;
+  arrival.priority = call.route->priority;
+  arrival.deadline = call.deadline;
+  arrival.body_bytes = call.request.body.size();
+  arrival.suspect = state == SuspectState::kAlone;
+  Arrived arrived =
+      Arrive(service.gatekeeper, arrival, SystemNow(), service.rng);
+  service.table.own_load = LoadOf(service.gatekeeper);
+  if (arrived.evicted)
+    Apply(service, GateActions{{}, {*arrived.evicted}});
+  if (arrived.admission == Admission::kQueued) {
+    Waiter waiter;
+    arrived.refusal = WaitForTurn(service, lock, id, waiter);
+  }
+  if (arrived.refusal) {
+    retry_after = arrived.refusal->retry_after;
+    return Fail(arrived.refusal->kind, "refused by the gatekeeper");
+  }
+  service.running[id] = Running{fingerprint};
+  return Admitted{service.upstream.address, service.upstream.announcement,
+                  arrival.suspect};
+}
+
+CallOptions OptionsFor(const Requests& service, const Call& call) {
+  CallOptions options;
+  const Duration left = call.deadline - SystemNow();
+  options.timeout = std::max(left, Duration{1});
+  options.silence =
+      std::min(options.timeout, call.snapshot->limits.silence);
+  // A request that may not be repeated must not be lost in a connection that
+  // went silent while it was idle.
+  options.reuse_within = call.route->idempotent ? kReuse : kReuseForOnce;
+  options.expected_request_id = call.id;
+  options.max_body_bytes = call.snapshot->limits.max_body_bytes;
+  options.budget = service.budget;
+  options.caller_fd = call.request.caller_fd;
+  return options;
+}
+
+HttpRequest ToUpstream(const Call& call) {
+  HttpRequest request = call.request;
+  RemoveHopHeaders(request.headers);
+  SetHeader(request.headers, kHeaderRequestId, call.id);
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      call.deadline - SystemNow());
+  SetHeader(request.headers, kHeaderDeadline,
+            std::to_string(std::max<std::int64_t>(left.count(), 1)));
+  return request;
+}
+
+bool BrokeOff(ErrorKind kind) {
+  return kind == ErrorKind::kUpstreamFailed ||
+         kind == ErrorKind::kTruncated || kind == ErrorKind::kConnectFailed;
+}
+
+// A connection that broke may be one connection's fault. Only an upstream that
+// takes no new one either has crashed, and then whatever ran there is suspect.
+void CheckCrash(Requests& service, const Address& upstream) {
+  HttpRequest probe;
+  probe.target = "/health";
+  CallOptions options;
+  options.connect_timeout = kProbeTimeout;
+  options.timeout = kProbeTimeout;
+  options.reuse_within = Duration{0};
+  const auto answer = service.clients->Send(upstream, probe, options);
+  if (answer || answer.error().kind != ErrorKind::kConnectFailed)
+    return;
+  const std::scoped_lock lock(service.gate);
+  if (service.upstream.crashed || service.upstream.address != upstream)
+    return;
+  std::vector<Fingerprint> in_flight;
+  for (const auto& [id, run] : service.running)
+    in_flight.push_back(run.fingerprint);
+  Log(LogLevel::kWarning, kRequestsService, "upstream-crashed",
+      {{"in_flight", in_flight.size()}});
+  for (const SuspectRow& row :
+       OnCrash(service.suspects, in_flight, SystemNow()))
+    service.rumours.push_back(RumourOf(row));
+  LoseUpstream(service, SystemNow());
+}
+
+AnswerOutcome OutcomeOf(const Result<HttpResponse>& answer, bool suspect) {
+  if (suspect)
+    return AnswerOutcome::kCrashSuspect;
+  if (!answer) {
+    const ErrorKind kind = answer.error().kind;
+    const bool late = kind == ErrorKind::kTimeout ||
+                      kind == ErrorKind::kSilentConnection;
+    return late ? AnswerOutcome::kTimeout : AnswerOutcome::kFailed;
+  }
+  if (!FindHeader(answer->headers, kHeaderNotRun).empty())
+    return AnswerOutcome::kShed;
+  constexpr int kServerError = 500;
+  return answer->status >= kServerError ? AnswerOutcome::kFailed
+                                        : AnswerOutcome::kGood;
+}
+
+void CountAnswer(Requests& service,
+                 const Call& call,
+                 const Admitted& admitted,
+                 const Result<HttpResponse>& answer,
+                 Duration took) {
+  // The caller left: that says nothing of the upstream.
+  if (!answer && answer.error().kind == ErrorKind::kCancelled)
+    return;
+  AnswerSample sample;
+  sample.outcome = OutcomeOf(answer, admitted.suspect);
+  sample.latency = took;
+  const auto warm_up = call.snapshot->services.find(call.route->service);
+  sample.cold = warm_up != call.snapshot->services.end() &&
+                SystemNow() - admitted.announcement.ready_since <
+                    warm_up->second.warm_up;
+  RecordAnswer(*service.moves, *call.snapshot, *call.route,
+               admitted.announcement.version, sample);
+}
+
+void ClearSuspect(Requests& service, Fingerprint fingerprint) {
+  const std::scoped_lock lock(service.gate);
+  for (const SuspectRow& row :
+       OnCleanRun(service.suspects, fingerprint, SystemNow()))
+    service.rumours.push_back(RumourOf(row));
+}
+
+// Sends the request to the upstream; the slot is held meanwhile.
+Result<HttpResponse> RunOnce(Requests& service,
+                             const Call& call,
+                             const Admitted& admitted,
+                             Fingerprint fingerprint,
+                             Slot& slot) {
+  const auto began = std::chrono::steady_clock::now();
+  Result<HttpResponse> answer = service.clients->Send(
+      admitted.upstream, ToUpstream(call), OptionsFor(service, call));
+  const auto took = std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now() - began);
+  CountAnswer(service, call, admitted, answer, took);
+  if (!answer && BrokeOff(answer.error().kind))
+    CheckCrash(service, admitted.upstream);
+  slot.Release(took, answer.has_value());
+  if (!answer)
+    return answer;
+  if (admitted.suspect)
+    ClearSuspect(service, fingerprint);
+  if (!FindHeader(answer->headers, kHeaderNotRun).empty())
+    return Fail(ErrorKind::kUpstreamShed, "the upstream shed the request");
+  SetHeader(answer->headers, kHeaderExecution, NameOf(Execution::kRan));
+  return answer;
+}
+
+ClaimOutcome OutcomeToKeep(const HttpResponse& answer) {
+  ClaimOutcome outcome;
+  outcome.status = answer.status;
+  outcome.content_type = std::string(FindHeader(answer.headers, "Content-Type"));
+  outcome.body = answer.body;
+  return outcome;
+}
+
+HttpResponse Replay(const ClaimOutcome& outcome, const Call& call) {
+  HttpResponse answer;
+  answer.status = outcome.status;
+  if (!outcome.content_type.empty())
+    SetHeader(answer.headers, "Content-Type", outcome.content_type);
+  answer.body = outcome.body;
+  SetHeader(answer.headers, kHeaderRequestId, call.id);
+  SetHeader(answer.headers, kHeaderExecution, NameOf(Execution::kRan));
+  SetHeader(answer.headers, kHeaderReason, "replayed");
+  return answer;
+}
+
+// Runs a non-idempotent request under a claim on its key.
+Result<HttpResponse> RunClaimed(Requests& service,
+                                const Call& call,
+                                const Admitted& admitted,
+                                Fingerprint fingerprint,
+                                Slot& slot) {
+  Result<Claim> claim = ClaimKeyFor(*service.claims, call.key,
+                                    call.request.method, call.request.target,
+                                    call.request.body, call.deadline);
+  if (!claim)
+    return tl::make_unexpected(claim.error());
+  if (claim->recorded)
+    return Replay(*claim->recorded, call);
+  if (!MayRun(claim->attempt, SystemNow())) {
+    ReleaseKey(*service.claims, claim->attempt);
+    return Fail(ErrorKind::kClaimUnavailable, "the claim ran out before it ran");
+  }
+  auto answer = RunOnce(service, call, admitted, fingerprint, slot);
+  if (answer) {
+    RecordKey(*service.claims, claim->attempt, OutcomeToKeep(*answer));
+    return answer;
+  }
+  const bool not_run =
+      AnswerOf(answer.error().kind).execution == Execution::kNotRun;
+  if (not_run)
+    ReleaseKey(*service.claims, claim->attempt);
+  return answer;
+}
+
+}  // namespace
+
+void Apply(Requests& service, const GateActions& actions) {
+  for (const std::uint64_t id : actions.run) {
+    if (const auto waiter = service.waiters.find(id);
+        waiter != service.waiters.end()) {
+      waiter->second->may_run = true;
+      waiter->second->changed.notify_one();
+    }
+  }
+  for (const Refusal& refusal : actions.refused) {
+    if (const auto waiter = service.waiters.find(refusal.id);
+        waiter != service.waiters.end()) {
+      waiter->second->refusal = refusal;
+      waiter->second->changed.notify_one();
+    }
+  }
+}
+
+Result<HttpResponse> RunAtGate(Requests& service,
+                               const Call& call,
+                               const std::string& version,
+                               Duration& retry_after) {
+  const std::uint64_t id = service.next_id++;
+  const Fingerprint fingerprint = FingerprintOf(call);
+  const auto admitted =
+      Admit(service, call, version, fingerprint, id, retry_after);
+  if (!admitted)
+    return tl::make_unexpected(admitted.error());
+  Slot slot(service, id);
+  Result<HttpResponse> answer =
+      call.route->idempotent
+          ? RunOnce(service, call, *admitted, fingerprint, slot)
+          : RunClaimed(service, call, *admitted, fingerprint, slot);
+  slot.Release(Duration{}, false);
+  if (answer) {
+    const std::scoped_lock lock(service.gate);
+    SetHeader(answer->headers, kHeaderLoad,
+              std::to_string(LoadOf(service.gatekeeper)));
+    SetHeader(answer->headers, kHeaderTargetVersion,
+              admitted->announcement.version);
+  }
+  return answer;
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/src/node/membership_service.cc
@@ -0,0 +1,104 @@
+#include "node/membership_service.h"
+
+#include <utility>
+
+#include "teaselspread/logging.h"
+
+namespace teaselspread {
+namespace {
+
+void LogChange(const Member& member) {
+  Log(LogLevel::kInfo, kMembershipService, "member-changed",
+      {{"member", member.id},
+       {"status", NameOf(member.status)},
+       {"incarnation", member.incarnation},
+       {"upstream", NameOf(member.upstream.state)}});
+}
+
+void Perform(Kernel& kernel, MembershipActions actions) {
+  for (SendMessage& send : actions.sends)
+    kernel.Post(kTransportService, SendFrame{std::move(send)});
+  for (const Member& member : actions.changes) {
+    LogChange(member);
+    kernel.Post(kSpreadService, MemberChanged{member});
+    kernel.Post(kRequestsService, MemberChanged{member});
+    kernel.Post(kClaimsService, MemberChanged{member});
+  }
+  for (const PeerVersion& peer : actions.versions)
+    kernel.Post(kSpreadService, PeerVersionSeen{peer});
+  for (const OpaqueRumour& rumour : actions.rumours) {
+    const std::string_view owner = rumour.topic == Topic::kCrashSuspect
+                                       ? kRequestsService
+                                       : kMovesService;
+    kernel.Post(owner, RumourHeard{rumour});
+  }
+}
+
+// One timer at a time: a wake that is earlier than the one set replaces it, and
+// the later one then finds nothing due.
+void SetWake(Kernel& kernel, MembershipService& service) {
+  const TimePoint wake = NextWake(service.state);
+  if (service.wake_set && service.wake_at <= wake)
+    return;
+  service.wake_set = true;
+  service.wake_at = wake;
+  kernel.PostAt(wake, kMembershipService, Tick{});
+}
+
+void OnTick(Kernel& kernel, MembershipService& service) {
+  if (kernel.Now() >= service.wake_at)
+    service.wake_set = false;
+  if (kernel.Now() >= NextWake(service.state))
+    Perform(kernel, TickMembership(service.state, kernel.Now(), service.rng));
+  SetWake(kernel, service);
+}
+
+}  // namespace
+
+void StartMembershipService(Kernel& kernel, MembershipService& service) {
+  kernel.Register<Tick>(kMembershipService, [&](const Tick&) {
+    OnTick(kernel, service);
+  });
+  kernel.Register<FrameArrived>(
+      kMembershipService, [&](const FrameArrived& frame) {
+        Perform(kernel, ReceiveMembership(service.state, frame.message,
+                                          kernel.Now(), service.rng));
+        SetWake(kernel, service);
+      });
+  kernel.Register<UpstreamAnnounced>(
+      kMembershipService, [&](const UpstreamAnnounced& announced) {
+        if (announced.announcement == service.state.self.upstream)
+          return;
+        Perform(kernel,
+                SetAnnouncement(service.state, announced.announcement,
+                                kernel.Now(), service.rng));
+        SetWake(kernel, service);
+      });
+  kernel.Register<SpreadRumour>(
+      kMembershipService, [&](const SpreadRumour& message) {
+        auto actions = Spread(service.state, message.rumour, kernel.Now(),
+                              service.rng);
+        if (!actions) {
+          Log(LogLevel::kError, kMembershipService, "rumour-refused",
+              {{"key", message.rumour.key},
+               {"reason", NameOf(actions.error().kind)}});
+          return;
+        }
+        Perform(kernel, std::move(*actions));
+        SetWake(kernel, service);
+      });
+  kernel.Register<DropRumour>(kMembershipService, [&](const DropRumour& drop) {
+    ForgetRumour(service.state, drop.topic, drop.key);
+  });
+  kernel.Register<HeldChanged>(
+      kMembershipService, [&](const HeldChanged& held) {
+        SetHeld(service.state, held.held, held.fresh_as_of);
+      });
+  kernel.Post(kMembershipService, Tick{});
+}
+
+void AnnounceLeave(Kernel& kernel, MembershipService& service) {
+  Perform(kernel, Leave(service.state, kernel.Now(), service.rng));
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/src/node/messages.h
@@ -0,0 +1,155 @@
+// The typed messages that a node's services send each other through the kernel.
+#ifndef TEASELSPREAD_NODE_MESSAGES_H_
+#define TEASELSPREAD_NODE_MESSAGES_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "teaselspread/config_log.h"
+#include "teaselspread/error.h"
+#include "teaselspread/member.h"
+#include "teaselspread/membership.h"
+#include "teaselspread/snapshot.h"
+#include "teaselspread/types.h"
+#include "teaselspread/wire.h"
+
+namespace teaselspread {
+
+// Names under which services are registered with the kernel.
+inline constexpr std::string_view kTransportService = "transport";
+inline constexpr std::string_view kMembershipService = "membership";
+inline constexpr std::string_view kSpreadService = "spread";
+inline constexpr std::string_view kConfigService = "config";
+inline constexpr std::string_view kLogService = "log";
+inline constexpr std::string_view kMovesService = "moves";
+inline constexpr std::string_view kClaimsService = "claims";
+inline constexpr std::string_view kRequestsService = "requests";
+
+// A timer of the receiving service is due.
+struct Tick {};
+
+// To transport: one message to another node.
+struct SendFrame {
+  SendMessage send;
+};
+
+// From transport: a whole, well-formed message came in.
+struct FrameArrived {
+  Message message;
+};
+
+// From membership: an entry as it is now.
+struct MemberChanged {
+  Member member;
+};
+
+// From membership: what a peer said that it holds.
+struct PeerVersionSeen {
+  PeerVersion peer;
+};
+
+// From membership: a rumour that is new here.
+struct RumourHeard {
+  OpaqueRumour rumour;
+};
+
+// To membership: spread this inside the data centre.
+struct SpreadRumour {
+  OpaqueRumour rumour;
+};
+
+// To membership: the subject of these rumours is over.
+struct DropRumour {
+  Topic topic = Topic::kVerdict;
+  std::string key;
+};
+
+// To membership: what the upstream beside this node says of itself.
+struct UpstreamAnnounced {
+  Announcement announcement;
+};
+
+// From spread to config: put these in force, in this order, as one step.
+struct ApplyUpdates {
+  std::vector<ConfigUpdate> updates;
+};
+
+// From config to spread: they are in force; `full` is the whole of it.
+struct UpdatesApplied {
+  ConfigUpdate full;
+};
+
+// From config to spread: they did not fit, and nothing changed.
+struct UpdatesRejected {
+  Error error;
+};
+
+// From config: the configuration in force here from now on.
+struct SnapshotInForce {
+  SnapshotPtr snapshot;
+};
+
+// From spread to membership: what to say of the version that is held.
+struct HeldChanged {
+  ConfigVersion held = 0;
+  TimePoint fresh_as_of;
+};
+
+// From spread: whether this node reads the log and speaks to other data
+// centres, and whom to speak to.
+struct RoleChanged {
+  bool reader = false;
+};
+
+// From spread: whether this node holds at least what its VM held before.
+struct ReadyChanged {
+  bool ready = false;
+};
+
+// To log: read on from here while this node is a reader.
+struct ReadLog {
+  LogOffset from = 1;
+};
+
+// To log: stop reading.
+struct StopReading {};
+
+// To log: append these bytes; lost answers are made good by the sender.
+struct AppendToLog {
+  std::string bytes;
+};
+
+// From log to config: the result of one read.
+struct LogBatch {
+  std::vector<std::pair<LogOffset, std::string>> records;
+  TimePoint read_started;
+  // Nothing was left behind these records.
+  bool reached_end = false;
+  // Records before this offset have expired; 0 when nothing was missed.
+  LogOffset first_kept = 0;
+};
+
+// From config to spread: what a read of the log brought.
+struct LogFindings {
+  std::vector<ConfigUpdate> updates;
+  TimePoint read_started;
+  bool reached_end = false;
+};
+
+// From config: a record of another module, in log order.
+struct OpaqueRecordFound {
+  LogOffset offset = 0;
+  OpaqueRecord record;
+};
+
+// From config: a read that began at `read_started` reached the end of the log.
+struct LogEndReached {
+  TimePoint read_started;
+};
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_NODE_MESSAGES_H_
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -210,7 +210,7 @@
 template <class C>
 void Fields(C& codec, FieldsOf<C, OpaqueRumour> value) {
   codec(value.key, value.version, value.body);
-  codec.Enum(value.topic, Topic::kMoveEvidence);
+  codec.Enum(value.topic, Topic::kMoveReport);
 }
 template <class C>
 void Fields(C& codec, FieldsOf<C, Sender> value) {
@@ -296,6 +296,11 @@
   codec(value.from, value.data_center, value.sequence, value.reply,
         value.speakers);
 }
+template <class C>
+void Fields(C& codec, FieldsOf<C, ModuleFrame> value) {
+  codec(value.from, value.body);
+  codec.Enum(value.module, Module::kClaims);
+}
 
 }  // namespace teaselspread
 
--- a/src/wire/frame.cc
+++ b/src/wire/frame.cc
@@ -25,10 +25,11 @@
     "ping",        "ping-request",   "ack",    "nack",       "gossip",
     "exchange",    "digest",         "push",   "push-ack",   "pull",
     "pull-reply",  "pull-busy",      "record", "record-ack", "floor-query",
-    "floor-reply", "version-notice",
+    "floor-reply", "version-notice", "module",
 };
-constexpr std::array<std::string_view, 3> kTopicNames = {
-    "verdict", "crash-suspect", "move-evidence"};
+constexpr std::array<std::string_view, 4> kTopicNames = {
+    "verdict", "crash-suspect", "move-evidence", "move-report"};
+constexpr std::array<std::string_view, 2> kModuleNames = {"moves", "claims"};
 constexpr std::array<std::string_view, 3> kVouchNames = {"none", "recorded",
                                                          "new-vm"};
 
@@ -112,6 +113,10 @@
   return kTopicNames.at(static_cast<std::size_t>(topic));
 }
 
+std::string_view NameOf(Module module) {
+  return kModuleNames.at(static_cast<std::size_t>(module));
+}
+
 std::string_view NameOf(Vouch vouch) {
   return kVouchNames.at(static_cast<std::size_t>(vouch));
 }
