--- a/src/config/load.cc
+++ b/src/config/load.cc
@@ -1,13 +1,12 @@
 // From YAML sources to a document, with the source line of each leaf.
 #include <set>
 
-#include <absl/strings/ascii.h>
 #include <absl/strings/str_join.h>
-#include <yaml-cpp/yaml.h>
 
 #include "base/text.h"
 #include "config/render.h"
 #include "config/schema.h"
+#include "config/yaml.h"
 #include "teaselspread/config.h"
 
 namespace teaselspread {
@@ -31,32 +30,7 @@
 };
 
 void Remember(Loader& loader, const std::string& path, const YAML::Node& node) {
-  loader.places[path] = {loader.file, node.Mark().line + 1};
-}
-
-std::string_view KindOf(const YAML::Node& node) {
-  switch (node.Type()) {
-    case YAML::NodeType::Null:
-      return "nothing";
-    case YAML::NodeType::Scalar:
-      return "a single value";
-    case YAML::NodeType::Sequence:
-      return "a list";
-    case YAML::NodeType::Map:
-      return "a map";
-    case YAML::NodeType::Undefined:
-      break;
-  }
-  return "nothing";
-}
-
-// What stands there instead, cut short and without line breaks.
-std::string Shown(std::string_view text) {
-  constexpr std::size_t kShown = 40;
-  std::string shown;
-  for (const char c : text.substr(0, kShown))
-    shown += absl::ascii_isprint(static_cast<unsigned char>(c)) ? c : '?';
-  return Concat("\"", shown, text.size() > kShown ? "..." : "", "\"");
+  loader.places[path] = {loader.file, LineOf(node)};
 }
 
 Done Store(Loader& loader, const std::string& path, std::string value) {
@@ -222,14 +196,11 @@
                         const SourceText& source,
                         const std::string& root) {
   loader.file = source.file;
-  YAML::Node node;
-  try {
-    node = YAML::Load(source.text);
-  } catch (const YAML::Exception& error) {
-    return Fail(ErrorKind::kConfigSyntax,
-                Concat(source.file, ":", error.mark.line + 1, ": ", error.msg));
-  }
-  if (const auto done = ReadRoot(loader, root, node); !done)
+  const auto node =
+      ParseYaml(source.file, source.text, ErrorKind::kConfigSyntax);
+  if (!node)
+    return tl::make_unexpected(node.error());
+  if (const auto done = ReadRoot(loader, root, *node); !done)
     return AsError(loader, done.error());
   return {};
 }
