Add the HTTP server and the pooled HTTP client

The server checks and bounds a request before it holds the body, answers what it refuses with its reason, and a stop cuts nothing: it drains the accept queue, goes on answering for a short grace on idle connections and waits for handlers. The client tells 'no byte left' (not run) from 'unknown', takes no answer that is short, has no length or echoes another id, looks for a close or late bytes before it reuses a connection, and drops all connections that have shown no sign of life since a request that got no byte at all.

Sockets are driven by poll with one thread for each connection: Asio's blocking calls know no timeout. Beast parses and writes. Connecting refusals before the answer was read were considered: an early 503 of an upload is read even though the write broke. Header names and messages are plain structs, so that decisions need no Beast.

--- /dev/null
+++ b/include/teaselspread/memory_budget.h
@@ -0,0 +1,72 @@
+// A bound on the bytes of bodies that one process holds at a time.
+#ifndef TEASELSPREAD_MEMORY_BUDGET_H_
+#define TEASELSPREAD_MEMORY_BUDGET_H_
+
+#include <chrono>
+#include <condition_variable>
+#include <cstddef>
+#include <mutex>
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+namespace teaselspread {
+
+// Uploads of tens of MB arrive many at once; without a common bound a small VM
+// runs out of memory, and the kernel ends the process with every request in
+// it. Thread safe.
+class MemoryBudget : public boost::intrusive_ref_counter<MemoryBudget> {
+ public:
+  explicit MemoryBudget(std::size_t bytes) : limit(bytes) {}
+
+  // False, with nothing taken, when fewer than `bytes` are free. Thread safe.
+  [[nodiscard]] bool Take(std::size_t bytes);
+
+  // As Take, but waits until `deadline` for the bytes. Thread safe.
+  [[nodiscard]] bool TakeBefore(std::size_t bytes,
+                                std::chrono::steady_clock::time_point deadline);
+
+  // Precondition: `bytes` were taken. Thread safe.
+  void Give(std::size_t bytes);
+
+  // Thread safe.
+  [[nodiscard]] std::size_t Used() const;
+
+ private:
+  [[nodiscard]] bool Fits(std::size_t bytes) const {
+    return bytes <= this->limit && this->used <= this->limit - bytes;
+  }
+
+  std::size_t limit;
+  mutable std::mutex gate;
+  std::condition_variable freed;
+  std::size_t used = 0;
+};
+
+using MemoryBudgetPtr = boost::intrusive_ptr<MemoryBudget>;
+
+// Gives back, when its last owner goes, what a body took. Growing it is not
+// thread safe; sharing it is.
+class BudgetHold : public boost::intrusive_ref_counter<BudgetHold> {
+ public:
+  explicit BudgetHold(MemoryBudgetPtr owner) : budget(std::move(owner)) {}
+  ~BudgetHold() { this->budget->Give(this->bytes); }
+  BudgetHold(const BudgetHold&) = delete;
+  BudgetHold& operator=(const BudgetHold&) = delete;
+
+  // Holds `total` bytes in all; false when the budget is used up.
+  [[nodiscard]] bool GrowTo(std::size_t total);
+
+  // As GrowTo, but waits until `deadline`.
+  [[nodiscard]] bool GrowToBefore(
+      std::size_t total,
+      std::chrono::steady_clock::time_point deadline);
+
+ private:
+  MemoryBudgetPtr budget;
+  std::size_t bytes = 0;
+};
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_MEMORY_BUDGET_H_
--- /dev/null
+++ b/src/http/beast_convert.h
@@ -0,0 +1,36 @@
+// Between Beast's header fields and the plain ones of http.h.
+#ifndef TEASELSPREAD_SRC_HTTP_BEAST_CONVERT_H_
+#define TEASELSPREAD_SRC_HTTP_BEAST_CONVERT_H_
+
+#include <string>
+
+#include <boost/beast/http/fields.hpp>
+
+#include "teaselspread/http.h"
+
+namespace teaselspread {
+
+// Thread safe.
+inline HttpHeaders HeadersOf(const boost::beast::http::fields& fields) {
+  HttpHeaders headers;
+  headers.reserve(16);
+  for (const auto& field : fields) {
+    headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  return headers;
+}
+
+// Adds `headers` but for those that frame the message. Not thread safe on the
+// same fields.
+inline void CopyHeaders(const HttpHeaders& headers,
+                        boost::beast::http::fields& fields) {
+  HttpHeaders end_to_end = headers;
+  RemoveHopHeaders(end_to_end);
+  for (const HttpHeader& header : end_to_end)
+    fields.insert(header.name, header.value);
+}
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_SRC_HTTP_BEAST_CONVERT_H_
--- /dev/null
+++ b/src/http/listener.cc
@@ -0,0 +1,132 @@
+#include "http/listener.h"
+
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <chrono>
+#include <cstdint>
+#include <cstring>
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace teaselspread {
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+
+// The return of a herd opens hundreds of connections at once.
+constexpr int kBacklog = 1024;
+// Out of descriptors: waiting lets others close, spinning would not.
+constexpr auto kAcceptPause = std::chrono::milliseconds(10);
+
+Error UnusableAddress(const Address& address) {
+  return {ErrorKind::kSettings, "can't listen on " + address.host + ":" +
+                                    std::to_string(address.port) + ": " +
+                                    std::strerror(errno)};
+}
+
+}  // namespace
+
+Listener::~Listener() {
+  this->Stop();
+  if (this->stop_fd >= 0)
+    ::close(this->stop_fd);
+}
+
+Result<void> Listener::Open() {
+  const Address& wanted = this->settings.options.listen;
+  boost::system::error_code error;
+  const auto ip = boost::asio::ip::make_address(wanted.host, error);
+  if (error) {
+    return Fail(ErrorKind::kSettings,
+                "not an IP number: '" + wanted.host + "'");
+  }
+  Tcp::endpoint endpoint(ip, wanted.port);
+  this->listening =
+      ::socket(endpoint.protocol().family(), SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  ::setsockopt(this->listening, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (::bind(this->listening, endpoint.data(),
+             static_cast<socklen_t>(endpoint.size())) != 0 ||
+      ::listen(this->listening, kBacklog) != 0) {
+    const Error unusable = UnusableAddress(wanted);
+    ::close(this->listening);
+    this->listening = -1;
+    return tl::make_unexpected(unusable);
+  }
+  auto length = static_cast<socklen_t>(endpoint.capacity());
+  ::getsockname(this->listening, endpoint.data(), &length);
+  this->local = {wanted.host, endpoint.port()};
+  this->stop_fd = ::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+  this->accepting = std::thread([this] { this->AcceptUntilStopped(); });
+  return {};
+}
+
+void Listener::Stop() {
+  const std::scoped_lock once(this->stopping);
+  if (this->accepting.joinable()) {
+    ::eventfd_write(this->stop_fd, 1);
+    this->accepting.join();
+  }
+  std::unique_lock lock(this->gate);
+  this->ended.wait(lock, [this] { return this->connections == 0; });
+}
+
+std::size_t Listener::Connections() const {
+  const std::scoped_lock lock(this->gate);
+  return this->connections;
+}
+
+void Listener::AcceptUntilStopped() {
+  std::array<pollfd, 2> entries = {
+      {{this->listening, POLLIN, 0}, {this->stop_fd, POLLIN, 0}}};
+  while (entries[1].revents == 0) {
+    ::poll(entries.data(), entries.size(), -1);
+    this->AcceptWaiting();
+  }
+  // A connection left in the kernel's queue would be reset, and with it the
+  // request that its caller may have sent already.
+  this->AcceptWaiting();
+  ::close(this->listening);
+}
+
+void Listener::AcceptWaiting() {
+  pollfd entry{this->listening, POLLIN, 0};
+  while (::poll(&entry, 1, 0) > 0) {
+    const int socket =
+        ::accept4(this->listening, nullptr, nullptr, SOCK_CLOEXEC);
+    if (socket >= 0)
+      this->Start(socket);
+    else if (errno == EMFILE || errno == ENFILE || errno == ENOMEM)
+      std::this_thread::sleep_for(kAcceptPause);
+  }
+}
+
+void Listener::Start(int socket) {
+  {
+    const std::scoped_lock lock(this->gate);
+    if (this->connections >= this->settings.options.max_connections)
+      return this->Refuse(socket);
+    ++this->connections;
+  }
+  this->settings.counters.Add(ServerEvent::kConnection);
+  std::thread([this, socket] {
+    ServerConnection(socket, this->stop_fd, this->settings).Serve();
+    const std::scoped_lock lock(this->gate);
+    --this->connections;
+    this->ended.notify_all();
+  }).detach();
+}
+
+void Listener::Refuse(int socket) {
+  this->settings.counters.Add(ServerEvent::kConnectionRefused);
+  ServerConnection(socket, this->stop_fd, this->settings)
+      .RefuseAtOnce({ErrorKind::kConnectionLimit, "too many connections"});
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/tests/contract/http_server_test.cc
@@ -0,0 +1,261 @@
+#include "teaselspread/http_server.h"
+
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <future>
+#include <random>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+#include "contract/raw_socket.h"
+#include "teaselspread/http_client.h"
+
+namespace teaselspread {
+namespace {
+
+using namespace std::chrono_literals;
+
+HttpServerOptions SmallLimits() {
+  HttpServerOptions options;
+  options.listen = {"127.0.0.1", 0};
+  options.max_header_bytes = 1024;
+  options.max_body_bytes = 2048;
+  options.head_timeout = 300ms;
+  options.silence = 300ms;
+  options.stop_grace = 50ms;
+  return options;
+}
+
+HttpResponse Echo(HttpRequest request) {
+  HttpResponse response;
+  response.body = std::move(request.body);
+  return response;
+}
+
+std::unique_ptr<HttpServer> StartOrFail(const HttpServerOptions& options,
+                                        HttpHandler handler,
+                                        HeadCheck check = {}) {
+  auto server =
+      HttpServer::Start(options, std::move(handler), std::move(check));
+  cr_assert(server.has_value());
+  return std::move(*server);
+}
+
+bool AnswersWell(std::uint16_t port) {
+  HttpClientPool pool(4);
+  HttpRequest request;
+  request.method = "POST";
+  request.body = "hello";
+  const auto answer = pool.Send({"127.0.0.1", port}, request, {});
+  return answer && answer->status == 200 && answer->body == "hello";
+}
+
+struct BadInput {
+  const char* name;
+  std::string bytes;
+  // "" means that the connection just ends.
+  const char* status;
+  ServerEvent counted;
+};
+
+std::vector<BadInput> BadInputs() {
+  const std::string big(5000, 'x');
+  return {
+      {"request line", "nonsense\r\n\r\n", "400", ServerEvent::kMalformed},
+      {"no target", "GET HTTP/1.1\r\n\r\n", "400", ServerEvent::kMalformed},
+      {"version", "GET / HTTP/9.9\r\n\r\n", "400", ServerEvent::kMalformed},
+      {"header line", "GET / HTTP/1.1\r\nno colon\r\n\r\n", "400",
+       ServerEvent::kMalformed},
+      {"length is no number", "POST / HTTP/1.1\r\nContent-Length: many\r\n\r\n",
+       "400", ServerEvent::kMalformed},
+      {"two lengths",
+       "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+       "400", ServerEvent::kMalformed},
+      {"length and chunks",
+       "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
+       "chunked\r\n\r\n0\r\n\r\n",
+       "400", ServerEvent::kMalformed},
+      {"chunk size",
+       "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n",
+       "400", ServerEvent::kMalformed},
+      {"headers too large", "GET / HTTP/1.1\r\nX-Big: " + big + "\r\n\r\n",
+       "431", ServerEvent::kHeadersTooLarge},
+      {"target too large", "GET /" + big + " HTTP/1.1\r\n\r\n", "431",
+       ServerEvent::kHeadersTooLarge},
+      {"length too large",
+       "POST / HTTP/1.1\r\nContent-Length: 999999999999\r\n\r\n", "413",
+       ServerEvent::kBodyTooLarge},
+      {"chunks too large",
+       "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1388\r\n" + big +
+           "\r\n0\r\n\r\n",
+       "413", ServerEvent::kBodyTooLarge},
+      {"stops in the headers", "GET / HTTP/1.1\r\nX-Half: ", "400",
+       ServerEvent::kCallerSilent},
+      {"stops in the body", "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc",
+       "400", ServerEvent::kCallerSilent},
+      {"zero bytes", std::string(64, '\0'), "400", ServerEvent::kMalformed},
+  };
+}
+
+// A broken or hostile caller sends what is no request, too much of one, or half
+// of one and then nothing. It gets a plain error that says that nothing ran,
+// and the other callers notice nothing.
+Test(http_server, bad_input_is_refused_and_others_are_served) {
+  for (const BadInput& input : BadInputs()) {
+    std::atomic<int> ran{0};
+    const auto server = StartOrFail(SmallLimits(), [&](HttpRequest request) {
+      ++ran;
+      return Echo(std::move(request));
+    });
+    const std::uint16_t port = server->LocalAddress().port;
+    const RawSocket caller = RawSocket::ConnectTo(port);
+    caller.Send(input.bytes);
+    const std::string answer = caller.ReadToEnd();
+    cr_assert(answer.rfind(std::string("HTTP/1.1 ") + input.status, 0) == 0,
+              "%s: %s", input.name, answer.c_str());
+    cr_assert(answer.find("X-Execution: not-run") != std::string::npos, "%s",
+              input.name);
+    cr_assert(ran == 0, "%s", input.name);
+    cr_assert(server->Counters().Get(input.counted) == 1, "%s", input.name);
+    cr_assert(AnswersWell(port), "%s", input.name);
+  }
+}
+
+// Random bytes arrive on the port, as from a scan or a caller of another
+// protocol. The process stays up and serves the next caller.
+Test(http_server, random_bytes_leave_the_server_up) {
+  const auto server = StartOrFail(SmallLimits(), Echo);
+  const std::uint16_t port = server->LocalAddress().port;
+  Rng rng(20240817);
+  for (int round = 0; round < 200; ++round) {
+    std::string bytes(1 + rng() % 3000, '\0');
+    for (char& byte : bytes)
+      byte = static_cast<char>(rng());
+    const RawSocket caller = RawSocket::ConnectTo(port);
+    caller.Send(bytes);
+    caller.Shutdown(SHUT_WR);
+    caller.ReadToEnd();
+  }
+  cr_assert(AnswersWell(port));
+}
+
+// The handler throws on one request. Its caller learns that the outcome is
+// unknown; the process goes on.
+Test(http_server, a_throwing_handler_ends_only_its_request) {
+  const auto server =
+      StartOrFail(SmallLimits(), [](HttpRequest request) -> HttpResponse {
+        if (request.target == "/throw")
+          throw std::runtime_error("boom");
+        return Echo(std::move(request));
+      });
+  HttpClientPool pool(2);
+  HttpRequest request;
+  request.target = "/throw";
+  const auto answer = pool.Send(server->LocalAddress(), request, {});
+  cr_assert(answer && answer->status == 500);
+  cr_assert(FindHeader(answer->headers, kHeaderExecution) == "unknown");
+  cr_assert(AnswersWell(server->LocalAddress().port));
+}
+
+// A node that is leaving must refuse uploads before it holds their bytes, and
+// so must one whose memory is used up: a small VM would be ended by the kernel.
+Test(http_server, bodies_are_refused_before_they_are_read) {
+  HttpServerOptions options = SmallLimits();
+  options.max_body_bytes = 64U << 20;
+  options.budget.reset(new MemoryBudget(1U << 20));
+  const auto server = StartOrFail(
+      options, Echo, [](const HttpRequest& head) -> Result<std::size_t> {
+        if (head.target == "/leaving")
+          return Fail(ErrorKind::kLeaving, "on its way out");
+        return std::size_t{32U << 20};
+      });
+  struct Row {
+    const char* head;
+    const char* reason;
+  };
+  for (const Row& row :
+       {Row{"POST /leaving HTTP/1.1\r\nContent-Length: 9000000\r\n\r\n",
+            "X-Reason: leaving"},
+        Row{"POST / HTTP/1.1\r\nContent-Length: 9000000\r\n\r\n",
+            "X-Reason: memory-budget"},
+        Row{"POST / HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n",
+            "X-Reason: body-too-large"}}) {
+    const RawSocket caller = RawSocket::ConnectTo(server->LocalAddress().port);
+    caller.Send(row.head);
+    cr_assert(caller.ReadToEnd().find(row.reason) != std::string::npos, "%s",
+              row.reason);
+  }
+  cr_assert(options.budget->Used() == 0);
+  cr_assert(AnswersWell(server->LocalAddress().port));
+}
+
+// A planned stop comes while a request runs, another one lies unread in a fresh
+// connection, and a caller holds an idle connection. Each gets its answer.
+Test(http_server, stop_cuts_no_request) {
+  std::promise<void> entered;
+  std::promise<void> release;
+  std::shared_future<void> released(release.get_future());
+  auto server = StartOrFail(SmallLimits(), [&](HttpRequest request) {
+    if (request.target == "/long") {
+      entered.set_value();
+      released.wait();
+    }
+    return Echo(std::move(request));
+  });
+  const std::uint16_t port = server->LocalAddress().port;
+  const RawSocket idle = RawSocket::ConnectTo(port);
+  idle.Send("GET /first HTTP/1.1\r\n\r\n");
+  idle.ReadUntil([](const std::string& bytes) { return !bytes.empty(); });
+  const RawSocket running = RawSocket::ConnectTo(port);
+  running.Send("POST /long HTTP/1.1\r\nContent-Length: 4\r\n\r\nlong");
+  entered.get_future().wait();
+  const RawSocket fresh = RawSocket::ConnectTo(port);
+  fresh.Send("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nfresh");
+  std::thread stopping([&] { server->Stop(); });
+  idle.Send("POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nidle");
+  cr_assert(fresh.ReadToEnd().find("\r\n\r\nfresh") != std::string::npos);
+  cr_assert(idle.ReadToEnd().find("\r\n\r\nidle") != std::string::npos);
+  release.set_value();
+  cr_assert(running.ReadToEnd().find("\r\n\r\nlong") != std::string::npos);
+  stopping.join();
+  cr_assert(server->Connections() == 0);
+  const RawSocket late = RawSocket::ConnectTo(port);
+  cr_assert(!late.Send("GET / HTTP/1.1\r\n\r\n"));
+}
+
+// More callers connect than the process may hold. The surplus is told so at
+// once instead of waiting for a thread that never comes.
+Test(http_server, surplus_connections_are_refused) {
+  HttpServerOptions options = SmallLimits();
+  options.max_connections = 1;
+  const auto server = StartOrFail(options, Echo);
+  const RawSocket first = RawSocket::ConnectTo(server->LocalAddress().port);
+  first.Send("GET / HTTP/1.1\r\n\r\n");
+  first.ReadUntil([](const std::string& bytes) { return !bytes.empty(); });
+  const RawSocket second = RawSocket::ConnectTo(server->LocalAddress().port);
+  cr_assert(second.ReadToEnd().find("X-Reason: connection-limit") !=
+            std::string::npos);
+}
+
+// Tools such as curl send a large body only after "100 Continue".
+Test(http_server, expect_continue_is_answered) {
+  const auto server = StartOrFail(SmallLimits(), Echo);
+  const RawSocket caller = RawSocket::ConnectTo(server->LocalAddress().port);
+  caller.Send(
+      "POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+  const std::string first = caller.ReadUntil([](const std::string& bytes) {
+    return bytes.find("\r\n\r\n") != std::string::npos;
+  });
+  cr_assert(first.rfind("HTTP/1.1 100", 0) == 0);
+  caller.Send("ok");
+  const std::string answer = caller.ReadUntil([](const std::string& bytes) {
+    return bytes.find("\r\n\r\nok") != std::string::npos;
+  });
+  cr_assert(answer.rfind("HTTP/1.1 200", 0) == 0);
+}
+
+}  // namespace
+}  // namespace teaselspread
