--- /dev/null
+++ b/src/node/claims_messages.h
@@ -0,0 +1,95 @@
+// What nodes say to each other about claims, as one variant in a module frame.
+#ifndef TEASELSPREAD_NODE_CLAIMS_MESSAGES_H_
+#define TEASELSPREAD_NODE_CLAIMS_MESSAGES_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "teaselspread/claim_messages.h"
+#include "teaselspread/error.h"
+
+namespace teaselspread {
+
+// A SealAsk with the process that it is meant for: another process at the same
+// address must not answer in its place.
+struct SealRequest {
+  SealAsk ask;
+  std::string asked_id;
+  std::uint64_t asked_boot_id = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->ask, this->asked_id, this->asked_boot_id);
+  }
+};
+
+// The epoch in force after the log's record `through`.
+struct EpochNotice {
+  ClaimEpoch epoch;
+  std::uint64_t through = 0;
+  // How long ago a read of the log's end showed no newer one.
+  std::int64_t confirmed_age_us = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->epoch, this->through, this->confirmed_age_us);
+  }
+};
+
+// Asks for an EpochNotice.
+struct EpochQuery {
+  std::uint64_t known = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->known);
+  }
+};
+
+// Processes of another data centre that could be holders.
+struct HolderOffer {
+  std::string data_center;
+  std::vector<Holder> holders;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->data_center, this->holders);
+  }
+};
+
+using ClaimMessage = std::variant<ClaimAsk,
+                                  ClaimVote,
+                                  ClaimRelease,
+                                  ClaimDone,
+                                  SealRequest,
+                                  SealAnswer,
+                                  EpochNotice,
+                                  EpochQuery,
+                                  HolderOffer>;
+
+// Thread safe. Errors of decoding: kFrameMalformed.
+[[nodiscard]] std::string EncodeClaim(const ClaimMessage& message);
+[[nodiscard]] Result<ClaimMessage> DecodeClaim(const std::string& body);
+
+// An epoch on the log. For a checkpoint, `through` is the last record that its
+// writer had folded: one between it and the checkpoint may have changed the
+// epoch, so a reader replays those.
+struct LoggedEpoch {
+  EpochRecord record;
+  std::uint64_t through = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->record, this->through);
+  }
+};
+
+// Thread safe. Errors of decoding: kFrameMalformed.
+[[nodiscard]] std::string EncodeEpoch(const LoggedEpoch& epoch);
+[[nodiscard]] Result<LoggedEpoch> DecodeEpoch(const std::string& bytes);
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_NODE_CLAIMS_MESSAGES_H_
--- /dev/null
+++ b/src/node/claims_service.cc
@@ -0,0 +1,429 @@
+#include "node/claims_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "node/module_frames.h"
+#include "node/requests.h"
+#include "teaselspread/logging.h"
+
+namespace teaselspread {
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(100);
+constexpr Duration kProposalEvery = std::chrono::seconds(2);
+constexpr Duration kNoticeEvery = std::chrono::seconds(1);
+constexpr Duration kHandoverEvery = std::chrono::milliseconds(500);
+// Members that were alive so lately still count: a short suspicion must not
+// change the epoch.
+constexpr Duration kAliveWithin = std::chrono::seconds(10);
+// A proposal is made only with the log's end in sight.
+constexpr Duration kFreshRead = std::chrono::seconds(5);
+constexpr std::size_t kOffered = 4;
+constexpr int kCheckpointsPerRetention = 3;
+
+void SendTo(ClaimsService& service,
+            const Address& to,
+            const ClaimMessage& message) {
+  ModuleFrame frame;
+  frame.from.id = service.self.id;
+  frame.from.incarnation = service.self.boot_id;
+  frame.from.control = service.self.control;
+  frame.module = Module::kClaims;
+  frame.body = EncodeClaim(message);
+  SendMessage send{to, Transport::kDatagram, std::move(frame)};
+  send.transport = TransportFor(send.message);
+  service.kernel->Post(kTransportService, SendFrame{std::move(send)});
+}
+
+void SendToHolders(ClaimsService& service,
+                   const ClaimEpoch& epoch,
+                   const ClaimMessage& message) {
+  for (const Holder& holder : epoch.holders)
+    SendTo(service, holder.control, message);
+}
+
+void SendSeals(ClaimsService& service, const SealAsks& asks) {
+  for (const Holder& holder : asks.to)
+    SendTo(service, holder.control,
+           SealRequest{asks.ask, holder.id, holder.boot_id});
+}
+
+void Learn(ClaimsService& service, const ClaimEpoch& epoch) {
+  if (epoch.number <= service.keeper.epoch.number)
+    return;
+  Log(LogLevel::kInfo, kClaimsService, "epoch",
+      {{"number", epoch.number}, {"holders", epoch.holders.size()}});
+  SendSeals(service,
+            LearnEpoch(service.keeper, epoch, service.kernel->Now()));
+}
+
+EpochNotice NoticeOf(const ClaimsService& service) {
+  EpochNotice notice;
+  notice.epoch = service.epochs.log.current;
+  notice.through = service.epochs.through;
+  notice.confirmed_age_us =
+      (service.kernel->Now() - service.end_read_at).count();
+  return notice;
+}
+
+// Whoever cannot read the log is told by those that do.
+void SendNotices(ClaimsService& service, bool to_all) {
+  if (!service.reader || !service.epochs.is_exact)
+    return;
+  const EpochNotice notice = NoticeOf(service);
+  SendToHolders(service, service.epochs.log.current, notice);
+  if (!to_all)
+    return;
+  for (const auto& [id, known] : service.local)
+    SendTo(service, known.holder.control, notice);
+}
+
+// A member counts until it is said to be gone and for a while after; an offer
+// from another data centre counts while it is fresh.
+bool IsAlive(const KnownHolder& known, TimePoint now) {
+  return known.member_alive || now - known.seen <= kAliveWithin;
+}
+
+std::vector<Holder> Candidates(const ClaimsService& service) {
+  const TimePoint now = service.kernel->Now();
+  std::vector<Holder> candidates = {service.self};
+  for (const auto* group : {&service.local, &service.remote}) {
+    for (const auto& [id, known] : *group) {
+      if (IsAlive(known, now))
+        candidates.push_back(known.holder);
+    }
+  }
+  return candidates;
+}
+
+void AppendEpoch(ClaimsService& service, const EpochRecord& record) {
+  const LoggedEpoch logged{record, service.epochs.through};
+  service.kernel->Post(
+      kLogService,
+      AppendToLog{EncodeRecord(
+          OpaqueRecord{std::string(kEpochRecord), EncodeEpoch(logged)})});
+}
+
+void ProposeIfNeeded(ClaimsService& service) {
+  const TimePoint now = service.kernel->Now();
+  if (!service.reader || !service.epochs.is_exact ||
+      now - service.end_read_at > kFreshRead || now < service.next_proposal)
+    return;
+  // Spread at random, so that the readers of all data centres do not all
+  // propose in the same moment; the log settles those that do.
+  const Duration wait =
+      kProposalEvery +
+      Duration(service.rng() % std::uint64_t(kProposalEvery.count()));
+  service.next_proposal = now + wait;
+  const auto candidates = Candidates(service);
+  if (const auto epoch =
+          ProposeEpoch(service.epochs.log, candidates, service.rng))
+    AppendEpoch(service, EpochRecord{false, *epoch});
+}
+
+void CheckpointIfDue(ClaimsService& service) {
+  const TimePoint now = service.kernel->Now();
+  if (!service.reader || !service.epochs.is_exact ||
+      service.epochs.log.current.number == 0 || now < service.next_checkpoint)
+    return;
+  const Duration third = service.retention / kCheckpointsPerRetention;
+  const bool first = service.next_checkpoint == TimePoint{};
+  service.next_checkpoint =
+      now + third / 2 + Duration(service.rng() % std::uint64_t(third.count()));
+  if (!first)
+    AppendEpoch(service, EpochRecord{true, service.epochs.log.current});
+}
+
+void OfferHolders(ClaimsService& service) {
+  if (!service.reader)
+    return;
+  const TimePoint now = service.kernel->Now();
+  HolderOffer offer{service.self.data_center, {service.self}};
+  const auto& holders = service.epochs.log.current.holders;
+  // Those that hold already come first: they must not be taken for gone.
+  for (const bool holding : {true, false}) {
+    for (const auto& [id, known] : service.local) {
+      const bool is_holder =
+          std::any_of(holders.begin(), holders.end(),
+                      [&](const Holder& each) { return each.id == id; });
+      if (is_holder == holding && IsAlive(known, now) &&
+          offer.holders.size() < kOffered)
+        offer.holders.push_back(known.holder);
+    }
+  }
+  service.kernel->Post(
+      kSpreadService,
+      ToOtherDataCenters{Module::kClaims, EncodeClaim(offer)});
+}
+
+void AskForEpoch(ClaimsService& service) {
+  if (service.keeper.epoch.number != 0 || service.local.empty())
+    return;
+  auto peer = service.local.begin();
+  std::advance(peer, service.rng() % service.local.size());
+  SendTo(service, peer->second.holder.control, EpochQuery{});
+}
+
+void Decide(ClaimsService& service, std::uint64_t sequence) {
+  const auto found = service.pending.find(sequence);
+  if (found == service.pending.end())
+    return;
+  const PendingClaimPtr pending = found->second;
+  service.pending.erase(found);
+  const std::scoped_lock lock(pending->gate);
+  ++service.verdicts.at(static_cast<std::size_t>(pending->attempt.verdict));
+  pending->decided = true;
+  pending->changed.notify_all();
+}
+
+// A lost ask or vote is made good by asking again.
+void AskAgain(ClaimsService& service) {
+  for (const auto& [sequence, pending] : service.pending) {
+    const std::scoped_lock lock(pending->gate);
+    const ClaimAttempt& attempt = pending->attempt;
+    for (const Holder& holder : attempt.epoch.holders) {
+      if (!attempt.votes.contains(holder.id))
+        SendTo(service, holder.control, AskOf(attempt));
+    }
+  }
+}
+
+void OnTick(ClaimsService& service) {
+  Kernel& kernel = *service.kernel;
+  const TimePoint now = kernel.Now();
+  kernel.PostAt(now + kTick, kClaimsService, Tick{});
+  TickClaims(service.keeper, now);
+  AskAgain(service);
+  ProposeIfNeeded(service);
+  CheckpointIfDue(service);
+  if (now >= service.next_handover) {
+    service.next_handover = now + kHandoverEvery;
+    SendSeals(service, OpenHandovers(service.keeper));
+  }
+  if (now >= service.next_notice) {
+    service.next_notice = now + kNoticeEvery;
+    SendNotices(service, false);
+    OfferHolders(service);
+    AskForEpoch(service);
+  }
+}
+
+void HearVote(ClaimsService& service, const ClaimVote& vote) {
+  const auto found = service.pending.find(vote.attempt.sequence);
+  if (found == service.pending.end())
+    return;
+  ClaimVerdict verdict = ClaimVerdict::kPending;
+  {
+    const std::scoped_lock lock(found->second->gate);
+    verdict = TakeVote(found->second->attempt, vote, service.kernel->Now());
+  }
+  if (verdict != ClaimVerdict::kPending)
+    Decide(service, vote.attempt.sequence);
+}
+
+void HearNotice(ClaimsService& service, const EpochNotice& notice) {
+  AdoptEpoch(service.epochs, notice.epoch, notice.through);
+  Learn(service, notice.epoch);
+  if (notice.epoch.number == service.keeper.epoch.number)
+    ConfirmEpoch(service.keeper, service.kernel->Now() -
+                                     Duration(notice.confirmed_age_us));
+}
+
+void HearSeal(ClaimsService& service, const SealRequest& request) {
+  Learn(service, request.ask.epoch);
+  if (auto answer = AnswerSeal(service.keeper, request.ask, request.asked_id,
+                               request.asked_boot_id))
+    SendTo(service, request.ask.from.control, std::move(*answer));
+}
+
+void HearOffer(ClaimsService& service, const HolderOffer& offer) {
+  if (offer.data_center == service.self.data_center)
+    return;
+  for (const Holder& holder : offer.holders) {
+    if (const auto old = service.remote.find(holder.id);
+        old != service.remote.end() &&
+        old->second.holder.boot_id < holder.boot_id)
+      HolderGone(service.keeper, holder.id, old->second.holder.boot_id,
+                 service.kernel->Now());
+    service.remote[holder.id] = {holder, service.kernel->Now(), false};
+  }
+}
+
+void Hear(ClaimsService& service, const ModuleBody& body) {
+  const auto message = DecodeClaim(body.body);
+  if (!message)
+    return;
+  const TimePoint now = service.kernel->Now();
+  const Address from = body.from.control;
+  if (const auto* ask = std::get_if<ClaimAsk>(&*message))
+    SendTo(service, from, VoteOn(service.keeper, *ask, now));
+  else if (const auto* vote = std::get_if<ClaimVote>(&*message))
+    HearVote(service, *vote);
+  else if (const auto* release = std::get_if<ClaimRelease>(&*message))
+    ReleaseClaim(service.keeper, *release);
+  else if (const auto* done = std::get_if<ClaimDone>(&*message))
+    RecordOutcome(service.keeper, *done, now);
+  else if (const auto* seal = std::get_if<SealRequest>(&*message))
+    HearSeal(service, *seal);
+  else if (const auto* answer = std::get_if<SealAnswer>(&*message))
+    TakeHandover(service.keeper, *answer, now);
+  else if (const auto* notice = std::get_if<EpochNotice>(&*message))
+    HearNotice(service, *notice);
+  else if (std::holds_alternative<EpochQuery>(*message) &&
+           service.epochs.is_exact && service.epochs.log.current.number != 0)
+    SendTo(service, from, NoticeOf(service));
+  else if (const auto* offer = std::get_if<HolderOffer>(&*message))
+    HearOffer(service, *offer);
+}
+
+void HearMember(ClaimsService& service, const Member& member) {
+  if (member.id == service.self.id)
+    return;
+  const Holder holder{member.id, member.data_center,
+                      StartOf(member.incarnation), member.control};
+  if (const auto old = service.local.find(member.id);
+      old != service.local.end() &&
+      old->second.holder.boot_id < holder.boot_id)
+    HolderGone(service.keeper, member.id, old->second.holder.boot_id,
+               service.kernel->Now());
+  service.local[member.id] = {holder, service.kernel->Now(),
+                              member.status == MemberStatus::kAlive};
+}
+
+void HearFolded(ClaimsService& service, const LogFolded& folded) {
+  FinishEpochs(service.epochs, folded.through);
+  if (!service.epochs.is_exact)
+    return;
+  if (service.epochs.log.current.number > 0)
+    Learn(service, service.epochs.log.current);
+  if (folded.reached_end) {
+    service.end_read_at = folded.read_started;
+    if (service.epochs.log.current.number == service.keeper.epoch.number)
+      ConfirmEpoch(service.keeper, folded.read_started);
+  }
+  if (service.epochs.log.current.number > service.announced_epoch) {
+    service.announced_epoch = service.epochs.log.current.number;
+    SendNotices(service, true);
+  }
+}
+
+void HearRecord(ClaimsService& service, const OpaqueRecordFound& found) {
+  if (found.record.kind != kEpochRecord)
+    return;
+  if (const auto epoch = DecodeEpoch(found.record.bytes))
+    ReadEpoch(service.epochs, found.offset, *epoch);
+}
+
+void Begin(ClaimsService& service, const PendingClaimPtr& pending) {
+  std::uint64_t sequence = 0;
+  {
+    const std::scoped_lock lock(pending->gate);
+    ClaimAttempt& attempt = pending->attempt;
+    sequence = service.next_sequence++;
+    const AttemptId id{service.self.id, service.self.boot_id, sequence};
+    attempt = BeginClaim(service.keeper.settings, id, attempt.key,
+                         attempt.digest, service.keeper.epoch,
+                         service.kernel->Now());
+    SendToHolders(service, attempt.epoch, AskOf(attempt));
+    if (attempt.epoch.holders.empty())
+      GiveUpClaim(attempt);
+  }
+  service.pending.emplace(sequence, pending);
+  if (pending->attempt.verdict != ClaimVerdict::kPending)
+    Decide(service, sequence);
+  service.kernel->Advance(SystemNow());
+}
+
+// The verdict, given up on if none comes in time.
+ClaimVerdict Await(ClaimsService& service,
+                   const PendingClaimPtr& pending,
+                   TimePoint deadline) {
+  std::unique_lock lock(pending->gate);
+  const bool decided = pending->changed.wait_until(
+      lock, deadline, [&] { return pending->decided; });
+  if (decided)
+    return pending->attempt.verdict;
+  const ClaimVerdict verdict = GiveUpClaim(pending->attempt);
+  service.post([&service, pending] {
+    Decide(service, pending->attempt.id.sequence);
+  });
+  return verdict;
+}
+
+}  // namespace
+
+Result<Claim> ClaimKeyFor(ClaimsService& service,
+                          const std::string& key,
+                          const std::string& method,
+                          const std::string& path,
+                          const std::string& body,
+                          TimePoint deadline) {
+  auto parsed = ParseClaimKey(key);
+  if (!parsed)
+    return tl::make_unexpected(parsed.error());
+  auto pending = std::make_shared<PendingClaim>();
+  pending->attempt.key = std::move(*parsed);
+  pending->attempt.digest = DigestOf(method, path, body);
+  service.post([&service, pending] { Begin(service, pending); });
+  const TimePoint limit =
+      std::min(deadline, SystemNow() + service.keeper.settings.claim_window);
+  const ClaimVerdict verdict = Await(service, pending, limit);
+  const std::scoped_lock lock(pending->gate);
+  if (verdict == ClaimVerdict::kGranted)
+    return Claim{pending->attempt, std::nullopt};
+  if (verdict == ClaimVerdict::kDone && pending->attempt.outcome.body_kept)
+    return Claim{pending->attempt, pending->attempt.outcome};
+  if (verdict == ClaimVerdict::kDone)
+    return Fail(ErrorKind::kOutcomeUnknown,
+                "it ran, but its answer was too large to be kept");
+  return Fail(ErrorOf(verdict), std::string(NameOf(verdict)));
+}
+
+void ReleaseKey(ClaimsService& service, const ClaimAttempt& attempt) {
+  service.post([&service, attempt] {
+    SendToHolders(service, attempt.epoch, ReleaseOf(attempt));
+    service.kernel->Advance(SystemNow());
+  });
+}
+
+void RecordKey(ClaimsService& service,
+               const ClaimAttempt& attempt,
+               const ClaimOutcome& outcome) {
+  service.post([&service, attempt, outcome] {
+    SendToHolders(service, attempt.epoch,
+                  DoneOf(service.keeper.settings, attempt, outcome));
+    service.kernel->Advance(SystemNow());
+  });
+}
+
+void StartClaimsService(Kernel& kernel, ClaimsService& service) {
+  service.kernel = &kernel;
+  kernel.Register<Tick>(kClaimsService,
+                        [&](const Tick&) { OnTick(service); });
+  kernel.Register<ModuleBody>(kClaimsService, [&](const ModuleBody& body) {
+    Hear(service, body);
+  });
+  kernel.Register<MemberChanged>(
+      kClaimsService, [&](const MemberChanged& change) {
+        HearMember(service, change.member);
+      });
+  kernel.Register<RoleChanged>(kClaimsService, [&](const RoleChanged& role) {
+    service.reader = role.reader;
+    if (!role.reader)
+      service.epochs.first_read = 0;
+  });
+  kernel.Register<ReadingFrom>(kClaimsService, [&](const ReadingFrom& from) {
+    BeginEpochs(service.epochs, from.first);
+  });
+  kernel.Register<OpaqueRecordFound>(
+      kClaimsService, [&](const OpaqueRecordFound& found) {
+        HearRecord(service, found);
+      });
+  kernel.Register<LogFolded>(kClaimsService, [&](const LogFolded& folded) {
+    HearFolded(service, folded);
+  });
+  kernel.Post(kClaimsService, Tick{});
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/src/node/claims_service.h
@@ -0,0 +1,105 @@
+// Keeps idempotency keys from running twice: asks the holders of the epoch for
+// a claim, and is a holder where the epoch says so.
+#ifndef TEASELSPREAD_NODE_CLAIMS_SERVICE_H_
+#define TEASELSPREAD_NODE_CLAIMS_SERVICE_H_
+
+#include <array>
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "node/claims_messages.h"
+#include "node/epoch_reader.h"
+#include "node/messages.h"
+#include "teaselspread/claims.h"
+#include "teaselspread/counters.h"
+#include "teaselspread/error.h"
+#include "teaselspread/kernel.h"
+#include "teaselspread/types.h"
+
+namespace teaselspread {
+
+// Kind of the log records that carry epochs.
+inline constexpr std::string_view kEpochRecord = "epoch";
+
+// A key that may run now, or whose outcome is known.
+struct Claim {
+  ClaimAttempt attempt;
+  std::optional<ClaimOutcome> recorded;
+};
+
+// A caller's thread that waits for the verdict on its attempt.
+struct PendingClaim {
+  std::mutex gate;
+  std::condition_variable changed;
+  bool decided = false;
+  ClaimAttempt attempt;
+};
+
+using PendingClaimPtr = std::shared_ptr<PendingClaim>;
+
+// A process that could be a holder, and when it was last known to be alive.
+struct KnownHolder {
+  Holder holder;
+  TimePoint seen;
+  // Membership says so now.
+  bool member_alive = false;
+};
+
+// Belongs to the kernel's thread, but for what `post` carries there.
+struct ClaimsService {
+  Holder self;
+  Duration retention = std::chrono::hours(24);
+  ClaimKeeper keeper;
+  EpochReader epochs;
+  Rng rng;
+  bool reader = false;
+  TimePoint end_read_at;
+  TimePoint next_proposal;
+  TimePoint next_notice;
+  TimePoint next_handover;
+  TimePoint next_checkpoint;
+  std::uint64_t next_sequence = 1;
+  // Highest epoch that the whole data centre was told of.
+  std::uint64_t announced_epoch = 0;
+  // Processes of the own data centre by id, and offers of the others.
+  std::map<std::string, KnownHolder> local;
+  std::map<std::string, KnownHolder> remote;
+  std::map<std::uint64_t, PendingClaimPtr> pending;
+  std::array<std::uint64_t, 8> verdicts{};
+  // Runs a task on the kernel's thread; set by the node.
+  std::function<void(std::function<void()>)> post;
+  Kernel* kernel = nullptr;
+};
+
+// Registers the service. Precondition: `service` outlives `kernel`.
+void StartClaimsService(Kernel& kernel, ClaimsService& service);
+
+// Claims the key for one run. Errors: kKeyMissing, kBadRequest, kKeyMismatch,
+// kInProgress, kOutcomeUnknown, kClaimUnavailable. Blocks up to `deadline` or
+// the claim window. Thread safe, not from the kernel's thread.
+[[nodiscard]] Result<Claim> ClaimKeyFor(ClaimsService& service,
+                                        const std::string& key,
+                                        const std::string& method,
+                                        const std::string& path,
+                                        const std::string& body,
+                                        TimePoint deadline);
+
+// The attempt will never run. Thread safe.
+void ReleaseKey(ClaimsService& service, const ClaimAttempt& attempt);
+
+// The upstream answered in full. Thread safe.
+void RecordKey(ClaimsService& service,
+               const ClaimAttempt& attempt,
+               const ClaimOutcome& outcome);
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_NODE_CLAIMS_SERVICE_H_
--- a/src/node/config_service.cc
+++ b/src/node/config_service.cc
@@ -70,8 +70,10 @@
 
 void FoldBatch(Kernel& kernel, ConfigService& service, const LogBatch& batch) {
   FoldState& fold = service.fold;
-  if (batch.first_kept > fold.position + 1)
+  if (batch.first_kept > fold.position + 1) {
     SkipTo(fold, batch.first_kept);
+    kernel.Post(kClaimsService, ReadingFrom{batch.first_kept});
+  }
   LogFindings findings{{}, batch.read_started, batch.reached_end};
   for (const auto& [offset, bytes] : batch.records) {
     const ConfigVersion parent = fold.head;
@@ -86,8 +88,8 @@
     kernel.Post(kMovesService, found);
     kernel.Post(kClaimsService, found);
   }
-  if (batch.reached_end)
-    kernel.Post(kClaimsService, LogEndReached{batch.read_started});
+  kernel.Post(kClaimsService, LogFolded{fold.position, batch.read_started,
+                                        batch.reached_end});
   kernel.Post(kSpreadService, std::move(findings));
 }
 
@@ -128,7 +130,9 @@
     fresh.counters = service.fold.counters;
     service.fold = std::move(fresh);
   }
-  kernel.Post(kLogService, ReadLog{service.fold.position + 1});
+  const LogOffset first = service.fold.position + 1;
+  kernel.Post(kClaimsService, ReadingFrom{first});
+  kernel.Post(kLogService, ReadLog{first});
 }
 
 void ChangeRole(Kernel& kernel,
--- a/src/node/messages.h
+++ b/src/node/messages.h
@@ -145,9 +145,17 @@
   OpaqueRecord record;
 };
 
-// From config: a read that began at `read_started` reached the end of the log.
-struct LogEndReached {
+// From config: reading begins at `first`, or goes on there because what was
+// before it has expired.
+struct ReadingFrom {
+  LogOffset first = 1;
+};
+
+// From config: every record up to `through` has been handed on.
+struct LogFolded {
+  LogOffset through = 0;
   TimePoint read_started;
+  bool reached_end = false;
 };
 
 }  // namespace teaselspread
--- /dev/null
+++ b/src/node/node.cc
@@ -0,0 +1,259 @@
+#include "node/node.h"
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <random>
+#include <thread>
+#include <utility>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <xxhash.h>
+
+#include "node/module_frames.h"
+#include "node/pages.h"
+#include "teaselspread/logging.h"
+
+namespace teaselspread {
+namespace {
+
+constexpr std::size_t kConnectionsPerTarget = 130;
+constexpr std::size_t kBodyMemory = 256U << 20;
+constexpr std::size_t kMaxBody = 64U << 20;
+// Others learn within this time that the node is leaving; until then it goes
+// on serving what they still send.
+constexpr std::chrono::milliseconds kLeaveNotice{1500};
+// The loop looks at least this often for work of callers' threads.
+constexpr std::chrono::milliseconds kLongestSleep{100};
+
+Rng FreshRng() {
+  std::random_device device;
+  return Rng{(std::uint64_t{device()} << 32U) | device()};
+}
+
+Member SelfOf(const NodeSettings& settings) {
+  Member self;
+  self.id = settings.vm;
+  self.data_center = settings.data_center;
+  self.control = settings.control;
+  self.http = settings.http;
+  self.incarnation = IncarnationAt(SystemNow());
+  return self;
+}
+
+void Advance(Node& node) {
+  node.kernel.Advance(SystemNow());
+}
+
+void Sleep(Node& node) {
+  auto delay = std::chrono::duration_cast<Duration>(kLongestSleep);
+  if (const auto due = node.kernel.NextWake())
+    delay = std::clamp(*due - SystemNow(), Duration{0}, delay);
+  node.wake.expires_after(delay);
+  node.wake.async_wait([&node](boost::system::error_code error) {
+    if (error)
+      return;
+    Advance(node);
+    Sleep(node);
+  });
+}
+
+void HandleModuleFrame(Node& node, const ModuleFrame& frame) {
+  const std::string_view owner =
+      frame.module == Module::kMoves ? kMovesService : kClaimsService;
+  node.kernel.Post(owner, ModuleBody{frame.from, frame.body});
+}
+
+void HandleFrame(Node& node, std::string_view bytes) {
+  const auto message = Decode(bytes);
+  if (!message) {
+    node.refused_frames.Add(message.error().kind);
+    Log(LogLevel::kDebug, kTransportService, "frame-refused",
+        {{"reason", NameOf(message.error().kind)},
+         {"message", message.error().message}});
+    return;
+  }
+  if (const auto* frame = std::get_if<ModuleFrame>(&*message)) {
+    HandleModuleFrame(node, *frame);
+  } else {
+    node.kernel.Post(kMembershipService, FrameArrived{*message});
+    node.kernel.Post(kSpreadService, FrameArrived{*message});
+  }
+  Advance(node);
+}
+
+void Send(Node& node, const SendMessage& send) {
+  std::string frame = Encode(send.message);
+  if (send.transport == Transport::kDatagram &&
+      frame.size() <= kMaxDatagramBytes)
+    node.transport.SendDatagram(send.to, frame);
+  else
+    node.transport.SendStream(send.to, std::move(frame));
+}
+
+void StartServices(Node& node) {
+  node.kernel.Register<SendFrame>(
+      kTransportService,
+      [&node](const SendFrame& frame) { Send(node, frame.send); });
+  StartLogService(node.kernel, node.log, node.io,
+                  [&node] { Advance(node); });
+  StartConfigService(node.kernel, node.config);
+  StartMembershipService(node.kernel, node.membership);
+  StartSpreadService(node.kernel, node.spread);
+  StartMovesService(node.kernel, node.moves);
+  StartClaimsService(node.kernel, node.claims);
+  StartRequestsService(node.kernel, node.requests);
+}
+
+Result<void> StartServer(Node& node) {
+  HttpServerOptions options;
+  options.listen = node.settings.http;
+  options.max_body_bytes = kMaxBody;
+  options.budget = node.requests.budget;
+  auto server = HttpServer::Start(
+      options,
+      [&node](HttpRequest request) {
+        return IsPage(request) ? ServePage(node, request)
+                               : HandleRequest(node.requests,
+                                               std::move(request));
+      },
+      [&node](const HttpRequest& request) {
+        return CheckHead(node.requests, request);
+      });
+  if (!server)
+    return tl::make_unexpected(server.error());
+  node.server = std::move(*server);
+  return {};
+}
+
+// A planned stop cuts nothing: the others hear of it first, then new work is
+// refused, then the server waits for what runs. A second signal changes
+// nothing.
+void BeginStop(Node& node) {
+  if (node.stopping)
+    return;
+  node.stopping = true;
+  Log(LogLevel::kInfo, "node", "stopping", {});
+  AnnounceLeave(node.kernel, node.membership);
+  LeaveSpread(node.spread.state);
+  Advance(node);
+  auto notice = std::make_shared<boost::asio::steady_timer>(node.io);
+  notice->expires_after(kLeaveNotice);
+  notice->async_wait([&node, notice](boost::system::error_code) {
+    LeaveRequests(node.requests);
+    std::thread([&node] {
+      node.server->Stop();
+      boost::asio::post(node.io, [&node] { node.io.stop(); });
+    }).detach();
+  });
+}
+
+void WaitForSignals(Node& node) {
+  node.signals.async_wait([&node](boost::system::error_code error, int) {
+    if (error)
+      return;
+    BeginStop(node);
+    WaitForSignals(node);
+  });
+}
+
+SpreadSettings SpreadSettingsOf(const NodeSettings& settings) {
+  SpreadSettings spread;
+  spread.remotes = settings.remote_seeds;
+  spread.notice_interval = settings.timings.exchange_interval;
+  return spread;
+}
+
+void SetUpRequests(Node& node, const Member& self) {
+  Requests& requests = node.requests;
+  requests.settings = node.settings;
+  requests.incarnation = self.incarnation;
+  requests.moves = &node.moves;
+  requests.claims = &node.claims;
+  requests.clients = &node.clients;
+  requests.budget = MemoryBudgetPtr(new MemoryBudget(kBodyMemory));
+  requests.upstream.address = node.settings.upstream;
+  requests.members[self.id] = self;
+  requests.gatekeeper.ready = false;
+  requests.suspects.origin =
+      XXH3_64bits_withSeed(self.id.data(), self.id.size(), self.incarnation);
+  requests.rng = FreshRng();
+}
+
+void SetUpServices(Node& node, const Member& self) {
+  const TimePoint now = SystemNow();
+  node.membership.state = MakeMembership(MembershipSettings{}, self,
+                                         node.settings.seeds, now);
+  node.membership.rng = FreshRng();
+  node.spread.state =
+      MakeSpread(SpreadSettingsOf(node.settings), self, now);
+  node.spread.rng = FreshRng();
+  node.config.data_center = node.settings.data_center;
+  node.config.checkpoint_rule.retention = node.settings.log.retention;
+  node.config.rng = FreshRng();
+  node.moves.node = self.id;
+  node.moves.incarnation = StartOf(self.incarnation);
+  node.moves.data_center = self.data_center;
+  node.moves.state.node = self.id;
+  node.moves.state.data_center = self.data_center;
+  node.claims.self = {self.id, self.data_center, StartOf(self.incarnation),
+                      self.control};
+  node.claims.keeper.self = node.claims.self;
+  node.claims.retention = node.settings.log.retention;
+  node.claims.rng = FreshRng();
+  node.claims.post = [&node](std::function<void()> task) {
+    boost::asio::post(node.io, std::move(task));
+  };
+  SetUpRequests(node, self);
+}
+
+}  // namespace
+
+Node::Node(const NodeSettings& from)
+    : settings(from),
+      wake(this->io),
+      signals(this->io, SIGTERM, SIGINT),
+      transport(this->io,
+                [this](const Address&, std::string_view frame) {
+                  HandleFrame(*this, frame);
+                }),
+      clients(kConnectionsPerTarget) {
+  this->log.settings = from.log;
+  this->log.timings = from.timings;
+  this->log.deployment = from.deployment;
+  this->log.vm = from.vm;
+  this->log.data_center = from.data_center;
+}
+
+Result<void> RunNode(Node& node) {
+  const auto control = node.transport.Listen(node.settings.control);
+  if (!control)
+    return tl::make_unexpected(control.error());
+  node.settings.control = *control;
+  // The server takes its port first: members must learn the real one.
+  node.requests.budget = MemoryBudgetPtr(new MemoryBudget(kBodyMemory));
+  if (const auto served = StartServer(node); !served)
+    return served;
+  node.settings.http = node.server->LocalAddress();
+  const Member self = SelfOf(node.settings);
+  {
+    const std::scoped_lock lock(node.requests.gate);
+    SetUpServices(node, self);
+  }
+  StartServices(node);
+  WaitForSignals(node);
+  Advance(node);
+  Sleep(node);
+  Log(LogLevel::kInfo, "node", "started",
+      {{"http_port", node.settings.http.port},
+       {"control_port", node.settings.control.port},
+       {"incarnation", self.incarnation}});
+  std::printf("listening %u\n", unsigned{node.settings.http.port});
+  std::fflush(stdout);
+  node.io.run();
+  StopLogService(node.log);
+  Log(LogLevel::kInfo, "node", "stopped", {});
+  return {};
+}
+
+}  // namespace teaselspread
--- a/src/node/spread_service.cc
+++ b/src/node/spread_service.cc
@@ -1,7 +1,9 @@
 #include "node/spread_service.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "node/module_frames.h"
 #include "teaselspread/logging.h"
 
 namespace teaselspread {
@@ -57,6 +59,31 @@
           TickSpread(service.state, kernel.Now(), service.rng));
 }
 
+// Two random addresses of each other data centre: one may be gone, and what
+// gets through to one spreads there as a rumour.
+void SendAcross(Kernel& kernel,
+                SpreadService& service,
+                const ToOtherDataCenters& message) {
+  constexpr std::size_t kCopies = 2;
+  SpreadState& state = service.state;
+  for (const auto& [data_center, seeds] : state.settings.remotes) {
+    std::vector<Address> known;
+    for (const SpeakerAddress& speaker : state.remote_speakers[data_center])
+      known.push_back(speaker.control);
+    if (known.empty())
+      known = seeds;
+    std::shuffle(known.begin(), known.end(), service.rng);
+    known.resize(std::min(known.size(), kCopies));
+    for (const Address& to : known) {
+      SendMessage send{to, Transport::kDatagram,
+                       ModuleFrame{SenderOf(state, kernel.Now()),
+                                   message.module, message.body}};
+      send.transport = TransportFor(send.message);
+      kernel.Post(kTransportService, SendFrame{std::move(send)});
+    }
+  }
+}
+
 }  // namespace
 
 void StartSpreadService(Kernel& kernel, SpreadService& service) {
@@ -94,6 +121,10 @@
       kSpreadService, [&](const UpdatesRejected&) {
         Perform(kernel, service, RejectUpdate(state, kernel.Now(), rng));
       });
+  kernel.Register<ToOtherDataCenters>(
+      kSpreadService, [&](const ToOtherDataCenters& message) {
+        SendAcross(kernel, service, message);
+      });
   kernel.Post(kSpreadService, Tick{});
 }
 
