--- a/src/node/claims_messages.h
+++ b/src/node/claims_messages.h
@@ -29,12 +29,13 @@
 struct EpochNotice {
   ClaimEpoch epoch;
   std::uint64_t through = 0;
-  // How long ago a read of the log's end showed no newer one.
-  std::int64_t confirmed_age_us = 0;
+  // When the sender began the read of the log's end that showed no newer one,
+  // by its own clock: an age would grow by the time that the notice travels.
+  std::int64_t confirmed_at_us = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->epoch, this->through, this->confirmed_age_us);
+    archive(this->epoch, this->through, this->confirmed_at_us);
   }
 };
 
--- a/src/node/claims_service.cc
+++ b/src/node/claims_service.cc
@@ -62,8 +62,7 @@
   EpochNotice notice;
   notice.epoch = service.epochs.log.current;
   notice.through = service.epochs.through;
-  notice.confirmed_age_us =
-      (service.kernel->Now() - service.end_read_at).count();
+  notice.confirmed_at_us = service.end_read_at.time_since_epoch().count();
   return notice;
 }
 
@@ -226,8 +225,8 @@
   AdoptEpoch(service.epochs, notice.epoch, notice.through);
   Learn(service, notice.epoch);
   if (notice.epoch.number == service.keeper.epoch.number)
-    ConfirmEpoch(service.keeper, service.kernel->Now() -
-                                     Duration(notice.confirmed_age_us));
+    ConfirmEpoch(service.keeper, TimePoint(Duration(notice.confirmed_at_us)) -
+                                     service.keeper.settings.clock_bound);
 }
 
 void HearSeal(ClaimsService& service, const SealRequest& request) {
--- a/src/node/moves_service.cc
+++ b/src/node/moves_service.cc
@@ -9,6 +9,7 @@
 #include <cereal/types/vector.hpp>
 
 #include "node/module_frames.h"
+#include "teaselspread/config_log.h"
 #include "teaselspread/logging.h"
 
 namespace teaselspread {
