--- /dev/null
+++ b/src/log/backoff.cc
@@ -0,0 +1,23 @@
+#include "teaselspread/backoff.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <random>
+
+namespace teaselspread {
+namespace {
+
+// Beyond this many doublings every sensible cap is reached.
+constexpr int kMaxDoublings = 20;
+
+}  // namespace
+
+Duration NextDelay(Backoff& backoff, Rng& rng) {
+  backoff.failures = std::min(backoff.failures + 1, kMaxDoublings);
+  const std::int64_t grown = backoff.base.count() << backoff.failures;
+  const std::int64_t most = std::min<std::int64_t>(grown, backoff.cap.count());
+  return Duration(std::uniform_int_distribution<std::int64_t>(
+      backoff.base.count(), most)(rng));
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/src/log/log_frame.cc
@@ -0,0 +1,44 @@
+#include "log/log_frame.h"
+
+#include <cstddef>
+#include <string>
+#include <utility>
+
+namespace teaselspread {
+namespace {
+
+constexpr std::size_t kOffsetBytes = 8;
+constexpr std::size_t kLengthBytes = 4;
+
+// Precondition: `bytes` are in `body`. Takes them off its front.
+std::uint64_t TakeNumber(std::string_view& body, std::size_t bytes) {
+  std::uint64_t value = 0;
+  for (const char byte : body.substr(0, bytes))
+    value = (value << 8U) | static_cast<unsigned char>(byte);
+  body.remove_prefix(bytes);
+  return value;
+}
+
+}  // namespace
+
+Result<std::vector<LogRecord>> DecodeRecords(std::string_view body,
+                                             std::uint64_t from) {
+  std::vector<LogRecord> records;
+  std::uint64_t least = from;
+  while (!body.empty()) {
+    if (body.size() < kOffsetBytes + kLengthBytes)
+      return Fail(ErrorKind::kFrameMalformed, "a record's head is cut");
+    const std::uint64_t offset = TakeNumber(body, kOffsetBytes);
+    const std::uint64_t length = TakeNumber(body, kLengthBytes);
+    if (length > body.size())
+      return Fail(ErrorKind::kFrameMalformed, "a record is cut");
+    if (offset < least)
+      return Fail(ErrorKind::kFrameMalformed, "offsets out of order");
+    records.push_back({offset, std::string(body.substr(0, length))});
+    body.remove_prefix(length);
+    least = offset + 1;
+  }
+  return records;
+}
+
+}  // namespace teaselspread
