--- a/include/teaselspread/judge.h
+++ b/include/teaselspread/judge.h
@@ -35,6 +35,14 @@
   Duration stratum_least = std::chrono::seconds(1);
   // ... or at this age.
   Duration stratum_most = std::chrono::seconds(120);
+  // A stratum that speaks this much against the new version stays open. The
+  // counters of the two versions travel apart: of a fault that both share, the
+  // new one's part may come first, and closed it could not be explained any
+  // more by the old one's.
+  double keep_open = 1;
+  // Weight of a ratio that has nothing to do with the old version's history,
+  // which is how a fault of both versions looks.
+  double shared_weight = 0.5;
   // The hold lasts at least this long, because counters of the two versions
   // travel apart and a shared fault may show on the new one first.
   Duration hold_least = std::chrono::seconds(3);
@@ -62,17 +70,31 @@
   Tally old;
 };
 
-// The size of a fault, as added ratios.
-struct FaultSize {
-  // Difference that is still no fault.
-  double tolerated = 0;
-  double fault = 0;
+// Logarithms of the chances of a bad and of a good answer.
+struct LogChance {
+  double bad = 0;
+  double good = 0;
+};
+
+// One ratio of the old version with what it makes of the new one under each
+// hypothesis.
+struct ChancePoint {
+  LogChance old;
+  LogChance same;
+  std::array<LogChance, kAlternatives> worse;
 };
 
-// Logarithm of the likelihood ratio of one stratum; zero without an answer of
-// the new version. `history` is the old version's ratio before the stratum.
-// Thread safe.
-[[nodiscard]] double LogRatio(const Pair& pair, double history, FaultSize size);
+// Ratios that a fault of both versions is taken to have.
+inline constexpr std::size_t kSharedRatios = 12;
+
+// Worked out once for the bounds of a move, since the judge runs at every node
+// twice a second.
+struct FaultTable {
+  // Added ratio that is still no fault.
+  double tolerated = 0;
+  std::array<double, kAlternatives> faults{};
+  std::array<ChancePoint, kSharedRatios> points{};
+};
 
 // What the judge keeps for one route ("*" is all of them together).
 struct RouteJudge {
@@ -89,6 +111,8 @@
 enum class Finding : std::uint8_t { kCalm, kSuspect, kHeld, kBad };
 
 struct JudgeState {
+  MoveBounds bounds;
+  std::array<FaultTable, kMetrics> tables{};
   std::map<std::string, RouteJudge> routes;
   bool started = false;
   // Epoch while nothing is held.
--- a/include/teaselspread/moves.h
+++ b/include/teaselspread/moves.h
@@ -47,7 +47,7 @@
   // Part of a stage's expected answers that must be there to go on.
   double stage_part = 0.5;
   // Part of the new version's slots that may be in use.
-  double usable_slots = 0.8;
+  double usable_slots = 0.85;
   // A data centre is unheard when nothing came from it for so long.
   Duration unheard_after = std::chrono::seconds(10);
   // How often an unchanged report is sent again.
--- a/src/moves/judge.cc
+++ b/src/moves/judge.cc
@@ -3,45 +3,16 @@
 #include <algorithm>
 #include <cmath>
 
+#include "moves/ratio_test.h"
+
 namespace teaselspread {
 namespace {
 
-// Ratios that a shared fault may have, evenly spaced in their logarithm.
-constexpr std::array<double, 12> kGrid = {0.001, 0.003, 0.01, 0.03, 0.06, 0.12,
-                                          0.2,   0.35,  0.5,  0.65, 0.8,  0.95};
-constexpr double kHistoryWeight = 0.5;
-constexpr double kMostRatio = 0.98;
-constexpr double kLeastRatio = 1e-4;
 // Answers of the old version without which its median says nothing.
 constexpr std::uint64_t kMedianAnswers = 8;
 // Answers by which a version without history is taken to be good.
 constexpr double kPriorAnswers = 50;
 
-double LogOf(const Tally& tally, double ratio) {
-  const double p = std::clamp(ratio, kLeastRatio, kMostRatio);
-  return tally.bad * std::log(p) + (tally.total - tally.bad) * std::log1p(-p);
-}
-
-double LogSum(double a, double b) {
-  const double high = std::max(a, b);
-  return high + std::log1p(std::exp(std::min(a, b) - high));
-}
-
-struct Hypotheses {
-  double same = -1e300;
-  double worse = -1e300;
-};
-
-void AddPoint(Hypotheses& sum,
-              const Pair& pair,
-              double ratio,
-              double weight,
-              FaultSize size) {
-  const double old = std::log(weight) + LogOf(pair.old, ratio);
-  sum.same = LogSum(sum.same, old + LogOf(pair.fresh, ratio + size.tolerated));
-  sum.worse = LogSum(sum.worse, old + LogOf(pair.fresh, ratio + size.fault));
-}
-
 std::uint64_t CountOf(const EvidenceCells& cells) {
   std::uint64_t count = 0;
   for (std::uint32_t in_bucket : cells.latency)
@@ -84,30 +55,23 @@
   }
 }
 
-// The bounds are where the test is indifferent: a fault of twice and a half the
-// added ratio against a quarter of it balance near the bound itself.
-FaultSize SizeOf(Metric metric, std::size_t index, const MoveBounds& bounds) {
-  constexpr std::array<double, kAlternatives> kShed = {0.4, 0.6, 0.9};
-  constexpr std::array<double, kAlternatives> kSlow = {0.4, 0.6, 0.8};
-  const std::array<double, kAlternatives> failed = {
-      2.5 * bounds.extra_failures, std::max(0.3, 4 * bounds.extra_failures),
-      0.9};
-  if (metric == Metric::kFailures)
-    return {bounds.extra_failures / 4, failed.at(index)};
-  if (metric == Metric::kLatency)
-    return {0.12, kSlow.at(index)};
-  return {0.25, kShed.at(index)};
-}
-
 constexpr std::array<VerdictReason, kMetrics> kReasonOf = {
     VerdictReason::kFailures, VerdictReason::kLatency,
     VerdictReason::kShedding};
 
-// One metric of one route: the score of each alternative with the open stratum.
+// What one route's scores are worked out with.
+struct Rules {
+  const JudgeSettings& settings;
+  const MoveBounds& bounds;
+  const std::array<FaultTable, kMetrics>& tables;
+};
+
+// One metric of one route: what the open stratum adds to each alternative.
 struct Scores {
-  std::array<double, kAlternatives> values{};
+  std::array<double, kAlternatives> added{};
   Pair pair;
 };
+using RouteScores = std::array<Scores, kMetrics>;
 
 std::size_t SlowBucket(const RouteJudge& route, double slowdown) {
   if (CountOf(route.history) < kMedianAnswers)
@@ -117,19 +81,18 @@
       Duration(std::llround(static_cast<double>(median.count()) * slowdown)));
 }
 
-Scores ScoresOf(const RouteJudge& route,
-                Metric metric,
-                const MoveBounds& bounds) {
-  const std::size_t slow = SlowBucket(route, bounds.slowdown);
-  const Tally past = TallyOf(route.history, metric, slow);
-  const double history = (past.bad + 0.5) / (past.total + kPriorAnswers);
-  Scores scores;
-  scores.pair = {TallyOf(route.open_new, metric, slow),
-                 TallyOf(route.open_old, metric, slow)};
-  for (std::size_t i = 0; i < kAlternatives; ++i) {
-    const double before = route.sums.at(static_cast<std::size_t>(metric)).at(i);
-    scores.values.at(i) =
-        before + LogRatio(scores.pair, history, SizeOf(metric, i, bounds));
+RouteScores ScoresOf(const RouteJudge& route, const Rules& rules) {
+  const std::size_t slow = SlowBucket(route, rules.bounds.slowdown);
+  RouteScores scores;
+  for (std::size_t m = 0; m < kMetrics; ++m) {
+    const auto metric = static_cast<Metric>(m);
+    const Tally past = TallyOf(route.history, metric, slow);
+    const double history = (past.bad + 0.5) / (past.total + kPriorAnswers);
+    Scores& score = scores.at(m);
+    score.pair = {TallyOf(route.open_new, metric, slow),
+                  TallyOf(route.open_old, metric, slow)};
+    score.added = moves::LogRatios(
+        score.pair, history, rules.settings.shared_weight, rules.tables.at(m));
   }
   return scores;
 }
@@ -141,7 +104,14 @@
   route.seen_old = totals.old;
 }
 
+bool SpeaksAgainst(const RouteScores& scores, double bound) {
+  return std::any_of(scores.begin(), scores.end(), [&](const Scores& score) {
+    return *std::max_element(score.added.begin(), score.added.end()) > bound;
+  });
+}
+
 bool MayClose(const RouteJudge& route,
+              const RouteScores& scores,
               const JudgeSettings& settings,
               TimePoint now) {
   const Duration age = now - route.opened;
@@ -149,14 +119,16 @@
     return true;
   return age >= settings.stratum_least &&
          route.open_new.runs >= settings.stratum_answers &&
-         route.open_old.runs >= settings.stratum_answers;
+         route.open_old.runs >= settings.stratum_answers &&
+         !SpeaksAgainst(scores, settings.keep_open);
 }
 
-void Close(RouteJudge& route, const MoveBounds& bounds, TimePoint now) {
+void Close(RouteJudge& route, const RouteScores& scores, TimePoint now) {
   for (std::size_t m = 0; m < kMetrics; ++m) {
-    const Scores scores = ScoresOf(route, static_cast<Metric>(m), bounds);
-    for (std::size_t i = 0; i < kAlternatives; ++i)
-      route.sums.at(m).at(i) = std::max(0.0, scores.values.at(i));
+    for (std::size_t i = 0; i < kAlternatives; ++i) {
+      double& sum = route.sums.at(m).at(i);
+      sum = std::max(0.0, sum + scores.at(m).added.at(i));
+    }
   }
   AddCells(route.history, route.open_old);
   route.open_new = {};
@@ -167,16 +139,16 @@
 void Weigh(Judgement& strongest,
            const std::string& name,
            const RouteJudge& route,
-           const MoveBounds& bounds) {
+           const RouteScores& scores) {
   for (std::size_t m = 0; m < kMetrics; ++m) {
-    const Scores scores = ScoresOf(route, static_cast<Metric>(m), bounds);
-    for (double score : scores.values) {
+    for (std::size_t i = 0; i < kAlternatives; ++i) {
+      const double score = route.sums.at(m).at(i) + scores.at(m).added.at(i);
       if (score <= strongest.score)
         continue;
       strongest.score = score;
       strongest.reason = kReasonOf.at(m);
       strongest.route = name;
-      strongest.pair = scores.pair;
+      strongest.pair = scores.at(m).pair;
     }
   }
 }
@@ -222,19 +194,35 @@
   return score >= settings.suspect ? Finding::kSuspect : Finding::kCalm;
 }
 
-}  // namespace
+void TakeBounds(JudgeState& state, const MoveBounds& bounds) {
+  if (state.started && state.bounds.extra_failures == bounds.extra_failures &&
+      state.bounds.slowdown == bounds.slowdown)
+    return;
+  state.bounds = bounds;
+  for (std::size_t m = 0; m < kMetrics; ++m)
+    state.tables.at(m) = moves::MakeFaultTable(static_cast<Metric>(m), bounds);
+}
 
-double LogRatio(const Pair& pair, double history, FaultSize size) {
-  if (pair.fresh.total <= 0)
-    return 0;
-  Hypotheses sum;
-  AddPoint(sum, pair, history, kHistoryWeight, size);
-  const double rest = (1 - kHistoryWeight) / static_cast<double>(kGrid.size());
-  for (double ratio : kGrid)
-    AddPoint(sum, pair, ratio, rest, size);
-  return sum.worse - sum.same;
+// The first totals only set the mark to count from.
+RouteJudge& RouteOf(JudgeState& state,
+                    const std::string& name,
+                    const RouteTotals& totals,
+                    TimePoint now) {
+  auto [found, is_new] = state.routes.try_emplace(name);
+  RouteJudge& route = found->second;
+  if (!is_new)
+    return route;
+  route.opened = now;
+  if (!state.started) {
+    route.seen_new = totals.fresh;
+    route.seen_old = totals.old;
+    route.history = totals.old;
+  }
+  return route;
 }
 
+}  // namespace
+
 Judgement StepJudge(JudgeState& state,
                     const JudgeSettings& settings,
                     const MoveBounds& bounds,
@@ -242,22 +230,18 @@
                     bool old_serves,
                     TimePoint now) {
   const bool held = state.held_since != TimePoint();
+  TakeBounds(state, bounds);
+  const Rules rules{settings, state.bounds, state.tables};
   Judgement strongest;
   for (const auto& [name, route_totals] : totals) {
-    auto [found, is_new] = state.routes.try_emplace(name);
-    RouteJudge& route = found->second;
-    if (is_new) {
-      route.opened = now;
-      if (!state.started) {
-        route.seen_new = route_totals.fresh;
-        route.seen_old = route_totals.old;
-        route.history = route_totals.old;
-      }
-    }
+    RouteJudge& route = RouteOf(state, name, route_totals, now);
     Observe(route, route_totals);
-    if (!held && MayClose(route, settings, now))
-      Close(route, bounds, now);
-    Weigh(strongest, name, route, bounds);
+    RouteScores scores = ScoresOf(route, rules);
+    if (!held && MayClose(route, scores, settings, now)) {
+      Close(route, scores, now);
+      scores = {};
+    }
+    Weigh(strongest, name, route, scores);
   }
   state.started = true;
   strongest.finding = FindingOf(state, settings, strongest.score,
--- /dev/null
+++ b/src/moves/ratio_test.h
@@ -0,0 +1,24 @@
+// The likelihood ratio of one stratum, with its logarithms worked out before.
+#ifndef TEASELSPREAD_MOVES_RATIO_TEST_H_
+#define TEASELSPREAD_MOVES_RATIO_TEST_H_
+
+#include "teaselspread/judge.h"
+
+namespace teaselspread::moves {
+
+// The tables of one metric for these bounds.
+[[nodiscard]] FaultTable MakeFaultTable(Metric metric,
+                                        const MoveBounds& bounds);
+
+// Logarithm of the likelihood ratio of each alternative; zeros without an
+// answer of the new version. `history` is the old version's ratio before the
+// stratum, `shared_weight` the weight of any other ratio, 0..1.
+[[nodiscard]] std::array<double, kAlternatives> LogRatios(
+    const Pair& pair,
+    double history,
+    double shared_weight,
+    const FaultTable& table);
+
+}  // namespace teaselspread::moves
+
+#endif  // TEASELSPREAD_MOVES_RATIO_TEST_H_
--- a/src/moves/schedule.cc
+++ b/src/moves/schedule.cc
@@ -18,6 +18,9 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+// Middle of a bucket by its upper bound: 2^-0.2.
+constexpr double kBucketMiddle = 0.87;
+
 // Mean of the counted latencies, in seconds.
 double MeanLatency(const EvidenceCells& cells) {
   double sum = 0;
@@ -26,7 +29,7 @@
     sum += cells.latency[i] * Seconds(LatencyBound(i));
     count += cells.latency[i];
   }
-  return count > 0 ? sum / count : 0;
+  return count > 0 ? kBucketMiddle * sum / count : 0;
 }
 
 }  // namespace
