--- /dev/null
+++ b/include/teaselspread/commands.h
@@ -0,0 +1,55 @@
+// The commands of teaselctl: files and sockets around the pure parts in
+// operator.h.
+#ifndef TEASELSPREAD_COMMANDS_H_
+#define TEASELSPREAD_COMMANDS_H_
+
+#include <iosfwd>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "teaselspread/operator.h"
+#include "teaselspread/types.h"
+
+namespace teaselspread {
+
+// What the flags say.
+struct CommandOptions {
+  // Folder with base.yaml and one NAME.yaml for each data centre's overlay.
+  std::string config;
+  std::string deployment;
+  std::string data_center;
+  // "host:port" of the platform's log.
+  std::string log;
+  // "host:port" of nodes; each may be of another data centre.
+  std::vector<std::string> nodes;
+  std::string publish_id;
+  // Begin anew although the log has lost every checkpoint.
+  bool new_beginning = false;
+  OutputFormat output = OutputFormat::kText;
+  Duration timeout = std::chrono::seconds(30);
+  // For `watch`: the version to wait for, or 0 to wait for the moves' end.
+  ConfigVersion version = 0;
+  // For `explain`.
+  std::string method = "GET";
+  std::string path;
+};
+
+struct CommandRow {
+  std::string_view name;
+  std::string_view meaning;
+};
+
+// All commands, for the help text. Thread safe.
+[[nodiscard]] const std::vector<CommandRow>& Commands();
+
+// Runs one command: its result goes to `out`, progress and errors to `err`.
+// Blocks up to the timeout. Thread safe on different streams.
+[[nodiscard]] ExitCode RunCommand(const std::string& name,
+                                  const CommandOptions& options,
+                                  std::ostream& out,
+                                  std::ostream& err);
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_COMMANDS_H_
--- a/include/teaselspread/log_client.h
+++ b/include/teaselspread/log_client.h
@@ -25,16 +25,16 @@
   std::size_t max_batch_bytes = 64U << 20;
 };
 
-struct LogRecord {
+struct StoredRecord {
   std::uint64_t offset = 0;
   std::string bytes;
 
-  bool operator==(const LogRecord&) const = default;
+  bool operator==(const StoredRecord&) const = default;
 };
 
 struct ReadBatch {
   // In the order of their offsets; empty when none came within the wait.
-  std::vector<LogRecord> records;
+  std::vector<StoredRecord> records;
   // Offset of the oldest record that the log still keeps.
   std::uint64_t first_kept = 1;
   // Offset that the next append will get.
--- a/include/teaselspread/settings.h
+++ b/include/teaselspread/settings.h
@@ -9,16 +9,11 @@
 #include <vector>
 
 #include "teaselspread/error.h"
+#include "teaselspread/logging.h"
 #include "teaselspread/types.h"
 
 namespace teaselspread {
 
-// "level" of the log file and how it is called in the settings.
-enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarn, kError };
-
-// "debug", "info", "warn" or "error". Thread safe.
-[[nodiscard]] std::string_view NameOf(LogLevel level);
-
 // Where the process writes its own log; an empty file means standard error.
 struct LoggingSettings {
   std::string file;
--- a/include/teaselspread/types.h
+++ b/include/teaselspread/types.h
@@ -14,6 +14,15 @@
 using Duration = std::chrono::microseconds;
 using TimePoint = std::chrono::time_point<std::chrono::system_clock, Duration>;
 
+// For use inside a `serialize` of cereal, whose own functions for time points
+// do not take the non-const ones of such a member. Thread safe.
+template <class Archive>
+void SerializeTime(Archive& archive, TimePoint& time) {
+  std::int64_t count = time.time_since_epoch().count();
+  archive(count);
+  time = TimePoint(Duration(count));
+}
+
 // Seeded by the caller, so that every decision can be repeated.
 using Rng = std::mt19937_64;
 
--- /dev/null
+++ b/src/commands/commands.h
@@ -0,0 +1,40 @@
+// The parts of teaselctl's commands.
+#ifndef TEASELSPREAD_SRC_COMMANDS_COMMANDS_H_
+#define TEASELSPREAD_SRC_COMMANDS_COMMANDS_H_
+
+#include <iosfwd>
+#include <string>
+
+#include "teaselspread/commands.h"
+#include "teaselspread/config.h"
+#include "teaselspread/error.h"
+
+namespace teaselspread {
+
+// Where a command writes.
+struct CommandStreams {
+  std::ostream& out;
+  std::ostream& err;
+};
+
+// Prints the error's line and gives its exit code.
+ExitCode Report(const Error& error, const CommandStreams& streams);
+
+// Reads the folder of base file and overlays. Errors: kUsage, kConfigSyntax,
+// kConfigInvalid.
+[[nodiscard]] Result<Document> ReadSources(const std::string& folder);
+
+// Each command; all block up to the timeout.
+ExitCode Validate(const CommandOptions& options, const CommandStreams& streams);
+ExitCode RenderOne(const CommandOptions& options,
+                   const CommandStreams& streams);
+ExitCode Diff(const CommandOptions& options, const CommandStreams& streams);
+ExitCode Publish(const CommandOptions& options, const CommandStreams& streams);
+ExitCode Status(const CommandOptions& options, const CommandStreams& streams);
+ExitCode Moves(const CommandOptions& options, const CommandStreams& streams);
+ExitCode Watch(const CommandOptions& options, const CommandStreams& streams);
+ExitCode Explain(const CommandOptions& options, const CommandStreams& streams);
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_SRC_COMMANDS_COMMANDS_H_
--- /dev/null
+++ b/src/commands/log_reader.h
@@ -0,0 +1,31 @@
+// Reads and folds the log from its oldest record, as operators' tools do.
+#ifndef TEASELSPREAD_SRC_COMMANDS_LOG_READER_H_
+#define TEASELSPREAD_SRC_COMMANDS_LOG_READER_H_
+
+#include <memory>
+#include <string>
+
+#include "teaselspread/commands.h"
+#include "teaselspread/config_log.h"
+#include "teaselspread/error.h"
+#include "teaselspread/log_client.h"
+
+namespace teaselspread {
+
+// Not thread safe.
+struct LogReader {
+  std::unique_ptr<LogClient> client;
+  std::string stream;
+  FoldState fold;
+};
+
+// Nothing is sent yet. Errors: kUsage without --log or --deployment.
+[[nodiscard]] Result<LogReader> OpenLog(const CommandOptions& options);
+
+// Folds until nothing is left to read. Errors: kLogUnavailable, kLogExpired.
+// Blocks up to the client's time limits.
+[[nodiscard]] Result<void> ReadToEnd(LogReader& reader);
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_SRC_COMMANDS_LOG_READER_H_
--- /dev/null
+++ b/src/commands/nodes.cc
@@ -0,0 +1,212 @@
+// Commands that ask nodes.
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <ostream>
+#include <thread>
+
+#include <yaml-cpp/yaml.h>
+
+#include "base/text.h"
+#include "commands/commands.h"
+#include "teaselspread/http_client.h"
+#include "teaselspread/settings.h"
+
+namespace teaselspread {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr std::size_t kConnections = 4;
+constexpr Duration kCallTimeout = std::chrono::seconds(3);
+constexpr std::chrono::milliseconds kWatchPause{200};
+constexpr std::chrono::seconds kProgressEvery{2};
+constexpr int kOkStatus = 200;
+
+Result<std::string> Fetch(const std::string& node, const std::string& target) {
+  const auto address = ParseAddress(node);
+  if (!address)
+    return Fail(ErrorKind::kUsage, "--nodes=HOST:PORT,... is needed");
+  HttpClientPool pool(kConnections);
+  HttpRequest request;
+  request.target = target;
+  CallOptions call;
+  call.timeout = kCallTimeout;
+  auto answer = pool.Send(*address, request, call);
+  if (!answer)
+    return Fail(ErrorKind::kPeerUnreachable,
+                Concat(node, ": ", answer.error().message));
+  if (answer->status != kOkStatus)
+    return Fail(ErrorKind::kPeerUnreachable,
+                Concat(node, ": status ", answer->status, " ", answer->body));
+  return std::move(answer->body);
+}
+
+// What one node says of its data centre.
+struct DataCenterStatus {
+  std::string data_center;
+  ConfigVersion version = 0;
+  Table members;
+};
+
+Result<DataCenterStatus> ParseStatus(const std::string& body) {
+  DataCenterStatus status;
+  status.members.columns = {"vm",      "data_center", "status",
+                            "version", "service",     "upstream_version",
+                            "upstream_state"};
+  try {
+    const YAML::Node page = YAML::Load(body);
+    status.data_center = page["data_center"].as<std::string>();
+    status.version = page["version"].as<ConfigVersion>();
+    for (const YAML::Node& member : page["members"]) {
+      std::vector<std::string> row;
+      for (const std::string& column : status.members.columns)
+        row.push_back(member[column].as<std::string>());
+      status.members.rows.push_back(std::move(row));
+    }
+  } catch (const YAML::Exception& error) {
+    return Fail(ErrorKind::kPeerUnreachable,
+                Concat("the status page makes no sense: ", error.what()));
+  }
+  return status;
+}
+
+Result<void> CheckNodes(const CommandOptions& options) {
+  if (options.nodes.empty())
+    return Fail(ErrorKind::kUsage, "--nodes=HOST:PORT,... is needed");
+  return {};
+}
+
+ExitCode Relay(const CommandOptions& options,
+               const std::string& target,
+               const CommandStreams& streams) {
+  if (const auto given = CheckNodes(options); !given)
+    return Report(given.error(), streams);
+  const auto body = Fetch(options.nodes.front(), target);
+  if (!body)
+    return Report(body.error(), streams);
+  streams.out << *body;
+  return ExitCode::kOk;
+}
+
+struct Progress {
+  std::size_t there = 0;
+  std::size_t all = 0;
+  std::string missing;
+};
+
+// How many live members of all the data centres asked hold `version`.
+Progress CountHolders(const CommandOptions& options) {
+  constexpr std::size_t kStatusColumn = 2;
+  constexpr std::size_t kVersionColumn = 3;
+  Progress progress;
+  for (const std::string& node : options.nodes) {
+    const auto body = Fetch(node, "/status");
+    const auto status =
+        body ? ParseStatus(*body)
+             : Result<DataCenterStatus>(tl::make_unexpected(body.error()));
+    if (!status) {
+      ++progress.all;
+      progress.missing = node;
+      continue;
+    }
+    for (const auto& row : status->members.rows) {
+      if (row.at(kStatusColumn) != "alive")
+        continue;
+      ++progress.all;
+      const auto held =
+          ParseNumberText<ConfigVersion>(row.at(kVersionColumn)).value_or(0);
+      if (held >= options.version)
+        ++progress.there;
+      else
+        progress.missing = row.front();
+    }
+  }
+  return progress;
+}
+
+// How many moves have ended.
+Progress CountEnded(const CommandOptions& options) {
+  Progress progress;
+  const auto body = Fetch(options.nodes.front(), "/moves");
+  if (!body)
+    return {0, 1, options.nodes.front()};
+  try {
+    for (const YAML::Node& move : YAML::Load(*body)) {
+      ++progress.all;
+      const auto state = move["state"].as<std::string>();
+      if (state == "done" || state == "taken-back")
+        ++progress.there;
+      else
+        progress.missing = move["move"].as<std::string>();
+    }
+  } catch (const YAML::Exception&) {
+    return {0, 1, options.nodes.front()};
+  }
+  return progress;
+}
+
+}  // namespace
+
+ExitCode Status(const CommandOptions& options, const CommandStreams& streams) {
+  if (const auto given = CheckNodes(options); !given)
+    return Report(given.error(), streams);
+  Table all;
+  for (const std::string& node : options.nodes) {
+    const auto body = Fetch(node, "/status");
+    if (!body)
+      return Report(body.error(), streams);
+    auto status = ParseStatus(*body);
+    if (!status)
+      return Report(status.error(), streams);
+    all.columns = status->members.columns;
+    for (auto& row : status->members.rows)
+      all.rows.push_back(std::move(row));
+  }
+  std::sort(all.rows.begin(), all.rows.end());
+  all.rows.erase(std::unique(all.rows.begin(), all.rows.end()),
+                 all.rows.end());
+  streams.out << FormatTable(all, options.output);
+  return ExitCode::kOk;
+}
+
+ExitCode Moves(const CommandOptions& options, const CommandStreams& streams) {
+  const bool json = options.output == OutputFormat::kJson;
+  return Relay(options, json ? "/moves" : "/moves?format=text", streams);
+}
+
+ExitCode Explain(const CommandOptions& options, const CommandStreams& streams) {
+  return Relay(
+      options,
+      Concat("/explain?method=", options.method, "&path=", options.path),
+      streams);
+}
+
+ExitCode Watch(const CommandOptions& options, const CommandStreams& streams) {
+  if (const auto given = CheckNodes(options); !given)
+    return Report(given.error(), streams);
+  const auto give_up = Clock::now() + options.timeout;
+  auto next_progress = Clock::now();
+  while (true) {
+    const Progress progress =
+        options.version > 0 ? CountHolders(options) : CountEnded(options);
+    if (progress.there == progress.all) {
+      streams.out << progress.there << " of " << progress.all << "\n";
+      return ExitCode::kOk;
+    }
+    if (Clock::now() >= give_up) {
+      streams.err << "teaselctl: " << progress.there << " of " << progress.all
+                  << " in the time given; waiting for " << progress.missing
+                  << "\n";
+      return ExitCode::kTimeout;
+    }
+    if (Clock::now() >= next_progress) {
+      next_progress = Clock::now() + kProgressEvery;
+      streams.err << progress.there << " of " << progress.all
+                  << ", waiting for " << progress.missing << "\n";
+    }
+    std::this_thread::sleep_for(kWatchPause);
+  }
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/src/commands/publish.cc
@@ -0,0 +1,151 @@
+// Publishing: append, then read the verdict.
+#include <chrono>
+#include <cstdint>
+#include <ostream>
+#include <random>
+#include <sstream>
+#include <thread>
+
+#include "base/text.h"
+#include "commands/commands.h"
+#include "commands/log_reader.h"
+#include "node/log_service.h"
+#include "teaselspread/settings.h"
+
+namespace teaselspread {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr std::size_t kRecordsAtATime = 1024;
+constexpr std::chrono::milliseconds kRetryPause{200};
+
+std::string FreshPublishId() {
+  std::random_device device;
+  std::ostringstream id;
+  constexpr int kParts = 4;
+  for (int part = 0; part < kParts; ++part)
+    id << std::hex << device();
+  return id.str();
+}
+
+std::string RecordFor(const CommandOptions& options,
+                      const FoldState& fold,
+                      const Document& document,
+                      const std::string& publish_id) {
+  if (options.new_beginning)
+    return EncodeRecord(MakeOrigin(fold, document, publish_id));
+  return EncodeRecord(MakeChange(fold, document, publish_id));
+}
+
+// A fold that has met no usable beginning must not be published on: its idea
+// of the head may be old.
+Result<void> CheckBase(const CommandOptions& options, const FoldState& fold) {
+  const bool empty = fold.position == 0;
+  if (empty || fold.is_current || options.new_beginning)
+    return {};
+  return Fail(ErrorKind::kLogExpired,
+              "the log has lost every checkpoint; --new_beginning starts anew "
+              "from these files");
+}
+
+ExitCode Tell(const PublishOutcome& outcome,
+              const CommandOptions& options,
+              const CommandStreams& streams) {
+  streams.out << FormatOutcome(outcome, options.output);
+  return ExitCodeOf(outcome.reason);
+}
+
+// The append and its answer are separate facts: whatever the answer was, the
+// log itself says what became of the publish.
+Result<PublishOutcome> Settle(const CommandOptions& options,
+                              LogReader& reader,
+                              const std::string& record,
+                              const std::string& publish_id,
+                              const CommandStreams& streams) {
+  const auto give_up = Clock::now() + options.timeout;
+  Error last{ErrorKind::kLogUnavailable, "the log did not answer"};
+  bool may_be_there = false;
+  while (Clock::now() < give_up) {
+    const auto appended = reader.client->Append(reader.stream, record);
+    if (!appended) {
+      last = appended.error();
+      may_be_there |= last.kind == ErrorKind::kAppendUnknown;
+      streams.err << "teaselctl: " << last.message << "; trying again\n";
+    }
+    const auto read = ReadToEnd(reader);
+    if (!read)
+      last = read.error();
+    if (const auto* outcome = FindOutcome(reader.fold, publish_id))
+      return *outcome;
+    std::this_thread::sleep_for(kRetryPause);
+  }
+  if (may_be_there)
+    return Fail(ErrorKind::kAppendUnknown,
+                Concat("the outcome is unknown; run it again with --publish_id=",
+                       publish_id));
+  return tl::make_unexpected(last);
+}
+
+}  // namespace
+
+Result<LogReader> OpenLog(const CommandOptions& options) {
+  if (options.deployment.empty())
+    return Fail(ErrorKind::kUsage, "--deployment=NAME is needed");
+  const auto address = ParseAddress(options.log);
+  if (!address)
+    return Fail(ErrorKind::kUsage, "--log=HOST:PORT is needed");
+  LogClientOptions client;
+  client.log = *address;
+  client.vm = "teaselctl";
+  LogReader reader;
+  reader.client = std::make_unique<LogClient>(client);
+  reader.stream = StreamOf(options.deployment);
+  return reader;
+}
+
+Result<void> ReadToEnd(LogReader& reader) {
+  while (true) {
+    const LogOffset from = reader.fold.position + 1;
+    const ReadResult batch = reader.client->Read(reader.stream, from,
+                                                 kRecordsAtATime, Duration{});
+    if (!batch) {
+      const LogReadError& failed = batch.error();
+      if (failed.error.kind != ErrorKind::kLogExpired ||
+          failed.first_kept <= from)
+        return tl::make_unexpected(failed.error);
+      SkipTo(reader.fold, failed.first_kept);
+      continue;
+    }
+    for (const StoredRecord& record : batch->records)
+      Fold(reader.fold, record.offset, record.bytes);
+    if (batch->records.empty() || reader.fold.position + 1 >= batch->next)
+      return {};
+  }
+}
+
+ExitCode Publish(const CommandOptions& options, const CommandStreams& streams) {
+  const auto document = ReadSources(options.config);
+  if (!document)
+    return Report(document.error(), streams);
+  auto reader = OpenLog(options);
+  if (!reader)
+    return Report(reader.error(), streams);
+  if (const auto read = ReadToEnd(*reader); !read)
+    return Report(read.error(), streams);
+  const std::string publish_id = options.publish_id.empty()
+                                     ? FreshPublishId()
+                                     : options.publish_id;
+  if (const auto* known = FindOutcome(reader->fold, publish_id))
+    return Tell(*known, options, streams);
+  if (const auto base = CheckBase(options, reader->fold); !base)
+    return Report(base.error(), streams);
+  const std::string record =
+      RecordFor(options, reader->fold, *document, publish_id);
+  const auto outcome = Settle(options, *reader, record, publish_id, streams);
+  if (!outcome)
+    return Report(outcome.error(), streams);
+  return Tell(*outcome, options, streams);
+}
+
+}  // namespace teaselspread
--- a/src/log/log_client.cc
+++ b/src/log/log_client.cc
@@ -106,7 +106,7 @@
   if (answer->status == kExpired)
     return FailRead(ErrorKind::kLogExpired, "the offset is no longer kept",
                     *first);
-  Result<std::vector<LogRecord>> records = DecodeRecords(answer->body, from);
+  Result<std::vector<StoredRecord>> records = DecodeRecords(answer->body, from);
   if (!records)
     return FailRead(ErrorKind::kFrameMalformed, records.error().message);
   return ReadBatch{std::move(*records), *first, *next};
--- a/src/log/log_frame.cc
+++ b/src/log/log_frame.cc
@@ -21,9 +21,9 @@
 
 }  // namespace
 
-Result<std::vector<LogRecord>> DecodeRecords(std::string_view body,
+Result<std::vector<StoredRecord>> DecodeRecords(std::string_view body,
                                              std::uint64_t from) {
-  std::vector<LogRecord> records;
+  std::vector<StoredRecord> records;
   std::uint64_t least = from;
   while (!body.empty()) {
     if (body.size() < kOffsetBytes + kLengthBytes)
--- a/src/log/log_frame.h
+++ b/src/log/log_frame.h
@@ -14,7 +14,7 @@
 
 // Errors: kFrameMalformed when the frames don't fill `body` exactly, or when
 // the offsets don't rise from `from` on. Thread safe.
-[[nodiscard]] Result<std::vector<LogRecord>> DecodeRecords(
+[[nodiscard]] Result<std::vector<StoredRecord>> DecodeRecords(
     std::string_view body,
     std::uint64_t from);
 
--- a/src/node/claims_service.cc
+++ b/src/node/claims_service.cc
@@ -321,12 +321,10 @@
     ClaimAttempt& attempt = pending->attempt;
     sequence = service.next_sequence++;
     const AttemptId id{service.self.id, service.self.boot_id, sequence};
-    attempt = BeginClaim(service.keeper.settings, id, attempt.key,
-                         attempt.digest, service.keeper.epoch,
+    attempt = BeginClaim(service.keeper, id, attempt.key, attempt.digest,
                          service.kernel->Now());
-    SendToHolders(service, attempt.epoch, AskOf(attempt));
-    if (attempt.epoch.holders.empty())
-      GiveUpClaim(attempt);
+    if (attempt.verdict == ClaimVerdict::kPending)
+      SendToHolders(service, attempt.epoch, AskOf(attempt));
   }
   service.pending.emplace(sequence, pending);
   if (pending->attempt.verdict != ClaimVerdict::kPending)
--- a/src/node/config_service.cc
+++ b/src/node/config_service.cc
@@ -33,22 +33,19 @@
   return {};
 }
 
-ConfigUpdate UpdateFor(const FoldState& fold,
-                       ConfigVersion parent,
-                       std::string_view bytes) {
+ConfigUpdate UpdateFor(const FoldState& fold, const VersionStep& step) {
   ConfigUpdate update;
-  update.version = fold.head;
+  update.version = step.to;
   update.digest = fold.digest.low;
-  const auto record = DecodeRecord(bytes);
-  const auto* change = record ? std::get_if<ChangeRecord>(&*record) : nullptr;
-  if (change != nullptr && std::holds_alternative<Delta>(change->content)) {
-    update.parent = parent;
-    update.body = std::string(bytes);
-    return update;
+  ChangeRecord change{fold.head_publish_id, step.from, fold.digest, {}};
+  if (step.from == 0) {
+    update.full = true;
+    change.content = fold.document;
+  } else {
+    update.parent = step.from;
+    change.content = step.delta;
   }
-  update.full = true;
-  update.body = EncodeRecord(ChangeRecord{fold.head_publish_id, 0, fold.digest,
-                                          fold.document});
+  update.body = EncodeRecord(change);
   return update;
 }
 
@@ -76,12 +73,11 @@
   }
   LogFindings findings{{}, batch.read_started, batch.reached_end};
   for (const auto& [offset, bytes] : batch.records) {
-    const ConfigVersion parent = fold.head;
     FoldResult result = Fold(fold, offset, bytes);
     if (IsRefusal(result.reason))
       LogRefusal(fold, result.reason);
-    if (result.head_changed)
-      findings.updates.push_back(UpdateFor(fold, parent, bytes));
+    if (result.step)
+      findings.updates.push_back(UpdateFor(fold, *result.step));
     if (!result.opaque)
       continue;
     const OpaqueRecordFound found{offset, std::move(*result.opaque)};
--- a/src/node/entry.cc
+++ b/src/node/entry.cc
@@ -6,8 +6,7 @@
 #include <cmath>
 #include <utility>
 
-#include <absl/strings/numbers.h>
-
+#include "base/text.h"
 #include "node/pages.h"
 #include "node/requests.h"
 #include "teaselspread/logging.h"
@@ -16,6 +15,7 @@
 namespace {
 
 constexpr int kServerError = 500;
+constexpr std::int64_t kLongestAskMs = 86'400'000;
 constexpr Duration kFirstRetryAfter = std::chrono::milliseconds(500);
 
 Rng& ThreadRng() {
@@ -51,11 +51,11 @@
   if (request.body.size() > call.route->max_body_bytes)
     return Fail(ErrorKind::kBodyTooLarge, "body above the route's limit");
   call.deadline = SystemNow() + call.route->deadline;
-  std::int64_t asked_ms = 0;
-  if (absl::SimpleAtoi(FindHeader(request.headers, kHeaderDeadline),
-                       &asked_ms)) {
-    const Duration asked =
-        std::chrono::milliseconds(std::max<std::int64_t>(asked_ms, 0));
+  if (const auto asked_ms = ParseNumberText<std::int64_t>(
+          FindHeader(request.headers, kHeaderDeadline))) {
+    // Cut off before the multiplication, which could overflow.
+    const auto bounded = std::clamp<std::int64_t>(*asked_ms, 0, kLongestAskMs);
+    const Duration asked = std::chrono::milliseconds(bounded);
     call.deadline = SystemNow() + std::min(asked, call.route->deadline);
   }
   call.id = std::string(FindHeader(request.headers, kHeaderRequestId));
@@ -100,11 +100,9 @@
   const auto reason = KindNamed(FindHeader(answer.headers, kHeaderReason));
   if (!reason)
     return answer;
-  double seconds = 0;
-  if (absl::SimpleAtod(FindHeader(answer.headers, kHeaderRetryAfter),
-                       &seconds))
-    retry_after = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(seconds));
+  if (const auto seconds = ParseNumberText<std::uint32_t>(
+          FindHeader(answer.headers, kHeaderRetryAfter)))
+    retry_after = std::chrono::seconds(*seconds);
   return Fail(*reason, answer.body.empty() ? "refused by the gatekeeper"
                                            : std::move(answer.body));
 }
@@ -155,11 +153,10 @@
 }
 
 int LoadIn(const Result<HttpResponse>& answer) {
-  int load = -1;
-  if (answer && absl::SimpleAtoi(FindHeader(answer->headers, kHeaderLoad),
-                                 &load))
-    return load;
-  return -1;
+  if (!answer)
+    return -1;
+  return ParseNumberText<int>(FindHeader(answer->headers, kHeaderLoad))
+      .value_or(-1);
 }
 
 Attempt TryOnce(Requests& service, const Call& call, const ChosenTarget& to) {
--- a/src/node/gate.cc
+++ b/src/node/gate.cc
@@ -17,7 +17,7 @@
 constexpr Duration kReuse = std::chrono::seconds(15);
 constexpr Duration kLongestWait = std::chrono::milliseconds(100);
 
-Fingerprint FingerprintOf(const Call& call) {
+Fingerprint RequestFingerprint(const Call& call) {
   return FingerprintOf(
       call.request.method, call.request.target,
       XXH3_64bits(call.request.body.data(), call.request.body.size()));
@@ -331,7 +331,7 @@
                                const std::string& version,
                                Duration& retry_after) {
   const std::uint64_t id = service.next_id++;
-  const Fingerprint fingerprint = FingerprintOf(call);
+  const Fingerprint fingerprint = RequestFingerprint(call);
   const auto admitted =
       Admit(service, call, version, fingerprint, id, retry_after);
   if (!admitted)
--- a/src/node/log_service.cc
+++ b/src/node/log_service.cc
@@ -79,7 +79,7 @@
     next = batch.first_kept;
   } else {
     service.counters.Add(LogEvent::kRead);
-    for (const LogRecord& record : read->records) {
+    for (const StoredRecord& record : read->records) {
       batch.records.emplace_back(record.offset, record.bytes);
       next = record.offset + 1;
     }
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdio>
+#include <memory>
 #include <random>
 #include <thread>
 #include <utility>
@@ -13,6 +14,7 @@
 #include "node/module_frames.h"
 #include "node/pages.h"
 #include "teaselspread/logging.h"
+#include "teaselspread/node.h"
 
 namespace teaselspread {
 namespace {
@@ -225,7 +227,9 @@
   this->log.data_center = from.data_center;
 }
 
-Result<void> RunNode(Node& node) {
+namespace {
+
+Result<void> Run(Node& node) {
   const auto control = node.transport.Listen(node.settings.control);
   if (!control)
     return tl::make_unexpected(control.error());
@@ -256,4 +260,11 @@
   return {};
 }
 
+}  // namespace
+
+Result<void> RunNode(const NodeSettings& settings) {
+  const auto node = std::make_unique<Node>(settings);
+  return Run(*node);
+}
+
 }  // namespace teaselspread
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -28,7 +28,7 @@
 
 namespace teaselspread {
 
-// Built by MakeNode and run by RunNode. The kernel and its services belong to
+// Built and run by RunNode. The kernel and its services belong to
 // the thread in RunNode; `requests` and `moves` have locks of their own.
 struct Node {
   explicit Node(const NodeSettings& from);
@@ -53,10 +53,6 @@
   bool stopping = false;
 };
 
-// Runs `node` until SIGTERM or SIGINT, then stops without cutting a request.
-// Prints "listening PORT" once callers are served. Errors: kSettings.
-[[nodiscard]] Result<void> RunNode(Node& node);
-
 // Runs `task` on the kernel's thread and gives its result; none if that thread
 // does not come round within a second. Thread safe, not from that thread.
 template <class Task>
--- a/src/node/pages.cc
+++ b/src/node/pages.cc
@@ -2,8 +2,8 @@
 
 #include <array>
 
-#include <absl/strings/str_cat.h>
 
+#include "base/text.h"
 #include "node/node.h"
 #include "teaselspread/operator.h"
 
@@ -33,7 +33,7 @@
 
 std::string MemberJson(const Member& member) {
   const Announcement& upstream = member.upstream;
-  return absl::StrCat(
+  return Concat(
       "{\"vm\":", JsonText(member.id),
       ",\"data_center\":", JsonText(member.data_center),
       ",\"status\":", JsonText(NameOf(member.status)),
@@ -49,10 +49,10 @@
   const Membership& membership = node.membership.state;
   std::string members = MemberJson(membership.self);
   for (const auto& [id, entry] : membership.members)
-    absl::StrAppend(&members, ",\n", MemberJson(entry.member));
+    members += Concat(",\n", MemberJson(entry.member));
   const ConfigInForce& config = node.config.in_force;
   const SpreadState& spread = node.spread.state;
-  return absl::StrCat(
+  return Concat(
       "{\"vm\":", JsonText(node.settings.vm),
       ",\"deployment\":", JsonText(node.settings.deployment),
       ",\"data_center\":", JsonText(node.settings.data_center),
@@ -99,7 +99,7 @@
             std::string_view label,
             std::string_view value,
             std::uint64_t count) {
-  absl::StrAppend(&text, "teaselspread_", name, "{", label, "=\"", value,
+  text += Concat("teaselspread_", name, "{", label, "=\"", value,
                   "\"} ", count, "\n");
 }
 
@@ -128,7 +128,7 @@
                                 node.membership.state.counts);
   ArrayMetrics<SpreadCount>(text, "spread_total", node.spread.state.counts);
   ArrayMetrics<FoldReason>(text, "fold_total", node.config.fold.counters);
-  absl::StrAppend(&text, "teaselspread_config_version ",
+  text += Concat("teaselspread_config_version ",
                   node.config.in_force.version, "\n");
   return text;
 }
@@ -143,12 +143,12 @@
   Metrics(*text, "http_server_total", node.server->Counters());
   Metrics(*text, "http_client_total", node.clients.Counters());
   Metrics(*text, "log_total", node.log.counters);
-  absl::StrAppend(&*text, "teaselspread_answers_total ",
+  *text += Concat("teaselspread_answers_total ",
                   node.requests.answered.load(), "\n");
   const std::scoped_lock lock(node.requests.gate);
   Metrics(*text, "retries_total", node.requests.retry_budget.counters);
   Metrics(*text, "gate_refusals_total", node.requests.gatekeeper.refusals);
-  absl::StrAppend(&*text, "teaselspread_running ",
+  *text += Concat("teaselspread_running ",
                   node.requests.gatekeeper.running, "\nteaselspread_queued ",
                   node.requests.gatekeeper.queue.size(), "\n");
   return Text(200, std::move(*text));
@@ -162,7 +162,7 @@
   const TimePoint now = SystemNow();
   for (const auto& [version, group] : versions->second) {
     for (const Target& target : group.targets) {
-      absl::StrAppend(&text, "target ", target.id, " version ", version,
+      text += Concat("target ", target.id, " version ", version,
                       " slots ", target.slots, " in_flight ", target.in_flight,
                       IsEjected(target, now) ? " EJECTED" : "", "\n");
     }
@@ -177,7 +177,7 @@
     return "nothing on this route was refused here\n";
   for (std::size_t i = 0; i < found->second.by_kind.size(); ++i) {
     if (const auto count = found->second.by_kind.at(i); count > 0)
-      absl::StrAppend(&text, "refused ", NameOf(static_cast<ErrorKind>(i)),
+      text += Concat("refused ", NameOf(static_cast<ErrorKind>(i)),
                       " ", count, "\n");
   }
   return text;
@@ -194,10 +194,10 @@
   const RouteConfig* route =
       MatchRoute(*node.requests.snapshot, method, path);
   if (route == nullptr)
-    return Text(404, absl::StrCat("no route for ", method, " ", path, "\n"));
+    return Text(404, Concat("no route for ", method, " ", path, "\n"));
   return Text(
       200,
-      absl::StrCat("route ", route->name, "\nservice ", route->service,
+      Concat("route ", route->name, "\nservice ", route->service,
                    "\npriority ", NameOf(route->priority), "\nidempotent ",
                    route->idempotent ? "yes" : "no", "\n",
                    TargetsText(node.requests, route->service),
--- a/src/node/requests_service.cc
+++ b/src/node/requests_service.cc
@@ -1,10 +1,10 @@
 #include <sstream>
 #include <utility>
 
-#include <absl/strings/str_cat.h>
 #include <cereal/archives/portable_binary.hpp>
 #include <yaml-cpp/yaml.h>
 
+#include "base/text.h"
 #include "node/requests.h"
 #include "teaselspread/logging.h"
 
@@ -154,7 +154,7 @@
       address = node["address"].as<std::string>();
   } catch (const YAML::Exception& error) {
     return Fail(ErrorKind::kBadRequest,
-                absl::StrCat("announcement: ", error.what()));
+                Concat("announcement: ", error.what()));
   }
   if (announcement.slots < 1 || announcement.slots > kMostSlots ||
       announcement.connections < 1 || announcement.connections > kMostSlots)
@@ -186,7 +186,7 @@
     archive(row);
   }
   // Crashes and clearances only grow: their sum orders two copies of a row.
-  return {Topic::kCrashSuspect, absl::StrCat(row.fingerprint, "/", row.origin),
+  return {Topic::kCrashSuspect, Concat(row.fingerprint, "/", row.origin),
           std::uint64_t{row.crashes} + row.cleared, out.str()};
 }
 
--- /dev/null
+++ b/tools/teaselctl.cc
@@ -0,0 +1,94 @@
+// The operators' command line.
+#include <chrono>
+#include <cstdint>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+
+#include "teaselspread/commands.h"
+
+ABSL_FLAG(std::string, config, "", "folder with base.yaml and the overlays");
+ABSL_FLAG(std::string, deployment, "", "name of the deployment");
+ABSL_FLAG(std::string, data_center, "", "data centre, for render");
+ABSL_FLAG(std::string, log, "", "HOST:PORT of the platform's log");
+ABSL_FLAG(std::vector<std::string>,
+          nodes,
+          {},
+          "HOST:PORT of nodes, one of each data centre of interest");
+ABSL_FLAG(std::string, publish_id, "", "id of the publish, to repeat it safely");
+ABSL_FLAG(bool, new_beginning, false, "publish though the log lost its past");
+ABSL_FLAG(std::string, output, "text", "text or json");
+ABSL_FLAG(std::uint32_t, timeout_s, 30, "longest wait in seconds");
+ABSL_FLAG(std::uint64_t, until, 0, "version that watch waits for");
+ABSL_FLAG(std::string, method, "GET", "method, for explain");
+ABSL_FLAG(std::string, path, "", "path, for explain");
+
+namespace {
+
+using teaselspread::CommandOptions;
+using teaselspread::ExitCode;
+using teaselspread::OutputFormat;
+
+std::string VersionText() {
+  return "teaselctl " TEASELSPREAD_VERSION "\n";
+}
+
+std::string HelpText() {
+  std::string text = "teaselctl [flags] COMMAND\n\nCommands:\n";
+  for (const auto& command : teaselspread::Commands()) {
+    text += "  " + std::string(command.name) + ": " +
+            std::string(command.meaning) + "\n";
+  }
+  text += "\nExit codes:\n";
+  for (const auto& row : teaselspread::ExitCodes()) {
+    text += "  " + std::to_string(static_cast<int>(row.code)) + " " +
+            std::string(row.name) + ": " + std::string(row.meaning) + "\n";
+  }
+  return text;
+}
+
+CommandOptions OptionsOfFlags() {
+  CommandOptions options;
+  options.config = absl::GetFlag(FLAGS_config);
+  options.deployment = absl::GetFlag(FLAGS_deployment);
+  options.data_center = absl::GetFlag(FLAGS_data_center);
+  options.log = absl::GetFlag(FLAGS_log);
+  options.nodes = absl::GetFlag(FLAGS_nodes);
+  options.publish_id = absl::GetFlag(FLAGS_publish_id);
+  options.new_beginning = absl::GetFlag(FLAGS_new_beginning);
+  options.timeout = std::chrono::seconds(absl::GetFlag(FLAGS_timeout_s));
+  options.version = absl::GetFlag(FLAGS_until);
+  options.method = absl::GetFlag(FLAGS_method);
+  options.path = absl::GetFlag(FLAGS_path);
+  return options;
+}
+
+int Usage(const std::string& message) {
+  std::cerr << "teaselctl: " << message << "; see --help\n";
+  return static_cast<int>(ExitCode::kUsage);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  absl::FlagsUsageConfig usage;
+  usage.version_string = VersionText;
+  absl::SetFlagsUsageConfig(usage);
+  absl::SetProgramUsageMessage(HelpText());
+  const std::vector<char*> words = absl::ParseCommandLine(argc, argv);
+  constexpr std::size_t kWords = 2;
+  if (words.size() != kWords)
+    return Usage("exactly one command is needed");
+  CommandOptions options = OptionsOfFlags();
+  const std::string output = absl::GetFlag(FLAGS_output);
+  if (output != "text" && output != "json")
+    return Usage("--output must be text or json");
+  options.output = output == "json" ? OutputFormat::kJson : OutputFormat::kText;
+  return static_cast<int>(teaselspread::RunCommand(words.at(1), options,
+                                                   std::cout, std::cerr));
+}
