Check histories of racing operators, faults of the fold and the checkpoint rule

An origin now carries its publisher's outcomes; only a verdict that the publisher did not know is forgotten, and the test allows just that.

--- a/include/teaselspread/config_log.h
+++ b/include/teaselspread/config_log.h
@@ -101,12 +101,15 @@
 
 // An operator's new beginning, when the log has lost every checkpoint. It needs
 // no parent, but counts only if it lands right behind `through`, the last
-// record that its publisher saw: whatever raced with it makes it void.
+// record that its publisher saw: whatever raced with it makes it void. Every
+// reader then keeps the publisher's outcomes, so that all keep the same; a
+// verdict that the publisher did not know is forgotten.
 struct OriginRecord {
   std::string publish_id;
   LogOffset through = 0;
   Digest digest;
   Document document;
+  std::vector<PublishOutcome> outcomes;
 
   bool operator==(const OriginRecord&) const = default;
 };
--- a/src/config/judge.cc
+++ b/src/config/judge.cc
@@ -100,8 +100,7 @@
   FoldState& state = folding.state;
   const std::string& id = origin.publish_id;
   if (IsGoodOrigin(offset, origin)) {
-    // Late readers know no older outcomes, and all must keep the same.
-    state.outcomes.clear();
+    state.outcomes.assign(origin.outcomes.begin(), origin.outcomes.end());
     state.is_current = true;
     Install(folding, offset, id, origin.digest, origin.document);
     ++state.changes_since_checkpoint;
--- a/src/config/publish.cc
+++ b/src/config/publish.cc
@@ -67,7 +67,11 @@
 OriginRecord MakeOrigin(const FoldState& state,
                         const Document& to,
                         std::string publish_id) {
-  return {std::move(publish_id), state.position, DigestOf(to), to};
+  return {std::move(publish_id),
+          state.position,
+          DigestOf(to),
+          to,
+          {state.outcomes.begin(), state.outcomes.end()}};
 }
 
 bool CheckpointDue(const CheckpointRule& rule,
--- a/src/config/record.cc
+++ b/src/config/record.cc
@@ -1,22 +1,14 @@
-#include <array>
 #include <exception>
 #include <sstream>
 
-#include <xxhash.h>
-
 #include "base/text.h"
 #include "config/archive.h"
+#include "config/frame.h"
 #include "teaselspread/config_log.h"
 
 namespace teaselspread {
 namespace {
 
-// Frame: magic, format, kind, checksum of the body, body.
-constexpr std::string_view kMagic = "TSPR";
-constexpr std::uint8_t kFormat = 1;
-constexpr std::size_t kChecksumAt = 6;
-constexpr std::size_t kBodyAt = kChecksumAt + 8;
-
 enum class Kind : std::uint8_t { kChange, kCheckpoint, kOrigin, kOpaque };
 enum class Content : std::uint8_t { kDelta, kFull };
 
@@ -70,6 +62,21 @@
   LoadText(archive, outcome.message);
 }
 
+void SaveOutcomes(OutputArchive& archive,
+                  const std::vector<PublishOutcome>& outcomes) {
+  archive(static_cast<std::uint32_t>(outcomes.size()));
+  for (const PublishOutcome& outcome : outcomes)
+    SaveOutcome(archive, outcome);
+}
+
+void LoadOutcomes(InputArchive& archive,
+                  std::vector<PublishOutcome>& outcomes) {
+  std::uint32_t count = 0;
+  archive(count);
+  for (std::uint32_t i = 0; i < count; ++i)
+    LoadOutcome(archive, outcomes.emplace_back());
+}
+
 struct BodyWriter {
   OutputArchive& archive;
 
@@ -95,9 +102,7 @@
                   static_cast<std::int64_t>(
                       record.written_at.time_since_epoch().count()));
     SaveLeaves(this->archive, record.document.leaves);
-    this->archive(static_cast<std::uint32_t>(record.outcomes.size()));
-    for (const PublishOutcome& outcome : record.outcomes)
-      SaveOutcome(this->archive, outcome);
+    SaveOutcomes(this->archive, record.outcomes);
     return Kind::kCheckpoint;
   }
 
@@ -106,6 +111,7 @@
     this->archive(record.through);
     SaveDigest(this->archive, record.digest);
     SaveLeaves(this->archive, record.document.leaves);
+    SaveOutcomes(this->archive, record.outcomes);
     return Kind::kOrigin;
   }
 
@@ -142,10 +148,7 @@
   archive(record.through, written_at);
   record.written_at = TimePoint(Duration(written_at));
   LoadLeaves(archive, record.document.leaves);
-  std::uint32_t count = 0;
-  archive(count);
-  for (std::uint32_t i = 0; i < count; ++i)
-    LoadOutcome(archive, record.outcomes.emplace_back());
+  LoadOutcomes(archive, record.outcomes);
   return record;
 }
 
@@ -155,6 +158,7 @@
   archive(record.through);
   LoadDigest(archive, record.digest);
   LoadLeaves(archive, record.document.leaves);
+  LoadOutcomes(archive, record.outcomes);
   return record;
 }
 
@@ -180,15 +184,6 @@
   throw cereal::Exception("no such kind");
 }
 
-std::string ChecksumText(std::string_view head, std::string_view body) {
-  XXH64_hash_t hash = XXH3_64bits_withSeed(
-      body.data(), body.size(), XXH3_64bits(head.data(), head.size()));
-  std::string text;
-  for (std::size_t i = 0; i < sizeof(hash); ++i, hash >>= 8)
-    text += static_cast<char>(hash & 0xff);
-  return text;
-}
-
 }  // namespace
 
 std::string EncodeRecord(const LogRecord& record) {
@@ -199,32 +194,22 @@
     kind = std::visit(BodyWriter{archive}, record);
   }
   const std::string body = std::move(stream).str();
-  std::string bytes(kMagic);
-  bytes += static_cast<char>(kFormat);
-  bytes += static_cast<char>(kind);
-  bytes += ChecksumText(bytes, body);
-  bytes += body;
-  return bytes;
+  return EncodeFrame({kRecordFormat, static_cast<std::uint8_t>(kind), body});
 }
 
 Result<LogRecord> DecodeRecord(std::string_view bytes) {
-  if (bytes.size() < kBodyAt || !bytes.starts_with(kMagic))
-    return Fail(ErrorKind::kFrameMalformed, "no record of teaselspread");
-  const std::string_view body = bytes.substr(kBodyAt);
-  if (ChecksumText(bytes.substr(0, kChecksumAt), body) !=
-      bytes.substr(kChecksumAt, kBodyAt - kChecksumAt)) {
-    return Fail(ErrorKind::kFrameMalformed, "the record's checksum is wrong");
-  }
-  if (const auto format = static_cast<std::uint8_t>(bytes[kMagic.size()]);
-      format != kFormat) {
+  const auto frame = DecodeFrame(bytes);
+  if (!frame)
+    return tl::make_unexpected(frame.error());
+  if (frame->format != kRecordFormat) {
     return Fail(ErrorKind::kFrameVersion,
-                Concat("the record has format ", unsigned{format},
-                       ", this release reads ", unsigned{kFormat}));
+                Concat("the record has format ", unsigned{frame->format},
+                       ", this release reads ", unsigned{kRecordFormat}));
   }
   try {
-    std::istringstream stream{std::string(body)};
+    std::istringstream stream{std::string(frame->body)};
     InputArchive archive(stream);
-    return LoadBody(static_cast<Kind>(bytes[kMagic.size() + 1]), archive);
+    return LoadBody(static_cast<Kind>(frame->kind), archive);
   } catch (const std::exception& error) {
     return Fail(ErrorKind::kFrameMalformed, error.what());
   }
--- /dev/null
+++ b/tests/contract/config_fold_fault_test.cc
@@ -0,0 +1,202 @@
+#include <criterion/criterion.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "teaselspread/config_log.h"
+
+namespace teaselspread {
+namespace {
+
+Document DocumentWith(const std::string& version) {
+  Document document;
+  document.leaves = {{"base/data_centers", "bole"},
+                     {"base/deployment", "addis"},
+                     {"base/services/registry-desk/version", version}};
+  return document;
+}
+
+FoldResult Take(FoldState& state, const LogRecord& record) {
+  return Fold(state, state.position + 1, EncodeRecord(record));
+}
+
+// Versions 1 and 2 are accepted.
+FoldState AtVersionTwo() {
+  FoldState state;
+  Take(state, MakeChange(state, DocumentWith("v1"), "one"));
+  Take(state, MakeChange(state, DocumentWith("v2"), "two"));
+  return state;
+}
+
+struct FaultCase {
+  const char* name;
+  std::function<LogRecord(const FoldState&)> record;
+  FoldReason reason;
+};
+
+ChangeRecord Next(const FoldState& state, const std::string& id) {
+  return MakeChange(state, DocumentWith("v3"), id);
+}
+
+template <class Change>
+std::function<LogRecord(const FoldState&)> But(Change change) {
+  return [change](const FoldState& state) {
+    ChangeRecord record = Next(state, "three");
+    change(record);
+    return LogRecord(record);
+  };
+}
+
+const std::vector<FaultCase> kFaults = {
+    {"older parent", But([](auto& r) { r.parent = 1; }), FoldReason::kConflict},
+    {"no parent", But([](auto& r) { r.parent = 0; }), FoldReason::kConflict},
+    {"parent to come", But([](auto& r) { r.parent = 3; }),
+     FoldReason::kConflict},
+    {"other digest", But([](auto& r) { ++r.digest.high; }),
+     FoldReason::kDigestMismatch},
+    {"repeated", But([](auto& r) { r.publish_id = "one"; }),
+     FoldReason::kDuplicate},
+    {"no publish_id", But([](auto& r) { r.publish_id = ""; }),
+     FoldReason::kMalformed},
+    {"endless publish_id",
+     But([](auto& r) { r.publish_id = std::string(1000, 'x'); }),
+     FoldReason::kMalformed},
+    {"dangling route",
+     [](const FoldState& state) {
+       Document document = DocumentWith("v3");
+       document.leaves["base/routes/r/service"] = "ledger-desk";
+       document.leaves["base/routes/r/method"] = "GET";
+       document.leaves["base/routes/r/path_prefix"] = "/";
+       return MakeChange(state, document, "three");
+     },
+     FoldReason::kInvalid},
+    {"everything removed",
+     [](const FoldState& state) {
+       return MakeChange(state, Document(), "three");
+     },
+     FoldReason::kInvalid},
+    {"unknown root",
+     [](const FoldState& state) {
+       Document document = DocumentWith("v3");
+       document.leaves["elsewhere/x"] = "1";
+       return MakeChange(state, document, "three");
+     },
+     FoldReason::kInvalid},
+    {"raced origin",
+     [](const FoldState& state) {
+       OriginRecord origin = MakeOrigin(state, DocumentWith("v3"), "three");
+       --origin.through;
+       return origin;
+     },
+     FoldReason::kConflict},
+    {"checkpoint of the future",
+     [](const FoldState& state) {
+       CheckpointRecord checkpoint = MakeCheckpoint(state, TimePoint());
+       checkpoint.version = 9;
+       return checkpoint;
+     },
+     FoldReason::kCheckpointUnusable},
+    {"checkpoint with other content",
+     [](const FoldState& state) {
+       CheckpointRecord checkpoint = MakeCheckpoint(state, TimePoint());
+       ++checkpoint.digest.low;
+       return checkpoint;
+     },
+     FoldReason::kCheckpointUnusable},
+    {"opaque",
+     [](const FoldState&) {
+       return OpaqueRecord{"verdict", "done"};
+     },
+     FoldReason::kOpaque},
+};
+
+// A record arrives that must not take effect: an operator raced another, a file
+// was damaged on its way, a publish was sent twice. Taken in part, a proxy
+// would route to a service that it does not know.
+Test(config_fold_fault, a_refused_record_changes_nothing) {
+  for (const FaultCase& fault : kFaults) {
+    FoldState state = AtVersionTwo();
+    const FoldResult result = Take(state, fault.record(state));
+    cr_assert(result.reason == fault.reason, "%s: %s", fault.name,
+              std::string(NameOf(result.reason)).c_str());
+    cr_assert(!result.step.has_value(), "%s", fault.name);
+    cr_assert(state.head == 2 && state.head_publish_id == "two");
+    cr_assert(state.document == DocumentWith("v2"), "%s", fault.name);
+    cr_assert(state.is_current && state.position == 3, "%s", fault.name);
+    const auto counted =
+        state.counters.at(static_cast<std::size_t>(fault.reason));
+    cr_assert(counted == 1, "%s", fault.name);
+    // The next good change is accepted all the same.
+    cr_assert(Take(state, Next(state, "four")).reason == FoldReason::kAccepted);
+  }
+}
+
+Test(config_fold_fault, a_conflict_names_the_winner) {
+  FoldState state = AtVersionTwo();
+  ChangeRecord late = Next(state, "late");
+  late.parent = 1;
+  Take(state, late);
+  const PublishOutcome* outcome = FindOutcome(state, "late");
+  cr_assert(outcome->reason == FoldReason::kConflict);
+  cr_assert(outcome->head == 2 && outcome->head_publish_id == "two");
+  cr_assert(outcome->message.find("publish two") != std::string::npos);
+}
+
+// The answer to an append is lost and the operator repeats it, long after 256
+// others. The verdict is forgotten by then; a second effect would bring back an
+// old configuration.
+Test(config_fold_fault, a_forgotten_publish_has_no_second_effect) {
+  FoldState state;
+  const ChangeRecord first = MakeChange(state, DocumentWith("v0"), "first");
+  Take(state, first);
+  for (int i = 1; i <= 2 * static_cast<int>(kOutcomesKept); ++i) {
+    Take(state, MakeChange(state, DocumentWith("v" + std::to_string(i)),
+                           "publish-" + std::to_string(i)));
+  }
+  cr_assert(state.outcomes.size() == kOutcomesKept);
+  cr_assert(FindOutcome(state, "first") == nullptr);
+  const ConfigVersion head = state.head;
+  cr_assert(Take(state, first).reason == FoldReason::kConflict);
+  cr_assert(state.head == head);
+}
+
+// A reader is paused past the retention; a change that it never saw has
+// expired. Judging on from its old head it would hold another configuration
+// than all others, for good.
+Test(config_fold_fault, a_gap_keeps_the_head_and_waits_for_a_checkpoint) {
+  FoldState all = AtVersionTwo();
+  FoldState paused = all;
+  Take(all, Next(all, "three"));
+  SkipTo(paused, 4);
+  cr_assert(!paused.is_current && paused.head == 2);
+  const std::string fourth =
+      EncodeRecord(MakeChange(all, DocumentWith("v4"), "four"));
+  const std::string checkpoint = EncodeRecord(MakeCheckpoint(all, TimePoint()));
+  Fold(all, 4, fourth);
+  cr_assert(Fold(paused, 4, fourth).reason == FoldReason::kPending);
+  const FoldResult result = Fold(paused, 5, checkpoint);
+  cr_assert(result.reason == FoldReason::kCheckpointAdopted);
+  cr_assert(result.step->from == 2 && result.step->to == 4);
+  cr_assert(paused.document == all.document && paused.is_current);
+}
+
+// Every reader was away and the log has lost all that it held. The operator's
+// new beginning must count for those that remember and those that do not.
+Test(config_fold_fault, an_origin_begins_anew_above_every_older_version) {
+  FoldState remembers = AtVersionTwo();
+  FoldState fresh;
+  SkipTo(remembers, 50);
+  SkipTo(fresh, 50);
+  const std::string origin =
+      EncodeRecord(MakeOrigin(fresh, DocumentWith("v9"), "anew"));
+  for (FoldState* state : {&remembers, &fresh}) {
+    cr_assert(Fold(*state, 50, origin).reason == FoldReason::kAccepted);
+    cr_assert(state->is_current && state->head == 50);
+    cr_assert(state->document == DocumentWith("v9"));
+  }
+  cr_assert(remembers.outcomes == fresh.outcomes);
+}
+
+}  // namespace
+}  // namespace teaselspread
--- /dev/null
+++ b/tests/contract/config_history_test.cc
@@ -0,0 +1,351 @@
+// Histories of racing operators over one log, checked against the rules that
+// users rely on. Everything follows from the seed.
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "teaselspread/config_log.h"
+
+namespace teaselspread {
+namespace {
+
+constexpr std::uint64_t kSeeds = 600;
+constexpr int kSteps = 160;
+constexpr std::size_t kOperators = 4;
+constexpr std::size_t kReaders = 5;
+const CheckpointRule kRule = {std::chrono::seconds(60), std::chrono::seconds(2),
+                              16};
+
+struct Entry {
+  std::string bytes;
+  TimePoint at;
+};
+
+// The platform's log. Offsets count from 1; what is older than the retention
+// cannot be read any more.
+struct FakeLog {
+  std::vector<Entry> entries;
+  LogOffset first = 1;
+
+  void Append(std::string bytes, TimePoint now) {
+    this->entries.push_back({std::move(bytes), now});
+  }
+
+  void Expire(TimePoint now) {
+    while (this->first <= this->entries.size() &&
+           now - this->entries[this->first - 1].at > kRule.retention) {
+      ++this->first;
+    }
+  }
+};
+
+struct Reader {
+  FoldState state;
+  CheckpointTimer timer;
+  // A reader that is asleep reads nothing.
+  bool is_asleep = false;
+};
+
+// A publish of which no answer came.
+struct Publisher {
+  Reader reader;
+  std::string bytes;
+  std::string publish_id;
+};
+
+struct World {
+  explicit World(std::uint64_t seed) : seed(seed), rng(seed) {}
+
+  std::uint64_t seed;
+  Rng rng;
+  TimePoint now;
+  FakeLog log;
+  // Folds each record at once and misses nothing.
+  FoldState oracle;
+  // The parent of each accepted change, and of each one its oracle's verdict.
+  std::map<ConfigVersion, std::string> winner_of_parent;
+  std::vector<Reader> readers = std::vector<Reader>(kReaders);
+  std::vector<Publisher> publishers = std::vector<Publisher>(kOperators);
+  // On their way to the log, still.
+  std::vector<std::string> in_flight;
+  int publishes = 0;
+};
+
+bool Chance(World& world, int percent) {
+  return world.rng() % 100 < static_cast<std::uint64_t>(percent);
+}
+
+Document BaseDocument() {
+  Document document;
+  document.leaves = {{"base/data_centers", "bole,piassa"},
+                     {"base/deployment", "addis"}};
+  return document;
+}
+
+// Adds, changes or removes a service or a route; the result may be invalid.
+Document Edited(World& world, Document document) {
+  if (document.leaves.empty())
+    document = BaseDocument();
+  const std::string number = std::to_string(world.rng() % 4);
+  const std::string scope = Chance(world, 30) ? "overlay/bole/" : "base/";
+  const std::string service = scope + "services/s" + number;
+  const std::string route = scope + "routes/r" + number;
+  switch (world.rng() % 4) {
+    case 0:
+      document.leaves[service + "/version"] = "v1";
+      document.leaves[service + "/queue_limit"] =
+          std::to_string(world.rng() % 100);
+      break;
+    case 1:
+      document.leaves.erase(service + "/version");
+      document.leaves.erase(service + "/queue_limit");
+      break;
+    case 2:
+      document.leaves[route + "/service"] =
+          "s" + std::to_string(world.rng() % 4);
+      document.leaves[route + "/method"] = "GET";
+      document.leaves[route + "/path_prefix"] = "/" + number;
+      break;
+    default:
+      for (const char* field : {"/service", "/method", "/path_prefix"})
+        document.leaves.erase(route + field);
+  }
+  return document;
+}
+
+void CheckNothingDangles(const World& world, const FoldState& state) {
+  for (const std::string& name : DataCentersOf(state.document)) {
+    const auto snapshot = Render(state.document, name, state.head);
+    cr_assert(snapshot.has_value(), "seed %lu", world.seed);
+    for (const RouteConfig& route : (*snapshot)->routes)
+      cr_assert((*snapshot)->services.contains(route.service));
+  }
+}
+
+void FoldChecked(World& world, FoldState& state, LogOffset offset) {
+  const ConfigVersion before = state.head;
+  const Document document = state.document;
+  const FoldResult result =
+      Fold(state, offset, world.log.entries[offset - 1].bytes);
+  cr_assert(state.head >= before, "seed %lu", world.seed);
+  cr_assert(result.step.has_value() == (state.head > before));
+  if (!result.step) {
+    cr_assert(state.document == document, "seed %lu", world.seed);
+    return;
+  }
+  cr_assert(result.step->from == before && result.step->to == state.head);
+  cr_assert(ApplyDelta(document, result.step->delta) == state.document);
+}
+
+void CheckAccepted(World& world, const std::string& bytes) {
+  const auto record = DecodeRecord(bytes);
+  const auto* change = std::get_if<ChangeRecord>(&*record);
+  if (change == nullptr)
+    return;
+  const auto [winner, is_first] =
+      world.winner_of_parent.try_emplace(change->parent, change->publish_id);
+  cr_assert(is_first, "seed %lu: two changes of parent %lu", world.seed,
+            change->parent);
+}
+
+void Append(World& world, const std::string& bytes) {
+  world.log.Append(bytes, world.now);
+  const LogOffset offset = world.log.entries.size();
+  const ConfigVersion before = world.oracle.head;
+  FoldChecked(world, world.oracle, offset);
+  if (world.oracle.head == before)
+    return;
+  cr_assert(world.oracle.head == offset);
+  CheckAccepted(world, bytes);
+  CheckNothingDangles(world, world.oracle);
+}
+
+void Read(World& world, Reader& reader, std::size_t most) {
+  SkipTo(reader.state, world.log.first);
+  const LogOffset last = world.log.entries.size();
+  while (most-- > 0 && reader.state.position < last)
+    FoldChecked(world, reader.state, reader.state.position + 1);
+}
+
+void WriteCheckpointIfDue(World& world, Reader& reader) {
+  if (!CheckpointDue(kRule, reader.state, reader.timer, world.now, world.rng))
+    return;
+  if (Chance(world, 80)) {
+    world.in_flight.push_back(
+        EncodeRecord(MakeCheckpoint(reader.state, world.now)));
+  }
+}
+
+bool IsOrigin(const World& world, LogOffset offset) {
+  const auto record = DecodeRecord(world.log.entries[offset - 1].bytes);
+  return record && std::holds_alternative<OriginRecord>(*record);
+}
+
+// A verdict that the operator sees is the one that all see. Only a new
+// beginning, whose publisher did not know it, may make all forget it.
+void CheckVerdict(World& world, Publisher& publisher) {
+  const PublishOutcome* seen =
+      FindOutcome(publisher.reader.state, publisher.publish_id);
+  if (seen == nullptr)
+    return;
+  const PublishOutcome* truth = FindOutcome(world.oracle, publisher.publish_id);
+  if (truth != nullptr && *seen != *truth) {
+    bool has_origin = false;
+    for (LogOffset at = seen->offset + 1; at < truth->offset; ++at)
+      has_origin = has_origin || IsOrigin(world, at);
+    cr_assert(has_origin, "seed %lu", world.seed);
+  }
+  if (seen->reason == FoldReason::kConflict && seen->head != 0) {
+    cr_assert(!seen->head_publish_id.empty());
+    cr_assert(seen->head_publish_id != publisher.publish_id);
+  }
+  publisher.bytes.clear();
+}
+
+std::string RecordOf(World& world, Publisher& publisher) {
+  const FoldState& state = publisher.reader.state;
+  const Document to = Edited(world, state.document);
+  const std::string& id = publisher.publish_id;
+  if (Chance(world, state.is_current ? 2 : 20))
+    return EncodeRecord(MakeOrigin(state, to, id));
+  ChangeRecord change = MakeChange(state, to, id);
+  if (Chance(world, 5))
+    ++change.digest.low;
+  return EncodeRecord(change);
+}
+
+// The request may be lost, the answer may be lost, or both arrive. Without an
+// answer the operator sends the same record again.
+void Publish(World& world, Publisher& publisher) {
+  if (publisher.bytes.empty()) {
+    publisher.publish_id = "publish-" + std::to_string(++world.publishes);
+    publisher.bytes = RecordOf(world, publisher);
+  }
+  if (Chance(world, 80))
+    world.in_flight.push_back(publisher.bytes);
+}
+
+void DeliverSome(World& world) {
+  std::shuffle(world.in_flight.begin(), world.in_flight.end(), world.rng);
+  while (!world.in_flight.empty() && Chance(world, 60)) {
+    Append(world, world.in_flight.back());
+    world.in_flight.pop_back();
+  }
+  if (Chance(world, 10))
+    Append(world, EncodeRecord(OpaqueRecord{"verdict", "bytes"}));
+  if (Chance(world, 5))
+    Append(world, "no record at all");
+}
+
+void DisturbReaders(World& world) {
+  for (Reader& reader : world.readers) {
+    if (Chance(world, 2))
+      reader = Reader();
+    if (Chance(world, 4))
+      reader.is_asleep = !reader.is_asleep;
+  }
+}
+
+void Step(World& world) {
+  world.now += Duration(world.rng() % 2'000'000);
+  world.log.Expire(world.now);
+  DisturbReaders(world);
+  for (Publisher& publisher : world.publishers) {
+    Read(world, publisher.reader, world.rng() % 4);
+    CheckVerdict(world, publisher);
+    if (Chance(world, 25))
+      Publish(world, publisher);
+  }
+  for (Reader& reader : world.readers) {
+    if (reader.is_asleep)
+      continue;
+    Read(world, reader, world.rng() % 8);
+    WriteCheckpointIfDue(world, reader);
+  }
+  DeliverSome(world);
+}
+
+void CheckSame(const World& world, const FoldState& state) {
+  const FoldState& truth = world.oracle;
+  cr_assert(state.position == truth.position, "seed %lu", world.seed);
+  cr_assert(state.head == truth.head, "seed %lu: %lu, not %lu", world.seed,
+            state.head, truth.head);
+  cr_assert(state.head_publish_id == truth.head_publish_id);
+  cr_assert(state.digest == truth.digest, "seed %lu", world.seed);
+  cr_assert(state.document == truth.document, "seed %lu", world.seed);
+  cr_assert(state.outcomes == truth.outcomes, "seed %lu", world.seed);
+}
+
+// A reader that starts at any place still in the log either knows that it
+// cannot judge, or stands where all others stand.
+void CheckSomeStarts(World& world) {
+  const LogOffset last = world.log.entries.size();
+  for (LogOffset first = world.log.first; first <= last;
+       first += 1 + world.rng() % 16) {
+    Reader reader;
+    SkipTo(reader.state, first);
+    Read(world, reader, world.log.entries.size());
+    if (reader.state.is_current)
+      CheckSame(world, reader.state);
+  }
+}
+
+// After the faults a reader that has everything goes on reading and writing
+// checkpoints, and a fresh one must find its way.
+void CheckRecovery(World& world) {
+  world.in_flight.clear();
+  Reader steady;
+  steady.state = world.oracle;
+  for (int i = 0; i < 60; ++i) {
+    world.now += std::chrono::seconds(2);
+    world.log.Expire(world.now);
+    Read(world, steady, world.log.entries.size());
+    if (CheckpointDue(kRule, steady.state, steady.timer, world.now, world.rng))
+      Append(world, EncodeRecord(MakeCheckpoint(steady.state, world.now)));
+  }
+  for (Reader& reader : world.readers) {
+    Read(world, reader, world.log.entries.size());
+    cr_assert(reader.state.is_current, "seed %lu", world.seed);
+    CheckSame(world, reader.state);
+  }
+  Reader fresh;
+  Read(world, fresh, world.log.entries.size());
+  cr_assert(fresh.state.is_current, "seed %lu", world.seed);
+  CheckSame(world, fresh.state);
+}
+
+// Operators publish at the same moment, answers get lost and are repeated,
+// appends arrive crossed, processes start anew or sleep past the log's
+// retention. A user would see two data centres with different configurations
+// for good, a version that goes back, or a publish whose fate nobody knows.
+Test(config_history, racing_operators_leave_one_truth) {
+  std::uint64_t accepted = 0;
+  std::uint64_t conflicts = 0;
+  std::uint64_t late = 0;
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    World world(seed);
+    for (int step = 0; step < kSteps; ++step)
+      Step(world);
+    CheckSomeStarts(world);
+    if (world.oracle.head != 0)
+      CheckRecovery(world);
+    const auto& counters = world.oracle.counters;
+    accepted += counters[static_cast<std::size_t>(FoldReason::kAccepted)];
+    conflicts += counters[static_cast<std::size_t>(FoldReason::kConflict)];
+    for (const Reader& reader : world.readers) {
+      late += reader.state.counters[static_cast<std::size_t>(
+          FoldReason::kCheckpointAdopted)];
+    }
+  }
+  // The histories were worth checking.
+  cr_assert(accepted > 10 * kSeeds && conflicts > 10 * kSeeds && late > kSeeds,
+            "%lu accepted, %lu conflicts, %lu adopted", accepted, conflicts,
+            late);
+}
+
+}  // namespace
+}  // namespace teaselspread
--- /dev/null
+++ b/tests/unit/checkpoint_rule_test.cc
@@ -0,0 +1,114 @@
+#include <criterion/criterion.h>
+
+#include "teaselspread/config_log.h"
+
+namespace teaselspread {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::seconds;
+
+const CheckpointRule kRule = {hours(24), seconds(5), 64};
+const TimePoint kStart = TimePoint(hours(1000000));
+
+FoldState WithCheckpoint(TimePoint written_at) {
+  FoldState state;
+  state.head = 7;
+  state.checkpoint_offset = 8;
+  state.checkpoint_written_at = written_at;
+  return state;
+}
+
+bool DueWithin(const FoldState& state,
+               CheckpointTimer& timer,
+               TimePoint from,
+               Duration time) {
+  Rng rng(1);
+  for (TimePoint now = from; now <= from + time; now += seconds(1)) {
+    if (CheckpointDue(kRule, state, timer, now, rng))
+      return true;
+  }
+  return false;
+}
+
+bool DueWithin(const FoldState& state, TimePoint from, Duration time) {
+  CheckpointTimer timer;
+  return DueWithin(state, timer, from, time);
+}
+
+Test(checkpoint_rule, an_old_checkpoint_is_followed_by_another) {
+  const FoldState state = WithCheckpoint(kStart);
+  cr_assert(!DueWithin(state, kStart, hours(8)));
+  cr_assert(DueWithin(state, kStart + hours(8), seconds(10)));
+}
+
+Test(checkpoint_rule, many_changes_make_one_due) {
+  FoldState state = WithCheckpoint(kStart);
+  state.changes_since_checkpoint = kRule.changes;
+  cr_assert(DueWithin(state, kStart, seconds(6)));
+}
+
+// All nodes are replaced while the only change in the log is about to expire.
+// Had the new ones to wait a third of the retention first, it would be gone.
+Test(checkpoint_rule, the_first_checkpoint_does_not_wait) {
+  FoldState state;
+  state.head = 7;
+  cr_assert(DueWithin(state, kStart, seconds(6)));
+}
+
+Test(checkpoint_rule, nobody_writes_without_knowing_the_head) {
+  FoldState state = WithCheckpoint(kStart);
+  state.is_current = false;
+  cr_assert(!DueWithin(state, kStart + hours(20), seconds(20)));
+  cr_assert(!DueWithin(FoldState(), kStart, seconds(20)));
+}
+
+// A writer's clock runs a day ahead. Its checkpoint would look young until the
+// log has dropped it, and late readers would find nothing to start from.
+Test(checkpoint_rule, a_clock_that_runs_ahead_holds_nothing_back) {
+  const FoldState state = WithCheckpoint(kStart + hours(24));
+  CheckpointTimer timer;
+  cr_assert(!DueWithin(state, timer, kStart, hours(2)));
+  cr_assert(DueWithin(state, timer, kStart + hours(2), seconds(10)));
+}
+
+// Many readers see the same checkpoint grow old at the same moment. Writing all
+// at once they would flood a log that takes several hundred appends a second.
+Test(checkpoint_rule, one_of_many_writers_spares_the_others) {
+  FoldState state = WithCheckpoint(kStart);
+  constexpr int kWriters = 40;
+  std::vector<CheckpointTimer> timers(kWriters);
+  Rng rng(5);
+  int written = 0;
+  TimePoint seen_at = TimePoint::max();
+  const TimePoint from = kStart + hours(8);
+  for (TimePoint now = from; now < from + seconds(30);
+       now += std::chrono::milliseconds(50)) {
+    if (now >= seen_at)
+      state.checkpoint_written_at = from, state.checkpoint_offset = 99;
+    for (CheckpointTimer& timer : timers) {
+      if (!CheckpointDue(kRule, state, timer, now, rng))
+        continue;
+      ++written;
+      // Readers see it after 100 ms.
+      seen_at = std::min(seen_at, now + std::chrono::milliseconds(100));
+    }
+  }
+  cr_assert(written >= 1 && written <= 4, "%d", written);
+}
+
+// The log fails for a while. A reader that tried without a pause would be in
+// the way of its recovery; one that gave up would let the retention pass.
+Test(checkpoint_rule, a_lost_append_is_tried_again_at_a_bounded_pace) {
+  const FoldState state = WithCheckpoint(kStart);
+  CheckpointTimer timer;
+  Rng rng(2);
+  int written = 0;
+  const TimePoint from = kStart + hours(9);
+  for (TimePoint now = from; now < from + seconds(100); now += seconds(1))
+    written += CheckpointDue(kRule, state, timer, now, rng) ? 1 : 0;
+  cr_assert(written >= 8 && written <= 20, "%d", written);
+}
+
+}  // namespace
+}  // namespace teaselspread
