--- a/src/commands/commands.cc
+++ b/src/commands/commands.cc
@@ -12,7 +12,7 @@
   Handler handler;
 };
 
-const std::vector<Command>& Table() {
+const std::vector<Command>& AllCommands() {
   static const std::vector<Command> table = {
       {{"validate", "check the files of every data centre"}, Validate},
       {{"render", "print the merged configuration of one data centre"},
@@ -33,7 +33,7 @@
 const std::vector<CommandRow>& Commands() {
   static const std::vector<CommandRow> rows = [] {
     std::vector<CommandRow> all;
-    for (const Command& command : Table())
+    for (const Command& command : AllCommands())
       all.push_back(command.row);
     return all;
   }();
@@ -45,7 +45,7 @@
                     std::ostream& out,
                     std::ostream& err) {
   const CommandStreams streams{out, err};
-  for (const Command& command : Table()) {
+  for (const Command& command : AllCommands()) {
     if (command.row.name == name)
       return command.handler(options, streams);
   }
