Claims: at most once through holders that the log agrees on

The proposal's triple by rendezvous hash depends on each node's own view of the members: two gatekeepers with different views can each find two of three, and run a key twice. A new epoch votes only when the old one cannot decide any more, and takes the old holders' records over; where they are lost, keys that may be older than the loss are not vouched for.

A node that was paused now begins no attempt for a while, and records outlive a key's repeats by a whole key life.

--- a/include/teaselspread/admission.h
+++ b/include/teaselspread/admission.h
@@ -13,9 +13,9 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
-#include <absl/container/flat_hash_map.h>
 #include <boost/intrusive/set.hpp>
 
 #include "teaselspread/counters.h"
@@ -99,7 +99,7 @@
 struct Gatekeeper {
   GatekeeperSettings settings;
   // Declared before the queue, which must be unlinked first.
-  absl::flat_hash_map<std::uint64_t, std::unique_ptr<Held>> held;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Held>> held;
   boost::intrusive::set<Held, boost::intrusive::compare<RunsBefore>> queue;
   boost::intrusive::set<Held, boost::intrusive::compare<RunsBefore>> suspects;
   std::map<std::string, ServiceTime, std::less<>> service_times;
--- /dev/null
+++ b/include/teaselspread/claim_messages.h
@@ -0,0 +1,268 @@
+// Keys, epochs, records and messages of at-most-once execution.
+#ifndef TEASELSPREAD_CLAIM_MESSAGES_H_
+#define TEASELSPREAD_CLAIM_MESSAGES_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <cereal/types/chrono.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include "teaselspread/error.h"
+#include "teaselspread/types.h"
+
+namespace teaselspread {
+
+// What the caller sent as Idempotency-Key. A UUID of version 7 says when it was
+// issued; for any other text that is not known.
+struct ClaimKey {
+  std::string text;
+  bool has_issue_time = false;
+  TimePoint issued;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->text, this->has_issue_time, this->issued);
+  }
+};
+
+// Reads the header's value: 1 to 128 printable characters without spaces, else
+// kKeyMissing (empty) or kBadRequest. Thread safe.
+[[nodiscard]] Result<ClaimKey> ParseClaimKey(std::string_view header);
+
+// 128-bit digest of a request's method, path and body (XXH3). It tells honest
+// mistakes apart; it is no defence against a forger.
+struct RequestDigest {
+  std::uint64_t high = 0;
+  std::uint64_t low = 0;
+
+  bool operator==(const RequestDigest&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->high, this->low);
+  }
+};
+
+// Thread safe.
+[[nodiscard]] RequestDigest DigestOf(std::string_view method,
+                                     std::string_view path,
+                                     std::string_view body);
+
+// One process that keeps claims. A restarted one has another boot id.
+struct Holder {
+  std::string id;
+  std::string data_center;
+  // Drawn at random when the process starts.
+  std::uint64_t boot_id = 0;
+  Address control;
+
+  bool operator==(const Holder&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->id, this->data_center, this->boot_id, this->control);
+  }
+};
+
+// Whether both name one run of one process. Thread safe.
+[[nodiscard]] inline bool SameProcess(const Holder& a, const Holder& b) {
+  return a.id == b.id && a.boot_id == b.boot_id;
+}
+
+// Who keeps claims, as agreed through the platform's log. `previous` repeats
+// the holders of epoch number - 1, who have to be closed first.
+struct ClaimEpoch {
+  std::uint64_t number = 0;
+  std::vector<Holder> holders;
+  std::vector<Holder> previous;
+
+  bool operator==(const ClaimEpoch&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->number, this->holders, this->previous);
+  }
+};
+
+// Votes that decide among `holders`. Thread safe.
+[[nodiscard]] inline std::size_t QuorumOf(const std::vector<Holder>& holders) {
+  return holders.size() / 2 + 1;
+}
+
+// The log's record about epochs. A checkpoint repeats the one in force, so that
+// retention does not lose it.
+struct EpochRecord {
+  bool checkpoint = false;
+  ClaimEpoch epoch;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->checkpoint, this->epoch);
+  }
+};
+
+// One try of one gatekeeper to claim one key. Never used twice.
+struct AttemptId {
+  std::string node;
+  std::uint64_t boot_id = 0;
+  std::uint64_t sequence = 0;
+
+  bool operator==(const AttemptId&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->node, this->boot_id, this->sequence);
+  }
+};
+
+// The answer that the upstream gave. A body above the limit is not kept.
+struct ClaimOutcome {
+  int status = 0;
+  std::string content_type;
+  std::string body;
+  bool body_kept = true;
+
+  bool operator==(const ClaimOutcome&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->status, this->content_type, this->body, this->body_kept);
+  }
+};
+
+// kBlocked: two attempts were seen and nobody knows which of them ran.
+enum class ClaimState : std::uint8_t { kClaimed, kReleased, kDone, kBlocked };
+
+// What a holder keeps of one key.
+struct ClaimRecord {
+  RequestDigest digest;
+  AttemptId attempt;
+  // Epoch in which this holder itself granted it.
+  std::uint64_t epoch = 0;
+  ClaimState state = ClaimState::kClaimed;
+  TimePoint touched;
+  ClaimOutcome outcome;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->digest, this->attempt, this->epoch, this->state,
+            this->touched, this->outcome);
+  }
+};
+
+// Gatekeeper to holder: may this attempt run?
+struct ClaimAsk {
+  std::uint64_t epoch = 0;
+  AttemptId attempt;
+  ClaimKey key;
+  RequestDigest digest;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->epoch, this->attempt, this->key, this->digest);
+  }
+};
+
+enum class VoteKind : std::uint8_t {
+  kGrant,
+  kHeld,
+  kDone,
+  kMismatch,
+  kAbstain,
+};
+
+// "grant", "held", "done", "mismatch" or "abstain". Thread safe.
+[[nodiscard]] std::string_view NameOf(VoteKind kind);
+
+// Holder to gatekeeper.
+struct ClaimVote {
+  AttemptId attempt;
+  std::string holder;
+  VoteKind kind = VoteKind::kAbstain;
+  // For kHeld: the attempt that holds it may still be running.
+  bool recent = false;
+  // For kDone.
+  ClaimOutcome outcome;
+  // Newest epoch that the holder knows.
+  std::uint64_t newest_epoch = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->attempt, this->holder, this->kind, this->recent,
+            this->outcome, this->newest_epoch);
+  }
+};
+
+// Gatekeeper to holder: this attempt will never run.
+struct ClaimRelease {
+  std::string key;
+  AttemptId attempt;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->key, this->attempt);
+  }
+};
+
+// Gatekeeper to holder: it ran, and this was the answer.
+struct ClaimDone {
+  std::string key;
+  AttemptId attempt;
+  RequestDigest digest;
+  ClaimOutcome outcome;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->key, this->attempt, this->digest, this->outcome);
+  }
+};
+
+// New holder to a holder of the epoch before: vote no more in it, and hand over
+// what you have.
+struct SealAsk {
+  ClaimEpoch epoch;
+  Holder from;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->epoch, this->from);
+  }
+};
+
+// kState: sealed, with its records. kNeverVoted: it never got to vote in that
+// epoch and never will. kReplaced: the process that was asked for is gone.
+enum class SealKind : std::uint8_t { kState, kNeverVoted, kReplaced };
+
+struct KeyedRecord {
+  std::string key;
+  ClaimRecord record;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->key, this->record);
+  }
+};
+
+// Answer to SealAsk. Large: send it over TCP.
+struct SealAnswer {
+  std::uint64_t epoch = 0;
+  std::string holder;
+  SealKind kind = SealKind::kReplaced;
+  TimePoint complete_since;
+  std::vector<KeyedRecord> records;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->epoch, this->holder, this->kind, this->complete_since,
+            this->records);
+  }
+};
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_CLAIM_MESSAGES_H_
--- a/include/teaselspread/suspects.h
+++ b/include/teaselspread/suspects.h
@@ -8,10 +8,9 @@
 #include <cstdint>
 #include <span>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
-#include <absl/container/flat_hash_map.h>
-
 #include "teaselspread/types.h"
 
 namespace teaselspread {
@@ -63,7 +62,7 @@
   // Hash of this node's id and incarnation.
   std::uint64_t origin = 0;
   // At most one row for each origin.
-  absl::flat_hash_map<Fingerprint, std::vector<SuspectRow>> rows;
+  std::unordered_map<Fingerprint, std::vector<SuspectRow>> rows;
 };
 
 // What to do with a request. Not thread safe.
--- /dev/null
+++ b/src/claims/attempt.cc
@@ -0,0 +1,147 @@
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "teaselspread/claims.h"
+
+namespace teaselspread {
+namespace {
+
+constexpr std::array<std::string_view, 7> kVerdictNames = {
+    "pending", "granted",  "in-progress", "unknown",
+    "done",    "mismatch", "unproven"};
+
+std::size_t CountVotes(const ClaimAttempt& attempt, VoteKind kind) {
+  return static_cast<std::size_t>(std::count_if(
+      attempt.votes.begin(), attempt.votes.end(),
+      [kind](const auto& entry) { return entry.second.kind == kind; }));
+}
+
+bool IsHolderOf(const ClaimEpoch& epoch, const std::string& id) {
+  return std::any_of(epoch.holders.begin(), epoch.holders.end(),
+                     [&id](const Holder& holder) { return holder.id == id; });
+}
+
+bool AnyRecent(const ClaimAttempt& attempt) {
+  return std::any_of(attempt.votes.begin(), attempt.votes.end(),
+                     [](const auto& entry) { return entry.second.recent; });
+}
+
+// A request that waited in a socket through a pause can be older than the
+// records of its key; it would then run a second time.
+bool WasPaused(const ClaimKeeper& keeper, TimePoint now) {
+  return now - keeper.last_tick > keeper.settings.longest_gap ||
+         now < keeper.distrust_until;
+}
+
+// Without a majority the key is held by another attempt, or not enough holders
+// could tell.
+ClaimVerdict WithoutMajority(const ClaimAttempt& attempt) {
+  if (CountVotes(attempt, VoteKind::kHeld) == 0)
+    return ClaimVerdict::kUnproven;
+  return AnyRecent(attempt) ? ClaimVerdict::kInProgress
+                            : ClaimVerdict::kUnknown;
+}
+
+ClaimVerdict Judge(const ClaimAttempt& attempt) {
+  const std::size_t holders = attempt.epoch.holders.size();
+  const std::size_t quorum = QuorumOf(attempt.epoch.holders);
+  const std::size_t grants = CountVotes(attempt, VoteKind::kGrant);
+  if (CountVotes(attempt, VoteKind::kDone) > 0)
+    return ClaimVerdict::kDone;
+  if (CountVotes(attempt, VoteKind::kMismatch) > 0)
+    return ClaimVerdict::kMismatch;
+  if (grants >= quorum)
+    return ClaimVerdict::kGranted;
+  const std::size_t pending = holders - attempt.votes.size();
+  if (grants + pending >= quorum)
+    return ClaimVerdict::kPending;
+  return WithoutMajority(attempt);
+}
+
+}  // namespace
+
+std::string_view NameOf(ClaimVerdict verdict) {
+  return kVerdictNames.at(static_cast<std::size_t>(verdict));
+}
+
+ErrorKind ErrorOf(ClaimVerdict verdict) {
+  switch (verdict) {
+    case ClaimVerdict::kInProgress:
+      return ErrorKind::kInProgress;
+    case ClaimVerdict::kMismatch:
+      return ErrorKind::kKeyMismatch;
+    case ClaimVerdict::kUnknown:
+    case ClaimVerdict::kUnproven:
+      return ErrorKind::kOutcomeUnknown;
+    default:
+      return ErrorKind::kInternal;
+  }
+}
+
+ClaimAttempt BeginClaim(const ClaimKeeper& keeper,
+                        const AttemptId& id,
+                        const ClaimKey& key,
+                        const RequestDigest& digest,
+                        TimePoint now) {
+  ClaimAttempt attempt;
+  attempt.id = id;
+  attempt.key = key;
+  attempt.digest = digest;
+  attempt.epoch = keeper.epoch;
+  attempt.window = keeper.settings.claim_window;
+  attempt.asked = now;
+  if (keeper.epoch.holders.empty() || WasPaused(keeper, now))
+    attempt.verdict = ClaimVerdict::kUnproven;
+  return attempt;
+}
+
+ClaimAsk AskOf(const ClaimAttempt& attempt) {
+  return {attempt.epoch.number, attempt.id, attempt.key, attempt.digest};
+}
+
+ClaimVerdict TakeVote(ClaimAttempt& attempt,
+                      const ClaimVote& vote,
+                      TimePoint now) {
+  if (vote.newest_epoch > attempt.epoch.number)
+    attempt.epoch_is_old = true;
+  if (attempt.verdict != ClaimVerdict::kPending || vote.attempt != attempt.id ||
+      !IsHolderOf(attempt.epoch, vote.holder))
+    return attempt.verdict;
+  // An ask that lay about for long may have been granted after the record of
+  // an earlier run had expired.
+  if (now - attempt.asked > attempt.window)
+    return GiveUpClaim(attempt);
+  attempt.votes.emplace(vote.holder, vote);
+  attempt.verdict = Judge(attempt);
+  if (attempt.verdict == ClaimVerdict::kDone)
+    attempt.outcome = vote.outcome;
+  return attempt.verdict;
+}
+
+ClaimVerdict GiveUpClaim(ClaimAttempt& attempt) {
+  if (attempt.verdict == ClaimVerdict::kPending)
+    attempt.verdict = WithoutMajority(attempt);
+  return attempt.verdict;
+}
+
+bool MayRun(const ClaimAttempt& attempt, TimePoint now) {
+  return attempt.verdict == ClaimVerdict::kGranted &&
+         now - attempt.asked <= attempt.window;
+}
+
+ClaimRelease ReleaseOf(const ClaimAttempt& attempt) {
+  return {attempt.key.text, attempt.id};
+}
+
+ClaimDone DoneOf(const ClaimSettings& settings,
+                 const ClaimAttempt& attempt,
+                 ClaimOutcome outcome) {
+  if (outcome.body.size() > settings.kept_body_bytes) {
+    outcome.body.clear();
+    outcome.body_kept = false;
+  }
+  return {attempt.key.text, attempt.id, attempt.digest, std::move(outcome)};
+}
+
+}  // namespace teaselspread
--- a/src/suspects/suspects.cc
+++ b/src/suspects/suspects.cc
@@ -112,8 +112,8 @@
     std::erase_if(rows,
                   [now](const SuspectRow& row) { return row.expires <= now; });
   }
-  absl::erase_if(table.rows,
-                 [](const auto& entry) { return entry.second.empty(); });
+  std::erase_if(table.rows,
+                [](const auto& entry) { return entry.second.empty(); });
 }
 
 }  // namespace teaselspread
--- /dev/null
+++ b/tests/claims/world.h
@@ -0,0 +1,455 @@
+// A few nodes, their callers and the log on a virtual clock. Every message is
+// its own event: it can be lost, repeated, late, crossed or cut off.
+#ifndef TEASELSPREAD_TESTS_CLAIMS_WORLD_H_
+#define TEASELSPREAD_TESTS_CLAIMS_WORLD_H_
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <queue>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "teaselspread/claims.h"
+
+namespace teaselspread::world {
+
+using Ms = std::chrono::milliseconds;
+
+struct Faults {
+  bool on = true;
+  double loss = 0.03;
+  double repeat = 0.03;
+  double late = 0.02;
+  // Share of looks at another node that take it for dead.
+  double misjudged = 0.01;
+};
+
+// Few or many losses, late messages and wrong views, by the seed.
+inline Faults FaultsOf(std::uint64_t seed) {
+  Faults faults;
+  faults.loss = std::array{0.02, 0.1, 0.3}.at(seed % 3);
+  faults.late = std::array{0.01, 0.1}.at(seed / 3 % 2);
+  faults.misjudged = std::array{0.0, 0.005, 0.05}.at(seed / 6 % 3);
+  return faults;
+}
+
+struct Node {
+  ClaimKeeper keeper;
+  EpochLog log;
+  std::size_t read = 0;
+  bool alive = true;
+  int side = 0;
+  Duration skew{};
+  TimePoint paused_until;
+  std::uint64_t next_sequence = 1;
+  std::map<std::uint64_t, ClaimAttempt> attempts;
+};
+
+struct Counts {
+  int asked = 0;
+  int executed = 0;
+  int most_of_one_key = 0;
+  int false_not_run = 0;
+  int done = 0;
+  int in_progress = 0;
+  int unknown = 0;
+  int unproven = 0;
+  int mismatch = 0;
+  int not_run = 0;
+  int epochs = 0;
+};
+
+using Message = std::
+    variant<ClaimAsk, ClaimVote, ClaimRelease, ClaimDone, SealAsk, SealAnswer>;
+
+class World {
+ public:
+  World(std::uint64_t seed, Faults faults, int nodes);
+  Counts Run(int keys, Duration length);
+
+ private:
+  using Action = std::function<void()>;
+
+  struct Event {
+    TimePoint at;
+    std::uint64_t order;
+    Action action;
+    bool operator<(const Event& other) const {
+      return std::tie(this->at, this->order) > std::tie(other.at, other.order);
+    }
+  };
+
+  bool Chance(double share) {
+    return static_cast<double>(this->rng() % 1000000) < share * 1e6;
+  }
+  Duration Upto(Duration most) {
+    return Duration(this->rng() % static_cast<std::uint64_t>(most.count()));
+  }
+  [[nodiscard]] TimePoint LocalTime(const Node& node) const {
+    return this->now + node.skew;
+  }
+
+  void At(TimePoint at, Action action);
+  void AtNode(std::size_t index, Duration after, const Action& action);
+  void Send(std::size_t from, const Holder& to, const Message& message);
+  void Deliver(std::size_t from,
+               std::size_t to,
+               const Holder& meant,
+               const Message& message);
+  void Ask(std::size_t node, const SealAsks& asks);
+  void Tick(std::size_t index);
+  void ReadLog(Node& node, std::size_t index);
+  void Propose(Node& node);
+  void Boot(std::size_t index);
+  void Kill(std::size_t index);
+  void Strike();
+  void CallerSends(const ClaimKey& key, const RequestDigest& digest);
+  void Resend(std::size_t index, std::uint64_t sequence);
+  void OnVerdict(std::size_t index, ClaimAttempt& attempt);
+  void StartRun(std::size_t index, std::uint64_t sequence);
+  void Execute(std::size_t index, std::uint64_t sequence);
+  void Broadcast(std::size_t index,
+                 const ClaimAttempt& attempt,
+                 const Message& message);
+  [[nodiscard]] std::size_t IndexOf(const std::string& id) const;
+
+  Rng rng;
+  Faults faults;
+  TimePoint now{std::chrono::hours(1)};
+  TimePoint end;
+  std::uint64_t next_order = 0;
+  std::uint64_t next_boot = 1;
+  std::priority_queue<Event> events;
+  std::vector<Node> nodes;
+  std::vector<EpochRecord> log;
+  TimePoint log_down_until;
+  TimePoint cut_until;
+  std::map<std::string, int> executions;
+  Counts counts;
+};
+
+inline ClaimSettings QuickSettings() {
+  ClaimSettings settings;
+  settings.key_life = Ms(5000);
+  settings.clock_bound = Ms(100);
+  settings.claim_window = Ms(600);
+  settings.longest_run = Ms(1000);
+  settings.longest_gap = Ms(500);
+  settings.patience = Ms(200);
+  settings.fence = Ms(6000);
+  return settings;
+}
+
+inline World::World(std::uint64_t seed, Faults chosen, int count)
+    : rng(seed), faults(chosen), nodes(static_cast<std::size_t>(count)) {
+  for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+    this->nodes[i].skew = this->Upto(Ms(100)) - Ms(50);
+    this->nodes[i].keeper.self.id = "node-" + std::to_string(i);
+    this->nodes[i].keeper.self.data_center = "dc-" + std::to_string(i % 3);
+    this->Boot(i);
+  }
+}
+
+inline std::size_t World::IndexOf(const std::string& id) const {
+  return std::stoul(id.substr(5));
+}
+
+inline void World::At(TimePoint at, Action action) {
+  this->events.push({at, this->next_order++, std::move(action)});
+}
+
+// Runs at the node unless its process has been replaced; a paused one runs it
+// when it wakes.
+inline void World::AtNode(std::size_t index,
+                          Duration after,
+                          const Action& action) {
+  const std::uint64_t boot = this->nodes[index].keeper.self.boot_id;
+  this->At(this->now + after, [this, index, boot, action] {
+    const Node& node = this->nodes[index];
+    if (!node.alive || node.keeper.self.boot_id != boot)
+      return;
+    if (node.paused_until > this->now) {
+      this->AtNode(index, node.paused_until - this->now, action);
+      return;
+    }
+    action();
+  });
+}
+
+inline void World::Send(std::size_t from,
+                        const Holder& to,
+                        const Message& message) {
+  const std::size_t target = this->IndexOf(to.id);
+  const bool lossy = this->faults.on;
+  if (lossy && this->Chance(this->faults.loss))
+    return;
+  const int copies = lossy && this->Chance(this->faults.repeat) ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    Duration delay = Ms(1) + this->Upto(Ms(4));
+    if (lossy && this->Chance(this->faults.late))
+      delay += this->Upto(Ms(4000));
+    this->At(this->now + delay, [this, from, target, to, message] {
+      const bool cut = this->cut_until > this->now &&
+                       this->nodes[from].side != this->nodes[target].side;
+      if (!cut) {
+        this->AtNode(target, Duration{}, [this, from, target, to, message] {
+          this->Deliver(from, target, to, message);
+        });
+      }
+    });
+  }
+}
+
+inline void World::Deliver(std::size_t from,
+                           std::size_t to,
+                           const Holder& meant,
+                           const Message& message) {
+  Node& node = this->nodes[to];
+  ClaimKeeper& keeper = node.keeper;
+  const TimePoint local = this->LocalTime(node);
+  const Holder sender = this->nodes[from].keeper.self;
+  if (const auto* ask = std::get_if<ClaimAsk>(&message))
+    this->Send(to, sender, VoteOn(keeper, *ask, local));
+  if (const auto* release = std::get_if<ClaimRelease>(&message))
+    ReleaseClaim(keeper, *release);
+  if (const auto* done = std::get_if<ClaimDone>(&message))
+    RecordOutcome(keeper, *done, local);
+  if (const auto* ask = std::get_if<SealAsk>(&message)) {
+    this->Ask(to, LearnEpoch(keeper, ask->epoch, local));
+    if (const auto answer = AnswerSeal(keeper, *ask, meant.id, meant.boot_id))
+      this->Send(to, ask->from, *answer);
+  }
+  if (const auto* answer = std::get_if<SealAnswer>(&message))
+    TakeHandover(keeper, *answer, local);
+  if (const auto* vote = std::get_if<ClaimVote>(&message)) {
+    const auto found = node.attempts.find(vote->attempt.sequence);
+    if (found == node.attempts.end() ||
+        found->second.verdict != ClaimVerdict::kPending)
+      return;
+    if (TakeVote(found->second, *vote, local) != ClaimVerdict::kPending)
+      this->OnVerdict(to, found->second);
+  }
+}
+
+inline void World::Ask(std::size_t index, const SealAsks& asks) {
+  for (const Holder& holder : asks.to)
+    this->Send(index, holder, asks.ask);
+}
+
+inline void World::ReadLog(Node& node, std::size_t index) {
+  if (this->log_down_until > this->now)
+    return;
+  while (node.read < this->log.size())
+    FoldEpoch(node.log, this->log[node.read++], true);
+  this->Ask(index,
+            LearnEpoch(node.keeper, node.log.current, this->LocalTime(node)));
+  ConfirmEpoch(node.keeper, this->LocalTime(node));
+}
+
+// Each node has its own, partly wrong view of who is alive.
+inline void World::Propose(Node& node) {
+  std::vector<Holder> candidates;
+  for (const Node& other : this->nodes) {
+    const bool misjudged =
+        this->faults.on && this->Chance(this->faults.misjudged);
+    const bool unseen = this->cut_until > this->now && other.side != node.side;
+    if (other.alive && !misjudged && !unseen)
+      candidates.push_back(other.keeper.self);
+  }
+  const auto epoch = ProposeEpoch(node.log, candidates, this->rng);
+  if (epoch && this->log_down_until <= this->now)
+    this->log.push_back({false, *epoch});
+}
+
+inline void World::Tick(std::size_t index) {
+  Node& node = this->nodes[index];
+  this->ReadLog(node, index);
+  if (node.log.current.number == 0 || this->Chance(0.1))
+    this->Propose(node);
+  TickClaims(node.keeper, this->LocalTime(node));
+  this->Ask(index, OpenHandovers(node.keeper));
+  this->AtNode(index, Ms(100), [this, index] { this->Tick(index); });
+}
+
+inline void World::Boot(std::size_t index) {
+  Node& node = this->nodes[index];
+  const Holder before = node.keeper.self;
+  const Duration skew = node.skew;
+  node = Node{};
+  node.skew = skew;
+  node.keeper.settings = QuickSettings();
+  node.keeper.self = before;
+  node.keeper.self.boot_id = this->next_boot++;
+  this->AtNode(index, this->Upto(Ms(100)),
+               [this, index] { this->Tick(index); });
+  for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+    this->AtNode(i, this->Upto(Ms(1000)), [this, i, before] {
+      Node& other = this->nodes[i];
+      HolderGone(other.keeper, before.id, before.boot_id,
+                 this->LocalTime(other));
+    });
+  }
+}
+
+inline void World::Kill(std::size_t index) {
+  if (!this->nodes[index].alive)
+    return;
+  this->nodes[index].alive = false;
+  this->At(this->now + Ms(50) + this->Upto(Ms(4000)),
+           [this, index] { this->Boot(index); });
+}
+
+inline void World::Strike() {
+  const std::size_t victim = this->rng() % this->nodes.size();
+  switch (this->rng() % 6) {
+    case 0:
+    case 1:
+      this->Kill(victim);
+      break;
+    case 2:
+      this->nodes[victim].paused_until = this->now + this->Upto(Ms(9000));
+      break;
+    case 3:
+      this->cut_until = this->now + this->Upto(Ms(6000));
+      for (Node& node : this->nodes)
+        node.side = static_cast<int>(this->rng() % 2);
+      break;
+    case 4:
+      this->log_down_until = this->now + this->Upto(Ms(5000));
+      break;
+    default:
+      for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+        if (this->Chance(0.5))
+          this->Kill(i);
+      }
+  }
+  this->At(this->now + Ms(300) + this->Upto(Ms(6000)),
+           [this] { this->Strike(); });
+}
+
+inline void World::CallerSends(const ClaimKey& key,
+                               const RequestDigest& digest) {
+  const std::size_t index = this->rng() % this->nodes.size();
+  ++this->counts.asked;
+  this->AtNode(index, Ms(1), [this, index, key, digest] {
+    Node& node = this->nodes[index];
+    const std::uint64_t sequence = node.next_sequence++;
+    const Holder& self = node.keeper.self;
+    const auto [found, is_new] = node.attempts.emplace(
+        sequence, BeginClaim(node.keeper, {self.id, self.boot_id, sequence},
+                             key, digest, this->LocalTime(node)));
+    if (found->second.verdict != ClaimVerdict::kPending) {
+      this->OnVerdict(index, found->second);
+      return;
+    }
+    this->Resend(index, sequence);
+  });
+}
+
+inline void World::Resend(std::size_t index, std::uint64_t sequence) {
+  Node& node = this->nodes[index];
+  ClaimAttempt& attempt = node.attempts.at(sequence);
+  if (attempt.verdict != ClaimVerdict::kPending)
+    return;
+  if (this->LocalTime(node) - attempt.asked > attempt.window) {
+    GiveUpClaim(attempt);
+    this->OnVerdict(index, attempt);
+    return;
+  }
+  this->Broadcast(index, attempt, AskOf(attempt));
+  this->AtNode(index, Ms(150),
+               [this, index, sequence] { this->Resend(index, sequence); });
+}
+
+inline void World::Broadcast(std::size_t index,
+                             const ClaimAttempt& attempt,
+                             const Message& message) {
+  for (const Holder& holder : attempt.epoch.holders)
+    this->Send(index, holder, message);
+}
+
+inline void World::OnVerdict(std::size_t index, ClaimAttempt& attempt) {
+  const std::uint64_t sequence = attempt.id.sequence;
+  if (attempt.verdict == ClaimVerdict::kGranted) {
+    this->AtNode(index, this->Upto(Ms(300)),
+                 [this, index, sequence] { this->StartRun(index, sequence); });
+    return;
+  }
+  this->counts.done += attempt.verdict == ClaimVerdict::kDone;
+  this->counts.in_progress += attempt.verdict == ClaimVerdict::kInProgress;
+  this->counts.unknown += attempt.verdict == ClaimVerdict::kUnknown;
+  this->counts.unproven += attempt.verdict == ClaimVerdict::kUnproven;
+  this->counts.mismatch += attempt.verdict == ClaimVerdict::kMismatch;
+  this->Broadcast(index, attempt, ReleaseOf(attempt));
+}
+
+// Some gatekeepers change their mind (queue full, caller gone) or are late.
+inline void World::StartRun(std::size_t index, std::uint64_t sequence) {
+  Node& node = this->nodes[index];
+  const ClaimAttempt& attempt = node.attempts.at(sequence);
+  const bool gives_up = this->faults.on && this->Chance(0.1);
+  if (gives_up || !MayRun(attempt, this->LocalTime(node))) {
+    ++this->counts.not_run;
+    if (this->executions[attempt.key.text] > 0)
+      ++this->counts.false_not_run;
+    this->Broadcast(index, attempt, ReleaseOf(attempt));
+    return;
+  }
+  this->AtNode(index, this->Upto(Ms(20)),
+               [this, index, sequence] { this->Execute(index, sequence); });
+}
+
+inline void World::Execute(std::size_t index, std::uint64_t sequence) {
+  Node& node = this->nodes[index];
+  const ClaimAttempt& attempt = node.attempts.at(sequence);
+  const int times = ++this->executions[attempt.key.text];
+  ++this->counts.executed;
+  this->counts.most_of_one_key = std::max(this->counts.most_of_one_key, times);
+  this->AtNode(index, this->Upto(Ms(100)), [this, index, sequence] {
+    Node& runner = this->nodes[index];
+    const ClaimAttempt& ran = runner.attempts.at(sequence);
+    this->Broadcast(index, ran,
+                    DoneOf(runner.keeper.settings, ran, {201, "", "ok", true}));
+  });
+}
+
+inline Counts World::Run(int keys, Duration length) {
+  this->end = this->now + length;
+  if (this->faults.on)
+    this->At(this->now + this->Upto(Ms(3000)), [this] { this->Strike(); });
+  for (int i = 0; i < keys; ++i) {
+    const TimePoint first = this->now + Ms(500) + this->Upto(length);
+    ClaimKey key{"key-" + std::to_string(i), this->Chance(0.5), first};
+    const int sends = 1 + static_cast<int>(this->rng() % 6);
+    for (int send = 0; send < sends; ++send) {
+      const Duration after =
+          send == 0 ? Duration{}
+                    : this->Upto(this->Chance(0.5) ? Ms(30) : Ms(9000));
+      const std::uint64_t body = this->Chance(0.02) ? 2 : 1;
+      this->At(first + after, [this, key, body] {
+        this->CallerSends(key, RequestDigest{0, body});
+      });
+    }
+  }
+  while (!this->events.empty() &&
+         this->events.top().at < this->end + Ms(15000)) {
+    const Event event = this->events.top();
+    this->events.pop();
+    this->now = event.at;
+    event.action();
+  }
+  for (const EpochRecord& record : this->log) {
+    this->counts.epochs =
+        std::max(this->counts.epochs, static_cast<int>(record.epoch.number));
+  }
+  return this->counts;
+}
+
+}  // namespace teaselspread::world
+
+#endif  // TEASELSPREAD_TESTS_CLAIMS_WORLD_H_
--- /dev/null
+++ b/tests/unit/claims_history_test.cc
@@ -0,0 +1,75 @@
+#include <criterion/criterion.h>
+
+#include "claims/world.h"
+
+namespace teaselspread {
+namespace {
+
+using world::Counts;
+using world::Faults;
+using world::Ms;
+using world::World;
+
+constexpr int kKeys = 60;
+
+int NodesOf(std::uint64_t seed) {
+  return 3 + static_cast<int>(seed % 5);
+}
+
+Counts Add(const Counts& a, const Counts& b) {
+  Counts sum = a;
+  sum.asked += b.asked;
+  sum.executed += b.executed;
+  sum.most_of_one_key = std::max(a.most_of_one_key, b.most_of_one_key);
+  sum.false_not_run += b.false_not_run;
+  sum.done += b.done;
+  sum.in_progress += b.in_progress;
+  sum.unknown += b.unknown;
+  sum.unproven += b.unproven;
+  sum.mismatch += b.mismatch;
+  sum.not_run += b.not_run;
+  sum.epochs += b.epochs;
+  return sum;
+}
+
+// A clerk's filing is sent again through other nodes while nodes die in herds,
+// restart without their memory, pause and are cut off, and messages are lost,
+// repeated, late and crossed. A second run would lodge the filing twice and
+// charge the client twice. An answer "not run" for a filing that ran would make
+// the clerk lodge it again under a new key.
+Test(claims_history, no_key_runs_twice_under_faults) {
+  constexpr std::uint64_t kSeeds = 600;
+  Counts sum;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    World world(seed, world::FaultsOf(seed), NodesOf(seed));
+    const Counts counts = world.Run(kKeys, Ms(40000));
+    cr_expect(counts.most_of_one_key <= 1, "seed %d: a key ran %d times",
+              static_cast<int>(seed), counts.most_of_one_key);
+    cr_expect(counts.false_not_run == 0, "seed %d: not run, yet it ran",
+              static_cast<int>(seed));
+    sum = Add(sum, counts);
+  }
+  cr_log_info(
+      "asked %d executed %d done %d in-progress %d unknown %d unproven "
+      "%d mismatch %d not-run %d epochs %d",
+      sum.asked, sum.executed, sum.done, sum.in_progress, sum.unknown,
+      sum.unproven, sum.mismatch, sum.not_run, sum.epochs);
+  // The faults must leave enough runs to be worth the check.
+  cr_assert(sum.executed > static_cast<int>(kSeeds) * kKeys / 4);
+}
+
+// Without faults every filing must run: a guard that refuses everything would
+// pass the test above and serve nobody.
+Test(claims_history, every_key_runs_once_without_faults) {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    World world(seed, Faults{false, 0, 0, 0, 0}, NodesOf(seed));
+    const Counts counts = world.Run(kKeys, Ms(20000));
+    cr_assert(counts.executed == kKeys, "seed %d: %d of %d ran",
+              static_cast<int>(seed), counts.executed, kKeys);
+    cr_assert(counts.most_of_one_key == 1);
+    cr_assert(counts.unproven == 0);
+  }
+}
+
+}  // namespace
+}  // namespace teaselspread
