Prove membership and spread by history checks on a virtual network

The refutation's rumour was spent inside the node's own half. A longer retransmit count was ruled out, since it costs bytes in all cases; instead a node that is pinged with an old accusation answers with its own entry.

Full exchanges carried the whole list for each difference; digests are now compared in 64 buckets and only differing buckets are sent.

--- a/include/teaselspread/membership.h
+++ b/include/teaselspread/membership.h
@@ -65,6 +65,8 @@
   // Comparison of digests with one random member; a difference leads to a full
   // exchange.
   Duration exchange_interval = std::chrono::seconds(30);
+  // The first comparison after a start or a pause; doubles up to the above.
+  Duration first_exchange_interval = std::chrono::seconds(1);
   // Join attempts and calls to members taken for dead, which heal a cut.
   Duration reconnect_interval = std::chrono::seconds(3);
   // A timer this late means that the process was paused.
@@ -159,6 +161,7 @@
   TimePoint next_gossip;
   TimePoint next_exchange;
   TimePoint next_reconnect;
+  Duration exchange_wait{};
   TimePoint expected_wake;
   // No accusation is made before this time (after a pause).
   TimePoint doubt_until;
--- a/include/teaselspread/wire.h
+++ b/include/teaselspread/wire.h
@@ -116,20 +116,29 @@
   std::vector<Rumour> rumours;
 };
 
-// All that one node knows; the receiver merges it and, if asked, answers alike.
+// Entries are compared in this many buckets, by a hash of their names.
+inline constexpr std::size_t kStateBuckets = 64;
+inline constexpr std::uint64_t kAllBuckets = ~std::uint64_t{0};
+
+// What one node knows in some buckets; the receiver merges it and, if asked,
+// answers with the same buckets.
 struct StateExchange {
   Sender from;
   bool reply_wanted = false;
+  // One bit for each bucket.
+  std::uint64_t buckets = kAllBuckets;
   std::vector<Member> members;
   std::vector<OpaqueRumour> rumours;
 };
 
-// A checksum of the live entries, compared before the entries themselves are
-// sent: 833 of them take over 100 KB, and most of the time both sides agree.
+// Checksums of the live entries, compared before the entries themselves are
+// sent: 833 of them take over 100 KB, and most of the time both sides agree or
+// differ in a few.
 struct StateDigest {
   Sender from;
   bool reply_wanted = false;
-  std::uint64_t digest = 0;
+  // kStateBuckets of them.
+  std::vector<std::uint32_t> digests;
 };
 
 // One accepted configuration as bytes that only the config module reads.
--- a/src/membership/base.cc
+++ b/src/membership/base.cc
@@ -99,40 +99,68 @@
   call.actions.sends.push_back({to, Transport::kDatagram, std::move(message)});
 }
 
-void SendExchange(Call& call, const Address& to, bool reply_wanted) {
+namespace {
+
+std::uint64_t HashOf(const std::string& text, std::uint64_t seed) {
+  return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+std::size_t BucketOf(const std::string& name) {
+  return HashOf(name, 0) % kStateBuckets;
+}
+
+bool InBuckets(std::uint64_t buckets, const std::string& name) {
+  return (buckets >> BucketOf(name) & 1U) != 0;
+}
+
+}  // namespace
+
+void SendExchange(Call& call,
+                  const Address& to,
+                  bool reply_wanted,
+                  std::uint64_t buckets) {
   StateExchange exchange;
   exchange.from = SenderOf(call.state, call.now);
   exchange.reply_wanted = reply_wanted;
+  exchange.buckets = buckets;
   exchange.members.push_back(call.state.self);
-  for (const auto& [id, entry] : call.state.members)
-    exchange.members.push_back(entry.member);
-  for (const auto& [key, rumour] : call.state.opaque)
-    exchange.rumours.push_back(rumour);
+  for (const auto& [id, entry] : call.state.members) {
+    if (InBuckets(buckets, id))
+      exchange.members.push_back(entry.member);
+  }
+  for (const auto& [key, rumour] : call.state.opaque) {
+    if (InBuckets(buckets, rumour.key))
+      exchange.rumours.push_back(rumour);
+  }
   call.actions.sends.push_back({to, Transport::kStream, std::move(exchange)});
 }
 
-std::uint64_t DigestOf(const Membership& state) {
-  const auto hash = [](const Member& member) {
-    return XXH3_64bits_withSeed(member.id.data(), member.id.size(),
-                                member.incarnation);
+std::vector<std::uint32_t> DigestsOf(const Membership& state) {
+  std::vector<std::uint32_t> digests(kStateBuckets, 0);
+  const auto add = [&digests](const std::string& name, std::uint64_t version) {
+    digests[BucketOf(name)] ^=
+        static_cast<std::uint32_t>(HashOf(name, version));
   };
-  std::uint64_t digest =
-      state.self.status == MemberStatus::kAlive ? hash(state.self) : 0;
+  if (state.self.status == MemberStatus::kAlive)
+    add(state.self.id, state.self.incarnation);
   for (const auto& [id, entry] : state.members) {
     if (IsLive(entry))
-      digest ^= hash(entry.member);
+      add(id, entry.member.incarnation);
   }
-  for (const auto& [key, rumour] : state.opaque) {
-    digest ^= XXH3_64bits_withSeed(key.second.data(), key.second.size(),
-                                   rumour.version);
-  }
-  return digest;
+  for (const auto& [key, rumour] : state.opaque)
+    add(rumour.key, rumour.version);
+  return digests;
+}
+
+void CompareSoon(Membership& state, TimePoint now) {
+  state.exchange_wait = state.settings.first_exchange_interval;
+  state.next_exchange = now + state.exchange_wait;
 }
 
 void SendDigest(Call& call, const Address& to, bool reply_wanted) {
   Send(call, to,
        StateDigest{SenderOf(call.state, call.now), reply_wanted,
-                   DigestOf(call.state)});
+                   DigestsOf(call.state)});
 }
 
 }  // namespace membership
--- a/src/membership/internal.h
+++ b/src/membership/internal.h
@@ -32,9 +32,15 @@
     const std::string& except,
     Rng& rng);
 void Send(Call& call, const Address& to, Message message);
-void SendExchange(Call& call, const Address& to, bool reply_wanted);
+// All entries of the given buckets.
+void SendExchange(Call& call,
+                  const Address& to,
+                  bool reply_wanted,
+                  std::uint64_t buckets);
 void SendDigest(Call& call, const Address& to, bool reply_wanted);
-[[nodiscard]] std::uint64_t DigestOf(const Membership& state);
+// What was missed lately is found by comparing often for a while.
+void CompareSoon(Membership& state, TimePoint now);
+[[nodiscard]] std::vector<std::uint32_t> DigestsOf(const Membership& state);
 
 // rumours: the queue of news.
 void QueueRumour(Call& call, Rumour rumour);
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -29,7 +29,7 @@
       entry.suspect_deadline += lateness;
   }
   state.next_probe = call.now + state.settings.period;
-  state.next_exchange = call.now + state.settings.exchange_interval;
+  membership::CompareSoon(state, call.now);
   const auto peers = membership::PickLive(state, 2, state.self.id, call.rng);
   if (peers.empty())
     return;
@@ -62,7 +62,7 @@
   constexpr std::size_t kAtOnce = 2;
   seeds.resize(std::min(seeds.size(), kAtOnce));
   for (const Address& seed : seeds)
-    membership::SendExchange(call, seed, true);
+    membership::SendExchange(call, seed, true, kAllBuckets);
 }
 
 // A member taken for dead is not probed, so two halves of a healed cut would
@@ -100,7 +100,9 @@
   Membership& state = call.state;
   if (call.now < state.next_exchange)
     return;
-  const Duration interval = state.settings.exchange_interval;
+  const Duration interval = state.exchange_wait;
+  state.exchange_wait =
+      std::min(2 * interval, state.settings.exchange_interval);
   state.next_exchange =
       call.now + interval / 2 + membership::RandomUpTo(interval, call.rng);
   for (const MemberEntry* peer :
@@ -134,12 +136,19 @@
   state.joined = true;
   state.doubt_until = TimePoint{};
   if (exchange.reply_wanted)
-    membership::SendExchange(call, exchange.from.control, false);
+    membership::SendExchange(call, exchange.from.control, false,
+                             exchange.buckets);
 }
 
 void Compare(Call& call, const StateDigest& digest) {
-  if (digest.digest != membership::DigestOf(call.state)) {
-    membership::SendExchange(call, digest.from.control, true);
+  const std::vector<std::uint32_t> own = membership::DigestsOf(call.state);
+  std::uint64_t differing = 0;
+  for (std::size_t i = 0; i < kStateBuckets; ++i) {
+    if (i >= digest.digests.size() || digest.digests[i] != own[i])
+      differing |= std::uint64_t{1} << i;
+  }
+  if (differing != 0) {
+    membership::SendExchange(call, digest.from.control, true, differing);
     return;
   }
   call.state.doubt_until = TimePoint{};
@@ -195,7 +204,7 @@
   state.latest = now;
   state.next_probe = now;
   state.next_gossip = TimePoint::max();
-  state.next_exchange = now + settings.exchange_interval;
+  membership::CompareSoon(state, now);
   state.next_reconnect = now;
   state.expected_wake = now;
   return state;
--- a/src/membership/merge.cc
+++ b/src/membership/merge.cc
@@ -82,8 +82,11 @@
   entry.member.status = MemberStatus::kAlive;
   if (same_start)
     entry.member.held = std::max(held, news.held);
-  if (!was_live)
+  if (!was_live) {
     AddToOrder(call, news.id);
+    // A cut may have healed: much else may have been missed.
+    CompareSoon(call.state, call.now);
+  }
   call.actions.changes.push_back(entry.member);
 }
 
--- a/src/membership/probe.cc
+++ b/src/membership/probe.cc
@@ -86,6 +86,14 @@
   Suspect(call, found->second, state.self.id);
 }
 
+bool Accuses(const std::vector<Rumour>& rumours, const std::string& id) {
+  return std::any_of(
+      rumours.begin(), rumours.end(), [&id](const Rumour& rumour) {
+        const auto* accusation = std::get_if<Accusation>(&rumour);
+        return accusation != nullptr && accusation->id == id;
+      });
+}
+
 void TickRelays(Call& call) {
   Membership& state = call.state;
   for (auto row = state.relays.begin(); row != state.relays.end();) {
@@ -133,9 +141,14 @@
     Count(call.state, MembershipCount::kWrongTarget);
     return;
   }
+  std::vector<Rumour> rumours = TakeRumours(call, ping.from.id);
+  // The sender may have missed an earlier refutation, whose rumour is spent by
+  // now; it would hold this node for dead until the next full comparison.
+  if (Accuses(ping.rumours, call.state.self.id))
+    rumours.emplace_back(call.state.self);
   Send(call, ping.from.control,
        Ack{SenderOf(call.state, call.now), ping.sequence, ping.target,
-           TakeRumours(call, ping.from.id)});
+           std::move(rumours)});
 }
 
 void ReceivePingRequest(Call& call, const PingRequest& request) {
--- a/src/membership/rumours.cc
+++ b/src/membership/rumours.cc
@@ -7,8 +7,9 @@
 namespace teaselspread::membership {
 namespace {
 
-// Room left for the sender's part, a probe's target and the frame header.
-constexpr std::size_t kRumourRoom = kMaxDatagramBytes - 200;
+// Leaves room for the frame header, the sender, a probe's target, the notice to
+// an accused receiver and an own entry.
+constexpr std::size_t kRumourRoom = kMaxDatagramBytes - 400;
 
 std::string SubjectOf(const Member& member) {
   return "m/" + member.id;
--- a/src/spread/base.cc
+++ b/src/spread/base.cc
@@ -41,7 +41,8 @@
     ranked.emplace_back(spread::RankOf(state.id, spread::kReaderSeed),
                         &state.id);
   for (const auto& [id, peer] : state.peers) {
-    if (spread::IsLive(peer))
+    // A suspect may be dead: better one reader more than none.
+    if (peer.status == MemberStatus::kAlive)
       ranked.emplace_back(peer.reader_rank, &id);
   }
   const std::size_t count = std::min(state.settings.readers, ranked.size());
@@ -59,7 +60,8 @@
   const std::uint64_t own = spread::RankOf(state.id, spread::kReaderSeed);
   const auto better = std::count_if(
       state.peers.begin(), state.peers.end(), [own](const auto& row) {
-        return spread::IsLive(row.second) && row.second.reader_rank > own;
+        return row.second.status == MemberStatus::kAlive &&
+               row.second.reader_rank > own;
       });
   return static_cast<std::size_t>(better) < state.settings.readers;
 }
--- a/src/spread/internal.h
+++ b/src/spread/internal.h
@@ -63,6 +63,9 @@
 void TickDeliveries(Call& call);
 
 // pull
+// How long a transfer of `bytes` takes at the rate that a node allows itself.
+[[nodiscard]] Duration TransferTime(const SpreadState& state,
+                                    std::size_t bytes);
 void WantVersion(Call& call, ConfigVersion version);
 void SchedulePull(Call& call, Duration delay);
 void TickPull(Call& call);
--- a/src/spread/pull.cc
+++ b/src/spread/pull.cc
@@ -31,19 +31,22 @@
   return std::nullopt;
 }
 
-Duration TransferTime(const SpreadState& state,
-                      const std::vector<ConfigUpdate>& updates) {
+std::size_t BytesOf(const std::vector<ConfigUpdate>& updates) {
   std::size_t bytes = 0;
   for (const ConfigUpdate& update : updates)
     bytes += update.body.size();
+  return bytes;
+}
+
+}  // namespace
+
+Duration TransferTime(const SpreadState& state, std::size_t bytes) {
   constexpr std::size_t kMicros = 1000000;
   const Duration exact{static_cast<Duration::rep>(
       bytes * kMicros / state.settings.transfer_bytes_per_second)};
   return std::max(kShortestTransfer, exact);
 }
 
-}  // namespace
-
 void WantVersion(Call& call, ConfigVersion version) {
   SpreadState& state = call.state;
   state.highest_heard = std::max(state.highest_heard, version);
@@ -104,7 +107,7 @@
   if (!updates.empty()) {
     Count(state, updates.front().full ? SpreadCount::kSnapshotServed
                                       : SpreadCount::kChainServed);
-    state.transfers.push_back(call.now + TransferTime(state, updates));
+    state.transfers.push_back(call.now + TransferTime(state, BytesOf(updates)));
   }
   SendStream(call, request.from.control,
              PullReply{SenderOf(state, call.now), std::move(updates)});
--- a/src/spread/push.cc
+++ b/src/spread/push.cc
@@ -65,8 +65,11 @@
                                       : SpreadCount::kPushRetried);
   ++delivery.attempts;
   delivery.origin = false;
-  delivery.due = call.now + state.settings.push_retry;
   const bool fits = update->body.size() + kPushOverhead <= kMaxDatagramBytes;
+  // A stream loses nothing by itself; what is large only takes longer.
+  delivery.due =
+      call.now + state.settings.push_retry +
+      (fits ? Duration::zero() : 2 * TransferTime(state, update->body.size()));
   call.actions.sends.push_back(
       {peer->second.control, fits ? Transport::kDatagram : Transport::kStream,
        Push{SenderOf(state, call.now), *update}});
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -248,11 +248,12 @@
 }
 template <class C>
 void Fields(C& codec, FieldsOf<C, StateExchange> value) {
-  codec(value.from, value.reply_wanted, value.members, value.rumours);
+  codec(value.from, value.reply_wanted, value.buckets, value.members,
+        value.rumours);
 }
 template <class C>
 void Fields(C& codec, FieldsOf<C, StateDigest> value) {
-  codec(value.from, value.reply_wanted, value.digest);
+  codec(value.from, value.reply_wanted, value.digests);
 }
 template <class C>
 void Fields(C& codec, FieldsOf<C, Push> value) {
--- /dev/null
+++ b/tests/unit/membership_test.cc
@@ -0,0 +1,202 @@
+#include "teaselspread/membership.h"
+
+#include <criterion/criterion.h>
+
+#include <set>
+#include <string>
+
+#include "support/network.h"
+
+namespace teaselspread::test {
+namespace {
+
+// A running network of `count` nodes that all know each other.
+Network Joined(std::size_t count,
+               NetworkSettings settings,
+               std::uint64_t seed) {
+  Network net(settings, seed);
+  for (std::size_t i = 0; i < count; ++i)
+    net.Add("bole");
+  net.StartAll();
+  net.Run(seconds(20));
+  return net;
+}
+
+std::size_t KnownAs(const Network& net,
+                    const std::string& id,
+                    MemberStatus status) {
+  std::size_t count = 0;
+  for (const auto& node : net.nodes) {
+    const Member* member = FindMember(node->membership, id);
+    if (node->up && node->id != id && member && member->status == status)
+      ++count;
+  }
+  return count;
+}
+
+Test(membership, all_nodes_come_to_know_each_other) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    const Network net = Joined(60, {.loss = 0.05}, seed);
+    cr_assert(net.Share([](const Node& node) {
+      return CountLive(node.membership) == 59;
+    }) == 1.0);
+    cr_assert(net.violations.empty());
+  }
+}
+
+// An upstream drains for its planned stop, but callers' nodes hear of it late
+// and go on sending it work; the caller sees refusals or a cut answer.
+Test(membership, leaving_is_known_to_200_nodes_within_3_seconds) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    Network net = Joined(200, {.loss = 0.05}, seed);
+    net.Announce(17, UpstreamState::kLeaving);
+    net.Run(seconds(3));
+    cr_assert(net.Share([](const Node& node) {
+      const Member* member = FindMember(node.membership, "vm-17");
+      return member && member->upstream.state == UpstreamState::kLeaving;
+    }) == 1.0,
+              "seed %d", static_cast<int>(seed));
+    net.Leave(17);
+    net.Run(seconds(3));
+    cr_assert(KnownAs(net, "vm-17", MemberStatus::kLeft) == 199);
+  }
+}
+
+// A VM dies without a word. Its upstream stays in every node's list until the
+// failure detector takes it out, and calls to it fail meanwhile.
+Test(membership, a_dead_node_is_found_and_no_other_is_blamed) {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    Network net = Joined(50, {.loss = 0.05}, seed);
+    std::set<std::string> dead;
+    net.on_change = [&dead](const Node&, const Member& member) {
+      if (member.status == MemberStatus::kDead)
+        dead.insert(member.id);
+    };
+    net.Kill(9);
+    net.Run(seconds(15));
+    cr_assert(KnownAs(net, "vm-9", MemberStatus::kDead) == 49);
+    net.Run(seconds(120));
+    cr_assert(dead == std::set<std::string>{"vm-9"});
+    net.Start(9);
+    net.Run(seconds(3));
+    cr_assert(KnownAs(net, "vm-9", MemberStatus::kAlive) == 49);
+  }
+}
+
+// A VM stands still for a while, as a live migration does. When it goes on, all
+// its timers are over at once while the answers lie unread: it would accuse
+// everyone, and healthy upstreams would drop out of every list.
+Test(membership, a_paused_node_blames_nobody_and_publishes_nothing_stale) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    Network net = Joined(20, {.loss = 0.02}, seed);
+    std::set<std::string> dead;
+    std::set<std::string> suspected_by_paused;
+    net.on_change = [&](const Node& node, const Member& member) {
+      if (member.status == MemberStatus::kDead)
+        dead.insert(member.id);
+      if (node.id == "vm-3" && member.status == MemberStatus::kSuspect)
+        suspected_by_paused.insert(member.id);
+    };
+    const TimePoint resumed =
+        net.now + milliseconds(800 + 700 * static_cast<int>(seed));
+    net.Pause(3, resumed - net.now);
+    net.Announce(5, UpstreamState::kWarming);
+    net.Run(resumed - net.now - milliseconds(1));
+    net.Announce(5, UpstreamState::kLeaving);
+    suspected_by_paused.clear();
+    net.Run(milliseconds(900));
+    cr_assert(suspected_by_paused.empty());
+    net.Run(seconds(30));
+    dead.erase("vm-3");
+    cr_assert(dead.empty(), "seed %d: %s", static_cast<int>(seed),
+              dead.empty() ? "" : dead.begin()->c_str());
+    cr_assert(KnownAs(net, "vm-3", MemberStatus::kAlive) == 19);
+    cr_assert(net.Share([](const Node& node) {
+      return FindMember(node.membership, "vm-5")->upstream.state ==
+             UpstreamState::kLeaving;
+    }) == 1.0);
+  }
+}
+
+// A switch cuts a data centre in two for a minute. Both halves take the other
+// for dead and stop speaking to it; without a call to the dead they would stay
+// apart for good after the cut heals.
+Test(membership, two_halves_find_each_other_after_a_cut) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    Network net = Joined(40, {.loss = 0.02}, seed);
+    for (std::size_t i = 0; i < 20; ++i)
+      net.nodes[i]->group = 1;
+    net.Run(seconds(60));
+    cr_assert(CountLive(net.nodes[0]->membership) == 19);
+    for (const auto& node : net.nodes)
+      node->group = 0;
+    net.Run(seconds(25));
+    cr_assert(net.Share([](const Node& node) {
+      return CountLive(node.membership) == 39;
+    }) == 1.0,
+              "seed %d", static_cast<int>(seed));
+  }
+}
+
+// Frames of one node arrive late, twice and in the wrong order. If an old one
+// won, an upstream that left would be given work again.
+Test(membership, late_and_repeated_news_change_nothing) {
+  Rng rng(1);
+  Member self;
+  self.id = "vm-0";
+  self.data_center = "bole";
+  const TimePoint now{seconds(1000)};
+  self.incarnation = IncarnationAt(now);
+  Membership state = MakeMembership({}, self, {}, now);
+  Member peer = self;
+  peer.id = "vm-1";
+  peer.incarnation += 5;
+  peer.upstream.state = UpstreamState::kLeaving;
+  const Sender from{"vm-1", peer.incarnation, {"10.0.0.1", 7000}, 0, 0};
+  cr_assert(
+      ReceiveMembership(state, Gossip{from, {peer}}, now, rng).changes.size() ==
+      1);
+  Member older = peer;
+  older.incarnation -= 1;
+  older.upstream.state = UpstreamState::kReady;
+  Member elsewhere = peer;
+  elsewhere.id = "vm-2";
+  elsewhere.data_center = "piassa";
+  const Accusation stale{"vm-1", older.incarnation, MemberStatus::kDead, "x"};
+  for (const Rumour& rumour :
+       {Rumour(peer), Rumour(older), Rumour(stale), Rumour(elsewhere)}) {
+    cr_assert(ReceiveMembership(state, Gossip{from, {rumour}}, now, rng)
+                  .changes.empty());
+  }
+  cr_assert(FindMember(state, "vm-1")->upstream.state ==
+            UpstreamState::kLeaving);
+  cr_assert(FindMember(state, "vm-2") == nullptr);
+}
+
+Test(membership, an_opaque_rumour_reaches_all_and_the_last_version_wins) {
+  Network net = Joined(80, {.loss = 0.05, .repeat = 0.1}, 4);
+  const auto publish = [&net](std::size_t index, std::uint64_t version) {
+    Node& node = *net.nodes[index];
+    Result<MembershipActions> actions =
+        Spread(node.membership, {Topic::kVerdict, "move-1", version, "x"},
+               net.now, node.rng);
+    cr_assert(actions.has_value());
+    net.Take(index, std::move(*actions));
+  };
+  publish(1, 2);
+  publish(70, 1);
+  publish(40, 3);
+  net.Run(seconds(4));
+  cr_assert(net.Share([](const Node& node) {
+    return node.membership.opaque.at({Topic::kVerdict, "move-1"}).version == 3;
+  }) == 1.0);
+  Node& node = *net.nodes[0];
+  const Result<MembershipActions> refused =
+      Spread(node.membership,
+             {Topic::kVerdict, "k", 1, std::string(kMaxOpaqueBytes, 'x')},
+             net.now, node.rng);
+  cr_assert(refused.error().kind == ErrorKind::kBodyTooLarge);
+}
+
+}  // namespace
+}  // namespace teaselspread::test
--- /dev/null
+++ b/tests/unit/spread_test.cc
@@ -0,0 +1,334 @@
+#include "teaselspread/spread.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <numeric>
+#include <string>
+
+#include "support/network.h"
+
+namespace teaselspread::test {
+namespace {
+
+const char* FirstViolation(const Network& net) {
+  return net.violations.empty() ? "" : net.violations.front().c_str();
+}
+
+void AddNodes(Network& net, const std::string& data_center, std::size_t count) {
+  for (std::size_t i = 0; i < count; ++i)
+    net.Add(data_center);
+}
+
+Test(spread, a_change_reaches_all_nodes_with_lost_and_repeated_messages) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    Network net({.loss = 0.05, .repeat = 0.05}, seed);
+    AddNodes(net, "bole", 60);
+    net.Publish();
+    net.StartAll();
+    net.Run(seconds(10));
+    cr_assert(net.ShareHolding(net.log.back()) == 1.0);
+    for (int change = 0; change < 20; ++change) {
+      const ConfigVersion next = net.Publish();
+      net.Run(seconds(3));
+      cr_assert(net.ShareHolding(next) == 1.0);
+    }
+    cr_assert(net.violations.empty(), "%s", FirstViolation(net));
+  }
+}
+
+// One disturbance of a running network, chosen at random.
+void Disturb(Network& net) {
+  const std::size_t victim = net.rng() % net.nodes.size();
+  Node& node = *net.nodes[victim];
+  switch (net.rng() % 9) {
+    case 0:
+      return net.Kill(victim);
+    case 1:
+    case 2:
+      return net.Start(victim);
+    case 3:
+      return net.Pause(victim, milliseconds(net.rng() % 8000));
+    case 4:
+      node.group = static_cast<int>(net.rng() % 2);
+      return;
+    case 5:
+      net.log_up = !net.log_up;
+      return;
+    case 6:
+      net.log_cut.clear();
+      if (net.rng() % 2 == 0)
+        net.log_cut.push_back(node.data_center);
+      return;
+    default:
+      net.Publish();
+  }
+}
+
+void Heal(Network& net) {
+  net.log_up = true;
+  net.log_cut.clear();
+  for (std::size_t i = 0; i < net.nodes.size(); ++i) {
+    net.nodes[i]->group = 0;
+    if (!net.nodes[i]->up)
+      net.Start(i);
+  }
+}
+
+// Processes die and come back empty, the log is out, cuts come and go, and
+// updates arrive late, twice and crossed. A VM that returned to an older
+// configuration would send requests to upstreams that were taken out of use;
+// one that stayed behind after the trouble would do so for good.
+Test(spread, no_vm_goes_back_and_all_converge_over_many_seeds) {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    Network net({.loss = 0.1, .repeat = 0.1, .jitter = milliseconds(40)}, seed);
+    AddNodes(net, "bole", 5);
+    AddNodes(net, "piassa", 4);
+    net.Publish();
+    net.StartAll();
+    net.Run(seconds(6));
+    for (int step = 0; step < 60; ++step) {
+      Disturb(net);
+      net.Run(milliseconds(net.rng() % 3000));
+    }
+    Heal(net);
+    net.Run(seconds(40));
+    const ConfigVersion last = net.Publish();
+    net.Run(seconds(5));
+    cr_assert(net.violations.empty(), "seed %d: %s", static_cast<int>(seed),
+              FirstViolation(net));
+    cr_assert(net.ShareHolding(last) == 1.0, "seed %d", static_cast<int>(seed));
+    cr_assert(net.Share([](const Node& node) {
+      return IsReady(node.spread);
+    }) == 1.0);
+  }
+}
+
+// A VM restarts while the log is out, and the first peers that it reaches were
+// cut off and lag behind what it held. Taking what they have would put it back
+// to a configuration that is no longer in force.
+Test(spread, a_lagging_first_contact_does_not_take_a_vm_back) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Network net({}, seed);
+    AddNodes(net, "bole", 7);
+    net.Publish();
+    net.StartAll();
+    net.Run(seconds(8));
+    // Two of the seeds are cut off and miss a change.
+    net.nodes[0]->group = 1;
+    net.nodes[1]->group = 1;
+    const ConfigVersion newer = net.Publish();
+    net.Run(seconds(10));
+    cr_assert(net.nodes[6]->spread.held == newer);
+    net.log_up = false;
+    net.Kill(6);
+    net.Run(seconds(2));
+    // It returns on the lagging side.
+    net.nodes[6]->group = 1;
+    net.Start(6);
+    net.Run(seconds(30));
+    cr_assert(!IsReady(net.nodes[6]->spread));
+    cr_assert(net.nodes[6]->spread.held == 0);
+    for (const auto& node : net.nodes)
+      node->group = 0;
+    net.Run(seconds(20));
+    cr_assert(IsReady(net.nodes[6]->spread), "seed %d", static_cast<int>(seed));
+    cr_assert(net.nodes[6]->spread.held == newer);
+    cr_assert(net.violations.empty(), "%s", FirstViolation(net));
+  }
+}
+
+// The log is out and one VM restarts. Without its witnesses it could not know
+// that it is not behind, and would stay out of service as long as the log.
+Test(spread, a_restart_during_a_log_outage_is_ready_by_its_witnesses) {
+  Network net({.loss = 0.05}, 2);
+  AddNodes(net, "bole", 12);
+  const ConfigVersion version = net.Publish();
+  net.StartAll();
+  net.Run(seconds(8));
+  net.log_up = false;
+  net.Run(seconds(60));
+  net.Start(4);
+  net.Run(seconds(3));
+  cr_assert(IsReady(net.nodes[4]->spread));
+  cr_assert(net.nodes[4]->spread.held == version);
+}
+
+// A data centre loses the platform's log, but still hears the others.
+Test(spread, a_data_center_cut_from_the_log_is_served_by_the_others) {
+  Network net({.loss = 0.05}, 3);
+  AddNodes(net, "bole", 10);
+  AddNodes(net, "piassa", 10);
+  AddNodes(net, "kazanchis", 10);
+  net.Publish();
+  net.StartAll();
+  net.Run(seconds(8));
+  net.log_cut = {"piassa"};
+  for (int change = 0; change < 10; ++change) {
+    const ConfigVersion next = net.Publish();
+    net.Run(seconds(5));
+    cr_assert(net.ShareHolding(next) == 1.0);
+  }
+}
+
+// Both readers of a data centre die at once. Until others take their place the
+// data centre hears of no change, although the log works.
+Test(spread, readers_that_die_together_are_replaced_within_seconds) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    Network net({.loss = 0.02}, seed);
+    AddNodes(net, "bole", 40);
+    net.Publish();
+    net.StartAll();
+    net.Run(seconds(10));
+    for (std::size_t i = 0; i < net.nodes.size(); ++i) {
+      if (IsReader(net.nodes[i]->spread, net.now))
+        net.Kill(i);
+    }
+    const ConfigVersion next = net.Publish();
+    net.Run(seconds(5));
+    cr_assert(net.ShareHolding(next) == 1.0, "seed %d", static_cast<int>(seed));
+  }
+}
+
+// A fifth of the nodes dies just before a change. Each dead node in the tree
+// would cost its whole branch the change until the next repair.
+Test(spread, a_change_goes_around_dead_nodes_of_the_tree) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    Network net({}, seed);
+    AddNodes(net, "bole", 80);
+    net.Publish();
+    net.StartAll();
+    net.Run(seconds(15));
+    for (std::size_t i = 0; i < 80; i += 5) {
+      if (!IsReader(net.nodes[i]->spread, net.now))
+        net.Kill(i);
+    }
+    const ConfigVersion next = net.Publish();
+    net.Run(seconds(2));
+    cr_assert(net.ShareHolding(next) == 1.0, "seed %d share %g",
+              static_cast<int>(seed), net.ShareHolding(next));
+  }
+}
+
+struct HerdResult {
+  std::uint64_t log_reads = 0;
+  std::uint64_t most_served = 0;
+  double seconds_to_ready = 0;
+};
+
+// All nodes die at once and come back at once, with nothing.
+HerdResult RunHerd(std::size_t count, std::uint64_t seed) {
+  Network net({.loss = 0.02, .snapshot_bytes = 200000, .through_frames = false},
+              seed);
+  AddNodes(net, "bole", count);
+  for (int i = 0; i < 20; ++i)
+    net.Publish();
+  net.StartAll();
+  net.Run(seconds(20));
+  for (std::size_t i = 0; i < count; ++i)
+    net.Kill(i);
+  net.Run(seconds(5));
+  net.StartAll();
+  const std::uint64_t reads_before = net.log_reads;
+  const auto ready = [](const Node& node) { return IsReady(node.spread); };
+  HerdResult result;
+  while (net.Share(ready) < 1.0 && result.seconds_to_ready < 60) {
+    net.Run(milliseconds(250));
+    result.seconds_to_ready += 0.25;
+  }
+  net.Run(seconds(20) -
+          Duration(static_cast<Duration::rep>(result.seconds_to_ready * 1e6)));
+  result.log_reads = net.log_reads - reads_before;
+  for (const auto& node : net.nodes) {
+    std::uint64_t served = 0;
+    for (const SpreadCount sent :
+         {SpreadCount::kSnapshotServed, SpreadCount::kChainServed,
+          SpreadCount::kPushSent, SpreadCount::kPushRetried})
+      served += node->spread.counts.at(static_cast<std::size_t>(sent));
+    result.most_served = std::max(result.most_served, served);
+  }
+  cr_assert(net.violations.empty(), "%s", FirstViolation(net));
+  return result;
+}
+
+// A rack or a whole data centre comes back from a power cut. If each node read
+// the log, or all asked the same peer, the log or that peer would fall over
+// again, and the data centre with it.
+Test(spread, a_returning_herd_loads_the_log_and_each_peer_within_bounds) {
+  for (const std::size_t count : {10U, 40U, 160U}) {
+    const HerdResult herd = RunHerd(count, 7);
+    std::printf(
+        "herd of %zu: %lu log reads in 20 s, %lu transfers at most "
+        "from one node, ready after %.2f s\n",
+        count, static_cast<unsigned long>(herd.log_reads),
+        static_cast<unsigned long>(herd.most_served), herd.seconds_to_ready);
+    // Two readers at four reads a second for 20 s, and as much again while the
+    // member lists fill.
+    constexpr std::uint64_t kMostReads = 320;
+    cr_assert(herd.log_reads <= kMostReads);
+    cr_assert(herd.most_served <= 40);
+    cr_assert(herd.seconds_to_ready <= 15);
+  }
+}
+
+// A transfer is asked of a node that already serves as many as it may.
+Test(spread, a_busy_node_says_when_to_come_back) {
+  Rng rng(1);
+  Member self;
+  self.id = "vm-0";
+  self.data_center = "bole";
+  const TimePoint now{seconds(1000)};
+  SpreadState state = MakeSpread({}, self, now);
+  state.held = 9;
+  state.snapshot = {9, 0, 1, true, std::string(500000, 'x')};
+  const PullRequest request{{"vm-1", 1, {"10.0.0.1", 7000}, 0, 0}, 0};
+  for (int i = 0; i < 2; ++i) {
+    const SpreadActions served = ReceiveSpread(state, request, now, rng);
+    cr_assert(std::holds_alternative<PullReply>(served.sends.at(0).message));
+  }
+  const SpreadActions busy = ReceiveSpread(state, request, now, rng);
+  const auto* answer = std::get_if<PullBusy>(&busy.sends.at(0).message);
+  cr_assert(answer != nullptr);
+  cr_assert(answer->retry_after_ms >= 400);
+  const SpreadActions later =
+      ReceiveSpread(state, request, now + seconds(1), rng);
+  cr_assert(std::holds_alternative<PullReply>(later.sends.at(0).message));
+}
+
+// Deltas arrive that do not fit what the node holds. They must not be tried
+// again and again: the node asks for a whole snapshot instead.
+Test(spread, updates_that_do_not_apply_are_replaced_by_a_snapshot) {
+  Rng rng(1);
+  Member self;
+  self.id = "vm-0";
+  self.data_center = "bole";
+  TimePoint now{seconds(1000)};
+  SpreadState state = MakeSpread({}, self, now);
+  SpreadActions actions =
+      LogRead(state, {{5, 0, 1, true, "five"}}, now, true, now, rng);
+  cr_assert(actions.apply.size() == 1);
+  actions = ConfirmApplied(state, {5, 0, 1, true, "five"}, now, rng);
+  Member peer = self;
+  peer.id = "vm-1";
+  peer.control = {"10.0.0.1", 7000};
+  peer.incarnation = 1U << kRevisionBits;
+  peer.held = 6;
+  actions = ObserveMember(state, peer, now, rng);
+  const Sender from{"vm-1", peer.incarnation, peer.control, 6, 0};
+  actions = ReceiveSpread(state, Push{from, {6, 5, 1, false, "bad"}}, now, rng);
+  actions = ReceiveSpread(state, RecordAck{from, 6}, now, rng);
+  cr_assert(actions.apply.size() == 1);
+  actions = RejectUpdate(state, now, rng);
+  now += seconds(1);
+  actions = TickSpread(state, now, rng);
+  const auto pull = std::find_if(
+      actions.sends.begin(), actions.sends.end(), [](const SendMessage& send) {
+        return std::holds_alternative<PullRequest>(send.message);
+      });
+  cr_assert(pull != actions.sends.end());
+  cr_assert(std::get<PullRequest>(pull->message).have == 0);
+  cr_assert(state.held == 5);
+}
+
+}  // namespace
+}  // namespace teaselspread::test
