--- a/benchmark/moves_trial.h
+++ b/benchmark/moves_trial.h
@@ -10,6 +10,7 @@
 #include <cmath>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -260,6 +261,8 @@
       this->Generate();
       this->Deliver();
       this->Decide();
+      if (this->trace)
+        this->trace();
     }
     return this->Sum();
   }
@@ -269,6 +272,8 @@
   std::vector<EvidenceTable> tables;
   Snapshot snapshot;
   double time = 0;
+  // Called after each tick.
+  std::function<void()> trace;
 
  private:
   static double Seconds(Duration duration) {
--- a/include/teaselspread/judge.h
+++ b/include/teaselspread/judge.h
@@ -32,14 +32,9 @@
   double hold = 10;
   // A stratum closes when both versions gave this many answers...
   std::uint64_t stratum_answers = 10;
-  Duration stratum_least = std::chrono::seconds(1);
+  Duration stratum_least = std::chrono::seconds(2);
   // ... or at this age.
   Duration stratum_most = std::chrono::seconds(120);
-  // A stratum that speaks this much against the new version stays open. The
-  // counters of the two versions travel apart: of a fault that both share, the
-  // new one's part may come first, and closed it could not be explained any
-  // more by the old one's.
-  double keep_open = 1;
   // Weight of a ratio that has nothing to do with the old version's history,
   // which is how a fault of both versions looks.
   double shared_weight = 0.5;
@@ -96,16 +91,33 @@
   std::array<ChancePoint, kSharedRatios> points{};
 };
 
-// What the judge keeps for one route ("*" is all of them together).
-struct RouteJudge {
-  EvidenceCells seen_new;
-  EvidenceCells seen_old;
-  // The old version before the open stratum.
+// The two versions, as sums of rows or as what was added to them.
+struct RouteTotals {
+  EvidenceCells fresh;
+  EvidenceCells old;
+};
+
+using ScoreTable = std::array<std::array<double, kAlternatives>, kMetrics>;
+
+// What the judge keeps for one scope: a route of the own data centre or of all,
+// or all routes together.
+//
+// Counters of the two versions travel apart: of a fault that both share, the
+// new version's part may come first, in a stratum that closes before the old
+// one's part has come. What a stratum says against the new version is therefore
+// summed only as far as it still holds when the next stratum is added to it.
+struct ScopeJudge {
+  // Totals counted so far, by data centre.
+  std::map<std::string, RouteTotals> seen;
+  // The old version before the last closed stratum.
   EvidenceCells history;
-  EvidenceCells open_new;
-  EvidenceCells open_old;
+  RouteTotals last;
+  RouteTotals open;
   TimePoint opened;
-  std::array<std::array<double, kAlternatives>, kMetrics> sums{};
+  // Up to the stratum before `last`.
+  ScoreTable sums{};
+  // What `last` adds.
+  ScoreTable last_added{};
 };
 
 enum class Finding : std::uint8_t { kCalm, kSuspect, kHeld, kBad };
@@ -113,7 +125,7 @@
 struct JudgeState {
   MoveBounds bounds;
   std::array<FaultTable, kMetrics> tables{};
-  std::map<std::string, RouteJudge> routes;
+  std::map<std::string, ScopeJudge> scopes;
   bool started = false;
   // Epoch while nothing is held.
   TimePoint held_since;
@@ -125,29 +137,31 @@
 struct Judgement {
   Finding finding = Finding::kCalm;
   VerdictReason reason = VerdictReason::kNone;
-  std::string route;
+  std::string scope;
   double score = 0;
   Pair pair;
 };
 
-// Totals of one route, the sum of rows known at this moment.
-struct RouteTotals {
-  EvidenceCells fresh;
-  EvidenceCells old;
+// The totals of one scope in one data centre, the sum of the rows known now.
+struct Feed {
+  std::string scope;
+  std::string data_center;
+  RouteTotals totals;
+  // False: take note only. What comes after a silence cannot be put side by
+  // side in time.
+  bool counted = true;
 };
 
 // Feeds the totals of this moment and says what they show. The first call only
-// takes note of them: what happened before cannot be put side by side.
-// `old_serves` is false when no upstream of the old version is ready, so that
-// waiting for its answers is pointless.
+// takes note of them. `old_serves` is false when no upstream of the old version
+// is ready, so that waiting for its answers is pointless.
 // Precondition: `now` does not go back. Not thread safe.
-[[nodiscard]] Judgement StepJudge(
-    JudgeState& state,
-    const JudgeSettings& settings,
-    const MoveBounds& bounds,
-    const std::map<std::string, RouteTotals>& totals,
-    bool old_serves,
-    TimePoint now);
+[[nodiscard]] Judgement StepJudge(JudgeState& state,
+                                  const JudgeSettings& settings,
+                                  const MoveBounds& bounds,
+                                  const std::vector<Feed>& feeds,
+                                  bool old_serves,
+                                  TimePoint now);
 
 // New upstreams that announce themselves and vanish again and again, when the
 // old ones do not. Thread safe for constant arguments.
--- a/include/teaselspread/moves.h
+++ b/include/teaselspread/moves.h
@@ -106,6 +106,8 @@
   Demand demand;
   JudgeState judge;
   Judgement judgement;
+  // Data centres that were silent not long ago.
+  std::map<std::string, TimePoint> doubted_until;
   // Full share reached at, epoch if not.
   TimePoint full_since;
   TimePoint reported_at;
--- /dev/null
+++ b/src/moves/scope_judge.cc
@@ -0,0 +1,180 @@
+#include "moves/scope_judge.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "moves/ratio_test.h"
+
+namespace teaselspread::moves {
+namespace {
+
+// Answers of the old version without which its median says nothing.
+constexpr std::uint64_t kMedianAnswers = 8;
+// Answers by which a version without history is taken to be good.
+constexpr double kPriorAnswers = 50;
+
+std::uint64_t CountOf(const EvidenceCells& cells) {
+  std::uint64_t count = 0;
+  for (std::uint32_t in_bucket : cells.latency)
+    count += in_bucket;
+  return count;
+}
+
+// What `now` has more than `before`.
+EvidenceCells Growth(const EvidenceCells& now, const EvidenceCells& before) {
+  EvidenceCells grown;
+  const auto more = [](auto a, auto b) { return a > b ? a - b : 0; };
+  grown.runs = more(now.runs, before.runs);
+  grown.failures = more(now.failures, before.failures);
+  grown.shed = more(now.shed, before.shed);
+  for (std::size_t i = 0; i < kLatencyBuckets; ++i)
+    grown.latency[i] = more(now.latency[i], before.latency[i]);
+  return grown;
+}
+
+Tally SlowerThan(const EvidenceCells& cells, std::size_t bucket) {
+  Tally tally;
+  for (std::size_t i = 0; i < kLatencyBuckets; ++i) {
+    tally.total += cells.latency[i];
+    if (i > bucket)
+      tally.bad += cells.latency[i];
+  }
+  return tally;
+}
+
+Tally TallyOf(const EvidenceCells& cells, Metric metric, std::size_t slow) {
+  switch (metric) {
+    case Metric::kFailures:
+      return {static_cast<double>(cells.runs),
+              static_cast<double>(cells.failures)};
+    case Metric::kLatency:
+      return SlowerThan(cells, slow);
+    default:
+      return {static_cast<double>(cells.runs + cells.shed),
+              static_cast<double>(cells.shed)};
+  }
+}
+
+// Answers in later buckets are slow; none is while the old version's median is
+// unknown.
+std::size_t SlowBucket(const ScopeJudge& scope, double slowdown) {
+  if (CountOf(scope.history) < kMedianAnswers)
+    return kLatencyBuckets;
+  const Duration median = LatencyQuantile(scope.history, 0.5);
+  const double bound = static_cast<double>(median.count()) * slowdown;
+  return LatencyBucketOf(Duration(std::llround(bound)));
+}
+
+struct StratumScores {
+  ScoreTable added{};
+  std::array<Pair, kMetrics> pairs;
+};
+
+StratumScores ScoresOf(const ScopeJudge& scope,
+                       const RouteTotals& stratum,
+                       const Rules& rules) {
+  const std::size_t slow = SlowBucket(scope, rules.bounds.slowdown);
+  StratumScores scores;
+  for (std::size_t m = 0; m < kMetrics; ++m) {
+    const auto metric = static_cast<Metric>(m);
+    const Tally past = TallyOf(scope.history, metric, slow);
+    const double history = (past.bad + 0.5) / (past.total + kPriorAnswers);
+    Pair& pair = scores.pairs.at(m);
+    pair = {TallyOf(stratum.fresh, metric, slow),
+            TallyOf(stratum.old, metric, slow)};
+    scores.added.at(m) = LogRatios(pair, history, rules.settings.shared_weight,
+                                   rules.tables.at(m));
+  }
+  return scores;
+}
+
+RouteTotals Joined(const RouteTotals& a, const RouteTotals& b) {
+  RouteTotals joined = a;
+  AddCells(joined.fresh, b.fresh);
+  AddCells(joined.old, b.old);
+  return joined;
+}
+
+bool IsDue(const ScopeJudge& scope,
+           const JudgeSettings& settings,
+           TimePoint now) {
+  const Duration age = now - scope.opened;
+  if (age >= settings.stratum_most)
+    return true;
+  return age >= settings.stratum_least &&
+         scope.open.fresh.runs >= settings.stratum_answers &&
+         scope.open.old.runs >= settings.stratum_answers;
+}
+
+// What `last` adds for good, now that the stratum after it is known.
+double Confirmed(double last, double joined) {
+  return last <= 0 ? last : std::max(0.0, std::min(last, joined));
+}
+
+void Close(ScopeJudge& scope,
+           const ScoreTable& open,
+           const ScoreTable& joined,
+           TimePoint now) {
+  for (std::size_t m = 0; m < kMetrics; ++m) {
+    for (std::size_t i = 0; i < kAlternatives; ++i) {
+      double& sum = scope.sums.at(m).at(i);
+      sum += Confirmed(scope.last_added.at(m).at(i), joined.at(m).at(i));
+      sum = std::max(0.0, sum);
+    }
+  }
+  scope.last_added = open;
+  AddCells(scope.history, scope.last.old);
+  scope.last = scope.open;
+  scope.open = {};
+  scope.opened = now;
+}
+
+double ScoreOf(double sum, double last, double open, double joined) {
+  if (last <= 0)
+    return std::max(0.0, sum + last) + open;
+  return sum + std::min(last + open, joined);
+}
+
+}  // namespace
+
+void StartScope(ScopeJudge& scope, const Feed& feed, TimePoint now) {
+  if (scope.seen.empty())
+    scope.opened = now;
+  scope.seen[feed.data_center] = feed.totals;
+  AddCells(scope.history, feed.totals.old);
+}
+
+void ObserveFeed(ScopeJudge& scope, const Feed& feed) {
+  RouteTotals& seen = scope.seen[feed.data_center];
+  const RouteTotals grown = {Growth(feed.totals.fresh, seen.fresh),
+                             Growth(feed.totals.old, seen.old)};
+  seen = feed.totals;
+  if (feed.counted)
+    scope.open = Joined(scope.open, grown);
+  else
+    AddCells(scope.history, grown.old);
+}
+
+ScopeScore StepScope(ScopeJudge& scope,
+                     const Rules& rules,
+                     bool may_close,
+                     TimePoint now) {
+  const StratumScores open = ScoresOf(scope, scope.open, rules);
+  const StratumScores joined =
+      ScoresOf(scope, Joined(scope.last, scope.open), rules);
+  ScopeScore strongest;
+  for (std::size_t m = 0; m < kMetrics; ++m) {
+    for (std::size_t i = 0; i < kAlternatives; ++i) {
+      const double score =
+          ScoreOf(scope.sums.at(m).at(i), scope.last_added.at(m).at(i),
+                  open.added.at(m).at(i), joined.added.at(m).at(i));
+      if (score > strongest.score)
+        strongest = {score, static_cast<Metric>(m), joined.pairs.at(m)};
+    }
+  }
+  if (may_close && IsDue(scope, rules.settings, now))
+    Close(scope, open.added, joined.added, now);
+  return strongest;
+}
+
+}  // namespace teaselspread::moves
--- /dev/null
+++ b/src/moves/scope_judge.h
@@ -0,0 +1,37 @@
+// The strata of one scope and what they add up to.
+#ifndef TEASELSPREAD_MOVES_SCOPE_JUDGE_H_
+#define TEASELSPREAD_MOVES_SCOPE_JUDGE_H_
+
+#include "teaselspread/judge.h"
+
+namespace teaselspread::moves {
+
+// What scores are worked out with.
+struct Rules {
+  const JudgeSettings& settings;
+  const MoveBounds& bounds;
+  const std::array<FaultTable, kMetrics>& tables;
+};
+
+// The strongest test of a scope.
+struct ScopeScore {
+  double score = 0;
+  Metric metric = Metric::kFailures;
+  Pair pair;
+};
+
+// Sets the mark to count from: everything up to `feed` is history.
+void StartScope(ScopeJudge& scope, const Feed& feed, TimePoint now);
+
+// Takes in the growth since the last feed of this data centre.
+void ObserveFeed(ScopeJudge& scope, const Feed& feed);
+
+// Scores the scope, and closes its stratum when that is due and `may_close`.
+[[nodiscard]] ScopeScore StepScope(ScopeJudge& scope,
+                                   const Rules& rules,
+                                   bool may_close,
+                                   TimePoint now);
+
+}  // namespace teaselspread::moves
+
+#endif  // TEASELSPREAD_MOVES_SCOPE_JUDGE_H_
--- a/src/moves/step.cc
+++ b/src/moves/step.cc
@@ -12,7 +12,6 @@
 using moves::WaitsForEarlier;
 
 constexpr double kFull = 0.999;
-constexpr std::string_view kAllRoutes = "*";
 // Verdicts kept for moves that the configuration no longer names.
 constexpr std::size_t kMaxVerdicts = 512;
 // A report is sent early when the share has changed by this much.
@@ -74,33 +73,75 @@
     actions.push_back({MoveActionKind::kSpreadVerdict, std::move(verdict), {}});
 }
 
-// Answers by route of the own data centre, "*" for all routes. With little
-// traffic the other data centres' answers are added to "*": alone, none of
-// them would see enough to judge by.
-std::map<std::string, RouteTotals> TotalsOf(const MovesState& state,
-                                            const MoveState& move,
-                                            const EvidenceTable& evidence) {
-  std::map<std::string, RouteTotals> totals;
-  const bool pooled = move.demand.rate < kLittleTraffic;
-  RouteTotals& all = totals[std::string(kAllRoutes)];
+// Notes which data centres have just come back after a silence. Their rows
+// bring minutes of answers at once, of which only the sums are known.
+void NoteSilences(MoveState& move, const StepInput& in, Duration unheard) {
+  for (const std::string& name : in.snapshot.data_centers) {
+    const auto heard = in.capacity.heard.find(name);
+    const bool silent =
+        heard != in.capacity.heard.end() && in.now - heard->second > unheard;
+    if (silent)
+      move.doubted_until[name] = in.now + unheard;
+  }
+}
+
+bool IsDoubted(const MoveState& move,
+               const std::string& data_center,
+               TimePoint now) {
+  const auto found = move.doubted_until.find(data_center);
+  return found != move.doubted_until.end() && now < found->second;
+}
+
+struct FeedTable {
+  // By scope and data centre.
+  std::map<std::pair<std::string, std::string>, Feed> feeds;
+};
+
+void AddRow(FeedTable& table,
+            const std::string& scope,
+            const EvidenceKey& key,
+            const EvidenceCells& cells,
+            bool fresh,
+            bool counted) {
+  Feed& feed = table.feeds[{scope, key.data_center}];
+  feed.scope = scope;
+  feed.data_center = key.data_center;
+  feed.counted = counted;
+  AddCells(fresh ? feed.totals.fresh : feed.totals.old, cells);
+}
+
+// Answers by route in the own data centre and everywhere. The sums over all
+// data centres count only with little traffic, when none of them sees enough by
+// itself: the shares of the data centres differ, and a fault of one of them
+// that both versions share would look like one of the version that has more of
+// its traffic there.
+std::vector<Feed> FeedsOf(const MovesState& state,
+                          const MoveState& move,
+                          const StepInput& in) {
+  const bool pooled = move.demand.known && move.demand.rate < kLittleTraffic;
+  FeedTable table;
   EvidenceKey first;
   first.move = move.config.id;
-  for (auto row = evidence.rows.lower_bound(first);
-       row != evidence.rows.end() && row->first.move == move.config.id; ++row) {
+  const auto& rows = in.evidence.rows;
+  for (auto row = rows.lower_bound(first);
+       row != rows.end() && row->first.move == move.config.id; ++row) {
     const EvidenceKey& key = row->first;
-    const bool own = key.data_center == state.data_center;
-    if (!own && !pooled)
-      continue;
+    const EvidenceCells& cells = row->second.cells;
     const bool fresh = key.version == move.config.to;
-    if (!fresh && key.version != move.config.from)
+    if (key.route.empty() || (!fresh && key.version != move.config.from))
       continue;
-    AddCells(fresh ? all.fresh : all.old, row->second.cells);
-    if (!own || key.route.empty())
+    const bool counted = pooled && !IsDoubted(move, key.data_center, in.now);
+    AddRow(table, "everywhere", key, cells, fresh, counted);
+    AddRow(table, "everywhere/" + key.route, key, cells, fresh, counted);
+    if (key.data_center != state.data_center)
       continue;
-    RouteTotals& route = totals[key.route];
-    AddCells(fresh ? route.fresh : route.old, row->second.cells);
+    AddRow(table, "*", key, cells, fresh, true);
+    AddRow(table, key.route, key, cells, fresh, true);
   }
-  return totals;
+  std::vector<Feed> feeds;
+  for (auto& [key, feed] : table.feeds)
+    feeds.push_back(std::move(feed));
+  return feeds;
 }
 
 void TakeBack(MovesState& state,
@@ -111,7 +152,7 @@
   Verdict verdict =
       MakeVerdict(state, move.config, MoveStage::kTakenBack, reason, now);
   const Judgement& seen = move.judgement;
-  verdict.route = seen.route;
+  verdict.route = seen.scope;
   const auto ratio = [](const Tally& tally) {
     return tally.total > 0 ? tally.bad / tally.total : 0;
   };
@@ -252,8 +293,6 @@
                  const StepInput& in,
                  Actions& actions) {
   const MoveConfig& config = move.config;
-  const std::map<std::string, RouteTotals> totals =
-      TotalsOf(state, move, in.evidence);
   RouteTotals own;
   own.fresh = TotalOf(in.evidence, config.id, state.data_center, config.to, "");
   own.old = TotalOf(in.evidence, config.id, state.data_center, config.from, "");
@@ -261,8 +300,9 @@
   AddCells(both, own.old);
   moves::ObserveDemand(move.demand, both, in.now);
   const bool old_serves = SlotsOf(in.capacity, config.service, config.from) > 0;
+  NoteSilences(move, in, state.settings.unheard_after);
   move.judgement = StepJudge(move.judge, state.settings.judge, config.bounds,
-                             totals, old_serves, in.now);
+                             FeedsOf(state, move, in), old_serves, in.now);
   if (move.judgement.finding == Finding::kBad)
     TakeBack(state, move, move.judgement.reason, in.now, actions);
   else if (CrashesOnStart(state.settings.judge, own.fresh, own.old))
