--- a/src/http/connection_pool.cc
+++ b/src/http/connection_pool.cc
@@ -26,19 +26,17 @@
 Result<PooledConnection> ConnectionPool::Take(const Address& target,
                                               Duration reuse_within,
                                               const CallBounds& bounds) {
-  {
-    const std::scoped_lock lock(this->gate);
-    TargetConnections& connections = this->targets[target];
-    if (auto idle = this->TakeIdle(connections, reuse_within)) {
+  while (auto idle = this->TakeIdle(target, reuse_within)) {
+    if (this->Quiet(*idle)) {
       this->counters.Add(ClientEvent::kReused);
       return std::move(*idle);
     }
-    if (connections.open >= this->max_per_target) {
-      this->counters.Add(ClientEvent::kConnectionLimit);
-      return Fail(ErrorKind::kConnectionLimit,
-                  "every connection to the target is in use");
-    }
-    ++connections.open;
+    this->Drop(target);
+  }
+  if (!this->Reserve(target)) {
+    this->counters.Add(ClientEvent::kConnectionLimit);
+    return Fail(ErrorKind::kConnectionLimit,
+                "every connection to the target is in use");
   }
   Result<PollStream> stream = Connect(target, bounds);
   if (!stream) {
@@ -52,34 +50,48 @@
   return PooledConnection{std::move(*stream), std::chrono::steady_clock::now()};
 }
 
+bool ConnectionPool::Reserve(const Address& target) {
+  const std::scoped_lock lock(this->gate);
+  std::size_t& open = this->targets[target].open;
+  if (open >= this->max_per_target)
+    return false;
+  ++open;
+  return true;
+}
+
 std::optional<PooledConnection> ConnectionPool::TakeIdle(
-    TargetConnections& connections,
+    const Address& target,
     Duration reuse_within) {
+  const std::scoped_lock lock(this->gate);
+  TargetConnections& connections = this->targets[target];
   while (!connections.idle.empty()) {
     PooledConnection connection = std::move(connections.idle.back());
     connections.idle.pop_back();
-    if (this->Usable(connection, connections.trusted_since, reuse_within))
+    if (this->Fresh(connection, connections.trusted_since, reuse_within))
       return connection;
     --connections.open;
   }
   return std::nullopt;
 }
 
-// A closed connection takes the bytes of a request and loses them, and a late
-// answer would be taken for that of the next request. Neither shows unless it
-// is looked for before the connection is used.
-bool ConnectionPool::Usable(const PooledConnection& connection,
-                            TimePoint trusted_since,
-                            Duration reuse_within) {
+bool ConnectionPool::Fresh(const PooledConnection& connection,
+                           TimePoint trusted_since,
+                           Duration reuse_within) {
   const auto now = std::chrono::steady_clock::now();
-  if (connection.last_byte < trusted_since) {
+  const bool trusted = connection.last_byte >= trusted_since;
+  const bool recent = now - connection.last_byte <= reuse_within;
+  if (!trusted)
     this->counters.Add(ClientEvent::kDistrusted);
-    return false;
-  }
-  if (now - connection.last_byte > reuse_within) {
+  else if (!recent)
     this->counters.Add(ClientEvent::kExpired);
-    return false;
-  }
+  return trusted && recent;
+}
+
+// A closed connection takes the bytes of a request and loses them, and a late
+// answer would be taken for that of the next request. Neither shows unless it
+// is looked for before the connection is used. Not under the lock: it asks the
+// kernel.
+bool ConnectionPool::Quiet(const PooledConnection& connection) {
   const IdleState state = StateOf(connection.stream);
   if (state == IdleState::kClosed)
     this->counters.Add(ClientEvent::kClosedByPeer);
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -67,11 +67,14 @@
     TimePoint trusted_since;
   };
 
-  std::optional<PooledConnection> TakeIdle(TargetConnections& connections,
+  // False when the target has no connection left to open.
+  bool Reserve(const Address& target);
+  std::optional<PooledConnection> TakeIdle(const Address& target,
                                            Duration reuse_within);
-  bool Usable(const PooledConnection& connection,
-              TimePoint trusted_since,
-              Duration reuse_within);
+  bool Fresh(const PooledConnection& connection,
+             TimePoint trusted_since,
+             Duration reuse_within);
+  bool Quiet(const PooledConnection& connection);
 
   std::size_t max_per_target;
   ClientCounters& counters;
