Let a thread keep its connection to a target

The silent-connection test now lets the connections rest, as its case says they had; the thread that calls has none of its own.

--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -2,11 +2,13 @@
 #ifndef TEASELSPREAD_SRC_HTTP_CONNECTION_POOL_H_
 #define TEASELSPREAD_SRC_HTTP_CONNECTION_POOL_H_
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <map>
 #include <mutex>
 #include <optional>
+#include <thread>
 #include <tuple>
 #include <vector>
 
@@ -21,6 +23,8 @@
 struct PooledConnection {
   PollStream stream;
   std::chrono::steady_clock::time_point last_byte;
+  // Who used it last.
+  std::thread::id user;
 };
 
 // Order for maps.
@@ -60,17 +64,38 @@
   [[nodiscard]] std::size_t Connections(const Address& target) const;
 
  private:
-  struct TargetConnections {
+  struct IdleConnections {
     std::vector<PooledConnection> idle;
-    // Idle and taken.
-    std::size_t open = 0;
     TimePoint trusted_since;
   };
+  // The idle connections of the threads that share a shard. One list for all
+  // threads doubled the time of a hop: the thread that holds its lock gets
+  // paused, and every forwarding thread waits for it.
+  struct Shard {
+    std::mutex gate;
+    std::map<Address, IdleConnections, AddressLess> targets;
+  };
+  static constexpr std::size_t kShards = 16;
+
+  // Which idle connections a thread may take, in the order of preference.
+  enum class Choice { kOwn, kRested, kAny };
 
+  [[nodiscard]] static std::size_t OwnShard();
+  [[nodiscard]] static bool Eligible(const PooledConnection& connection,
+                                     Choice choice);
+  // Precondition: reserved.
+  Result<PooledConnection> Open(const Address& target,
+                                const CallBounds& bounds);
   // False when the target has no connection left to open.
   bool Reserve(const Address& target);
-  std::optional<PooledConnection> TakeIdle(const Address& target,
-                                           Duration reuse_within);
+  void Release(const Address& target, std::size_t count);
+  std::optional<PooledConnection> TakeQuiet(const Address& target,
+                                            Duration reuse_within,
+                                            Choice choice);
+  std::optional<PooledConnection> TakeIdle(Shard& shard,
+                                           const Address& target,
+                                           Duration reuse_within,
+                                           Choice choice);
   bool Fresh(const PooledConnection& connection,
              TimePoint trusted_since,
              Duration reuse_within);
@@ -78,8 +103,10 @@
 
   std::size_t max_per_target;
   ClientCounters& counters;
+  std::array<Shard, kShards> shards;
   mutable std::mutex gate;
-  std::map<Address, TargetConnections, AddressLess> targets;
+  // Idle and taken, for each target.
+  std::map<Address, std::size_t, AddressLess> open;
 };
 
 }  // namespace teaselspread
--- a/tests/contract/http_client_test.cc
+++ b/tests/contract/http_client_test.cc
@@ -164,6 +164,8 @@
   for (std::thread& caller : callers)
     caller.join();
   cr_assert(pool.Connections(peer.At()) == kOld);
+  // Another thread takes an idle connection only once it has rested.
+  std::this_thread::sleep_for(30ms);
   const auto lost = pool.Send(peer.At(), Plain(), Quick());
   cr_assert(!lost && lost.error().kind == ErrorKind::kSilentConnection);
   for (int i = 0; i < kOld; ++i)
