--- a/benchmark/http_bench.cc
+++ b/benchmark/http_bench.cc
@@ -74,7 +74,7 @@
     });
     for (int i = 0; i < hops; ++i) {
       const Address next = this->servers.back()->LocalAddress();
-      this->Add([this, next](HttpRequest request) {
+      this->Add([this, next](const HttpRequest& request) {
         auto answer = this->pool.Send(next, request, LongCall());
         return answer ? std::move(*answer) : ErrorResponse(answer.error());
       });
