--- a/src/http/connection_pool.cc
+++ b/src/http/connection_pool.cc
@@ -3,12 +3,18 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <atomic>
 #include <cerrno>
+#include <iterator>
 #include <utility>
 
 namespace teaselspread {
 namespace {
 
+// An idle connection whose owner has not come back for this long is free to
+// all.
+constexpr auto kRest = std::chrono::milliseconds(10);
+
 enum class IdleState { kQuiet, kClosed, kUnsolicited };
 
 // Looks at a connection that should have nothing to say.
@@ -23,23 +29,37 @@
 
 }  // namespace
 
+std::size_t ConnectionPool::OwnShard() {
+  static std::atomic<std::size_t> threads{0};
+  thread_local const std::size_t mine = threads++ % kShards;
+  return mine;
+}
+
+// A thread that keeps its connection wakes the same peer thread each time, and
+// the two stay near each other: that halves the time of a hop. So a busy thread
+// rather opens a connection than takes that of another busy one; a rested one
+// is taken, since opening costs more than the hop.
 Result<PooledConnection> ConnectionPool::Take(const Address& target,
                                               Duration reuse_within,
                                               const CallBounds& bounds) {
-  {
-    const std::scoped_lock lock(this->gate);
-    TargetConnections& connections = this->targets[target];
-    if (auto idle = this->TakeIdle(connections, reuse_within)) {
-      this->counters.Add(ClientEvent::kReused);
+  for (const Choice choice : {Choice::kOwn, Choice::kRested}) {
+    if (auto idle = this->TakeQuiet(target, reuse_within, choice))
       return std::move(*idle);
-    }
-    if (connections.open >= this->max_per_target) {
-      this->counters.Add(ClientEvent::kConnectionLimit);
-      return Fail(ErrorKind::kConnectionLimit,
-                  "every connection to the target is in use");
-    }
-    ++connections.open;
   }
+  if (this->Reserve(target))
+    return this->Open(target, bounds);
+  if (auto idle = this->TakeQuiet(target, reuse_within, Choice::kAny))
+    return std::move(*idle);
+  // What was found unusable just now has made room.
+  if (this->Reserve(target))
+    return this->Open(target, bounds);
+  this->counters.Add(ClientEvent::kConnectionLimit);
+  return Fail(ErrorKind::kConnectionLimit,
+              "every connection to the target is in use");
+}
+
+Result<PooledConnection> ConnectionPool::Open(const Address& target,
+                                              const CallBounds& bounds) {
   Result<PollStream> stream = Connect(target, bounds);
   if (!stream) {
     this->Drop(target);
@@ -49,37 +69,103 @@
     return tl::make_unexpected(stream.error());
   }
   this->counters.Add(ClientEvent::kOpened);
-  return PooledConnection{std::move(*stream), std::chrono::steady_clock::now()};
+  return PooledConnection{std::move(*stream), std::chrono::steady_clock::now(),
+                          std::this_thread::get_id()};
 }
 
-std::optional<PooledConnection> ConnectionPool::TakeIdle(
-    TargetConnections& connections,
-    Duration reuse_within) {
-  while (!connections.idle.empty()) {
-    PooledConnection connection = std::move(connections.idle.back());
-    connections.idle.pop_back();
-    if (this->Usable(connection, connections.trusted_since, reuse_within))
-      return connection;
-    --connections.open;
+bool ConnectionPool::Reserve(const Address& target) {
+  const std::scoped_lock lock(this->gate);
+  std::size_t& count = this->open[target];
+  if (count >= this->max_per_target)
+    return false;
+  ++count;
+  return true;
+}
+
+void ConnectionPool::Release(const Address& target, std::size_t count) {
+  const std::scoped_lock lock(this->gate);
+  const auto found = this->open.find(target);
+  found->second -= count;
+  if (found->second == 0)
+    this->open.erase(found);
+}
+
+// The own shard first, then those of other threads.
+std::optional<PooledConnection> ConnectionPool::TakeQuiet(const Address& target,
+                                                          Duration reuse_within,
+                                                          Choice choice) {
+  const std::size_t own = OwnShard();
+  const std::size_t count = choice == Choice::kOwn ? 1 : kShards;
+  for (std::size_t i = 0; i < count; ++i) {
+    Shard& shard = this->shards.at((own + i) % kShards);
+    while (auto idle = this->TakeIdle(shard, target, reuse_within, choice)) {
+      if (this->Quiet(*idle)) {
+        this->counters.Add(ClientEvent::kReused);
+        return idle;
+      }
+      this->Drop(target);
+    }
   }
   return std::nullopt;
 }
 
-// A closed connection takes the bytes of a request and loses them, and a late
-// answer would be taken for that of the next request. Neither shows unless it
-// is looked for before the connection is used.
-bool ConnectionPool::Usable(const PooledConnection& connection,
-                            TimePoint trusted_since,
-                            Duration reuse_within) {
+bool ConnectionPool::Eligible(const PooledConnection& connection,
+                              Choice choice) {
+  switch (choice) {
+    case Choice::kOwn:
+      return connection.user == std::this_thread::get_id();
+    case Choice::kRested:
+      return std::chrono::steady_clock::now() - connection.last_byte > kRest;
+    case Choice::kAny:
+      break;
+  }
+  return true;
+}
+
+std::optional<PooledConnection> ConnectionPool::TakeIdle(Shard& shard,
+                                                         const Address& target,
+                                                         Duration reuse_within,
+                                                         Choice choice) {
+  const std::scoped_lock lock(shard.gate);
+  const auto found = shard.targets.find(target);
+  if (found == shard.targets.end())
+    return std::nullopt;
+  IdleConnections& connections = found->second;
+  auto& idle = connections.idle;
+  while (true) {
+    const auto chosen =
+        std::find_if(idle.rbegin(), idle.rend(),
+                     [choice](const PooledConnection& candidate) {
+                       return Eligible(candidate, choice);
+                     });
+    if (chosen == idle.rend())
+      return std::nullopt;
+    PooledConnection connection = std::move(*chosen);
+    idle.erase(std::next(chosen).base());
+    if (this->Fresh(connection, connections.trusted_since, reuse_within))
+      return connection;
+    this->Drop(target);
+  }
+}
+
+bool ConnectionPool::Fresh(const PooledConnection& connection,
+                           TimePoint trusted_since,
+                           Duration reuse_within) {
   const auto now = std::chrono::steady_clock::now();
-  if (connection.last_byte < trusted_since) {
+  const bool trusted = connection.last_byte >= trusted_since;
+  const bool recent = now - connection.last_byte <= reuse_within;
+  if (!trusted)
     this->counters.Add(ClientEvent::kDistrusted);
-    return false;
-  }
-  if (now - connection.last_byte > reuse_within) {
+  else if (!recent)
     this->counters.Add(ClientEvent::kExpired);
-    return false;
-  }
+  return trusted && recent;
+}
+
+// A closed connection takes the bytes of a request and loses them, and a late
+// answer would be taken for that of the next request. Neither shows unless it
+// is looked for before the connection is used. Not under the lock: it asks the
+// kernel.
+bool ConnectionPool::Quiet(const PooledConnection& connection) {
   const IdleState state = StateOf(connection.stream);
   if (state == IdleState::kClosed)
     this->counters.Add(ClientEvent::kClosedByPeer);
@@ -91,45 +177,62 @@
 void ConnectionPool::GiveBack(const Address& target,
                               PooledConnection connection) {
   connection.last_byte = std::chrono::steady_clock::now();
-  const std::scoped_lock lock(this->gate);
-  this->targets[target].idle.push_back(std::move(connection));
+  connection.user = std::this_thread::get_id();
+  Shard& shard = this->shards.at(OwnShard());
+  const std::scoped_lock lock(shard.gate);
+  shard.targets[target].idle.push_back(std::move(connection));
 }
 
 void ConnectionPool::Drop(const Address& target) {
-  const std::scoped_lock lock(this->gate);
-  --this->targets[target].open;
+  this->Release(target, 1);
 }
 
 void ConnectionPool::Distrust(const Address& target, TimePoint sent_at) {
-  const std::scoped_lock lock(this->gate);
-  TargetConnections& connections = this->targets[target];
-  connections.trusted_since = std::max(connections.trusted_since, sent_at);
+  for (Shard& shard : this->shards) {
+    const std::scoped_lock lock(shard.gate);
+    TimePoint& since = shard.targets[target].trusted_since;
+    since = std::max(since, sent_at);
+  }
 }
 
 void ConnectionPool::Forget(const Address& target) {
-  const std::scoped_lock lock(this->gate);
-  TargetConnections& connections = this->targets[target];
-  connections.open -= connections.idle.size();
-  connections.idle.clear();
+  for (Shard& shard : this->shards) {
+    const std::scoped_lock lock(shard.gate);
+    const auto found = shard.targets.find(target);
+    if (found == shard.targets.end())
+      continue;
+    const std::size_t count = found->second.idle.size();
+    found->second.idle.clear();
+    if (count > 0)
+      this->Release(target, count);
+  }
 }
 
 void ConnectionPool::Prune(Duration idle) {
   const auto oldest = std::chrono::steady_clock::now() - idle;
-  const std::scoped_lock lock(this->gate);
-  for (auto& [target, connections] : this->targets) {
-    connections.open -= std::erase_if(
-        connections.idle, [oldest](const PooledConnection& connection) {
-          return connection.last_byte < oldest;
-        });
+  for (Shard& shard : this->shards) {
+    const std::scoped_lock lock(shard.gate);
+    for (auto& [target, connections] : shard.targets) {
+      const std::size_t count = std::erase_if(
+          connections.idle, [oldest](const PooledConnection& connection) {
+            return connection.last_byte < oldest;
+          });
+      if (count > 0)
+        this->Release(target, count);
+    }
+    // Targets come and go all the time; their entries must not pile up. What
+    // is still taken is older than the distrust that goes with the entry only
+    // if its call lasts longer than `idle`.
+    std::erase_if(shard.targets, [oldest](const auto& entry) {
+      return entry.second.idle.empty() && entry.second.trusted_since < oldest;
+    });
   }
-  std::erase_if(this->targets,
-                [](const auto& entry) { return entry.second.open == 0; });
 }
 
 std::size_t ConnectionPool::Connections(const Address& target) const {
   const std::scoped_lock lock(this->gate);
-  const auto found = this->targets.find(target);
-  return found == this->targets.end() ? 0 : found->second.open;
+  const auto found = this->open.find(target);
+  return found == this->open.end() ? 0 : found->second;
 }
 
 }  // namespace teaselspread
