--- a/include/teaselspread/claim_messages.h
+++ b/include/teaselspread/claim_messages.h
@@ -8,7 +8,6 @@
 #include <string_view>
 #include <vector>
 
-#include <cereal/types/chrono.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
@@ -26,7 +25,8 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->text, this->has_issue_time, this->issued);
+    archive(this->text, this->has_issue_time);
+    SerializeTime(archive, this->issued);
   }
 };
 
@@ -150,8 +150,9 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->digest, this->attempt, this->epoch, this->state,
-            this->touched, this->outcome);
+    archive(this->digest, this->attempt, this->epoch, this->state);
+    SerializeTime(archive, this->touched);
+    archive(this->outcome);
   }
 };
 
@@ -258,8 +259,9 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->epoch, this->holder, this->kind, this->complete_since,
-            this->records);
+    archive(this->epoch, this->holder, this->kind);
+    SerializeTime(archive, this->complete_since);
+    archive(this->records);
   }
 };
 
--- a/src/commands/files.cc
+++ b/src/commands/files.cc
@@ -100,8 +100,7 @@
     return Report(reader.error(), streams);
   if (const auto read = ReadToEnd(*reader); !read)
     return Report(read.error(), streams);
-  const auto differences =
-      DiffDocuments(reader->fold.document, *document);
+  const auto differences = DiffDocuments(reader->fold.document, *document);
   streams.out << FormatDifferences(differences, options.output);
   return differences.empty() ? ExitCode::kOk : ExitCode::kDifferent;
 }
--- a/src/commands/nodes.cc
+++ b/src/commands/nodes.cc
@@ -51,9 +51,9 @@
 
 Result<DataCenterStatus> ParseStatus(const std::string& body) {
   DataCenterStatus status;
-  status.members.columns = {"vm",      "data_center", "status",
-                            "version", "service",     "upstream_version",
-                            "upstream_state"};
+  status.members.columns = {
+      "vm",      "data_center",      "status",        "version",
+      "service", "upstream_version", "upstream_state"};
   try {
     const YAML::Node page = YAML::Load(body);
     status.data_center = page["data_center"].as<std::string>();
@@ -164,8 +164,7 @@
       all.rows.push_back(std::move(row));
   }
   std::sort(all.rows.begin(), all.rows.end());
-  all.rows.erase(std::unique(all.rows.begin(), all.rows.end()),
-                 all.rows.end());
+  all.rows.erase(std::unique(all.rows.begin(), all.rows.end()), all.rows.end());
   streams.out << FormatTable(all, options.output);
   return ExitCode::kOk;
 }
--- a/src/commands/publish.cc
+++ b/src/commands/publish.cc
@@ -81,9 +81,10 @@
     std::this_thread::sleep_for(kRetryPause);
   }
   if (may_be_there)
-    return Fail(ErrorKind::kAppendUnknown,
-                Concat("the outcome is unknown; run it again with --publish_id=",
-                       publish_id));
+    return Fail(
+        ErrorKind::kAppendUnknown,
+        Concat("the outcome is unknown; run it again with --publish_id=",
+               publish_id));
   return tl::make_unexpected(last);
 }
 
@@ -107,8 +108,8 @@
 Result<void> ReadToEnd(LogReader& reader) {
   while (true) {
     const LogOffset from = reader.fold.position + 1;
-    const ReadResult batch = reader.client->Read(reader.stream, from,
-                                                 kRecordsAtATime, Duration{});
+    const ReadResult batch =
+        reader.client->Read(reader.stream, from, kRecordsAtATime, Duration{});
     if (!batch) {
       const LogReadError& failed = batch.error();
       if (failed.error.kind != ErrorKind::kLogExpired ||
@@ -133,9 +134,8 @@
     return Report(reader.error(), streams);
   if (const auto read = ReadToEnd(*reader); !read)
     return Report(read.error(), streams);
-  const std::string publish_id = options.publish_id.empty()
-                                     ? FreshPublishId()
-                                     : options.publish_id;
+  const std::string publish_id =
+      options.publish_id.empty() ? FreshPublishId() : options.publish_id;
   if (const auto* known = FindOutcome(reader->fold, publish_id))
     return Tell(*known, options, streams);
   if (const auto base = CheckBase(options, reader->fold); !base)
--- a/src/log/log_frame.cc
+++ b/src/log/log_frame.cc
@@ -22,7 +22,7 @@
 }  // namespace
 
 Result<std::vector<StoredRecord>> DecodeRecords(std::string_view body,
-                                             std::uint64_t from) {
+                                                std::uint64_t from) {
   std::vector<StoredRecord> records;
   std::uint64_t least = from;
   while (!body.empty()) {
--- a/src/logging/logging.cc
+++ b/src/logging/logging.cc
@@ -14,7 +14,7 @@
 namespace teaselspread {
 namespace {
 
-constexpr const char* kPattern = "%d{yyyy-MM-dd'T'HH:mm:ss.SSS} level=%p %m%n";
+constexpr const char* kPattern = "%d{ISO8601} level=%p %m%n";
 
 struct LoggingState {
   LogIdentity identity;
--- a/src/node/claims_service.cc
+++ b/src/node/claims_service.cc
@@ -54,8 +54,7 @@
     return;
   Log(LogLevel::kInfo, kClaimsService, "epoch",
       {{"number", epoch.number}, {"holders", epoch.holders.size()}});
-  SendSeals(service,
-            LearnEpoch(service.keeper, epoch, service.kernel->Now()));
+  SendSeals(service, LearnEpoch(service.keeper, epoch, service.kernel->Now()));
 }
 
 EpochNotice NoticeOf(const ClaimsService& service) {
@@ -98,10 +97,9 @@
 
 void AppendEpoch(ClaimsService& service, const EpochRecord& record) {
   const LoggedEpoch logged{record, service.epochs.through};
-  service.kernel->Post(
-      kLogService,
-      AppendToLog{EncodeRecord(
-          OpaqueRecord{std::string(kEpochRecord), EncodeEpoch(logged)})});
+  service.kernel->Post(kLogService,
+                       AppendToLog{EncodeRecord(OpaqueRecord{
+                           std::string(kEpochRecord), EncodeEpoch(logged)})});
 }
 
 void ProposeIfNeeded(ClaimsService& service) {
@@ -143,17 +141,17 @@
   // Those that hold already come first: they must not be taken for gone.
   for (const bool holding : {true, false}) {
     for (const auto& [id, known] : service.local) {
+      const std::string& name = id;
       const bool is_holder =
           std::any_of(holders.begin(), holders.end(),
-                      [&](const Holder& each) { return each.id == id; });
+                      [&](const Holder& each) { return each.id == name; });
       if (is_holder == holding && IsAlive(known, now) &&
           offer.holders.size() < kOffered)
         offer.holders.push_back(known.holder);
     }
   }
-  service.kernel->Post(
-      kSpreadService,
-      ToOtherDataCenters{Module::kClaims, EncodeClaim(offer)});
+  service.kernel->Post(kSpreadService,
+                       ToOtherDataCenters{Module::kClaims, EncodeClaim(offer)});
 }
 
 void AskForEpoch(ClaimsService& service) {
@@ -282,8 +280,7 @@
   const Holder holder{member.id, member.data_center,
                       StartOf(member.incarnation), member.control};
   if (const auto old = service.local.find(member.id);
-      old != service.local.end() &&
-      old->second.holder.boot_id < holder.boot_id)
+      old != service.local.end() && old->second.holder.boot_id < holder.boot_id)
     HolderGone(service.keeper, member.id, old->second.holder.boot_id,
                service.kernel->Now());
   service.local[member.id] = {holder, service.kernel->Now(),
@@ -342,9 +339,8 @@
   if (decided)
     return pending->attempt.verdict;
   const ClaimVerdict verdict = GiveUpClaim(pending->attempt);
-  service.post([&service, pending] {
-    Decide(service, pending->attempt.id.sequence);
-  });
+  service.post(
+      [&service, pending] { Decide(service, pending->attempt.id.sequence); });
   return verdict;
 }
 
@@ -396,15 +392,12 @@
 
 void StartClaimsService(Kernel& kernel, ClaimsService& service) {
   service.kernel = &kernel;
-  kernel.Register<Tick>(kClaimsService,
-                        [&](const Tick&) { OnTick(service); });
-  kernel.Register<ModuleBody>(kClaimsService, [&](const ModuleBody& body) {
-    Hear(service, body);
-  });
+  kernel.Register<Tick>(kClaimsService, [&](const Tick&) { OnTick(service); });
+  kernel.Register<ModuleBody>(
+      kClaimsService, [&](const ModuleBody& body) { Hear(service, body); });
   kernel.Register<MemberChanged>(
-      kClaimsService, [&](const MemberChanged& change) {
-        HearMember(service, change.member);
-      });
+      kClaimsService,
+      [&](const MemberChanged& change) { HearMember(service, change.member); });
   kernel.Register<RoleChanged>(kClaimsService, [&](const RoleChanged& role) {
     service.reader = role.reader;
     if (!role.reader)
@@ -414,9 +407,8 @@
     BeginEpochs(service.epochs, from.first);
   });
   kernel.Register<OpaqueRecordFound>(
-      kClaimsService, [&](const OpaqueRecordFound& found) {
-        HearRecord(service, found);
-      });
+      kClaimsService,
+      [&](const OpaqueRecordFound& found) { HearRecord(service, found); });
   kernel.Register<LogFolded>(kClaimsService, [&](const LogFolded& folded) {
     HearFolded(service, folded);
   });
--- a/src/node/config_service.cc
+++ b/src/node/config_service.cc
@@ -84,16 +84,15 @@
     kernel.Post(kMovesService, found);
     kernel.Post(kClaimsService, found);
   }
-  kernel.Post(kClaimsService, LogFolded{fold.position, batch.read_started,
-                                        batch.reached_end});
+  kernel.Post(kClaimsService,
+              LogFolded{fold.position, batch.read_started, batch.reached_end});
   kernel.Post(kSpreadService, std::move(findings));
 }
 
 void PutInForce(Kernel& kernel,
                 ConfigService& service,
                 const ApplyUpdates& message) {
-  auto next =
-      ApplyTo(service.in_force, message.updates, service.data_center);
+  auto next = ApplyTo(service.in_force, message.updates, service.data_center);
   if (!next) {
     Log(LogLevel::kError, kConfigService, "update-rejected",
         {{"reason", NameOf(next.error().kind)},
@@ -108,8 +107,7 @@
   const SnapshotInForce in_force{service.in_force.snapshot};
   kernel.Post(kRequestsService, in_force);
   kernel.Post(kMovesService, in_force);
-  kernel.Post(kSpreadService,
-              UpdatesApplied{FullUpdateOf(service.in_force)});
+  kernel.Post(kSpreadService, UpdatesApplied{FullUpdateOf(service.in_force)});
 }
 
 // A node that becomes a reader goes on from what its peers gave it: the log
@@ -152,8 +150,9 @@
   if (!CheckpointDue(service.checkpoint_rule, service.fold,
                      service.checkpoint_timer, kernel.Now(), service.rng))
     return;
-  kernel.Post(kLogService, AppendToLog{EncodeRecord(
-                               MakeCheckpoint(service.fold, kernel.Now()))});
+  kernel.Post(
+      kLogService,
+      AppendToLog{EncodeRecord(MakeCheckpoint(service.fold, kernel.Now()))});
 }
 
 }  // namespace
@@ -186,19 +185,18 @@
 }
 
 void StartConfigService(Kernel& kernel, ConfigService& service) {
-  kernel.Register<ApplyUpdates>(
-      kConfigService, [&](const ApplyUpdates& message) {
-        PutInForce(kernel, service, message);
-      });
+  kernel.Register<ApplyUpdates>(kConfigService,
+                                [&](const ApplyUpdates& message) {
+                                  PutInForce(kernel, service, message);
+                                });
   kernel.Register<LogBatch>(kConfigService, [&](const LogBatch& batch) {
     FoldBatch(kernel, service, batch);
   });
   kernel.Register<RoleChanged>(kConfigService, [&](const RoleChanged& role) {
     ChangeRole(kernel, service, role);
   });
-  kernel.Register<Tick>(kConfigService, [&](const Tick&) {
-    CheckCheckpoint(kernel, service);
-  });
+  kernel.Register<Tick>(kConfigService,
+                        [&](const Tick&) { CheckCheckpoint(kernel, service); });
   kernel.Post(kConfigService, Tick{});
 }
 
--- a/src/node/entry.cc
+++ b/src/node/entry.cc
@@ -44,8 +44,7 @@
       return Fail(ErrorKind::kNotReady, "no configuration is in force yet");
     call.snapshot = service.snapshot;
   }
-  call.route =
-      MatchRoute(*call.snapshot, request.method, PathOf(request));
+  call.route = MatchRoute(*call.snapshot, request.method, PathOf(request));
   if (call.route == nullptr)
     return Fail(ErrorKind::kNoRoute, "no route for this method and path");
   if (request.body.size() > call.route->max_body_bytes)
@@ -63,8 +62,7 @@
     call.id = service.settings.vm + "-" + std::to_string(service.next_id++);
   call.key = std::string(FindHeader(request.headers, kHeaderIdempotencyKey));
   if (!call.route->idempotent && call.key.empty())
-    return Fail(ErrorKind::kKeyMissing,
-                "this route needs an Idempotency-Key");
+    return Fail(ErrorKind::kKeyMissing, "this route needs an Idempotency-Key");
   call.request = std::move(request);
   return call;
 }
@@ -183,14 +181,12 @@
                  std::size_t attempts) {
   FailedAttempt failed;
   failed.kind = FailureOf(attempt);
-  failed.not_run =
-      AnswerOf(failed.kind).execution == Execution::kNotRun;
+  failed.not_run = AnswerOf(failed.kind).execution == Execution::kNotRun;
   failed.idempotent = call.route->idempotent;
   failed.attempts_made = static_cast<int>(attempts);
   failed.deadline = call.deadline;
   const std::scoped_lock lock(service.gate);
-  failed.attempt_time =
-      ExpectedTime(service.gatekeeper, call.route->name);
+  failed.attempt_time = ExpectedTime(service.gatekeeper, call.route->name);
   return IsRetry(DecideRetry(service.retry_budget, failed, SystemNow()));
 }
 
@@ -247,11 +243,11 @@
   service.answers_by_error.Add(error.kind);
   if (route != nullptr) {
     const std::scoped_lock lock(service.gate);
-    ++service.refusals[route->name]
-          .by_kind.at(static_cast<std::size_t>(error.kind));
+    ++service.refusals[route->name].by_kind.at(
+        static_cast<std::size_t>(error.kind));
   }
-  const Duration spread = SpreadRetryAfter(
-      std::max(retry_after, kFirstRetryAfter), ThreadRng());
+  const Duration spread =
+      SpreadRetryAfter(std::max(retry_after, kFirstRetryAfter), ThreadRng());
   return ErrorResponse(error, std::chrono::ceil<std::chrono::seconds>(spread));
 }
 
--- a/src/node/frame_transport.cc
+++ b/src/node/frame_transport.cc
@@ -155,7 +155,8 @@
   std::string frame;
 };
 
-FrameTransport::FrameTransport(asio::io_context& loop, FrameHandler frame_handler)
+FrameTransport::FrameTransport(asio::io_context& loop,
+                               FrameHandler frame_handler)
     : io(loop),
       handler(std::move(frame_handler)),
       datagram_socket(loop),
--- a/src/node/gate.cc
+++ b/src/node/gate.cc
@@ -50,9 +50,9 @@
     // Each waiter wakes the whole queue's expiry, so one that is given up on is
     // answered at that moment, not when the next slot comes free.
     const TimePoint now = SystemNow();
-    const TimePoint wake = std::min(
-        NextExpiry(service.gatekeeper).value_or(now + kLongestWait),
-        now + kLongestWait);
+    const TimePoint wake =
+        std::min(NextExpiry(service.gatekeeper).value_or(now + kLongestWait),
+                 now + kLongestWait);
     waiter.changed.wait_until(lock, wake);
     if (!waiter.may_run && !waiter.refusal)
       Apply(service, Expire(service.gatekeeper, SystemNow(), service.rng));
@@ -137,8 +137,7 @@
   CallOptions options;
   const Duration left = call.deadline - SystemNow();
   options.timeout = std::max(left, Duration{1});
-  options.silence =
-      std::min(options.timeout, call.snapshot->limits.silence);
+  options.silence = std::min(options.timeout, call.snapshot->limits.silence);
   // A request that may not be repeated must not be lost in a connection that
   // went silent while it was idle.
   options.reuse_within = call.route->idempotent ? kReuse : kReuseForOnce;
@@ -161,8 +160,8 @@
 }
 
 bool BrokeOff(ErrorKind kind) {
-  return kind == ErrorKind::kUpstreamFailed ||
-         kind == ErrorKind::kTruncated || kind == ErrorKind::kConnectFailed;
+  return kind == ErrorKind::kUpstreamFailed || kind == ErrorKind::kTruncated ||
+         kind == ErrorKind::kConnectFailed;
 }
 
 // A connection that broke may be one connection's fault. Only an upstream that
@@ -196,8 +195,8 @@
     return AnswerOutcome::kCrashSuspect;
   if (!answer) {
     const ErrorKind kind = answer.error().kind;
-    const bool late = kind == ErrorKind::kTimeout ||
-                      kind == ErrorKind::kSilentConnection;
+    const bool late =
+        kind == ErrorKind::kTimeout || kind == ErrorKind::kSilentConnection;
     return late ? AnswerOutcome::kTimeout : AnswerOutcome::kFailed;
   }
   if (!FindHeader(answer->headers, kHeaderNotRun).empty())
@@ -219,9 +218,9 @@
   sample.outcome = OutcomeOf(answer, admitted.suspect);
   sample.latency = took;
   const auto warm_up = call.snapshot->services.find(call.route->service);
-  sample.cold = warm_up != call.snapshot->services.end() &&
-                SystemNow() - admitted.announcement.ready_since <
-                    warm_up->second.warm_up;
+  sample.cold =
+      warm_up != call.snapshot->services.end() &&
+      SystemNow() - admitted.announcement.ready_since < warm_up->second.warm_up;
   RecordAnswer(*service.moves, *call.snapshot, *call.route,
                admitted.announcement.version, sample);
 }
@@ -261,7 +260,8 @@
 ClaimOutcome OutcomeToKeep(const HttpResponse& answer) {
   ClaimOutcome outcome;
   outcome.status = answer.status;
-  outcome.content_type = std::string(FindHeader(answer.headers, "Content-Type"));
+  outcome.content_type =
+      std::string(FindHeader(answer.headers, "Content-Type"));
   outcome.body = answer.body;
   return outcome;
 }
@@ -284,16 +284,17 @@
                                 const Admitted& admitted,
                                 Fingerprint fingerprint,
                                 Slot& slot) {
-  Result<Claim> claim = ClaimKeyFor(*service.claims, call.key,
-                                    call.request.method, call.request.target,
-                                    call.request.body, call.deadline);
+  Result<Claim> claim =
+      ClaimKeyFor(*service.claims, call.key, call.request.method,
+                  call.request.target, call.request.body, call.deadline);
   if (!claim)
     return tl::make_unexpected(claim.error());
   if (claim->recorded)
     return Replay(*claim->recorded, call);
   if (!MayRun(claim->attempt, SystemNow())) {
     ReleaseKey(*service.claims, claim->attempt);
-    return Fail(ErrorKind::kClaimUnavailable, "the claim ran out before it ran");
+    return Fail(ErrorKind::kClaimUnavailable,
+                "the claim ran out before it ran");
   }
   auto answer = RunOnce(service, call, admitted, fingerprint, slot);
   if (answer) {
--- a/src/node/log_service.cc
+++ b/src/node/log_service.cc
@@ -14,8 +14,8 @@
 
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(LogEvent::kCount)>
-    kEventNames = {"read",           "read-failed",    "read-expired",
-                   "appended",       "append-refused", "append-unknown",
+    kEventNames = {"read",          "read-failed",    "read-expired",
+                   "appended",      "append-refused", "append-unknown",
                    "append-dropped"};
 
 // A read waits this long for news: an idle reader costs the log one request in
@@ -38,8 +38,8 @@
 // Waits until there is something to read; false when the service stops.
 bool AwaitReading(LogService& service, Position& position) {
   std::unique_lock lock(service.gate);
-  service.changed.wait(
-      lock, [&] { return service.reading || service.stopping; });
+  service.changed.wait(lock,
+                       [&] { return service.reading || service.stopping; });
   position = {service.from, service.generation};
   return !service.stopping;
 }
@@ -65,9 +65,8 @@
               const ReadPost& post) {
   LogBatch batch;
   batch.read_started = Now();
-  const ReadResult read =
-      service.client->Read(StreamOf(service.deployment), position.from,
-                           kRecordsAtATime, kLongPoll);
+  const ReadResult read = service.client->Read(
+      StreamOf(service.deployment), position.from, kRecordsAtATime, kLongPoll);
   LogOffset next = position.from;
   if (!read) {
     if (read.error().error.kind != ErrorKind::kLogExpired) {
@@ -164,7 +163,7 @@
 void StartLogService(Kernel& kernel,
                      LogService& service,
                      boost::asio::io_context& io,
-                     std::function<void()> advance) {
+                     const std::function<void()>& advance) {
   service.client = std::make_unique<LogClient>(OptionsOf(service));
   kernel.Register<ReadLog>(kLogService, [&service](const ReadLog& message) {
     const std::scoped_lock lock(service.gate);
@@ -177,10 +176,9 @@
     const std::scoped_lock lock(service.gate);
     service.reading = false;
   });
-  kernel.Register<AppendToLog>(kLogService,
-                               [&service](const AppendToLog& append) {
-                                 QueueAppend(service, append);
-                               });
+  kernel.Register<AppendToLog>(
+      kLogService,
+      [&service](const AppendToLog& append) { QueueAppend(service, append); });
   const ReadPost post = [&kernel, &io, advance](LogBatch batch) {
     boost::asio::post(io, [&kernel, advance, batch = std::move(batch)] {
       kernel.Post(kConfigService, batch);
--- a/src/node/log_service.h
+++ b/src/node/log_service.h
@@ -68,7 +68,7 @@
 void StartLogService(Kernel& kernel,
                      LogService& service,
                      boost::asio::io_context& io,
-                     std::function<void()> advance);
+                     const std::function<void()>& advance);
 
 // Ends the threads; a read that is under way is waited for.
 void StopLogService(LogService& service);
--- a/src/node/membership_service.cc
+++ b/src/node/membership_service.cc
@@ -27,9 +27,8 @@
   for (const PeerVersion& peer : actions.versions)
     kernel.Post(kSpreadService, PeerVersionSeen{peer});
   for (const OpaqueRumour& rumour : actions.rumours) {
-    const std::string_view owner = rumour.topic == Topic::kCrashSuspect
-                                       ? kRequestsService
-                                       : kMovesService;
+    const std::string_view owner =
+        rumour.topic == Topic::kCrashSuspect ? kRequestsService : kMovesService;
     kernel.Post(owner, RumourHeard{rumour});
   }
 }
@@ -56,9 +55,8 @@
 }  // namespace
 
 void StartMembershipService(Kernel& kernel, MembershipService& service) {
-  kernel.Register<Tick>(kMembershipService, [&](const Tick&) {
-    OnTick(kernel, service);
-  });
+  kernel.Register<Tick>(kMembershipService,
+                        [&](const Tick&) { OnTick(kernel, service); });
   kernel.Register<FrameArrived>(
       kMembershipService, [&](const FrameArrived& frame) {
         Perform(kernel, ReceiveMembership(service.state, frame.message,
@@ -69,15 +67,14 @@
       kMembershipService, [&](const UpstreamAnnounced& announced) {
         if (announced.announcement == service.state.self.upstream)
           return;
-        Perform(kernel,
-                SetAnnouncement(service.state, announced.announcement,
-                                kernel.Now(), service.rng));
+        Perform(kernel, SetAnnouncement(service.state, announced.announcement,
+                                        kernel.Now(), service.rng));
         SetWake(kernel, service);
       });
   kernel.Register<SpreadRumour>(
       kMembershipService, [&](const SpreadRumour& message) {
-        auto actions = Spread(service.state, message.rumour, kernel.Now(),
-                              service.rng);
+        auto actions =
+            Spread(service.state, message.rumour, kernel.Now(), service.rng);
         if (!actions) {
           Log(LogLevel::kError, kMembershipService, "rumour-refused",
               {{"key", message.rumour.key},
--- a/src/node/moves_service.cc
+++ b/src/node/moves_service.cc
@@ -74,10 +74,9 @@
         break;
       case MoveActionKind::kAppendVerdict:
         if (service.reader) {
-          kernel.Post(kLogService,
-                      AppendToLog{EncodeRecord(OpaqueRecord{
-                          std::string(kVerdictRecord),
-                          EncodeVerdict(action.verdict)})});
+          kernel.Post(kLogService, AppendToLog{EncodeRecord(OpaqueRecord{
+                                       std::string(kVerdictRecord),
+                                       EncodeVerdict(action.verdict)})});
         }
         break;
       case MoveActionKind::kSpreadReport:
@@ -222,11 +221,11 @@
 void StartMovesService(Kernel& kernel, MovesService& service) {
   kernel.Register<Tick>(kMovesService,
                         [&](const Tick&) { Step(kernel, service); });
-  kernel.Register<SnapshotInForce>(
-      kMovesService, [&](const SnapshotInForce& message) {
-        const std::scoped_lock lock(service.gate);
-        service.snapshot = message.snapshot;
-      });
+  kernel.Register<SnapshotInForce>(kMovesService,
+                                   [&](const SnapshotInForce& message) {
+                                     const std::scoped_lock lock(service.gate);
+                                     service.snapshot = message.snapshot;
+                                   });
   kernel.Register<RoleChanged>(kMovesService, [&](const RoleChanged& role) {
     service.reader = role.reader;
   });
--- a/src/node/moves_service.h
+++ b/src/node/moves_service.h
@@ -53,11 +53,10 @@
 
 // Versions of the service that may serve when `picked` has no upstream here:
 // never the new version of a move that was taken back. Thread safe.
-[[nodiscard]] std::vector<std::string> OtherVersions(
-    MovesService& service,
-    const Snapshot& snapshot,
-    const std::string& of,
-    const std::string& picked);
+[[nodiscard]] std::vector<std::string> OtherVersions(MovesService& service,
+                                                     const Snapshot& snapshot,
+                                                     const std::string& of,
+                                                     const std::string& picked);
 
 // Counts one answer of the upstream beside this node. Thread safe.
 void RecordAnswer(MovesService& service,
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -8,8 +8,8 @@
 #include <thread>
 #include <utility>
 
-#include <boost/asio/executor_work_guard.hpp>
 #include <xxhash.h>
+#include <boost/asio/executor_work_guard.hpp>
 
 #include "node/module_frames.h"
 #include "node/pages.h"
@@ -97,8 +97,7 @@
   node.kernel.Register<SendFrame>(
       kTransportService,
       [&node](const SendFrame& frame) { Send(node, frame.send); });
-  StartLogService(node.kernel, node.log, node.io,
-                  [&node] { Advance(node); });
+  StartLogService(node.kernel, node.log, node.io, [&node] { Advance(node); });
   StartConfigService(node.kernel, node.config);
   StartMembershipService(node.kernel, node.membership);
   StartSpreadService(node.kernel, node.spread);
@@ -115,9 +114,9 @@
   auto server = HttpServer::Start(
       options,
       [&node](HttpRequest request) {
-        return IsPage(request) ? ServePage(node, request)
-                               : HandleRequest(node.requests,
-                                               std::move(request));
+        return IsPage(request)
+                   ? ServePage(node, request)
+                   : HandleRequest(node.requests, std::move(request));
       },
       [&node](const HttpRequest& request) {
         return CheckHead(node.requests, request);
@@ -184,11 +183,10 @@
 
 void SetUpServices(Node& node, const Member& self) {
   const TimePoint now = SystemNow();
-  node.membership.state = MakeMembership(MembershipSettings{}, self,
-                                         node.settings.seeds, now);
+  node.membership.state =
+      MakeMembership(MembershipSettings{}, self, node.settings.seeds, now);
   node.membership.rng = FreshRng();
-  node.spread.state =
-      MakeSpread(SpreadSettingsOf(node.settings), self, now);
+  node.spread.state = MakeSpread(SpreadSettingsOf(node.settings), self, now);
   node.spread.rng = FreshRng();
   node.config.data_center = node.settings.data_center;
   node.config.checkpoint_rule.retention = node.settings.log.retention;
@@ -236,7 +234,7 @@
   node.settings.control = *control;
   // The server takes its port first: members must learn the real one.
   node.requests.budget = MemoryBudgetPtr(new MemoryBudget(kBodyMemory));
-  if (const auto served = StartServer(node); !served)
+  if (auto served = StartServer(node); !served)
     return served;
   node.settings.http = node.server->LocalAddress();
   const Member self = SelfOf(node.settings);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -56,8 +56,7 @@
 // Runs `task` on the kernel's thread and gives its result; none if that thread
 // does not come round within a second. Thread safe, not from that thread.
 template <class Task>
-auto OnKernel(Node& node, Task task)
-    -> std::optional<decltype(task(node))> {
+auto OnKernel(Node& node, Task task) -> std::optional<decltype(task(node))> {
   using Answer = decltype(task(node));
   constexpr std::chrono::seconds kLongest{1};
   auto promise = std::make_shared<std::promise<Answer>>();
--- a/src/node/pages.cc
+++ b/src/node/pages.cc
@@ -2,7 +2,6 @@
 
 #include <array>
 
-
 #include "base/text.h"
 #include "node/node.h"
 #include "teaselspread/operator.h"
@@ -33,16 +32,15 @@
 
 std::string MemberJson(const Member& member) {
   const Announcement& upstream = member.upstream;
-  return Concat(
-      "{\"vm\":", JsonText(member.id),
-      ",\"data_center\":", JsonText(member.data_center),
-      ",\"status\":", JsonText(NameOf(member.status)),
-      ",\"http\":", JsonText(ToString(member.http)),
-      ",\"version\":", member.held,
-      ",\"service\":", JsonText(upstream.service),
-      ",\"upstream_version\":", JsonText(upstream.version),
-      ",\"upstream_state\":", JsonText(NameOf(upstream.state)),
-      ",\"slots\":", upstream.slots, "}");
+  return Concat("{\"vm\":", JsonText(member.id),
+                ",\"data_center\":", JsonText(member.data_center),
+                ",\"status\":", JsonText(NameOf(member.status)),
+                ",\"http\":", JsonText(ToString(member.http)),
+                ",\"version\":", member.held,
+                ",\"service\":", JsonText(upstream.service),
+                ",\"upstream_version\":", JsonText(upstream.version),
+                ",\"upstream_state\":", JsonText(NameOf(upstream.state)),
+                ",\"slots\":", upstream.slots, "}");
 }
 
 std::string StatusJson(Node& node) {
@@ -52,18 +50,17 @@
     members += Concat(",\n", MemberJson(entry.member));
   const ConfigInForce& config = node.config.in_force;
   const SpreadState& spread = node.spread.state;
-  return Concat(
-      "{\"vm\":", JsonText(node.settings.vm),
-      ",\"deployment\":", JsonText(node.settings.deployment),
-      ",\"data_center\":", JsonText(node.settings.data_center),
-      ",\"version\":", config.version,
-      ",\"publish_id\":", JsonText(config.publish_id),
-      ",\"digest\":", JsonText(ToString(config.digest)),
-      ",\"floor\":", spread.floor,
-      ",\"ready\":", IsReady(spread) ? "true" : "false",
-      ",\"reader\":", node.config.reader ? "true" : "false",
-      ",\"highest_heard\":", spread.highest_heard, ",\n\"members\":[", members,
-      "]}\n");
+  return Concat("{\"vm\":", JsonText(node.settings.vm),
+                ",\"deployment\":", JsonText(node.settings.deployment),
+                ",\"data_center\":", JsonText(node.settings.data_center),
+                ",\"version\":", config.version,
+                ",\"publish_id\":", JsonText(config.publish_id),
+                ",\"digest\":", JsonText(ToString(config.digest)),
+                ",\"floor\":", spread.floor,
+                ",\"ready\":", IsReady(spread) ? "true" : "false",
+                ",\"reader\":", node.config.reader ? "true" : "false",
+                ",\"highest_heard\":", spread.highest_heard, ",\n\"members\":[",
+                members, "]}\n");
 }
 
 HttpResponse Status(Node& node, const HttpRequest&) {
@@ -99,8 +96,8 @@
             std::string_view label,
             std::string_view value,
             std::uint64_t count) {
-  text += Concat("teaselspread_", name, "{", label, "=\"", value,
-                  "\"} ", count, "\n");
+  text += Concat("teaselspread_", name, "{", label, "=\"", value, "\"} ", count,
+                 "\n");
 }
 
 template <class Reason>
@@ -128,8 +125,8 @@
                                 node.membership.state.counts);
   ArrayMetrics<SpreadCount>(text, "spread_total", node.spread.state.counts);
   ArrayMetrics<FoldReason>(text, "fold_total", node.config.fold.counters);
-  text += Concat("teaselspread_config_version ",
-                  node.config.in_force.version, "\n");
+  text += Concat("teaselspread_config_version ", node.config.in_force.version,
+                 "\n");
   return text;
 }
 
@@ -143,13 +140,13 @@
   Metrics(*text, "http_server_total", node.server->Counters());
   Metrics(*text, "http_client_total", node.clients.Counters());
   Metrics(*text, "log_total", node.log.counters);
-  *text += Concat("teaselspread_answers_total ",
-                  node.requests.answered.load(), "\n");
+  *text += Concat("teaselspread_answers_total ", node.requests.answered.load(),
+                  "\n");
   const std::scoped_lock lock(node.requests.gate);
   Metrics(*text, "retries_total", node.requests.retry_budget.counters);
   Metrics(*text, "gate_refusals_total", node.requests.gatekeeper.refusals);
-  *text += Concat("teaselspread_running ",
-                  node.requests.gatekeeper.running, "\nteaselspread_queued ",
+  *text += Concat("teaselspread_running ", node.requests.gatekeeper.running,
+                  "\nteaselspread_queued ",
                   node.requests.gatekeeper.queue.size(), "\n");
   return Text(200, std::move(*text));
 }
@@ -162,9 +159,9 @@
   const TimePoint now = SystemNow();
   for (const auto& [version, group] : versions->second) {
     for (const Target& target : group.targets) {
-      text += Concat("target ", target.id, " version ", version,
-                      " slots ", target.slots, " in_flight ", target.in_flight,
-                      IsEjected(target, now) ? " EJECTED" : "", "\n");
+      text += Concat("target ", target.id, " version ", version, " slots ",
+                     target.slots, " in_flight ", target.in_flight,
+                     IsEjected(target, now) ? " EJECTED" : "", "\n");
     }
   }
   return text;
@@ -177,8 +174,8 @@
     return "nothing on this route was refused here\n";
   for (std::size_t i = 0; i < found->second.by_kind.size(); ++i) {
     if (const auto count = found->second.by_kind.at(i); count > 0)
-      text += Concat("refused ", NameOf(static_cast<ErrorKind>(i)),
-                      " ", count, "\n");
+      text += Concat("refused ", NameOf(static_cast<ErrorKind>(i)), " ", count,
+                     "\n");
   }
   return text;
 }
@@ -191,17 +188,14 @@
   const std::scoped_lock lock(node.requests.gate);
   if (!node.requests.snapshot)
     return Text(503, "no configuration is in force yet\n");
-  const RouteConfig* route =
-      MatchRoute(*node.requests.snapshot, method, path);
+  const RouteConfig* route = MatchRoute(*node.requests.snapshot, method, path);
   if (route == nullptr)
     return Text(404, Concat("no route for ", method, " ", path, "\n"));
-  return Text(
-      200,
-      Concat("route ", route->name, "\nservice ", route->service,
-                   "\npriority ", NameOf(route->priority), "\nidempotent ",
-                   route->idempotent ? "yes" : "no", "\n",
-                   TargetsText(node.requests, route->service),
-                   RefusalsText(node.requests, route->name)));
+  return Text(200, Concat("route ", route->name, "\nservice ", route->service,
+                          "\npriority ", NameOf(route->priority),
+                          "\nidempotent ", route->idempotent ? "yes" : "no",
+                          "\n", TargetsText(node.requests, route->service),
+                          RefusalsText(node.requests, route->name)));
 }
 
 struct Page {
--- a/src/node/requests_service.cc
+++ b/src/node/requests_service.cc
@@ -1,8 +1,8 @@
 #include <sstream>
 #include <utility>
 
-#include <cereal/archives/portable_binary.hpp>
 #include <yaml-cpp/yaml.h>
+#include <cereal/archives/portable_binary.hpp>
 
 #include "base/text.h"
 #include "node/requests.h"
@@ -104,8 +104,7 @@
   const std::scoped_lock lock(service.gate);
   CheckLease(service, kernel.Now());
   ExpireSuspects(service.suspects, kernel.Now());
-  Apply(service,
-        Expire(service.gatekeeper, kernel.Now(), service.rng));
+  Apply(service, Expire(service.gatekeeper, kernel.Now(), service.rng));
   for (OpaqueRumour& rumour : service.rumours)
     kernel.Post(kMembershipService, SpreadRumour{std::move(rumour)});
   service.rumours.clear();
@@ -133,7 +132,8 @@
     if (name == NameOf(state))
       return state;
   }
-  return Fail(ErrorKind::kBadRequest, "state must be warming, ready or leaving");
+  return Fail(ErrorKind::kBadRequest,
+              "state must be warming, ready or leaving");
 }
 
 Result<Announcement> ParseAnnouncement(const std::string& body,
@@ -153,8 +153,7 @@
     if (node["address"])
       address = node["address"].as<std::string>();
   } catch (const YAML::Exception& error) {
-    return Fail(ErrorKind::kBadRequest,
-                Concat("announcement: ", error.what()));
+    return Fail(ErrorKind::kBadRequest, Concat("announcement: ", error.what()));
   }
   if (announcement.slots < 1 || announcement.slots > kMostSlots ||
       announcement.connections < 1 || announcement.connections > kMostSlots)
@@ -232,8 +231,7 @@
                        now - watch.announcement.ready_since);
   watch.announcement.state = UpstreamState::kNone;
   watch.announcement.ready_since = TimePoint{};
-  Apply(service,
-        SetUpstream(service.gatekeeper, 1, false, now, service.rng));
+  Apply(service, SetUpstream(service.gatekeeper, 1, false, now, service.rng));
   OfferToMembership(service);
 }
 
@@ -257,11 +255,11 @@
       kRequestsService, [&](const SnapshotInForce& message) {
         TakeSnapshot(kernel, service, message.snapshot);
       });
-  kernel.Register<ReadyChanged>(
-      kRequestsService, [&](const ReadyChanged& message) {
-        const std::scoped_lock lock(service.gate);
-        service.ready = message.ready;
-      });
+  kernel.Register<ReadyChanged>(kRequestsService,
+                                [&](const ReadyChanged& message) {
+                                  const std::scoped_lock lock(service.gate);
+                                  service.ready = message.ready;
+                                });
   kernel.Register<MemberChanged>(
       kRequestsService, [&](const MemberChanged& change) {
         const std::scoped_lock lock(service.gate);
@@ -270,10 +268,9 @@
         service.members[change.member.id] = change.member;
         MarkStale(kernel, service);
       });
-  kernel.Register<RumourHeard>(
-      kRequestsService, [&](const RumourHeard& heard) {
-        TakeSuspects(service, heard.rumour);
-      });
+  kernel.Register<RumourHeard>(kRequestsService, [&](const RumourHeard& heard) {
+    TakeSuspects(service, heard.rumour);
+  });
   kernel.Post(kRequestsService, Tick{});
 }
 
--- a/src/node/spread_service.cc
+++ b/src/node/spread_service.cc
@@ -89,14 +89,12 @@
 void StartSpreadService(Kernel& kernel, SpreadService& service) {
   SpreadState& state = service.state;
   Rng& rng = service.rng;
-  kernel.Register<Tick>(kSpreadService, [&](const Tick&) {
-    OnTick(kernel, service);
+  kernel.Register<Tick>(kSpreadService,
+                        [&](const Tick&) { OnTick(kernel, service); });
+  kernel.Register<FrameArrived>(kSpreadService, [&](const FrameArrived& frame) {
+    Perform(kernel, service,
+            ReceiveSpread(state, frame.message, kernel.Now(), rng));
   });
-  kernel.Register<FrameArrived>(
-      kSpreadService, [&](const FrameArrived& frame) {
-        Perform(kernel, service,
-                ReceiveSpread(state, frame.message, kernel.Now(), rng));
-      });
   kernel.Register<MemberChanged>(
       kSpreadService, [&](const MemberChanged& change) {
         Perform(kernel, service,
@@ -109,22 +107,21 @@
       });
   kernel.Register<LogFindings>(kSpreadService, [&](const LogFindings& found) {
     Perform(kernel, service,
-            LogRead(state, found.updates, found.read_started,
-                    found.reached_end, kernel.Now(), rng));
+            LogRead(state, found.updates, found.read_started, found.reached_end,
+                    kernel.Now(), rng));
   });
   kernel.Register<UpdatesApplied>(
       kSpreadService, [&](const UpdatesApplied& applied) {
         Perform(kernel, service,
                 ConfirmApplied(state, applied.full, kernel.Now(), rng));
       });
-  kernel.Register<UpdatesRejected>(
-      kSpreadService, [&](const UpdatesRejected&) {
-        Perform(kernel, service, RejectUpdate(state, kernel.Now(), rng));
-      });
-  kernel.Register<ToOtherDataCenters>(
-      kSpreadService, [&](const ToOtherDataCenters& message) {
-        SendAcross(kernel, service, message);
-      });
+  kernel.Register<UpdatesRejected>(kSpreadService, [&](const UpdatesRejected&) {
+    Perform(kernel, service, RejectUpdate(state, kernel.Now(), rng));
+  });
+  kernel.Register<ToOtherDataCenters>(kSpreadService,
+                                      [&](const ToOtherDataCenters& message) {
+                                        SendAcross(kernel, service, message);
+                                      });
   kernel.Post(kSpreadService, Tick{});
 }
 
--- a/tests/process/log_client_test.cc
+++ b/tests/process/log_client_test.cc
@@ -32,8 +32,8 @@
   const ReadResult read = client.Read("config", 1, 10, 0ms);
   cr_assert(read.has_value());
   cr_assert(read->next == 3 && read->first_kept == 1);
-  cr_assert(read->records ==
-            (std::vector<StoredRecord>{{1, "one"}, {2, std::string("t\0wo", 4)}}));
+  cr_assert(read->records == (std::vector<StoredRecord>{
+                                 {1, "one"}, {2, std::string("t\0wo", 4)}}));
   cr_assert(client.Read("config", 1, 1, 0ms)->records.size() == 1);
   cr_assert(client.Read("config", 3, 10, 0ms)->records.empty());
   cr_assert(log.Stop() == 0);
--- a/tools/teaselctl.cc
+++ b/tools/teaselctl.cc
@@ -20,7 +20,10 @@
           nodes,
           {},
           "HOST:PORT of nodes, one of each data centre of interest");
-ABSL_FLAG(std::string, publish_id, "", "id of the publish, to repeat it safely");
+ABSL_FLAG(std::string,
+          publish_id,
+          "",
+          "id of the publish, to repeat it safely");
 ABSL_FLAG(bool, new_beginning, false, "publish though the log lost its past");
 ABSL_FLAG(std::string, output, "text", "text or json");
 ABSL_FLAG(std::uint32_t, timeout_s, 30, "longest wait in seconds");
@@ -89,6 +92,6 @@
   if (output != "text" && output != "json")
     return Usage("--output must be text or json");
   options.output = output == "json" ? OutputFormat::kJson : OutputFormat::kText;
-  return static_cast<int>(teaselspread::RunCommand(words.at(1), options,
-                                                   std::cout, std::cerr));
+  return static_cast<int>(
+      teaselspread::RunCommand(words.at(1), options, std::cout, std::cerr));
 }
