Claims: an epoch votes only once the log has activated it; tests of the other decisions

Now a holder votes only after the log holds a kActivate record of its epoch, and the next epoch names the holders of the last activated one as those to close.

--- a/include/teaselspread/claim_messages.h
+++ b/include/teaselspread/claim_messages.h
@@ -74,18 +74,20 @@
   return a.id == b.id && a.boot_id == b.boot_id;
 }
 
-// Who keeps claims, as agreed through the platform's log. `previous` repeats
-// the holders of epoch number - 1, who have to be closed first.
+// Who keeps claims, as agreed through the platform's log. `previous` are the
+// holders of the last epoch before this one that was activated: only those may
+// have voted, and they have to be closed first.
 struct ClaimEpoch {
   std::uint64_t number = 0;
   std::vector<Holder> holders;
+  std::uint64_t previous_number = 0;
   std::vector<Holder> previous;
 
   bool operator==(const ClaimEpoch&) const = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->number, this->holders, this->previous);
+    archive(this->number, this->holders, this->previous_number, this->previous);
   }
 };
 
@@ -94,15 +96,21 @@
   return holders.size() / 2 + 1;
 }
 
-// The log's record about epochs. A checkpoint repeats the one in force, so that
+// kPropose: `epoch` should follow. kActivate: the holders of `epoch` found the
+// ones before it closed. kCheckpoint repeats what is in force, so that
 // retention does not lose it.
+enum class EpochRecordKind : std::uint8_t { kPropose, kActivate, kCheckpoint };
+
+// The log's record about epochs.
 struct EpochRecord {
-  bool checkpoint = false;
+  EpochRecordKind kind = EpochRecordKind::kPropose;
   ClaimEpoch epoch;
+  // For kCheckpoint: the last one that was activated.
+  ClaimEpoch active;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->checkpoint, this->epoch);
+    archive(this->kind, this->epoch, this->active);
   }
 };
 
--- a/include/teaselspread/claims.h
+++ b/include/teaselspread/claims.h
@@ -46,9 +46,11 @@
   std::size_t kept_body_bytes = 4096;
 };
 
-// The fold of the log's epoch records. Every reader comes to the same epoch.
+// The fold of the log's epoch records. Every reader comes to the same one. An
+// epoch that another one replaced before it was activated never votes.
 struct EpochLog {
   ClaimEpoch current;
+  ClaimEpoch active;
 };
 
 // Takes in one record in log order. `from_start` is true if the reader began
@@ -64,7 +66,7 @@
 ProposeEpoch(const EpochLog& log, std::span<const Holder> candidates, Rng& rng);
 
 // kOutside: not a holder. kTakingOver: named, but the epoch before may still
-// decide. kVoting: votes.
+// decide, or this one is not activated yet. kVoting: votes.
 enum class HolderState : std::uint8_t { kOutside, kTakingOver, kVoting };
 
 // "outside", "taking-over" or "voting". Thread safe.
@@ -75,7 +77,7 @@
 
 using ClaimTable = std::unordered_map<std::string, ClaimRecord>;
 
-// What one holder of the epoch before handed over.
+// What one holder of the epoch before (the last activated one) handed over.
 struct Handover {
   Closing closing = Closing::kOpen;
   TimePoint complete_since;
@@ -88,6 +90,8 @@
   Holder self;
   ClaimEpoch epoch;
   HolderState state = HolderState::kOutside;
+  // The log says that `epoch` was activated.
+  bool activated = false;
   ClaimTable records;
   // Claims first sent before this may be missing from `records`.
   TimePoint complete_since = TimePoint::min();
@@ -114,6 +118,14 @@
                                   const ClaimEpoch& epoch,
                                   TimePoint now);
 
+// True if the old epoch is closed and the log does not say yet that this one is
+// active: append a kActivate record of `keeper.epoch`, again if it got lost.
+// Not thread safe.
+[[nodiscard]] bool WantsActivation(const ClaimKeeper& keeper, TimePoint now);
+
+// The log says that epoch `number` was activated. Not thread safe.
+void LearnActivation(ClaimKeeper& keeper, std::uint64_t number, TimePoint now);
+
 // Who still has to hand over: repeat the ask to them now and then. Not thread
 // safe.
 [[nodiscard]] SealAsks OpenHandovers(const ClaimKeeper& keeper);
--- a/src/claims/epoch.cc
+++ b/src/claims/epoch.cc
@@ -53,24 +53,51 @@
          ids.size() == epoch.holders.size();
 }
 
+bool FoldProposal(EpochLog& log, const ClaimEpoch& epoch, bool from_start) {
+  // After a trim, a proposal that had lost to another one could look like the
+  // first of its number; only checkpoints are sure to have won.
+  if (log.current.number == 0 && !from_start)
+    return false;
+  if (!IsWellFormed(epoch) || epoch.number != log.current.number + 1)
+    return false;
+  if (epoch.previous_number != log.active.number ||
+      epoch.previous != log.active.holders)
+    return false;
+  log.current = epoch;
+  // Nothing can have voted before the first one.
+  if (epoch.number == 1)
+    log.active = epoch;
+  return true;
+}
+
+bool FoldActivation(EpochLog& log, const ClaimEpoch& epoch) {
+  if (epoch.number == 0 || epoch.number != log.current.number ||
+      epoch.number == log.active.number)
+    return false;
+  log.active = log.current;
+  return true;
+}
+
+bool FoldCheckpoint(EpochLog& log, const EpochRecord& record) {
+  if (!IsWellFormed(record.epoch) || log.current.number != 0)
+    return false;
+  log.current = record.epoch;
+  log.active = record.active;
+  return true;
+}
+
 }  // namespace
 
 bool FoldEpoch(EpochLog& log, const EpochRecord& record, bool from_start) {
-  const ClaimEpoch& epoch = record.epoch;
-  if (!IsWellFormed(epoch) || epoch.number <= log.current.number)
-    return false;
-  if (!record.checkpoint) {
-    // After a trim, an old proposal that had lost to another one could look
-    // like the first of its number; only checkpoints are sure to have won.
-    if (log.current.number == 0 && !from_start)
-      return false;
-    if (epoch.number != log.current.number + 1)
-      return false;
-    if (epoch.previous != log.current.holders)
-      return false;
+  switch (record.kind) {
+    case EpochRecordKind::kPropose:
+      return FoldProposal(log, record.epoch, from_start);
+    case EpochRecordKind::kActivate:
+      return FoldActivation(log, record.epoch);
+    case EpochRecordKind::kCheckpoint:
+      return FoldCheckpoint(log, record);
   }
-  log.current = epoch;
-  return true;
+  return false;
 }
 
 std::optional<ClaimEpoch> ProposeEpoch(const EpochLog& log,
@@ -78,7 +105,8 @@
                                        Rng& rng) {
   ClaimEpoch next;
   next.number = log.current.number + 1;
-  next.previous = log.current.holders;
+  next.previous_number = log.active.number;
+  next.previous = log.active.holders;
   for (const Holder& holder : log.current.holders) {
     if (IsCandidate(candidates, holder))
       next.holders.push_back(holder);
--- a/src/claims/takeover.cc
+++ b/src/claims/takeover.cc
@@ -87,16 +87,25 @@
   keeper.handovers.clear();
 }
 
-void TryToVote(ClaimKeeper& keeper, TimePoint now) {
+bool IsReady(const ClaimKeeper& keeper, TimePoint now) {
   if (keeper.state != HolderState::kTakingOver || !OldEpochIsClosed(keeper))
-    return;
+    return false;
   const bool waited = now - keeper.epoch_learned >= keeper.settings.patience;
-  if (HandoverIsComplete(keeper) || waited)
+  return HandoverIsComplete(keeper) || waited;
+}
+
+// The log must say so before the first vote. Otherwise the next epoch could not
+// know whether this one or the one before it may still decide: with a quick
+// row of epochs, holders that were cut off went on in an old one while a new
+// one had closed only epochs that never voted, and keys ran twice.
+void TryToVote(ClaimKeeper& keeper, TimePoint now) {
+  if (keeper.activated && IsReady(keeper, now))
     StartVoting(keeper, now);
 }
 
 // Before the very first epoch nothing can have run.
 void StartFirstEpoch(ClaimKeeper& keeper) {
+  keeper.activated = true;
   keeper.complete_since = TimePoint::min();
   keeper.voted_epoch = keeper.epoch.number;
   keeper.state = HolderState::kVoting;
@@ -111,7 +120,7 @@
 }
 
 Handover OwnHandover(const ClaimKeeper& keeper) {
-  if (keeper.voted_epoch + 1 != keeper.epoch.number)
+  if (keeper.voted_epoch < keeper.epoch.previous_number)
     return {Closing::kNeverVoted, {}, {}};
   return {Closing::kSealed, keeper.complete_since, RecordsOf(keeper)};
 }
@@ -163,6 +172,7 @@
   if (epoch.number <= keeper.epoch.number)
     return {};
   keeper.epoch = epoch;
+  keeper.activated = false;
   keeper.epoch_learned = now;
   keeper.handovers.clear();
   if (!IsHolder(epoch.holders, keeper.self)) {
@@ -178,6 +188,17 @@
   return OpenHandovers(keeper);
 }
 
+bool WantsActivation(const ClaimKeeper& keeper, TimePoint now) {
+  return !keeper.activated && IsReady(keeper, now);
+}
+
+void LearnActivation(ClaimKeeper& keeper, std::uint64_t number, TimePoint now) {
+  if (number != keeper.epoch.number)
+    return;
+  keeper.activated = true;
+  TryToVote(keeper, now);
+}
+
 SealAsks OpenHandovers(const ClaimKeeper& keeper) {
   SealAsks asks;
   asks.ask = {keeper.epoch, keeper.self};
@@ -210,7 +231,7 @@
   // One that votes in the new epoch already has all of the old one's records
   // and newer ones. Calling that "never voted" hid claims from the slowest of
   // the new holders, and keys ran twice.
-  if (keeper.voted_epoch + 1 < ask.epoch.number) {
+  if (keeper.voted_epoch < ask.epoch.previous_number) {
     answer.kind = SealKind::kNeverVoted;
     return answer;
   }
--- a/src/routing/choose.cc
+++ b/src/routing/choose.cc
@@ -8,12 +8,17 @@
 // Load that an answer carried back halves in this time: what others sent a
 // while ago has been served since.
 constexpr Duration kLoadHalfLife = std::chrono::milliseconds(50);
+// Older than this it says nothing. A remnant of it, however small, would make
+// a target lose every comparison with an idle one that was never heard of.
+constexpr Duration kLoadForgotten = std::chrono::seconds(1);
 constexpr double kLeastWeight = 0.1;
 // Draws before a full scan. With the cap on ejections two thirds of a group
 // are in, so that eight draws all miss once in 6,561.
 constexpr int kDraws = 8;
 
 double OthersLoad(const Target& target, TimePoint now) {
+  if (now - target.load_seen > kLoadForgotten)
+    return 0;
   const auto age = static_cast<double>((now - target.load_seen).count());
   const auto half = static_cast<double>(kLoadHalfLife.count());
   return age <= 0 ? target.others_load
--- a/tests/claims/world.h
+++ b/tests/claims/world.h
@@ -44,6 +44,8 @@
   std::size_t read = 0;
   bool alive = true;
   int side = 0;
+  // Cut off from the log, too, while the cut lasts.
+  bool without_log = false;
   Duration skew{};
   TimePoint paused_until;
   std::uint64_t next_sequence = 1;
@@ -94,6 +96,11 @@
     return this->now + node.skew;
   }
 
+  [[nodiscard]] bool ReachesLog(const Node& node) const {
+    const bool cut = this->cut_until > this->now && node.without_log;
+    return !cut && this->log_down_until <= this->now;
+  }
+
   void At(TimePoint at, Action action);
   void AtNode(std::size_t index, Duration after, const Action& action);
   void Send(std::size_t from, const Holder& to, const Message& message);
@@ -107,6 +114,7 @@
   void Propose(Node& node);
   void Boot(std::size_t index);
   void Kill(std::size_t index);
+  void CutInTwo();
   void Strike();
   void CallerSends(const ClaimKey& key, const RequestDigest& digest);
   void Resend(std::size_t index, std::uint64_t sequence);
@@ -242,13 +250,17 @@
 }
 
 inline void World::ReadLog(Node& node, std::size_t index) {
-  if (this->log_down_until > this->now)
+  if (!this->ReachesLog(node))
     return;
   while (node.read < this->log.size())
     FoldEpoch(node.log, this->log[node.read++], true);
   this->Ask(index,
             LearnEpoch(node.keeper, node.log.current, this->LocalTime(node)));
+  LearnActivation(node.keeper, node.log.active.number, this->LocalTime(node));
   ConfirmEpoch(node.keeper, this->LocalTime(node));
+  if (WantsActivation(node.keeper, this->LocalTime(node))) {
+    this->log.push_back({EpochRecordKind::kActivate, node.keeper.epoch, {}});
+  }
 }
 
 // Each node has its own, partly wrong view of who is alive.
@@ -262,8 +274,8 @@
       candidates.push_back(other.keeper.self);
   }
   const auto epoch = ProposeEpoch(node.log, candidates, this->rng);
-  if (epoch && this->log_down_until <= this->now)
-    this->log.push_back({false, *epoch});
+  if (epoch && this->ReachesLog(node))
+    this->log.push_back({EpochRecordKind::kPropose, *epoch, {}});
 }
 
 inline void World::Tick(std::size_t index) {
@@ -304,6 +316,14 @@
            [this, index] { this->Boot(index); });
 }
 
+inline void World::CutInTwo() {
+  const bool log_on_one_side = this->Chance(0.7);
+  for (Node& node : this->nodes) {
+    node.side = static_cast<int>(this->rng() % 2);
+    node.without_log = log_on_one_side && node.side == 1;
+  }
+}
+
 inline void World::Strike() {
   const std::size_t victim = this->rng() % this->nodes.size();
   switch (this->rng() % 6) {
@@ -315,9 +335,8 @@
       this->nodes[victim].paused_until = this->now + this->Upto(Ms(9000));
       break;
     case 3:
-      this->cut_until = this->now + this->Upto(Ms(6000));
-      for (Node& node : this->nodes)
-        node.side = static_cast<int>(this->rng() % 2);
+      this->cut_until = this->now + this->Upto(Ms(8000));
+      this->CutInTwo();
       break;
     case 4:
       this->log_down_until = this->now + this->Upto(Ms(5000));
--- /dev/null
+++ b/tests/unit/admission_test.cc
@@ -0,0 +1,227 @@
+#include "teaselspread/admission.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+
+namespace teaselspread {
+namespace {
+
+using Ms = std::chrono::milliseconds;
+
+const TimePoint kStart{std::chrono::hours(1)};
+
+Arrival MakeArrival(std::uint64_t id,
+                    Priority priority = Priority::kNormal,
+                    Duration deadline = Ms(2000)) {
+  Arrival arrival;
+  arrival.id = id;
+  arrival.route = "filings";
+  arrival.priority = priority;
+  arrival.deadline = kStart + deadline;
+  return arrival;
+}
+
+void SetUp(Gatekeeper& gate, int slots, Duration service_time) {
+  gate.settings.slots = slots;
+  const auto mean = static_cast<double>(service_time.count());
+  gate.all_routes.mean_us = mean;
+  gate.service_times["filings"].mean_us = mean;
+}
+
+GateActions FinishOne(Gatekeeper& gate, std::uint64_t id, TimePoint now) {
+  Rng rng(7);
+  return Finish(gate, id, Ms(10), true, now, rng);
+}
+
+// More requests come than the upstream has slots. One too many would be shed
+// or would slow down all of them.
+Test(admission, slots_are_never_exceeded) {
+  Gatekeeper gate;
+  SetUp(gate, 3, Ms(10));
+  Rng rng(1);
+  int run = 0;
+  for (std::uint64_t id = 1; id <= 10; ++id) {
+    const Arrived arrived = Arrive(gate, MakeArrival(id), kStart, rng);
+    run += arrived.admission == Admission::kRun;
+  }
+  cr_assert(run == 3);
+  const GateActions actions = FinishOne(gate, 1, kStart);
+  cr_assert(actions.run.size() == 1);
+  cr_assert(gate.running == 3);
+  cr_assert(FinishOne(gate, 1, kStart).run.empty(), "a second end is ignored");
+}
+
+// Rate lookups of other services wait behind founders' reports. Every report
+// that needs a rate is then late.
+Test(admission, internal_lookups_run_first_then_the_earliest_deadline) {
+  Gatekeeper gate;
+  SetUp(gate, 1, Ms(1));
+  Rng rng(1);
+  (void)Arrive(gate, MakeArrival(1), kStart, rng);
+  (void)Arrive(gate, MakeArrival(2, Priority::kNormal, Ms(1900)), kStart, rng);
+  (void)Arrive(gate, MakeArrival(3, Priority::kNormal, Ms(900)), kStart, rng);
+  (void)Arrive(gate, MakeArrival(4, Priority::kInternal), kStart, rng);
+  cr_assert(FinishOne(gate, 1, kStart).run.front() == 4);
+  cr_assert(FinishOne(gate, 4, kStart).run.front() == 3);
+  cr_assert(FinishOne(gate, 3, kStart).run.front() == 2);
+}
+
+// The queue is full of reports when a lookup comes. Refusing the lookup would
+// hold up more than one report.
+Test(admission, a_lookup_takes_the_place_of_a_report_in_a_full_queue) {
+  Gatekeeper gate;
+  SetUp(gate, 1, Ms(1));
+  gate.settings.queue_limit = 2;
+  Rng rng(1);
+  for (std::uint64_t id = 1; id <= 3; ++id)
+    (void)Arrive(gate, MakeArrival(id), kStart, rng);
+  const Arrived report = Arrive(gate, MakeArrival(4), kStart, rng);
+  cr_assert(report.refusal->kind == ErrorKind::kQueueFull);
+  const Arrived lookup =
+      Arrive(gate, MakeArrival(5, Priority::kInternal), kStart, rng);
+  cr_assert(lookup.admission == Admission::kQueued);
+  cr_assert(lookup.evicted->id == 3);
+  cr_assert(gate.refusals.Get(ErrorKind::kQueueFull) == 2);
+}
+
+// Ten requests wait and each takes 100 ms on one slot. One with 300 ms left
+// cannot make it; kept waiting, its caller would learn that too late to go
+// elsewhere.
+Test(admission, what_cannot_make_its_deadline_is_refused_at_once) {
+  Gatekeeper gate;
+  SetUp(gate, 1, Ms(100));
+  Rng rng(1);
+  for (std::uint64_t id = 1; id <= 10; ++id)
+    (void)Arrive(gate, MakeArrival(id), kStart, rng);
+  const Arrived late = Arrive(
+      gate, MakeArrival(20, Priority::kBackground, Ms(300)), kStart, rng);
+  cr_assert(late.admission == Admission::kRefused);
+  cr_assert(late.refusal->kind == ErrorKind::kDeadlineTooShort);
+  cr_assert(late.refusal->retry_after >= gate.settings.retry_after);
+}
+
+// The run ahead takes longer than expected. The one behind it is told as soon
+// as it cannot be served any more, not when its deadline has passed.
+Test(admission, a_waiting_request_is_given_up_before_its_deadline) {
+  Gatekeeper gate;
+  SetUp(gate, 1, Ms(100));
+  Rng rng(1);
+  (void)Arrive(gate, MakeArrival(1), kStart, rng);
+  (void)Arrive(gate, MakeArrival(2, Priority::kNormal, Ms(500)), kStart, rng);
+  const TimePoint expiry = *NextExpiry(gate);
+  cr_assert(expiry == kStart + Ms(400));
+  cr_assert(Expire(gate, expiry, rng).refused.empty());
+  const GateActions actions = Expire(gate, expiry + Ms(1), rng);
+  cr_assert(actions.refused.size() == 1);
+  cr_assert(actions.refused.front().kind == ErrorKind::kQueueTimeout);
+  cr_assert(!NextExpiry(gate).has_value());
+}
+
+// Hundreds are refused in the same instant. Told the same Retry-After they
+// would all come back in the same instant, too.
+Test(admission, refused_callers_are_told_different_times) {
+  Gatekeeper gate;
+  SetUp(gate, 1, Ms(10));
+  gate.settings.queue_limit = 0;
+  Rng rng(1);
+  (void)Arrive(gate, MakeArrival(1), kStart, rng);
+  std::set<Duration> times;
+  for (std::uint64_t id = 2; id < 202; ++id)
+    times.insert(
+        Arrive(gate, MakeArrival(id), kStart, rng).refusal->retry_after);
+  cr_assert(times.size() > 190);
+  cr_assert(*times.rbegin() - *times.begin() > Ms(400));
+}
+
+// A request may crash the upstream. It waits until nothing else runs, and
+// nothing starts beside it, so that a crash takes nobody else along.
+Test(admission, a_suspect_runs_alone_and_is_not_starved) {
+  Gatekeeper gate;
+  SetUp(gate, 2, Ms(10));
+  Rng rng(1);
+  (void)Arrive(gate, MakeArrival(1), kStart, rng);
+  (void)Arrive(gate, MakeArrival(2), kStart, rng);
+  Arrival suspect = MakeArrival(3);
+  suspect.suspect = true;
+  cr_assert(Arrive(gate, suspect, kStart, rng).admission == Admission::kQueued);
+  (void)Arrive(gate, MakeArrival(4), kStart, rng);
+  cr_assert(FinishOne(gate, 1, kStart).run.empty());
+  cr_assert(FinishOne(gate, 2, kStart).run.front() == 3);
+  cr_assert(Arrive(gate, MakeArrival(5), kStart, rng).admission ==
+            Admission::kQueued);
+  cr_assert(FinishOne(gate, 3, kStart).run.size() == 2);
+}
+
+// The node is told to stop while requests run and wait. Those that wait go
+// elsewhere at once; those that run are not cut.
+Test(admission, leaving_refuses_what_waits_and_keeps_what_runs) {
+  Gatekeeper gate;
+  SetUp(gate, 1, Ms(10));
+  Rng rng(1);
+  for (std::uint64_t id = 1; id <= 3; ++id)
+    (void)Arrive(gate, MakeArrival(id), kStart, rng);
+  const GateActions actions = Leave(gate, kStart, rng);
+  cr_assert(actions.refused.size() == 2);
+  cr_assert(AnswerOf(actions.refused.front().kind).retry_elsewhere);
+  cr_assert(gate.running == 1);
+  const Arrived arrived = Arrive(gate, MakeArrival(4), kStart, rng);
+  cr_assert(arrived.refusal->kind == ErrorKind::kLeaving);
+}
+
+// Paralegals upload many exhibits at once. Without a budget their bodies fill
+// the VM's memory and the process is killed.
+Test(admission, bodies_stay_within_the_memory_budget) {
+  Gatekeeper gate;
+  SetUp(gate, 4, Ms(10));
+  gate.settings.body_memory_bytes = 100;
+  Rng rng(1);
+  Arrival upload = MakeArrival(1);
+  upload.body_bytes = 60;
+  cr_assert(Arrive(gate, upload, kStart, rng).admission == Admission::kRun);
+  upload.id = 2;
+  cr_assert(Arrive(gate, upload, kStart, rng).refusal->kind ==
+            ErrorKind::kMemoryBudget);
+  (void)FinishOne(gate, 1, kStart);
+  cr_assert(Arrive(gate, upload, kStart, rng).admission == Admission::kRun);
+}
+
+// Callers open more connections than the target accepts.
+Test(admission, connections_stay_within_the_limit) {
+  Gatekeeper gate;
+  gate.settings.connections = 2;
+  cr_assert(OpenConnection(gate));
+  cr_assert(OpenConnection(gate));
+  cr_assert(!OpenConnection(gate));
+  CloseConnection(gate);
+  cr_assert(OpenConnection(gate));
+}
+
+// The estimate was learned while the upstream was slow. If it refused all that
+// come on its strength, no run would ever teach it better.
+Test(admission, a_free_slot_is_used_whatever_the_estimate_says) {
+  Gatekeeper gate;
+  SetUp(gate, 1, Ms(60000));
+  Rng rng(1);
+  cr_assert(Arrive(gate, MakeArrival(1), kStart, rng).admission ==
+            Admission::kRun);
+}
+
+// The upstream's announcement lapses while requests wait for it.
+Test(admission, a_lost_upstream_refuses_what_waits) {
+  Gatekeeper gate;
+  SetUp(gate, 1, Ms(10));
+  Rng rng(1);
+  (void)Arrive(gate, MakeArrival(1), kStart, rng);
+  (void)Arrive(gate, MakeArrival(2), kStart, rng);
+  const GateActions actions = SetUpstream(gate, 1, false, kStart, rng);
+  cr_assert(actions.refused.front().kind == ErrorKind::kNotReady);
+  (void)FinishOne(gate, 1, kStart);
+  cr_assert(SetUpstream(gate, 1, true, kStart, rng).run.empty());
+  cr_assert(LoadOf(gate) == 0);
+}
+
+}  // namespace
+}  // namespace teaselspread
--- /dev/null
+++ b/tests/unit/request_faults_test.cc
@@ -0,0 +1,205 @@
+#include <criterion/criterion.h>
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "teaselspread/connections.h"
+#include "teaselspread/retry.h"
+#include "teaselspread/suspects.h"
+
+namespace teaselspread {
+namespace {
+
+using Ms = std::chrono::milliseconds;
+using Seconds = std::chrono::seconds;
+
+const TimePoint kStart{std::chrono::hours(1)};
+
+FailedAttempt MakeFailed(ErrorKind kind, bool not_run, bool idempotent) {
+  FailedAttempt attempt;
+  attempt.kind = kind;
+  attempt.not_run = not_run;
+  attempt.idempotent = idempotent;
+  attempt.deadline = kStart + Seconds(2);
+  attempt.attempt_time = Ms(10);
+  return attempt;
+}
+
+RetryReason Decide(const FailedAttempt& attempt) {
+  RetryBudget budget;
+  return DecideRetry(budget, attempt, kStart);
+}
+
+// An attempt fails in one way or another. Repeating one that may have run
+// files twice; not repeating one that did not run loses it for nothing.
+Test(retry, only_what_did_not_run_or_may_run_twice_is_repeated) {
+  struct Case {
+    ErrorKind kind;
+    bool not_run;
+    bool idempotent;
+    RetryReason expected;
+  };
+  const std::vector<Case> cases = {
+      {ErrorKind::kQueueFull, true, false, RetryReason::kRetriedNotRun},
+      {ErrorKind::kConnectFailed, true, false, RetryReason::kRetriedNotRun},
+      {ErrorKind::kTimeout, false, false, RetryReason::kRefusedMayHaveRun},
+      {ErrorKind::kTruncated, false, false, RetryReason::kRefusedMayHaveRun},
+      {ErrorKind::kTimeout, false, true, RetryReason::kRetriedIdempotent},
+      {ErrorKind::kTruncated, false, true, RetryReason::kRetriedIdempotent},
+      {ErrorKind::kBadRequest, true, true, RetryReason::kRefusedNoUse},
+      {ErrorKind::kCancelled, false, true, RetryReason::kRefusedNoUse},
+      {ErrorKind::kCrashSuspect, true, true, RetryReason::kRefusedNoUse},
+      {ErrorKind::kOutcomeUnknown, false, true, RetryReason::kRefusedNoUse},
+  };
+  for (const Case& c : cases) {
+    const auto reason = Decide(MakeFailed(c.kind, c.not_run, c.idempotent));
+    cr_assert(reason == c.expected, "%s: %s",
+              std::string(NameOf(c.kind)).c_str(),
+              std::string(NameOf(reason)).c_str());
+  }
+}
+
+// The time left is shorter than an attempt takes, or nothing is left to try.
+Test(retry, a_repeat_needs_time_and_another_upstream) {
+  FailedAttempt attempt = MakeFailed(ErrorKind::kQueueFull, true, false);
+  attempt.deadline = kStart + Ms(5);
+  cr_assert(Decide(attempt) == RetryReason::kRefusedDeadline);
+  attempt = MakeFailed(ErrorKind::kQueueFull, true, false);
+  attempt.other_upstream = false;
+  cr_assert(Decide(attempt) == RetryReason::kRefusedNoOther);
+  attempt.other_upstream = true;
+  attempt.attempts_made = 3;
+  cr_assert(Decide(attempt) == RetryReason::kRefusedAttempts);
+}
+
+// Every attempt fails for minutes. Three attempts for each request would
+// triple the load on upstreams that are down from load already.
+Test(retry, a_lasting_fault_adds_no_more_than_the_budget) {
+  RetryBudget budget;
+  const auto failed = MakeFailed(ErrorKind::kUpstreamShed, true, true);
+  int sent = 0;
+  for (int i = 0; i < 10000; ++i) {
+    OnFirstAttempt(budget);
+    ++sent;
+    sent += IsRetry(DecideRetry(budget, failed, kStart));
+  }
+  cr_assert(sent <= 11010, "%d sent for 10,000 asked", sent);
+  cr_assert(budget.counters.Get(RetryReason::kRefusedBudget) > 8000);
+}
+
+// One request crashes each upstream that runs it, and its caller sends it
+// again. The others that were in flight are innocent and are sent again, too.
+Test(suspects, the_guilty_stops_after_two_crashes_and_innocents_are_cleared) {
+  SuspectTable table;
+  table.origin = 1;
+  const std::vector<Fingerprint> in_flight = {10, 11, 12, 99};
+  OnCrash(table, in_flight, kStart);
+  cr_assert(StateOf(table, 99, kStart) == SuspectState::kAlone);
+  for (const Fingerprint innocent : {10, 11, 12}) {
+    OnCleanRun(table, innocent, kStart);
+    cr_assert(StateOf(table, innocent, kStart) == SuspectState::kClear);
+  }
+  const std::vector<Fingerprint> alone = {99};
+  OnCrash(table, alone, kStart);
+  cr_assert(StateOf(table, 99, kStart) == SuspectState::kRefused);
+  cr_assert(StateOf(table, 99, kStart + std::chrono::minutes(11)) ==
+            SuspectState::kClear);
+}
+
+// Two upstreams crash at the same moment and their nodes tell each other, in
+// any order and more than once. Counted as one crash, a third would follow.
+Test(suspects, crashes_seen_by_different_nodes_add_up_once) {
+  const std::vector<Fingerprint> in_flight = {99};
+  SuspectTable a;
+  SuspectTable b;
+  a.origin = 1;
+  b.origin = 2;
+  const auto from_a = OnCrash(a, in_flight, kStart);
+  const auto from_b = OnCrash(b, in_flight, kStart);
+  cr_assert(MergeSuspects(a, from_b, kStart).size() == 1);
+  cr_assert(MergeSuspects(a, from_b, kStart).empty(), "news only once");
+  MergeSuspects(b, from_a, kStart);
+  cr_assert(StateOf(a, 99, kStart) == SuspectState::kRefused);
+  cr_assert(StateOf(b, 99, kStart) == SuspectState::kRefused);
+  const auto cleared = OnCleanRun(a, 99, kStart);
+  MergeSuspects(b, cleared, kStart);
+  MergeSuspects(b, from_a, kStart);
+  cr_assert(StateOf(b, 99, kStart) == SuspectState::kClear, "late rumour");
+  ExpireSuspects(b, kStart + std::chrono::minutes(11));
+  cr_assert(b.rows.empty());
+}
+
+std::vector<std::uint64_t> OpenIdle(ConnectionPool& pool, int count) {
+  std::vector<std::uint64_t> ids;
+  ids.reserve(static_cast<std::size_t>(count));
+  for (int i = 0; i < count; ++i)
+    ids.push_back(Acquire(pool, kStart).id);
+  for (const std::uint64_t id : ids)
+    cr_assert(Release(pool, id, ConnectionEnd::kWhole, kStart).empty());
+  return ids;
+}
+
+// A firewall between two nodes restarts and forgets all connections. They stay
+// open and say nothing. Tried one after the other, each would cost a request
+// its whole time without a byte.
+Test(connections, one_silent_connection_replaces_the_others_of_its_age) {
+  ConnectionPool pool;
+  (void)OpenIdle(pool, 20);
+  const TimePoint used = kStart + Seconds(1);
+  const Acquired first = Acquire(pool, used);
+  cr_assert(first.kind == AcquireKind::kReuse);
+  const TimePoint noticed = used + Ms(5001);
+  cr_assert(SilentOnes(pool, used + Seconds(5)).empty());
+  cr_assert(SilentOnes(pool, noticed).front() == first.id);
+  const auto closed = Release(pool, first.id, ConnectionEnd::kSilent, noticed);
+  cr_assert(closed.size() == 20);
+  cr_assert(Acquire(pool, noticed).kind == AcquireKind::kOpen);
+}
+
+// The same, while a younger connection answers. It is not at fault and stays.
+Test(connections, a_connection_heard_later_is_kept) {
+  ConnectionPool pool;
+  (void)OpenIdle(pool, 2);
+  const std::uint64_t silent = Acquire(pool, kStart + Seconds(1)).id;
+  const std::uint64_t lively = Acquire(pool, kStart + Seconds(1)).id;
+  OnByte(pool, lively, kStart + Seconds(2));
+  cr_assert(Release(pool, lively, ConnectionEnd::kWhole, kStart + Seconds(2))
+                .empty());
+  const auto closed =
+      Release(pool, silent, ConnectionEnd::kSilent, kStart + Seconds(7));
+  cr_assert(closed.size() == 1);
+  const Acquired next = Acquire(pool, kStart + Seconds(7));
+  cr_assert(next.kind == AcquireKind::kReuse);
+  cr_assert(next.id == lively);
+}
+
+// An answer was cut, timed out or cancelled. The rest of it may still come and
+// would be taken for the answer to the next request on that connection.
+Test(connections, none_is_used_again_after_a_broken_answer) {
+  for (const ConnectionEnd end :
+       {ConnectionEnd::kTimeout, ConnectionEnd::kCancelled,
+        ConnectionEnd::kShortBody, ConnectionEnd::kSilent,
+        ConnectionEnd::kError}) {
+    ConnectionPool pool;
+    const std::uint64_t id = Acquire(pool, kStart).id;
+    cr_assert(Release(pool, id, end, kStart).front() == id);
+    cr_assert(Acquire(pool, kStart).id != id);
+  }
+}
+
+// Requests pile up on a slow target.
+Test(connections, no_more_than_the_limit_and_none_that_idled_too_long) {
+  ConnectionPool pool;
+  pool.settings.most = 3;
+  const auto ids = OpenIdle(pool, 3);
+  const TimePoint later = kStart + Seconds(31);
+  const Acquired acquired = Acquire(pool, later);
+  cr_assert(acquired.close.size() == 3);
+  (void)Acquire(pool, later);
+  (void)Acquire(pool, later);
+  cr_assert(Acquire(pool, later).kind == AcquireKind::kLimit);
+}
+
+}  // namespace
+}  // namespace teaselspread
