--- a/src/config/delta.cc
+++ b/src/config/delta.cc
@@ -1,5 +1,8 @@
+#include "config/delta.h"
+
 #include <array>
 #include <memory>
+#include <set>
 
 #include <xxhash.h>
 
@@ -64,11 +67,56 @@
 }
 
 Document ApplyDelta(Document from, const Delta& delta) {
+  ApplyInPlace(from, delta);
+  return from;
+}
+
+void ApplyInPlace(Document& document, const Delta& delta) {
   for (const std::string& path : delta.removed)
-    from.leaves.erase(path);
+    document.leaves.erase(path);
   for (const auto& [path, value] : delta.set)
-    from.leaves.insert_or_assign(path, value);
-  return from;
+    document.leaves.insert_or_assign(path, value);
+}
+
+Delta Needed(const Document& document, const Delta& delta) {
+  Delta needed;
+  for (const auto& [path, value] : delta.set) {
+    const auto leaf = document.leaves.find(path);
+    if (leaf == document.leaves.end() || leaf->second != value)
+      needed.set.emplace_hint(needed.set.end(), path, value);
+  }
+  for (const std::string& path : delta.removed) {
+    if (document.leaves.contains(path) && !delta.set.contains(path))
+      needed.removed.push_back(path);
+  }
+  return needed;
+}
+
+Delta Undoing(const Document& document, const Delta& delta) {
+  Delta undoing;
+  for (const auto& [path, value] : delta.set) {
+    const auto leaf = document.leaves.find(path);
+    if (leaf == document.leaves.end())
+      undoing.removed.push_back(path);
+    else
+      undoing.set.emplace_hint(undoing.set.end(), path, leaf->second);
+  }
+  for (const std::string& path : delta.removed)
+    undoing.set.emplace(path, document.leaves.at(path));
+  return undoing;
+}
+
+void Append(Delta& first, const Delta& second) {
+  std::set<std::string> removed(first.removed.begin(), first.removed.end());
+  for (const std::string& path : second.removed) {
+    first.set.erase(path);
+    removed.insert(path);
+  }
+  for (const auto& [path, value] : second.set) {
+    removed.erase(path);
+    first.set.insert_or_assign(path, value);
+  }
+  first.removed.assign(removed.begin(), removed.end());
 }
 
 }  // namespace teaselspread
--- a/src/config/fold.cc
+++ b/src/config/fold.cc
@@ -116,13 +116,6 @@
   return TakeWhileWaiting(folding, offset, *record, bytes);
 }
 
-std::optional<VersionStep> StepOf(const Folding& folding) {
-  if (!folding.before)
-    return std::nullopt;
-  return VersionStep{folding.from, folding.state.head,
-                     MakeDelta(*folding.before, folding.state.document)};
-}
-
 }  // namespace
 
 std::string_view NameOf(FoldReason reason) {
@@ -138,7 +131,7 @@
     state.position = offset;
     Folding folding{state};
     result.reason = Take(folding, offset, bytes, result.opaque);
-    result.step = StepOf(folding);
+    result.step = std::move(folding.step);
   }
   Count(state, result.reason);
   return result;
--- a/src/config/judge.cc
+++ b/src/config/judge.cc
@@ -1,9 +1,10 @@
 #include "config/judge.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/text.h"
-#include "config/render.h"
+#include "config/delta.h"
 
 namespace teaselspread {
 namespace {
@@ -15,21 +16,32 @@
   return !id.empty() && id.size() <= kMaxPublishId;
 }
 
-// Puts an accepted document in force.
-void Install(Folding& folding,
+// Notes that `delta`, which is already applied, made `version`.
+void Advance(Folding& folding,
              ConfigVersion version,
              const std::string& publish_id,
              const Digest& digest,
-             Document document) {
+             Delta delta) {
   FoldState& state = folding.state;
-  if (!folding.before) {
-    folding.from = state.head;
-    folding.before = std::move(state.document);
-  }
+  if (!folding.step)
+    folding.step = VersionStep{state.head, version, std::move(delta)};
+  else
+    Append(folding.step->delta, delta);
+  folding.step->to = version;
   state.head = version;
   state.head_publish_id = publish_id;
   state.digest = digest;
-  state.document = std::move(document);
+}
+
+// Puts a checked document in the place of the accepted one.
+void Replace(Folding& folding,
+             ConfigVersion version,
+             const std::string& publish_id,
+             const Digest& digest,
+             const Document& document) {
+  Delta delta = MakeDelta(folding.state.document, document);
+  folding.state.document = document;
+  Advance(folding, version, publish_id, digest, std::move(delta));
 }
 
 // Keeps the verdict for publishers, at most kOutcomesKept of them. One that is
@@ -57,6 +69,36 @@
                 ToString(wanted));
 }
 
+// Takes over the newest of the outcomes that a record carries. More than are
+// kept would grow the state of all readers for good.
+void TakeOutcomes(FoldState& state,
+                  const std::vector<PublishOutcome>& outcomes) {
+  const std::size_t kept = std::min(outcomes.size(), kOutcomesKept);
+  state.outcomes.assign(outcomes.end() - static_cast<std::ptrdiff_t>(kept),
+                        outcomes.end());
+}
+
+// What a change does to `document`, without the parts that do nothing.
+Delta DeltaOf(const Document& document, const ChangeRecord& change) {
+  if (const auto* delta = std::get_if<Delta>(&change.content))
+    return Needed(document, *delta);
+  return MakeDelta(document, std::get<Document>(change.content));
+}
+
+struct Finding {
+  FoldReason reason = FoldReason::kAccepted;
+  std::string text;
+};
+
+// Whether a document that a record leads to may be accepted.
+Finding CheckResult(const Document& document, const Digest& wanted) {
+  if (const Digest digest = DigestOf(document); digest != wanted)
+    return {FoldReason::kDigestMismatch, DigestText(wanted, digest)};
+  if (const auto valid = ValidateAll(document); !valid)
+    return {FoldReason::kInvalid, valid.error().message};
+  return {};
+}
+
 }  // namespace
 
 FoldReason JudgeChange(Folding& folding,
@@ -72,26 +114,24 @@
     return Record(state, offset, id, FoldReason::kConflict,
                   ConflictText(state, change));
   }
-  const auto* delta = std::get_if<Delta>(&change.content);
-  Document document = delta != nullptr ? ApplyDelta(state.document, *delta)
-                                       : std::get<Document>(change.content);
-  if (const Digest digest = DigestOf(document); digest != change.digest) {
-    return Record(state, offset, id, FoldReason::kDigestMismatch,
-                  DigestText(change.digest, digest));
+  // Applied in place: a copy of the document would cost as much as the checks.
+  Delta delta = DeltaOf(state.document, change);
+  const Delta undoing = Undoing(state.document, delta);
+  ApplyInPlace(state.document, delta);
+  if (const auto [reason, text] = CheckResult(state.document, change.digest);
+      reason != FoldReason::kAccepted) {
+    ApplyInPlace(state.document, undoing);
+    return Record(state, offset, id, reason, text);
   }
-  if (const auto valid = ValidateAll(document); !valid) {
-    return Record(state, offset, id, FoldReason::kInvalid,
-                  valid.error().message);
-  }
-  Install(folding, offset, id, change.digest, std::move(document));
+  Advance(folding, offset, id, change.digest, std::move(delta));
   ++state.changes_since_checkpoint;
   return Record(state, offset, id, FoldReason::kAccepted, "");
 }
 
 bool IsGoodOrigin(LogOffset offset, const OriginRecord& origin) {
   return origin.through + 1 == offset && IsPublishId(origin.publish_id) &&
-         DigestOf(origin.document) == origin.digest &&
-         ValidateAll(origin.document).has_value();
+         CheckResult(origin.document, origin.digest).reason ==
+             FoldReason::kAccepted;
 }
 
 FoldReason JudgeOrigin(Folding& folding,
@@ -99,28 +139,25 @@
                        const OriginRecord& origin) {
   FoldState& state = folding.state;
   const std::string& id = origin.publish_id;
+  if (!IsPublishId(id))
+    return FoldReason::kMalformed;
+  // Known or not: a reader that does not know the publish_id must come to the
+  // same verdict.
   if (IsGoodOrigin(offset, origin)) {
-    state.outcomes.assign(origin.outcomes.begin(), origin.outcomes.end());
+    TakeOutcomes(state, origin.outcomes);
     state.is_current = true;
-    Install(folding, offset, id, origin.digest, origin.document);
+    Replace(folding, offset, id, origin.digest, origin.document);
     ++state.changes_since_checkpoint;
     return Record(state, offset, id, FoldReason::kAccepted, "");
   }
-  if (!IsPublishId(id))
-    return FoldReason::kMalformed;
   if (FindOutcome(state, id) != nullptr)
     return FoldReason::kDuplicate;
   if (origin.through + 1 != offset) {
     return Record(state, offset, id, FoldReason::kConflict,
                   "another record came before this new beginning");
   }
-  if (const Digest digest = DigestOf(origin.document);
-      digest != origin.digest) {
-    return Record(state, offset, id, FoldReason::kDigestMismatch,
-                  DigestText(origin.digest, digest));
-  }
-  return Record(state, offset, id, FoldReason::kInvalid,
-                ValidateAll(origin.document).error().message);
+  const auto [reason, text] = CheckResult(origin.document, origin.digest);
+  return Record(state, offset, id, reason, text);
 }
 
 FoldReason SeeCheckpoint(FoldState& state,
@@ -151,15 +188,15 @@
       checkpoint.version < state.head) {
     return false;
   }
-  if (DigestOf(checkpoint.document) != checkpoint.digest ||
-      !ValidateAll(checkpoint.document)) {
+  if (CheckResult(checkpoint.document, checkpoint.digest).reason !=
+      FoldReason::kAccepted) {
     return false;
   }
   if (checkpoint.version > state.head) {
-    Install(folding, checkpoint.version, checkpoint.publish_id,
+    Replace(folding, checkpoint.version, checkpoint.publish_id,
             checkpoint.digest, checkpoint.document);
   }
-  state.outcomes.assign(checkpoint.outcomes.begin(), checkpoint.outcomes.end());
+  TakeOutcomes(state, checkpoint.outcomes);
   state.checkpoint_offset = offset;
   state.checkpoint_written_at = checkpoint.written_at;
   state.changes_since_checkpoint = 0;
--- a/src/config/judge.h
+++ b/src/config/judge.h
@@ -8,12 +8,10 @@
 
 namespace teaselspread {
 
-// The state during one call of Fold, with what it held before.
+// The state during one call of Fold, and how far its head has come.
 struct Folding {
   FoldState& state;
-  ConfigVersion from = 0;
-  // Set once the head has changed.
-  std::optional<Document> before = {};
+  std::optional<VersionStep> step = {};
 };
 
 // Precondition of all: state.is_current, but for AdoptCheckpoint.
