--- a/standins/upstream_standin.cc
+++ b/standins/upstream_standin.cc
@@ -282,10 +282,9 @@
     response.set("X-Service", absl::GetFlag(FLAGS_service));
     response.set("X-Version", absl::GetFlag(FLAGS_version));
     response.set("X-Body-Bytes", std::to_string(request.body().size()));
-    if (bad && this->Chance(now.truncate)) {
-      response.set("X-Request-Id", echoed.id);
+    response.set("X-Request-Id", echoed.id);
+    if (bad && this->Chance(now.truncate))
       return connection.SendCut(std::move(response), kCutShare);
-    }
     if (bad && this->Chance(now.cut))
       return connection.SendCut(std::move(response), 0);
     this->Finish(std::move(response), echoed, connection);
