Keep half of the body memory for answers; bound the time of a body

A test of eight uploads of 30 MB through a node with 100 MB ended with no answer at all: three requests held 90 MB, and each waited for 30 MB for its answer until its timeout. Requests may now use half of the budget, so answers always move.

--- a/include/teaselspread/http_server.h
+++ b/include/teaselspread/http_server.h
@@ -51,6 +51,8 @@
   Duration head_timeout = std::chrono::seconds(10);
   // Longest stretch without a byte inside a request or an answer.
   Duration silence = std::chrono::seconds(5);
+  // For a whole body: one that trickles in would hold its memory for hours.
+  Duration body_timeout = std::chrono::seconds(120);
   // Kept open between requests for this long.
   Duration idle_timeout = std::chrono::seconds(60);
   // A stopping server still answers this long on connections that were idle:
--- a/include/teaselspread/memory_budget.h
+++ b/include/teaselspread/memory_budget.h
@@ -2,16 +2,24 @@
 #ifndef TEASELSPREAD_MEMORY_BUDGET_H_
 #define TEASELSPREAD_MEMORY_BUDGET_H_
 
+#include <array>
 #include <chrono>
 #include <condition_variable>
 #include <cstddef>
+#include <cstdint>
 #include <mutex>
+#include <utility>
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 namespace teaselspread {
 
+// Requests may use half of a budget, answers all that is left: were requests
+// allowed all of it, each of them would hold its body while it waits for memory
+// for its answer, and none would ever end.
+enum class BudgetUse : std::uint8_t { kRequest, kAnswer };
+
 // Uploads of tens of MB arrive many at once; without a common bound a small VM
 // runs out of memory, and the kernel ends the process with every request in
 // it. Thread safe.
@@ -20,27 +28,30 @@
   explicit MemoryBudget(std::size_t bytes) : limit(bytes) {}
 
   // False, with nothing taken, when fewer than `bytes` are free. Thread safe.
-  [[nodiscard]] bool Take(std::size_t bytes);
+  [[nodiscard]] bool Take(BudgetUse use, std::size_t bytes);
 
   // As Take, but waits until `deadline` for the bytes. Thread safe.
-  [[nodiscard]] bool TakeBefore(std::size_t bytes,
+  [[nodiscard]] bool TakeBefore(BudgetUse use,
+                                std::size_t bytes,
                                 std::chrono::steady_clock::time_point deadline);
 
-  // Precondition: `bytes` were taken. Thread safe.
-  void Give(std::size_t bytes);
+  // Precondition: `bytes` were taken for `use`. Thread safe.
+  void Give(BudgetUse use, std::size_t bytes);
 
   // Thread safe.
   [[nodiscard]] std::size_t Used() const;
 
  private:
-  [[nodiscard]] bool Fits(std::size_t bytes) const {
-    return bytes <= this->limit && this->used <= this->limit - bytes;
+  [[nodiscard]] bool Fits(BudgetUse use, std::size_t bytes) const;
+  [[nodiscard]] std::size_t& UsedBy(BudgetUse use) {
+    return this->used.at(static_cast<std::size_t>(use));
   }
 
   std::size_t limit;
   mutable std::mutex gate;
   std::condition_variable freed;
-  std::size_t used = 0;
+  // By BudgetUse.
+  std::array<std::size_t, 2> used{};
 };
 
 using MemoryBudgetPtr = boost::intrusive_ptr<MemoryBudget>;
@@ -49,8 +60,9 @@
 // thread safe; sharing it is.
 class BudgetHold : public boost::intrusive_ref_counter<BudgetHold> {
  public:
-  explicit BudgetHold(MemoryBudgetPtr owner) : budget(std::move(owner)) {}
-  ~BudgetHold() { this->budget->Give(this->bytes); }
+  BudgetHold(MemoryBudgetPtr owner, BudgetUse purpose)
+      : budget(std::move(owner)), use(purpose) {}
+  ~BudgetHold() { this->budget->Give(this->use, this->bytes); }
   BudgetHold(const BudgetHold&) = delete;
   BudgetHold& operator=(const BudgetHold&) = delete;
 
@@ -64,6 +76,7 @@
 
  private:
   MemoryBudgetPtr budget;
+  BudgetUse use;
   std::size_t bytes = 0;
 };
 
--- a/src/http/exchange.cc
+++ b/src/http/exchange.cc
@@ -86,7 +86,7 @@
                       HttpResponse& response,
                       boost::system::error_code& error) {
   if (options.budget)
-    response.hold.reset(new BudgetHold(options.budget));
+    response.hold.reset(new BudgetHold(options.budget, BudgetUse::kAnswer));
   const auto held = [&](std::size_t bytes) {
     return !response.hold ||
            response.hold->GrowToBefore(bytes, bounds.exchange.deadline);
--- a/src/http/memory_budget.cc
+++ b/src/http/memory_budget.cc
@@ -2,48 +2,61 @@
 
 namespace teaselspread {
 
-bool MemoryBudget::Take(std::size_t bytes) {
+bool MemoryBudget::Fits(BudgetUse use, std::size_t bytes) const {
+  const std::size_t total = this->used[0] + this->used[1];
+  const std::size_t requests =
+      this->used.at(static_cast<std::size_t>(BudgetUse::kRequest));
+  const std::size_t half = this->limit / 2;
+  if (use == BudgetUse::kRequest && (bytes > half || requests > half - bytes))
+    return false;
+  return bytes <= this->limit && total <= this->limit - bytes;
+}
+
+bool MemoryBudget::Take(BudgetUse use, std::size_t bytes) {
   const std::scoped_lock lock(this->gate);
-  if (!this->Fits(bytes))
+  if (!this->Fits(use, bytes))
     return false;
-  this->used += bytes;
+  this->UsedBy(use) += bytes;
   return true;
 }
 
-bool MemoryBudget::TakeBefore(std::size_t bytes,
+bool MemoryBudget::TakeBefore(BudgetUse use,
+                              std::size_t bytes,
                               std::chrono::steady_clock::time_point deadline) {
   std::unique_lock lock(this->gate);
-  const bool fits =
-      this->freed.wait_until(lock, deadline, [&] { return this->Fits(bytes); });
+  const bool fits = this->freed.wait_until(
+      lock, deadline, [&] { return this->Fits(use, bytes); });
   if (fits)
-    this->used += bytes;
+    this->UsedBy(use) += bytes;
   return fits;
 }
 
-void MemoryBudget::Give(std::size_t bytes) {
+void MemoryBudget::Give(BudgetUse use, std::size_t bytes) {
   const std::scoped_lock lock(this->gate);
-  this->used -= bytes;
+  this->UsedBy(use) -= bytes;
   this->freed.notify_all();
 }
 
 std::size_t MemoryBudget::Used() const {
   const std::scoped_lock lock(this->gate);
-  return this->used;
+  return this->used[0] + this->used[1];
 }
 
 bool BudgetHold::GrowTo(std::size_t total) {
-  return this->GrowToBefore(total,
-                            std::chrono::steady_clock::time_point::min());
+  if (total <= this->bytes)
+    return true;
+  const bool taken = this->budget->Take(this->use, total - this->bytes);
+  if (taken)
+    this->bytes = total;
+  return taken;
 }
 
 bool BudgetHold::GrowToBefore(std::size_t total,
                               std::chrono::steady_clock::time_point deadline) {
   if (total <= this->bytes)
     return true;
-  const std::size_t more = total - this->bytes;
-  const bool waits = deadline != std::chrono::steady_clock::time_point::min();
-  const bool taken = waits ? this->budget->TakeBefore(more, deadline)
-                           : this->budget->Take(more);
+  const bool taken =
+      this->budget->TakeBefore(this->use, total - this->bytes, deadline);
   if (taken)
     this->bytes = total;
   return taken;
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -155,7 +155,8 @@
     return tl::make_unexpected(this->ReadError(http::error::body_limit));
   parser.body_limit(*limit);
   if (this->settings.options.budget)
-    request.hold.reset(new BudgetHold(this->settings.options.budget));
+    request.hold.reset(
+        new BudgetHold(this->settings.options.budget, BudgetUse::kRequest));
   const auto held = [&](std::size_t bytes) {
     return !request.hold || request.hold->GrowTo(bytes);
   };
@@ -172,6 +173,7 @@
         http::response<http::empty_body>(http::status::continue_, kHttp11),
         error);
   StreamLimits bounds;
+  bounds.deadline = Clock::now() + this->settings.options.body_timeout;
   bounds.silence = this->settings.options.silence;
   this->stream.SetLimits(bounds);
   while (!parser.is_done()) {
