--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -115,12 +115,15 @@
   std::string WriteConfig(
       const std::string& base,
       const std::map<std::string, std::string>& overlays = {}) {
-    const std::string path =
+    std::string path =
         this->folder + "/config-" + std::to_string(++this->configs);
     std::filesystem::create_directory(path);
     std::ofstream(path + "/base.yaml") << base;
-    for (const auto& [data_center, text] : overlays)
-      std::ofstream(path + "/" + data_center + ".yaml") << text;
+    for (const auto& [data_center, text] : overlays) {
+      std::string file = path;
+      file.append("/").append(data_center).append(".yaml");
+      std::ofstream(file) << text;
+    }
     return path;
   }
 
@@ -214,8 +217,8 @@
   }
 
  private:
-  std::string SeedsOf(const std::string& data_center,
-                      const std::string& but_not) const {
+  [[nodiscard]] std::string SeedsOf(const std::string& data_center,
+                                    const std::string& but_not) const {
     constexpr std::size_t kMostSeeds = 3;
     std::string seeds;
     std::size_t count = 0;
@@ -223,12 +226,13 @@
       if (vm->data_center != data_center || vm->id == but_not ||
           count == kMostSeeds)
         continue;
-      seeds += (count++ == 0 ? "\"" : ", \"") + TextOf(vm->control) + "\"";
+      seeds.append(count++ == 0 ? "\"" : ", \"");
+      seeds.append(TextOf(vm->control)).append("\"");
     }
     return "[" + seeds + "]";
   }
 
-  std::string SettingsOf(const FleetVm& vm) const {
+  [[nodiscard]] std::string SettingsOf(const FleetVm& vm) const {
     std::ostringstream text;
     text << "vm: " << vm.id << "\ndeployment: " << this->deployment
          << "\ndata_center: " << vm.data_center << "\nhttp: " << TextOf(vm.http)
@@ -249,13 +253,13 @@
     return text.str();
   }
 
-  std::string OneOfEach() const {
+  [[nodiscard]] std::string OneOfEach() const {
     std::map<std::string, std::string> nodes;
     for (const auto& vm : this->vms)
       nodes.emplace(vm->data_center, TextOf(vm->http));
     std::string text;
     for (const auto& [data_center, node] : nodes)
-      text += (text.empty() ? "" : ",") + node;
+      text.append(text.empty() ? "" : ",").append(node);
     return text;
   }
 
