Moves: no fault is carried over a time without the old version's answers

A stratum without control raises a doubt only; a doubt halves the share until both versions have answered; the schedule climbs in steps.

--- a/include/teaselspread/judge.h
+++ b/include/teaselspread/judge.h
@@ -35,6 +35,13 @@
   Duration stratum_least = std::chrono::seconds(2);
   // ... or at this age.
   Duration stratum_most = std::chrono::seconds(120);
+  // ... or when the old version has not answered for so long.
+  Duration control_wait = std::chrono::seconds(5);
+  // A doubt lasts until the old version has given this many answers beside the
+  // new one, or for so long.
+  std::uint64_t doubt_answers = 20;
+  Duration doubt_least = std::chrono::seconds(5);
+  Duration doubt_most = std::chrono::seconds(60);
   // Weight of a ratio that has nothing to do with the old version's history,
   // which is how a fault of both versions looks.
   double shared_weight = 0.5;
@@ -131,6 +138,9 @@
   TimePoint held_since;
   // Answers of the old version when the hold began.
   std::uint64_t old_runs_at_hold = 0;
+  // Epoch while nothing is doubted.
+  TimePoint doubted_since;
+  std::uint64_t old_runs_at_doubt = 0;
 };
 
 // The strongest test at this moment.
--- a/include/teaselspread/moves.h
+++ b/include/teaselspread/moves.h
@@ -37,7 +37,7 @@
   // Requests that the first stage is meant to give to the new version.
   double first_requests = 8;
   // Part of the time between start and `by` less the watch that the ramp takes.
-  double ramp_part = 0.6;
+  double ramp_part = 0.75;
   // Good answers that a stage needs at most.
   double stage_answers = 150;
   // Good answers that a stage needs even in a hurry, if they come within...
--- a/src/moves/judge.cc
+++ b/src/moves/judge.cc
@@ -12,6 +12,9 @@
     VerdictReason::kFailures, VerdictReason::kLatency,
     VerdictReason::kShedding};
 
+// Part of the hold that a score without answers of the old version reaches.
+constexpr double kDoubtOnly = 0.9;
+
 // Answers of the old version wherever the judge looks.
 std::uint64_t OldRuns(const std::vector<Feed>& feeds) {
   std::uint64_t runs = 0;
@@ -35,12 +38,36 @@
   return held >= settings.hold_least && (confirmed || !old_serves);
 }
 
+// A doubt outlives the score that raised it: its purpose is to bring answers
+// of both versions side by side.
+bool InDoubt(JudgeState& state,
+             const JudgeSettings& settings,
+             double score,
+             std::uint64_t old_runs,
+             TimePoint now) {
+  if (score >= settings.suspect) {
+    if (state.doubted_since == TimePoint())
+      state.old_runs_at_doubt = old_runs;
+    state.doubted_since = now;
+    return true;
+  }
+  if (state.doubted_since == TimePoint())
+    return false;
+  const Duration age = now - state.doubted_since;
+  const bool answered =
+      old_runs >= state.old_runs_at_doubt + settings.doubt_answers;
+  if (age >= settings.doubt_most || (age >= settings.doubt_least && answered))
+    state.doubted_since = TimePoint();
+  return state.doubted_since != TimePoint();
+}
+
 Finding FindingOf(JudgeState& state,
                   const JudgeSettings& settings,
                   double score,
                   std::uint64_t old_runs,
                   bool old_serves,
                   TimePoint now) {
+  const bool doubt = InDoubt(state, settings, score, old_runs, now);
   const bool held = state.held_since != TimePoint();
   if (!held && score >= settings.hold) {
     state.held_since = now;
@@ -53,7 +80,7 @@
     state.held_since = TimePoint();
   if (held && score >= settings.hold)
     return Finding::kBad;
-  return score >= settings.suspect ? Finding::kSuspect : Finding::kCalm;
+  return doubt ? Finding::kSuspect : Finding::kCalm;
 }
 
 void TakeBounds(JudgeState& state, const MoveBounds& bounds) {
@@ -92,9 +119,12 @@
   Judgement strongest;
   for (auto& [name, scope] : state.scopes) {
     const moves::ScopeScore found = moves::StepScope(scope, rules, !held, now);
-    if (found.score <= strongest.score)
+    const double score =
+        found.controlled ? found.score
+                         : std::min(found.score, settings.hold * kDoubtOnly);
+    if (score <= strongest.score)
       continue;
-    strongest.score = found.score;
+    strongest.score = score;
     strongest.reason = kReasonOf.at(static_cast<std::size_t>(found.metric));
     strongest.scope = name;
     strongest.pair = found.pair;
--- a/src/moves/ratio_test.cc
+++ b/src/moves/ratio_test.cc
@@ -55,7 +55,7 @@
 }
 
 // Logarithm of a sum of exponentials, the largest taken out first.
-using Terms = std::array<double, kSharedRatios + 1>;
+using Terms = std::array<double, kSharedRatios + 2>;
 double LogSum(const Terms& terms) {
   const double high = *std::max_element(terms.begin(), terms.end());
   double sum = 0;
@@ -85,22 +85,27 @@
   std::array<double, kAlternatives> ratios{};
   if (pair.fresh.total <= 0)
     return ratios;
-  const double rest = std::log(shared_weight / kSharedRatios);
-  const ChancePoint past = PointAt(history, table);
+  const double rest = std::log(shared_weight / (kSharedRatios + 1));
+  // The ratio of both together: between the points of the grid many answers fit
+  // none of them, and would speak for whatever lies nearer.
+  const double all =
+      (pair.fresh.bad + pair.old.bad) / (pair.fresh.total + pair.old.total);
+  const std::array<ChancePoint, 2> own = {PointAt(all, table),
+                                          PointAt(history, table)};
+  const auto point = [&](std::size_t i) -> const ChancePoint& {
+    return i < kSharedRatios ? table.points.at(i) : own.at(i - kSharedRatios);
+  };
   Terms old{};
   Terms terms{};
-  for (std::size_t i = 0; i < kSharedRatios; ++i)
-    old.at(i) = rest + LogOf(pair.old, table.points.at(i).old);
-  old.back() = std::log1p(-shared_weight) + LogOf(pair.old, past.old);
-  for (std::size_t i = 0; i < kSharedRatios; ++i)
-    terms.at(i) = old.at(i) + LogOf(pair.fresh, table.points.at(i).same);
-  terms.back() = old.back() + LogOf(pair.fresh, past.same);
+  for (std::size_t i = 0; i < old.size(); ++i)
+    old.at(i) = rest + LogOf(pair.old, point(i).old);
+  old.back() += std::log1p(-shared_weight) - rest;
+  for (std::size_t i = 0; i < old.size(); ++i)
+    terms.at(i) = old.at(i) + LogOf(pair.fresh, point(i).same);
   const double same = LogSum(terms);
   for (std::size_t a = 0; a < kAlternatives; ++a) {
-    for (std::size_t i = 0; i < kSharedRatios; ++i)
-      terms.at(i) =
-          old.at(i) + LogOf(pair.fresh, table.points.at(i).worse.at(a));
-    terms.back() = old.back() + LogOf(pair.fresh, past.worse.at(a));
+    for (std::size_t i = 0; i < old.size(); ++i)
+      terms.at(i) = old.at(i) + LogOf(pair.fresh, point(i).worse.at(a));
     ratios.at(a) = LogSum(terms) - same;
   }
   return ratios;
--- a/src/moves/schedule.cc
+++ b/src/moves/schedule.cc
@@ -49,7 +49,7 @@
       std::clamp(wanted, settings.first_share, settings.first_share_most);
   ramp.stages =
       std::max(1, static_cast<int>(std::ceil(-std::log2(ramp.first_share))));
-  ramp.stage_length = ramp.length / ramp.stages;
+  ramp.stage_length = std::max(Duration(1), ramp.length / ramp.stages);
   return ramp;
 }
 
@@ -58,8 +58,11 @@
     return 0;
   if (now - start >= ramp.length)
     return 1;
-  const double part = Seconds(now - start) / Seconds(ramp.length);
-  return std::pow(ramp.first_share, 1 - part);
+  // In steps, so that the two versions are compared at one share for a while,
+  // and below full share as long as there is time: full share shows nothing of
+  // the old version.
+  const auto stage = (now - start) / ramp.stage_length;
+  return std::min(1.0, ramp.first_share * std::exp2(stage));
 }
 
 double EvidenceShare(const MovesSettings& settings,
--- a/src/moves/scope_judge.cc
+++ b/src/moves/scope_judge.cc
@@ -12,6 +12,8 @@
 constexpr std::uint64_t kMedianAnswers = 8;
 // Answers by which a version without history is taken to be good.
 constexpr double kPriorAnswers = 50;
+// Fewest answers of the old version beside those of the new one.
+constexpr std::uint64_t kLeastControl = 2;
 
 std::uint64_t CountOf(const EvidenceCells& cells) {
   std::uint64_t count = 0;
@@ -65,27 +67,28 @@
   return LatencyBucketOf(Duration(std::llround(bound)));
 }
 
-struct StratumScores {
-  ScoreTable added{};
-  std::array<Pair, kMetrics> pairs;
+struct StratumScore {
+  std::array<double, kAlternatives> added{};
+  Pair pair;
 };
 
-StratumScores ScoresOf(const ScopeJudge& scope,
-                       const RouteTotals& stratum,
-                       const Rules& rules) {
-  const std::size_t slow = SlowBucket(scope, rules.bounds.slowdown);
-  StratumScores scores;
-  for (std::size_t m = 0; m < kMetrics; ++m) {
-    const auto metric = static_cast<Metric>(m);
-    const Tally past = TallyOf(scope.history, metric, slow);
-    const double history = (past.bad + 0.5) / (past.total + kPriorAnswers);
-    Pair& pair = scores.pairs.at(m);
-    pair = {TallyOf(stratum.fresh, metric, slow),
-            TallyOf(stratum.old, metric, slow)};
-    scores.added.at(m) = LogRatios(pair, history, rules.settings.shared_weight,
-                                   rules.tables.at(m));
-  }
-  return scores;
+StratumScore ScoreStratum(const ScopeJudge& scope,
+                          const RouteTotals& stratum,
+                          Metric metric,
+                          std::size_t slow,
+                          const Rules& rules) {
+  const Tally past = TallyOf(scope.history, metric, slow);
+  const double history = (past.bad + 0.5) / (past.total + kPriorAnswers);
+  StratumScore score;
+  score.pair = {TallyOf(stratum.fresh, metric, slow),
+                TallyOf(stratum.old, metric, slow)};
+  score.added = LogRatios(score.pair, history, rules.settings.shared_weight,
+                          rules.tables.at(static_cast<std::size_t>(metric)));
+  return score;
+}
+
+bool AnyAbove(const std::array<double, kAlternatives>& scores, double bound) {
+  return *std::max_element(scores.begin(), scores.end()) > bound;
 }
 
 RouteTotals Joined(const RouteTotals& a, const RouteTotals& b) {
@@ -101,11 +104,20 @@
   const Duration age = now - scope.opened;
   if (age >= settings.stratum_most)
     return true;
-  return age >= settings.stratum_least &&
-         scope.open.fresh.runs >= settings.stratum_answers &&
+  const bool enough = scope.open.fresh.runs >= settings.stratum_answers;
+  if (age >= settings.control_wait && enough)
+    return true;
+  return age >= settings.stratum_least && enough &&
          scope.open.old.runs >= settings.stratum_answers;
 }
 
+// The old version answered enough beside the new one for a comparison.
+bool IsControlled(const RouteTotals& stratum, const JudgeSettings& settings) {
+  const std::uint64_t wanted = std::max(kLeastControl, stratum.fresh.runs / 4);
+  return stratum.old.runs + stratum.old.shed >=
+         std::min(settings.stratum_answers, wanted);
+}
+
 // What `last` adds for good, now that the stratum after it is known.
 double Confirmed(double last, double joined) {
   return last <= 0 ? last : std::max(0.0, std::min(last, joined));
@@ -129,6 +141,15 @@
   scope.opened = now;
 }
 
+// Without answers of the old version a stratum can raise a doubt, but not be
+// carried on: once the old one answers again, the fault may be over for both.
+void ForgetFaults(ScopeJudge& scope) {
+  for (auto& metric : scope.last_added) {
+    for (double& added : metric)
+      added = std::min(added, 0.0);
+  }
+}
+
 double ScoreOf(double sum, double last, double open, double joined) {
   if (last <= 0)
     return std::max(0.0, sum + last) + open;
@@ -159,21 +180,37 @@
                      const Rules& rules,
                      bool may_close,
                      TimePoint now) {
-  const StratumScores open = ScoresOf(scope, scope.open, rules);
-  const StratumScores joined =
-      ScoresOf(scope, Joined(scope.last, scope.open), rules);
+  const std::size_t slow = SlowBucket(scope, rules.bounds.slowdown);
+  const RouteTotals both = Joined(scope.last, scope.open);
+  ScoreTable open{};
+  ScoreTable joined{};
   ScopeScore strongest;
   for (std::size_t m = 0; m < kMetrics; ++m) {
+    const auto metric = static_cast<Metric>(m);
+    const StratumScore now_open =
+        ScoreStratum(scope, scope.open, metric, slow, rules);
+    open.at(m) = now_open.added;
+    // Only what speaks against the new version needs to be confirmed.
+    StratumScore now_joined = now_open;
+    if (AnyAbove(scope.last_added.at(m), 0))
+      now_joined = ScoreStratum(scope, both, metric, slow, rules);
+    joined.at(m) = now_joined.added;
     for (std::size_t i = 0; i < kAlternatives; ++i) {
       const double score =
           ScoreOf(scope.sums.at(m).at(i), scope.last_added.at(m).at(i),
-                  open.added.at(m).at(i), joined.added.at(m).at(i));
+                  open.at(m).at(i), joined.at(m).at(i));
       if (score > strongest.score)
-        strongest = {score, static_cast<Metric>(m), joined.pairs.at(m)};
+        strongest = {score, metric, now_joined.pair};
     }
   }
-  if (may_close && IsDue(scope, rules.settings, now))
-    Close(scope, open.added, joined.added, now);
+  strongest.controlled = IsControlled(scope.open, rules.settings);
+  const bool doubt = strongest.score >= rules.settings.suspect;
+  const bool drop = doubt && !strongest.controlled;
+  if (!may_close || !(drop || IsDue(scope, rules.settings, now)))
+    return strongest;
+  Close(scope, open, joined, now);
+  if (!strongest.controlled)
+    ForgetFaults(scope);
   return strongest;
 }
 
--- a/src/moves/scope_judge.h
+++ b/src/moves/scope_judge.h
@@ -18,6 +18,8 @@
   double score = 0;
   Metric metric = Metric::kFailures;
   Pair pair;
+  // The old version answered beside the new one.
+  bool controlled = true;
 };
 
 // Sets the mark to count from: everything up to `feed` is history.
