--- a/include/teaselspread/membership.h
+++ b/include/teaselspread/membership.h
@@ -86,6 +86,8 @@
   // While suspect: who accuses and when the suspicion becomes a death.
   std::set<std::string> accusers;
   TimePoint suspect_deadline;
+  // Has a place in the probing order, perhaps from before it died.
+  bool in_order = false;
 };
 
 struct QueuedRumour {
@@ -138,6 +140,8 @@
   std::vector<Address> seeds;
   // Others only, by id.
   std::map<std::string, MemberEntry> members;
+  // How many of them are alive or suspect.
+  std::size_t live = 0;
   std::map<std::pair<Topic, std::string>, OpaqueRumour> opaque;
   // Rumours still to be sent, by what they are about.
   std::map<std::string, QueuedRumour> queue;
@@ -161,6 +165,8 @@
   TimePoint next_gossip;
   TimePoint next_exchange;
   TimePoint next_reconnect;
+  // Suspicions that are over and gone members to forget are looked for here.
+  TimePoint next_sweep;
   Duration exchange_wait{};
   TimePoint expected_wake;
   // No accusation is made before this time (after a pause).
--- a/include/teaselspread/spread.h
+++ b/include/teaselspread/spread.h
@@ -31,6 +31,12 @@
   // Live members that read the log, by rank; as many speak to the other data
   // centres.
   std::size_t readers = 2;
+  // The next ranks read too while no reader has said, for `standby_patience`,
+  // that it has reached the log's end lately. Readers say so every
+  // `heartbeat_interval`.
+  std::size_t standbys = 2;
+  Duration standby_patience = std::chrono::milliseconds(1200);
+  Duration heartbeat_interval = std::chrono::milliseconds(400);
   // A starting node waits this long before it counts itself as a reader: with
   // an empty member list each node of a returning herd would be one.
   Duration reader_delay = std::chrono::milliseconds(1500);
@@ -194,6 +200,11 @@
   std::map<std::uint32_t, TimePoint> notices_sent;
   TimePoint next_notice;
 
+  // Place among the live members by reader rank; 0 is the first reader.
+  std::size_t reader_place = 0;
+  // When a reader with a fresh view of the log was last heard.
+  TimePoint reader_heard;
+  TimePoint next_heartbeat;
   bool was_reader = false;
   bool was_ready = false;
   TimePoint latest;
@@ -277,8 +288,9 @@
 // Holds a configuration, and at least the floor of this VM.
 [[nodiscard]] bool IsReady(const SpreadState& state);
 
-// Ids of the current readers, by rank.
-[[nodiscard]] std::vector<std::string> ReadersOf(const SpreadState& state);
+// Ids of the current readers, by rank; with standbys after them if asked.
+[[nodiscard]] std::vector<std::string> ReadersOf(const SpreadState& state,
+                                                 bool with_standbys = false);
 
 // This node's sender part of a message.
 [[nodiscard]] Sender SenderOf(const SpreadState& state, TimePoint now);
--- a/src/membership/base.cc
+++ b/src/membership/base.cc
@@ -34,9 +34,7 @@
 }
 
 std::size_t CountLive(const Membership& state) {
-  return static_cast<std::size_t>(std::count_if(
-      state.members.begin(), state.members.end(),
-      [](const auto& row) { return membership::IsLive(row.second); }));
+  return state.live;
 }
 
 std::vector<Member> LiveMembers(const Membership& state) {
--- a/src/membership/internal.h
+++ b/src/membership/internal.h
@@ -69,7 +69,8 @@
 void ReceivePingRequest(Call& call, const PingRequest& request);
 void ReceiveAck(Call& call, const Ack& ack);
 void ReceiveNack(Call& call, const Nack& nack);
-void AddToOrder(Call& call, const std::string& id);
+// Gives a live member a random place in the probing order.
+void AddToOrder(Call& call, MemberEntry& entry);
 void Degrade(Membership& state);
 
 }  // namespace teaselspread::membership
--- a/src/membership/merge.cc
+++ b/src/membership/merge.cc
@@ -7,6 +7,8 @@
 namespace teaselspread::membership {
 namespace {
 
+constexpr Duration kSweepInterval = std::chrono::milliseconds(200);
+
 // Between a suspicion's longest and shortest time, by how many agree: one
 // accuser may itself be the faulty one.
 Duration SuspicionTime(const Membership& state, std::size_t accusers) {
@@ -32,6 +34,9 @@
 void SetStatus(Call& call, MemberEntry& entry, MemberStatus status) {
   if (entry.member.status == status)
     return;
+  if (IsLive(entry) &&
+      (status == MemberStatus::kDead || status == MemberStatus::kLeft))
+    --call.state.live;
   entry.member.status = status;
   entry.since = call.now;
   entry.accusers.clear();
@@ -63,10 +68,12 @@
     entry.accusers.insert(call.state.self.id);
     entry.suspect_deadline = call.now + SuspicionTime(call.state, 1);
   }
-  call.state.members.emplace(news.id, std::move(entry));
-  if (news.status == MemberStatus::kAlive ||
-      news.status == MemberStatus::kSuspect)
-    AddToOrder(call, news.id);
+  MemberEntry& added =
+      call.state.members.emplace(news.id, std::move(entry)).first->second;
+  if (IsLive(added)) {
+    ++call.state.live;
+    AddToOrder(call, added);
+  }
   call.actions.changes.push_back(news);
 }
 
@@ -83,7 +90,8 @@
   if (same_start)
     entry.member.held = std::max(held, news.held);
   if (!was_live) {
-    AddToOrder(call, news.id);
+    ++call.state.live;
+    AddToOrder(call, entry);
     // A cut may have healed: much else may have been missed.
     CompareSoon(call.state, call.now);
   }
@@ -206,8 +214,9 @@
 
 void TickSuspicions(Call& call) {
   Membership& state = call.state;
-  if (InDoubt(state, call.now))
+  if (InDoubt(state, call.now) || call.now < state.next_sweep)
     return;
+  state.next_sweep = call.now + kSweepInterval;
   for (auto row = state.members.begin(); row != state.members.end();) {
     MemberEntry& entry = row->second;
     const MemberStatus status = entry.member.status;
--- a/src/membership/probe.cc
+++ b/src/membership/probe.cc
@@ -25,7 +25,10 @@
     }
     std::erase_if(state.order, [&state](const std::string& id) {
       const auto found = state.members.find(id);
-      return found == state.members.end() || !IsLive(found->second);
+      if (found == state.members.end())
+        return true;
+      found->second.in_order = IsLive(found->second);
+      return !found->second.in_order;
     });
     std::shuffle(state.order.begin(), state.order.end(), call.rng);
     state.next_in_order = 0;
@@ -113,12 +116,14 @@
   state.awareness = std::min(state.settings.max_awareness, state.awareness + 1);
 }
 
-void AddToOrder(Call& call, const std::string& id) {
-  std::vector<std::string>& order = call.state.order;
-  if (std::find(order.begin(), order.end(), id) != order.end())
+void AddToOrder(Call& call, MemberEntry& entry) {
+  if (entry.in_order)
     return;
+  entry.in_order = true;
+  std::vector<std::string>& order = call.state.order;
   std::uniform_int_distribution<std::size_t> any(0, order.size());
-  order.insert(order.begin() + static_cast<std::ptrdiff_t>(any(call.rng)), id);
+  order.insert(order.begin() + static_cast<std::ptrdiff_t>(any(call.rng)),
+               entry.member.id);
 }
 
 void TickProbe(Call& call) {
--- a/src/spread/base.cc
+++ b/src/spread/base.cc
@@ -35,7 +35,8 @@
   return Sender{state.id, state.incarnation, state.control, state.held, age};
 }
 
-std::vector<std::string> ReadersOf(const SpreadState& state) {
+std::vector<std::string> ReadersOf(const SpreadState& state,
+                                   bool with_standbys) {
   std::vector<std::pair<std::uint64_t, const std::string*>> ranked;
   if (!state.leaving)
     ranked.emplace_back(spread::RankOf(state.id, spread::kReaderSeed),
@@ -45,7 +46,9 @@
     if (peer.status == MemberStatus::kAlive)
       ranked.emplace_back(peer.reader_rank, &id);
   }
-  const std::size_t count = std::min(state.settings.readers, ranked.size());
+  const std::size_t wanted =
+      state.settings.readers + (with_standbys ? state.settings.standbys : 0);
+  const std::size_t count = std::min(wanted, ranked.size());
   const auto middle = ranked.begin() + static_cast<std::ptrdiff_t>(count);
   std::partial_sort(ranked.begin(), middle, ranked.end(), std::greater<>{});
   std::vector<std::string> readers;
@@ -57,13 +60,14 @@
 bool IsReader(const SpreadState& state, TimePoint now) {
   if (state.leaving || now < state.started + state.settings.reader_delay)
     return false;
-  const std::uint64_t own = spread::RankOf(state.id, spread::kReaderSeed);
-  const auto better = std::count_if(
-      state.peers.begin(), state.peers.end(), [own](const auto& row) {
-        return row.second.status == MemberStatus::kAlive &&
-               row.second.reader_rank > own;
-      });
-  return static_cast<std::size_t>(better) < state.settings.readers;
+  const std::size_t place = state.reader_place;
+  const SpreadSettings& settings = state.settings;
+  if (place < settings.readers)
+    return true;
+  // Readers that died, or that alone lost the log, are noticed here long before
+  // the failure detector is sure of it.
+  return place < settings.readers + settings.standbys &&
+         now - state.reader_heard >= settings.standby_patience;
 }
 
 bool IsReady(const SpreadState& state) {
--- a/src/spread/internal.h
+++ b/src/spread/internal.h
@@ -86,6 +86,7 @@
 void ReceiveFloorReply(Call& call, const FloorReply& reply);
 
 // notice
+void TickHeartbeat(Call& call);
 void TickNotices(Call& call);
 void ReceiveNotice(Call& call, const VersionNotice& notice);
 
--- a/src/spread/notice.cc
+++ b/src/spread/notice.cc
@@ -47,8 +47,26 @@
   return notice;
 }
 
+// A version counts as fresh for this long after the read that proved it.
+constexpr std::uint32_t kFreshMillis = 1000;
+
 }  // namespace
 
+void TickHeartbeat(Call& call) {
+  SpreadState& state = call.state;
+  if (call.now < state.next_heartbeat)
+    return;
+  state.next_heartbeat = call.now + state.settings.heartbeat_interval;
+  if (state.reader_place >= state.settings.readers ||
+      !IsReader(state, call.now))
+    return;
+  for (const std::string& id : ReadersOf(state, true)) {
+    const auto peer = state.peers.find(id);
+    if (peer != state.peers.end())
+      Send(call, peer->second.control, MakeNotice(call, 0, true));
+  }
+}
+
 void TickNotices(Call& call) {
   SpreadState& state = call.state;
   if (call.now < state.next_notice)
@@ -76,8 +94,11 @@
 
 void ReceiveNotice(Call& call, const VersionNotice& notice) {
   SpreadState& state = call.state;
-  if (notice.data_center == state.data_center)
+  if (notice.data_center == state.data_center) {
+    if (notice.from.log_age_ms <= kFreshMillis)
+      state.reader_heard = call.now;
     return;
+  }
   state.remote_speakers[notice.data_center] = notice.speakers;
   if (!notice.reply)
     Send(call, notice.from.control, MakeNotice(call, notice.sequence, true));
--- a/src/spread/spread.cc
+++ b/src/spread/spread.cc
@@ -45,6 +45,12 @@
   });
 }
 
+// Whether `peer` comes before this node as a reader.
+bool IsBefore(const SpreadState& state, const SpreadPeer& peer) {
+  return peer.status == MemberStatus::kAlive &&
+         peer.reader_rank > spread::RankOf(state.id, spread::kReaderSeed);
+}
+
 // True when the peer's entry describes this or an older start.
 bool UpdateStart(SpreadPeer& peer, std::uint64_t start) {
   if (start < peer.start)
@@ -109,6 +115,7 @@
   state.next_floor_ask = now;
   state.next_notice = now;
   state.next_repair = now + settings.record_repair;
+  state.reader_heard = now;
   state.latest = now;
   state.expected_wake = now;
   return state;
@@ -122,6 +129,9 @@
     wake = std::min(wake, state.recording->due);
   if (state.pull)
     wake = std::min(wake, state.pull->due);
+  // Only readers and standbys have a heartbeat to send or to miss.
+  if (state.reader_place < state.settings.readers + state.settings.standbys)
+    wake = std::min(wake, state.next_heartbeat);
   for (const Delivery& delivery : state.deliveries)
     wake = std::min(wake, delivery.due);
   return wake;
@@ -132,8 +142,11 @@
   Begin(call);
   spread::TickDeliveries(call);
   spread::TickFloor(call);
+  if (call.now >= state.next_repair)
+    ForgetGone(call);
   spread::TickRecording(call);
   spread::TickPull(call);
+  spread::TickHeartbeat(call);
   spread::TickNotices(call);
   return Finish(call);
 }
@@ -151,6 +164,7 @@
   SpreadPeer& peer = row->second;
   if (added) {
     peer.id = member.id;
+    peer.status = MemberStatus::kLeft;
     peer.first_start = start;
     peer.reader_rank = spread::RankOf(member.id, spread::kReaderSeed);
     peer.witness_rank = spread::RankOf(member.id, spread::SeedOf(state.id));
@@ -161,10 +175,15 @@
     return Finish(call);
   peer.control = member.control;
   peer.held = std::max(peer.held, member.held);
+  // Kept up step by step: counting 833 peers at each of 833 news of a join was
+  // most of a node's work.
+  if (IsBefore(state, peer))
+    --state.reader_place;
   peer.status = member.status;
+  if (IsBefore(state, peer))
+    ++state.reader_place;
   if (!spread::IsLive(peer))
     peer.gone_since = call.now;
-  ForgetGone(call);
   if (spread::IsLive(peer))
     spread::WantVersion(call, peer.held);
   return Finish(call);
--- a/tests/unit/spread_test.cc
+++ b/tests/unit/spread_test.cc
@@ -255,7 +255,7 @@
 // the log, or all asked the same peer, the log or that peer would fall over
 // again, and the data centre with it.
 Test(spread, a_returning_herd_loads_the_log_and_each_peer_within_bounds) {
-  for (const std::size_t count : {10U, 40U, 160U}) {
+  for (const std::size_t count : {10U, 40U, 160U, 800U}) {
     const HerdResult herd = RunHerd(count, 7);
     std::printf(
         "herd of %zu: %lu log reads in 20 s, %lu transfers at most "
