--- a/include/teaselspread/routing.h
+++ b/include/teaselspread/routing.h
@@ -36,8 +36,9 @@
   // Failures in a row that eject. One is enough after a return, until the
   // first good answer: a target that is still broken gets one request only.
   int consecutive_failures = 5;
-  // A timeout counts for this many failures.
-  int timeout_weight = 1;
+  // A timeout counts for this many failures: it cost its caller more, and a
+  // target that hangs answers so few that the row is long in coming.
+  int timeout_weight = 2;
   // First time out; doubles with each ejection in a row up to the longest.
   Duration base_time = std::chrono::seconds(2);
   Duration longest_time = std::chrono::seconds(60);
@@ -46,6 +47,15 @@
   double max_share = 0.34;
 };
 
+// How answers change the choice between two targets, short of ejection. Both
+// compare targets with each other, so a fault that all share changes nothing.
+struct ChoiceSettings {
+  // Load counts (1 + this * share of failures) times.
+  double failure_weight = 10;
+  // Load counts in proportion to the time that answers take.
+  bool by_latency = true;
+};
+
 // One upstream that may get work, as this node sees it.
 struct Target {
   std::string id;
@@ -59,6 +69,11 @@
   // Load of other nodes' requests, from the last answer; fades with its age.
   double others_load = 0;
   TimePoint load_seen;
+  // Moving averages over the last ten or so answers; they fade with age, so
+  // that a target which was bad is tried again.
+  double failure_share = 0;
+  double latency_us = 0;
+  TimePoint answered;
   int failures_in_row = 0;
   int ejections_in_row = 0;
   TimePoint ejected_until;
@@ -66,6 +81,7 @@
 
 // The targets of one version of one service.
 struct TargetGroup {
+  // Sorted by id.
   std::vector<Target> targets;
   // Index of the upstream beside this node, or -1.
   int own = -1;
@@ -79,6 +95,7 @@
            std::less<>>
       services;
   EjectionSettings ejection;
+  ChoiceSettings choice;
   // Exact count of running and waiting requests at this node's gatekeeper.
   int own_load = 0;
 };
@@ -114,14 +131,16 @@
 
 // The answer of one earlier OnSent. `load` is what the answer carried back:
 // running and waiting requests at that gatekeeper, or -1 if it carried none.
-// Not thread safe.
+// `took` is the time from OnSent; leave it out if it says nothing of the
+// target. Not thread safe.
 void OnAnswer(UpstreamTable& table,
               std::string_view service,
               std::string_view version,
               std::string_view id,
               AnswerKind kind,
               int load,
-              TimePoint now);
+              TimePoint now,
+              Duration took = Duration{});
 
 // Share of full weight that a target has while it warms up, 0.1..1. Thread
 // safe.
--- a/src/routing/choose.cc
+++ b/src/routing/choose.cc
@@ -11,23 +11,52 @@
 // Older than this it says nothing. A remnant of it, however small, would make
 // a target lose every comparison with an idle one that was never heard of.
 constexpr Duration kLoadForgotten = std::chrono::seconds(1);
+// What answers said of failures and time halves in this time.
+constexpr Duration kAnswersHalfLife = std::chrono::seconds(5);
 constexpr double kLeastWeight = 0.1;
 // Draws before a full scan. With the cap on ejections two thirds of a group
 // are in, so that eight draws all miss once in 6,561.
 constexpr int kDraws = 8;
 
+double Fade(Duration age, Duration half_life) {
+  const auto half = static_cast<double>(half_life.count());
+  return half / (half + std::max(0.0, static_cast<double>(age.count())));
+}
+
 double OthersLoad(const Target& target, TimePoint now) {
   if (now - target.load_seen > kLoadForgotten)
     return 0;
-  const auto age = static_cast<double>((now - target.load_seen).count());
-  const auto half = static_cast<double>(kLoadHalfLife.count());
-  return age <= 0 ? target.others_load
-                  : target.others_load * half / (half + age);
+  return target.others_load * Fade(now - target.load_seen, kLoadHalfLife);
 }
 
-double Score(const Target& target, TimePoint now) {
+double Score(const ChoiceSettings& settings,
+             const Target& target,
+             TimePoint now) {
   const double load = target.in_flight + OthersLoad(target, now) + 1;
-  return load / (target.slots * WarmUpWeight(target, now));
+  const double failures = target.failure_share *
+                          Fade(now - target.answered, kAnswersHalfLife) *
+                          settings.failure_weight;
+  return load * (1 + failures) / (target.slots * WarmUpWeight(target, now));
+}
+
+// How many times slower `target` is than `other`; 1 if not known of both.
+double SlownessAgainst(const ChoiceSettings& settings,
+                       const Target& target,
+                       const Target& other,
+                       TimePoint now) {
+  if (!settings.by_latency || target.latency_us == 0 || other.latency_us == 0)
+    return 1;
+  const double ratio = target.latency_us / other.latency_us;
+  return 1 + (ratio - 1) * Fade(now - target.answered, kAnswersHalfLife);
+}
+
+bool IsBetter(const ChoiceSettings& settings,
+              const Target& target,
+              const Target& other,
+              TimePoint now) {
+  return Score(settings, target, now) *
+             SlownessAgainst(settings, target, other, now) <
+         Score(settings, other, now);
 }
 
 bool IsUsable(const Target& target,
@@ -46,7 +75,8 @@
   return table.own_load < own.slots * WarmUpWeight(own, now);
 }
 
-const Target* Draw(const TargetGroup& group,
+const Target* Draw(const ChoiceSettings& settings,
+                   const TargetGroup& group,
                    std::span<const std::string> excluded,
                    TimePoint now,
                    Rng& rng) {
@@ -59,7 +89,7 @@
   for (const Target& target : group.targets) {
     if (!IsUsable(target, excluded, now))
       continue;
-    if (best == nullptr || Score(target, now) < Score(*best, now))
+    if (best == nullptr || IsBetter(settings, target, *best, now))
       best = &target;
   }
   return best;
@@ -99,11 +129,11 @@
     if (IsUsable(own, excluded, now) && OwnHasFreeSlot(table, own, now))
       return &own;
   }
-  const Target* first = Draw(*group, excluded, now, rng);
+  const Target* first = Draw(table.choice, *group, excluded, now, rng);
   if (first == nullptr)
     return Fail(ErrorKind::kNoUpstream, "every upstream was tried or is out");
-  const Target* second = Draw(*group, excluded, now, rng);
-  return Score(*second, now) < Score(*first, now) ? second : first;
+  const Target* second = Draw(table.choice, *group, excluded, now, rng);
+  return IsBetter(table.choice, *second, *first, now) ? second : first;
 }
 
 }  // namespace teaselspread
--- a/src/routing/targets.cc
+++ b/src/routing/targets.cc
@@ -21,9 +21,12 @@
   if (group == nullptr)
     return nullptr;
   const auto found =
-      std::find_if(group->targets.begin(), group->targets.end(),
-                   [id](const Target& target) { return target.id == id; });
-  return found == group->targets.end() ? nullptr : &*found;
+      std::lower_bound(group->targets.begin(), group->targets.end(), id,
+                       [](const Target& target, std::string_view wanted) {
+                         return target.id < wanted;
+                       });
+  const bool is_it = found != group->targets.end() && found->id == id;
+  return is_it ? &*found : nullptr;
 }
 
 bool MayGetWork(const Member& member, std::string_view data_center) {
@@ -51,11 +54,25 @@
     return;
   target.others_load = before.others_load;
   target.load_seen = before.load_seen;
+  target.failure_share = before.failure_share;
+  target.latency_us = before.latency_us;
+  target.answered = before.answered;
   target.failures_in_row = before.failures_in_row;
   target.ejections_in_row = before.ejections_in_row;
   target.ejected_until = before.ejected_until;
 }
 
+// Sorted, so that an answer finds its target among thousands quickly.
+void SortById(TargetGroup& group) {
+  std::sort(group.targets.begin(), group.targets.end(),
+            [](const Target& a, const Target& b) { return a.id < b.id; });
+  const auto own =
+      std::find_if(group.targets.begin(), group.targets.end(),
+                   [](const Target& target) { return target.own; });
+  if (own != group.targets.end())
+    group.own = static_cast<int>(own - group.targets.begin());
+}
+
 using TargetIndex = std::unordered_map<std::string_view, const Target*>;
 
 TargetIndex IndexOf(const UpstreamTable& table) {
@@ -116,6 +133,23 @@
     target.ejections_in_row = 0;
 }
 
+// A failure's time is left out: one that fails at once is not quick.
+void LearnFromAnswer(Target& target,
+                     AnswerKind kind,
+                     Duration took,
+                     TimePoint now) {
+  constexpr double kNewest = 0.1;
+  const double failed = kind == AnswerKind::kGood ? 0 : 1;
+  target.failure_share += kNewest * (failed - target.failure_share);
+  target.answered = now;
+  if (kind != AnswerKind::kGood || took <= Duration{})
+    return;
+  const auto took_us = static_cast<double>(took.count());
+  if (target.latency_us == 0)
+    target.latency_us = took_us;
+  target.latency_us += kNewest * (took_us - target.latency_us);
+}
+
 }  // namespace
 
 void UpdateTargets(UpstreamTable& table,
@@ -135,10 +169,12 @@
     Target target = MakeTarget(member, warm_up, member.id == own_id);
     if (const auto known = before.find(member.id); known != before.end())
       KeepWhatIsKnown(target, *known->second);
-    TargetGroup& group = services[upstream.service][upstream.version];
-    if (target.own)
-      group.own = static_cast<int>(group.targets.size());
-    group.targets.push_back(std::move(target));
+    services[upstream.service][upstream.version].targets.push_back(
+        std::move(target));
+  }
+  for (auto& [service, versions] : services) {
+    for (auto& [version, group] : versions)
+      SortById(group);
   }
   table.services = std::move(services);
 }
@@ -157,7 +193,8 @@
               std::string_view id,
               AnswerKind kind,
               int load,
-              TimePoint now) {
+              TimePoint now,
+              Duration took) {
   TargetGroup* group = FindGroup(table, service, version);
   Target* target = FindTarget(group, id);
   if (target == nullptr)
@@ -167,6 +204,8 @@
     target->others_load = std::max(0, load - target->in_flight);
     target->load_seen = now;
   }
+  if (kind != AnswerKind::kShed)
+    LearnFromAnswer(*target, kind, took, now);
   if (kind == AnswerKind::kGood)
     CountGoodAnswer(*target, now);
   if (kind == AnswerKind::kFailed)
--- a/tests/unit/claims_history_test.cc
+++ b/tests/unit/claims_history_test.cc
@@ -1,5 +1,9 @@
 #include <criterion/criterion.h>
 
+#include <array>
+#include <numeric>
+#include <vector>
+
 #include "claims/world.h"
 
 namespace teaselspread {
@@ -12,6 +16,15 @@
 
 constexpr int kKeys = 60;
 
+constexpr std::uint64_t kSeeds = 600;
+
+// Seeds above kSeeds that found a fault, or that find one again when a guard is
+// taken out: the answer of one that votes already, the record that two attempts
+// share, the fence, the pause.
+constexpr std::array<std::uint64_t, 22> kKnownSeeds = {
+    959,  1304, 1342, 1598, 1628, 1667, 1707, 1823, 1901, 1949, 2008,
+    2835, 3209, 3320, 3552, 4673, 4768, 4906, 5104, 5297, 7472, 9438};
+
 int NodesOf(std::uint64_t seed) {
   return 3 + static_cast<int>(seed % 5);
 }
@@ -38,9 +51,11 @@
 // charge the client twice. An answer "not run" for a filing that ran would make
 // the clerk lodge it again under a new key.
 Test(claims_history, no_key_runs_twice_under_faults) {
-  constexpr std::uint64_t kSeeds = 600;
+  std::vector<std::uint64_t> seeds(kSeeds);
+  std::iota(seeds.begin(), seeds.end(), 1);
+  seeds.insert(seeds.end(), kKnownSeeds.begin(), kKnownSeeds.end());
   Counts sum;
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+  for (const std::uint64_t seed : seeds) {
     World world(seed, world::FaultsOf(seed), NodesOf(seed));
     const Counts counts = world.Run(kKeys, Ms(40000));
     cr_expect(counts.most_of_one_key <= 1, "seed %d: a key ran %d times",
--- a/tests/unit/routing_test.cc
+++ b/tests/unit/routing_test.cc
@@ -170,6 +170,34 @@
   cr_assert(chosen["node-3"] > 0, "a good answer ends the trial");
 }
 
+// One upstream fails every third request, never five in a row, and another is
+// six times slower than the rest. Neither is ejected; without weights each gets
+// its full share, and a third of it is lost or late.
+Test(routing, answers_that_fail_or_are_slow_turn_requests_away) {
+  UpstreamTable table = MakeTable(MakeMembers(9));
+  for (int i = 0; i < 90; ++i) {
+    for (int node = 0; node < 9; ++node) {
+      const std::string id = "node-" + std::to_string(node);
+      const bool fails = node == 4 && i % 3 == 0;
+      OnSent(table, "registry-desk", "v1", id);
+      OnAnswer(table, "registry-desk", "v1", id,
+               fails ? AnswerKind::kFailed : AnswerKind::kGood, -1, kStart,
+               node == 7 ? Ms(300) : Ms(50));
+    }
+  }
+  Rng rng(1);
+  std::map<std::string, int> chosen;
+  for (int i = 0; i < 9000; ++i)
+    ++chosen[Choose(table, kStart, rng)];
+  cr_assert(chosen["node-4"] < 400);
+  cr_assert(chosen["node-7"] < 400);
+  const TimePoint later = kStart + Seconds(300);
+  OnSent(table, "registry-desk", "v1", "node-0");
+  for (int i = 0; i < 9000; ++i)
+    ++chosen[Choose(table, later, rng)];
+  cr_assert(chosen["node-0"] > 0 && chosen["node-4"] > 0, "tried again");
+}
+
 // A shared store is down and every upstream fails. If all were ejected, even
 // the requests that need no store would be refused.
 Test(routing, no_more_than_the_allowed_share_is_ejected) {
