Claims: read a trimmed log the same way everywhere, and begin anew after a loss

A checkpoint that a paused writer appended late could bring back a replaced epoch to a reader that starts behind it: it now names the last record that its writer had folded, and counts only if everything since is still in the log. If retention took all epoch records, a restart record begins anew; its holders wait the whole fence.

--- a/include/teaselspread/admission.h
+++ b/include/teaselspread/admission.h
@@ -78,7 +78,6 @@
 // Running estimate of how long one route's requests take.
 struct ServiceTime {
   double mean_us = 0;
-  double deviation_us = 0;
 };
 
 using QueueHook = boost::intrusive::set_base_hook<>;
--- a/include/teaselspread/claim_messages.h
+++ b/include/teaselspread/claim_messages.h
@@ -98,22 +98,36 @@
 
 // kPropose: `epoch` should follow. kActivate: the holders of `epoch` found the
 // ones before it closed. kCheckpoint repeats what is in force, so that
-// retention does not lose it.
-enum class EpochRecordKind : std::uint8_t { kPropose, kActivate, kCheckpoint };
+// retention does not lose it. kRestart: begin anew, since the log has been
+// trimmed and holds no base to go on from.
+enum class EpochRecordKind : std::uint8_t {
+  kPropose,
+  kActivate,
+  kCheckpoint,
+  kRestart,
+};
 
 // The log's record about epochs.
 struct EpochRecord {
   EpochRecordKind kind = EpochRecordKind::kPropose;
   ClaimEpoch epoch;
-  // For kCheckpoint: the last one that was activated.
+  // For kCheckpoint: the last one that was activated, and the offset of the
+  // last record that its writer had folded.
   ClaimEpoch active;
+  std::uint64_t folded_upto = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->kind, this->epoch, this->active);
+    archive(this->kind, this->epoch, this->active, this->folded_upto);
   }
 };
 
+// A record and where it stands in the log.
+struct LoggedEpoch {
+  std::uint64_t offset = 0;
+  EpochRecord record;
+};
+
 // One try of one gatekeeper to claim one key. Never used twice.
 struct AttemptId {
   std::string node;
--- a/include/teaselspread/claims.h
+++ b/include/teaselspread/claims.h
@@ -49,15 +49,28 @@
 // The fold of the log's epoch records. Every reader comes to the same one. An
 // epoch that another one replaced before it was activated never votes.
 struct EpochLog {
+  // False until a reader of a trimmed log has found a base to fold from.
+  bool known = false;
   ClaimEpoch current;
   ClaimEpoch active;
 };
 
-// Takes in one record in log order. `from_start` is true if the reader began
-// at the log's first offset and nothing has been trimmed; otherwise only a
-// checkpoint can be the first record that counts. Returns whether the epoch in
-// force changed. Not thread safe.
-bool FoldEpoch(EpochLog& log, const EpochRecord& record, bool from_start);
+// Folds all epoch records that the log still holds, in its order.
+// `first_offset` is the log's first one; above 0, older records were trimmed.
+// While the result is not known, call it again with the records that came
+// since. Thread safe.
+[[nodiscard]] EpochLog ReadEpochs(std::span<const LoggedEpoch> records,
+                                  std::uint64_t first_offset);
+
+// Takes in the next record. Precondition: log.known. Returns whether anything
+// changed. Not thread safe.
+bool FoldEpoch(EpochLog& log, const EpochRecord& record);
+
+// What to append when the log was read to its end and is still not known. The
+// holders wait for the whole fence, since those of a lost epoch may still vote.
+// Not thread safe.
+[[nodiscard]] std::optional<EpochRecord>
+ProposeRestart(std::span<const Holder> candidates, TimePoint now, Rng& rng);
 
 // The epoch to append, if the one in force has holders that are not among
 // `candidates` (alive, ready, not leaving) or too few. Keeps those that stay
--- a/src/admission/estimate.cc
+++ b/src/admission/estimate.cc
@@ -1,7 +1,5 @@
 #include "admission/estimate.h"
 
-#include <cmath>
-
 namespace teaselspread {
 namespace {
 
@@ -11,12 +9,9 @@
 void Learn(ServiceTime& time, double took_us) {
   if (time.mean_us == 0) {
     time.mean_us = took_us;
-    time.deviation_us = took_us / 2;
     return;
   }
-  const double error = took_us - time.mean_us;
-  time.mean_us += kNewest * error;
-  time.deviation_us += kNewest * (std::abs(error) - time.deviation_us);
+  time.mean_us += kNewest * (took_us - time.mean_us);
 }
 
 }  // namespace
--- a/src/claims/epoch.cc
+++ b/src/claims/epoch.cc
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::size_t kMostHolders = 3;
+// Milliseconds since 1970, in 2004.
+constexpr std::uint64_t kLeastRestart = 1ULL << 40;
 
 bool IsCandidate(std::span<const Holder> candidates, const Holder& holder) {
   return std::any_of(candidates.begin(), candidates.end(),
@@ -53,11 +55,7 @@
          ids.size() == epoch.holders.size();
 }
 
-bool FoldProposal(EpochLog& log, const ClaimEpoch& epoch, bool from_start) {
-  // After a trim, a proposal that had lost to another one could look like the
-  // first of its number; only checkpoints are sure to have won.
-  if (log.current.number == 0 && !from_start)
-    return false;
+bool FoldProposal(EpochLog& log, const ClaimEpoch& epoch) {
   if (!IsWellFormed(epoch) || epoch.number != log.current.number + 1)
     return false;
   if (epoch.previous_number != log.active.number ||
@@ -72,34 +70,95 @@
 
 bool FoldActivation(EpochLog& log, const ClaimEpoch& epoch) {
   if (epoch.number == 0 || epoch.number != log.current.number ||
-      epoch.number == log.active.number)
+      epoch.holders != log.current.holders || log.active == log.current)
     return false;
   log.active = log.current;
   return true;
 }
 
-bool FoldCheckpoint(EpochLog& log, const EpochRecord& record) {
-  if (!IsWellFormed(record.epoch) || log.current.number != 0)
+// Numbered by the clock, which is far above any count, so that those who still
+// know a lost epoch take this one for newer. Until it is activated, `active`
+// has no holders: nobody knows whom to close.
+bool FoldRestart(EpochLog& log, const ClaimEpoch& epoch) {
+  const bool well_formed = IsWellFormed(epoch) && epoch.previous.empty();
+  if (!well_formed || epoch.number < kLeastRestart ||
+      epoch.number <= log.current.number)
     return false;
-  log.current = record.epoch;
-  log.active = record.active;
+  log.known = true;
+  log.current = epoch;
+  log.active = ClaimEpoch{};
+  log.active.number = epoch.number;
   return true;
 }
 
+// A checkpoint counts only if every record since the last one that its writer
+// had folded is still there: one that a paused writer appended late would
+// bring back an epoch that has been replaced.
+const LoggedEpoch* FindBase(std::span<const LoggedEpoch> records,
+                            std::uint64_t first_offset) {
+  for (const LoggedEpoch& logged : records) {
+    const bool is_checkpoint =
+        logged.record.kind == EpochRecordKind::kCheckpoint &&
+        IsWellFormed(logged.record.epoch);
+    if (is_checkpoint && logged.record.folded_upto + 1 >= first_offset)
+      return &logged;
+  }
+  return nullptr;
+}
+
 }  // namespace
 
-bool FoldEpoch(EpochLog& log, const EpochRecord& record, bool from_start) {
+EpochLog ReadEpochs(std::span<const LoggedEpoch> records,
+                    std::uint64_t first_offset) {
+  EpochLog log;
+  log.known = first_offset == 0;
+  std::uint64_t folded_upto = 0;
+  if (!log.known) {
+    if (const LoggedEpoch* base = FindBase(records, first_offset)) {
+      folded_upto = base->record.folded_upto;
+      log = {true, base->record.epoch, base->record.active};
+    }
+  }
+  const bool whole = first_offset == 0;
+  for (const LoggedEpoch& logged : records) {
+    const bool is_new = whole || logged.offset > folded_upto;
+    const bool is_restart = logged.record.kind == EpochRecordKind::kRestart;
+    if (is_new && (log.known || is_restart))
+      FoldEpoch(log, logged.record);
+  }
+  return log;
+}
+
+bool FoldEpoch(EpochLog& log, const EpochRecord& record) {
   switch (record.kind) {
     case EpochRecordKind::kPropose:
-      return FoldProposal(log, record.epoch, from_start);
+      return FoldProposal(log, record.epoch);
     case EpochRecordKind::kActivate:
       return FoldActivation(log, record.epoch);
+    case EpochRecordKind::kRestart:
+      return FoldRestart(log, record.epoch);
     case EpochRecordKind::kCheckpoint:
-      return FoldCheckpoint(log, record);
+      break;
   }
   return false;
 }
 
+std::optional<EpochRecord> ProposeRestart(std::span<const Holder> candidates,
+                                          TimePoint now,
+                                          Rng& rng) {
+  const auto epoch = ProposeEpoch(EpochLog{}, candidates, rng);
+  if (!epoch)
+    return std::nullopt;
+  EpochRecord record;
+  record.kind = EpochRecordKind::kRestart;
+  record.epoch = *epoch;
+  record.epoch.number = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          now.time_since_epoch())
+          .count());
+  return record;
+}
+
 std::optional<ClaimEpoch> ProposeEpoch(const EpochLog& log,
                                        std::span<const Holder> candidates,
                                        Rng& rng) {
--- a/src/claims/takeover.cc
+++ b/src/claims/takeover.cc
@@ -90,6 +90,9 @@
 bool IsReady(const ClaimKeeper& keeper, TimePoint now) {
   if (keeper.state != HolderState::kTakingOver || !OldEpochIsClosed(keeper))
     return false;
+  // After a restart nobody knows who voted before: only time closes them.
+  if (keeper.epoch.previous.empty())
+    return now - keeper.epoch_learned >= keeper.settings.fence;
   const bool waited = now - keeper.epoch_learned >= keeper.settings.patience;
   return HandoverIsComplete(keeper) || waited;
 }
--- a/tests/claims/world.h
+++ b/tests/claims/world.h
@@ -253,13 +253,13 @@
   if (!this->ReachesLog(node))
     return;
   while (node.read < this->log.size())
-    FoldEpoch(node.log, this->log[node.read++], true);
+    FoldEpoch(node.log, this->log[node.read++]);
   this->Ask(index,
             LearnEpoch(node.keeper, node.log.current, this->LocalTime(node)));
   LearnActivation(node.keeper, node.log.active.number, this->LocalTime(node));
   ConfirmEpoch(node.keeper, this->LocalTime(node));
   if (WantsActivation(node.keeper, this->LocalTime(node))) {
-    this->log.push_back({EpochRecordKind::kActivate, node.keeper.epoch, {}});
+    this->log.push_back({EpochRecordKind::kActivate, node.keeper.epoch, {}, 0});
   }
 }
 
@@ -275,7 +275,7 @@
   }
   const auto epoch = ProposeEpoch(node.log, candidates, this->rng);
   if (epoch && this->ReachesLog(node))
-    this->log.push_back({EpochRecordKind::kPropose, *epoch, {}});
+    this->log.push_back({EpochRecordKind::kPropose, *epoch, {}, 0});
 }
 
 inline void World::Tick(std::size_t index) {
@@ -294,6 +294,7 @@
   const Duration skew = node.skew;
   node = Node{};
   node.skew = skew;
+  node.log.known = true;
   node.keeper.settings = QuickSettings();
   node.keeper.self = before;
   node.keeper.self.boot_id = this->next_boot++;
--- /dev/null
+++ b/tests/unit/claims_test.cc
@@ -0,0 +1,258 @@
+#include "teaselspread/claims.h"
+
+#include <criterion/criterion.h>
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace teaselspread {
+namespace {
+
+using Ms = std::chrono::milliseconds;
+using Minutes = std::chrono::minutes;
+
+// Late enough that restarts, which are numbered by the clock, are valid.
+const TimePoint kStart{std::chrono::hours(24 * 365 * 50)};
+const RequestDigest kBody{0, 1};
+
+Holder MakeHolder(int i, std::uint64_t boot_id = 1) {
+  return {
+      "node-" + std::to_string(i), "dc-" + std::to_string(i % 3), boot_id, {}};
+}
+
+std::vector<Holder> MakeHolders(int count) {
+  std::vector<Holder> holders;
+  holders.reserve(static_cast<std::size_t>(count));
+  for (int i = 0; i < count; ++i)
+    holders.push_back(MakeHolder(i));
+  return holders;
+}
+
+ClaimEpoch FirstEpoch() {
+  ClaimEpoch epoch;
+  epoch.number = 1;
+  epoch.holders = MakeHolders(3);
+  return epoch;
+}
+
+void Tell(ClaimKeeper& keeper, const ClaimEpoch& epoch, TimePoint now) {
+  (void)LearnEpoch(keeper, epoch, now);
+  LearnActivation(keeper, epoch.number, now);
+  ConfirmEpoch(keeper, now);
+  TickClaims(keeper, now);
+}
+
+std::vector<ClaimKeeper> MakeKeepers(int count) {
+  std::vector<ClaimKeeper> keepers(static_cast<std::size_t>(count));
+  for (int i = 0; i < count; ++i) {
+    ClaimKeeper& keeper = keepers[static_cast<std::size_t>(i)];
+    keeper.self = MakeHolder(i);
+    Tell(keeper, FirstEpoch(), kStart);
+  }
+  return keepers;
+}
+
+ClaimAttempt Begin(const ClaimKeeper& keeper,
+                   std::uint64_t sequence,
+                   const std::string& key,
+                   const RequestDigest& digest,
+                   TimePoint now) {
+  return BeginClaim(keeper, {keeper.self.id, keeper.self.boot_id, sequence},
+                    {key, false, TimePoint{}}, digest, now);
+}
+
+ClaimVerdict AskAll(std::vector<ClaimKeeper>& keepers,
+                    ClaimAttempt& attempt,
+                    TimePoint now) {
+  for (ClaimKeeper& keeper : keepers)
+    TakeVote(attempt, VoteOn(keeper, AskOf(attempt), now), now);
+  return attempt.verdict;
+}
+
+// A clerk's program sends the same key again: while the first one runs, after
+// its answer was lost, and by mistake for another filing.
+Test(claims, a_repeat_gets_what_is_known_of_the_first) {
+  auto keepers = MakeKeepers(3);
+  ClaimAttempt first = Begin(keepers[0], 1, "k", kBody, kStart);
+  cr_assert(AskAll(keepers, first, kStart) == ClaimVerdict::kGranted);
+  cr_assert(MayRun(first, kStart));
+  ClaimAttempt repeat = Begin(keepers[1], 1, "k", kBody, kStart);
+  cr_assert(AskAll(keepers, repeat, kStart) == ClaimVerdict::kInProgress);
+  const TimePoint later = kStart + Minutes(1);
+  for (TimePoint t = kStart; t <= later; t += Ms(500)) {
+    for (ClaimKeeper& keeper : keepers)
+      TickClaims(keeper, t);
+  }
+  ClaimAttempt late = Begin(keepers[2], 1, "k", kBody, later);
+  cr_assert(AskAll(keepers, late, later) == ClaimVerdict::kUnknown);
+  const ClaimDone done =
+      DoneOf(keepers[0].settings, first, {201, "text/plain", "no. 7", true});
+  for (ClaimKeeper& keeper : keepers)
+    RecordOutcome(keeper, done, later);
+  ClaimAttempt again = Begin(keepers[1], 2, "k", kBody, later);
+  cr_assert(AskAll(keepers, again, later) == ClaimVerdict::kDone);
+  cr_assert(again.outcome.body == "no. 7");
+  ClaimAttempt other = Begin(keepers[1], 3, "k", {0, 2}, later);
+  cr_assert(AskAll(keepers, other, later) == ClaimVerdict::kMismatch);
+  cr_assert(ErrorOf(ClaimVerdict::kMismatch) == ErrorKind::kKeyMismatch);
+}
+
+// The gatekeeper gave up before the run and said "not run". The clerk's repeat
+// has to run, and the first one's ask, late on its way, must not block it.
+Test(claims, a_released_key_can_be_claimed_again) {
+  auto keepers = MakeKeepers(3);
+  ClaimAttempt first = Begin(keepers[0], 1, "k", kBody, kStart);
+  cr_assert(AskAll(keepers, first, kStart) == ClaimVerdict::kGranted);
+  cr_assert(!MayRun(first, kStart + Ms(5001)), "too late to run");
+  for (ClaimKeeper& keeper : keepers)
+    ReleaseClaim(keeper, ReleaseOf(first));
+  cr_assert(VoteOn(keepers[0], AskOf(first), kStart).kind ==
+            VoteKind::kAbstain);
+  ClaimAttempt second = Begin(keepers[1], 1, "k", kBody, kStart);
+  cr_assert(AskAll(keepers, second, kStart) == ClaimVerdict::kGranted);
+}
+
+// A holder's VM is replaced. The two that are left hand over what they have, so
+// that filings go on at once and old keys are still known.
+Test(claims, one_lost_holder_is_replaced_without_a_gap) {
+  auto keepers = MakeKeepers(4);
+  ClaimAttempt first = Begin(keepers[0], 1, "old", kBody, kStart);
+  (void)AskAll(keepers, first, kStart);
+  EpochLog log{true, FirstEpoch(), FirstEpoch()};
+  Rng rng(1);
+  const std::vector<Holder> alive = {MakeHolder(0), MakeHolder(1),
+                                     MakeHolder(3)};
+  const ClaimEpoch next = *ProposeEpoch(log, alive, rng);
+  std::vector<SealAsks> asks;
+  for (const std::size_t i : {0, 1, 3})
+    asks.push_back(LearnEpoch(keepers[i], next, kStart));
+  std::size_t at = 0;
+  for (const std::size_t i : {0, 1, 3}) {
+    for (const Holder& to : asks[at++].to) {
+      if (to.id == "node-2")
+        continue;
+      const auto& asked = keepers[to.id == "node-0" ? 0 : 1];
+      const auto answer =
+          AnswerSeal(asked, {next, keepers[i].self}, to.id, to.boot_id);
+      TakeHandover(keepers[i], *answer, kStart);
+    }
+    cr_assert(WantsActivation(keepers[i], kStart));
+  }
+  for (const std::size_t i : {0, 1, 3})
+    Tell(keepers[i], next, kStart);
+  ClaimAttempt fresh = Begin(keepers[3], 1, "new", kBody, kStart);
+  cr_assert(AskAll(keepers, fresh, kStart) == ClaimVerdict::kGranted);
+  ClaimAttempt repeat = Begin(keepers[3], 2, "old", kBody, kStart);
+  cr_assert(AskAll(keepers, repeat, kStart) == ClaimVerdict::kInProgress);
+}
+
+// Two of three holders restart and have forgotten. A key that may have run is
+// not vouched for; one that was issued after the loss is.
+Test(claims, after_a_loss_only_young_keys_are_vouched_for) {
+  ClaimKeeper keeper;
+  keeper.self = MakeHolder(0, 2);
+  ClaimEpoch next = FirstEpoch();
+  next.number = 2;
+  next.holders = {MakeHolder(0, 2), MakeHolder(1, 2), MakeHolder(2)};
+  next.previous_number = 1;
+  next.previous = MakeHolders(3);
+  Tell(keeper, next, kStart);
+  HolderGone(keeper, "node-1", 1, kStart);
+  const TimePoint later = kStart + Ms(2500);
+  TickClaims(keeper, later);
+  cr_assert(keeper.state == HolderState::kVoting);
+  const auto vote = [&](const ClaimKey& key, TimePoint now) {
+    ConfirmEpoch(keeper, now);
+    return VoteOn(keeper, {2, {"g", 1, 1}, key, kBody}, now).kind;
+  };
+  cr_assert(vote({"opaque", false, {}}, later) == VoteKind::kAbstain);
+  cr_assert(vote({"old", true, kStart}, later) == VoteKind::kAbstain);
+  const TimePoint young = later + Ms(1500);
+  cr_assert(vote({"young", true, young}, young) == VoteKind::kGrant);
+  cr_assert(vote({"future", true, young + Minutes(1)}, young) ==
+            VoteKind::kAbstain);
+  const TimePoint after = later + Minutes(11);
+  cr_assert(vote({"opaque", false, {}}, after) == VoteKind::kGrant);
+}
+
+// A holder is cut off from the log and may have been replaced.
+Test(claims, a_holder_that_cannot_read_the_log_stops_voting) {
+  auto keepers = MakeKeepers(3);
+  const ClaimAsk ask{1, {"g", 1, 1}, {"k", false, {}}, kBody};
+  cr_assert(VoteOn(keepers[0], ask, kStart + Minutes(16)).kind ==
+            VoteKind::kAbstain);
+}
+
+// Two nodes see a holder die and both propose. Every reader, also one that
+// begins after the log was trimmed, must name the same holders.
+Test(claims, every_reader_folds_the_log_to_the_same_epoch) {
+  Rng rng(1);
+  const auto alive = MakeHolders(6);
+  EpochLog log{true, {}, {}};
+  const ClaimEpoch first = *ProposeEpoch(log, alive, rng);
+  std::set<std::string> data_centers;
+  for (const Holder& holder : first.holders)
+    data_centers.insert(holder.data_center);
+  cr_assert(data_centers.size() == 3);
+  std::vector<LoggedEpoch> records = {
+      {0, {EpochRecordKind::kPropose, first, {}, 0}}};
+  log = ReadEpochs(records, 0);
+  std::vector<Holder> fewer = alive;
+  std::erase(fewer, first.holders[0]);
+  const ClaimEpoch winner = *ProposeEpoch(log, fewer, rng);
+  ClaimEpoch loser = winner;
+  std::swap(loser.holders[0], loser.holders[1]);
+  records.push_back({1, {EpochRecordKind::kPropose, winner, {}, 0}});
+  records.push_back({2, {EpochRecordKind::kPropose, loser, {}, 0}});
+  // A paused node appends what was in force at offset 0.
+  records.push_back({3, {EpochRecordKind::kCheckpoint, first, first, 0}});
+  records.push_back({4, {EpochRecordKind::kCheckpoint, winner, first, 2}});
+  cr_assert(ReadEpochs(records, 0).current == winner);
+  for (std::size_t trimmed = 1; trimmed <= 3; ++trimmed) {
+    const std::span<const LoggedEpoch> rest(
+        records.begin() + static_cast<std::ptrdiff_t>(trimmed), records.end());
+    cr_assert(ReadEpochs(rest, trimmed).current == winner);
+  }
+  cr_assert(!ReadEpochs({}, 9).known);
+}
+
+// Retention took every record about epochs while the log could not be written.
+// The new holders wait until the old ones have surely stopped.
+Test(claims, a_restart_waits_for_the_whole_fence) {
+  Rng rng(1);
+  const auto record = ProposeRestart(MakeHolders(3), kStart, rng);
+  EpochLog log = ReadEpochs({}, 9);
+  cr_assert(!log.known);
+  const std::vector<LoggedEpoch> records = {{9, *record}};
+  log = ReadEpochs(records, 9);
+  cr_assert(log.known && log.current.holders.size() == 3);
+  ClaimKeeper keeper;
+  keeper.self = MakeHolder(0);
+  Tell(keeper, log.current, kStart);
+  cr_assert(keeper.state == HolderState::kTakingOver);
+  TickClaims(keeper, kStart + Minutes(29));
+  cr_assert(!WantsActivation(keeper, kStart + Minutes(29)));
+  TickClaims(keeper, kStart + Minutes(30));
+  cr_assert(keeper.state == HolderState::kVoting);
+  cr_assert(keeper.complete_since > kStart);
+}
+
+// Callers' keys come in any shape; a UUID of version 7 tells when it was made.
+Test(claims, keys_are_read_and_checked) {
+  const auto uuid = ParseClaimKey("017F22E2-79B0-7CC3-98C4-DC0C0C07398F");
+  cr_assert(uuid->has_issue_time);
+  cr_assert(uuid->issued == TimePoint(Ms(0x017F22E279B0)));
+  cr_assert(
+      !ParseClaimKey("017F22E2-79B0-4CC3-98C4-DC0C0C07398F")->has_issue_time);
+  cr_assert(!ParseClaimKey("filing-7")->has_issue_time);
+  cr_assert(ParseClaimKey("").error().kind == ErrorKind::kKeyMissing);
+  cr_assert(ParseClaimKey("a b").error().kind == ErrorKind::kBadRequest);
+  cr_assert(ParseClaimKey(std::string(129, 'a')).error().kind ==
+            ErrorKind::kBadRequest);
+  cr_assert(DigestOf("POST", "/f", "a") != DigestOf("POST", "/f", "b"));
+  cr_assert(DigestOf("POST", "/f", "a") != DigestOf("POST", "/g", "a"));
+}
+
+}  // namespace
+}  // namespace teaselspread
