Claims: spread the holders again when a data centre returns

After a data centre died and came back two holders stayed together in another one; the next loss there left one of three, and filings waited for old keys to expire.

--- a/include/teaselspread/claims.h
+++ b/include/teaselspread/claims.h
@@ -73,8 +73,9 @@
 ProposeRestart(std::span<const Holder> candidates, TimePoint now, Rng& rng);
 
 // The epoch to append, if the one in force has holders that are not among
-// `candidates` (alive, ready, not leaving) or too few. Keeps those that stay
-// and spreads the rest over data centres. Not thread safe.
+// `candidates` (alive, ready, not leaving), too few, or two in one data centre
+// while another has none. Keeps those that stay. Let some seconds pass between
+// proposals: each costs a handover. Not thread safe.
 [[nodiscard]] std::optional<ClaimEpoch>
 ProposeEpoch(const EpochLog& log, std::span<const Holder> candidates, Rng& rng);
 
--- a/src/claims/epoch.cc
+++ b/src/claims/epoch.cc
@@ -46,6 +46,16 @@
   return best;
 }
 
+// A data centre that died has come back: two holders that share another one
+// would be lost together with it.
+bool HasUnusedDataCenter(const std::vector<Holder>& holders,
+                         std::span<const Holder> candidates) {
+  return std::any_of(candidates.begin(), candidates.end(),
+                     [&holders](const Holder& candidate) {
+                       return HeldIn(holders, candidate.data_center) == 0;
+                     });
+}
+
 // A node that is named twice would be a majority alone.
 bool IsWellFormed(const ClaimEpoch& epoch) {
   std::set<std::string> ids;
@@ -166,12 +176,14 @@
   next.number = log.current.number + 1;
   next.previous_number = log.active.number;
   next.previous = log.active.holders;
+  if (candidates.empty())
+    return std::nullopt;
   for (const Holder& holder : log.current.holders) {
-    if (IsCandidate(candidates, holder))
+    const bool crowded = HeldIn(next.holders, holder.data_center) > 0 &&
+                         HasUnusedDataCenter(log.current.holders, candidates);
+    if (IsCandidate(candidates, holder) && !crowded)
       next.holders.push_back(holder);
   }
-  if (candidates.empty())
-    return std::nullopt;
   const std::size_t offset = rng() % candidates.size();
   while (next.holders.size() < kMostHolders) {
     const Holder* addition = BestAddition(next.holders, candidates, offset);
--- a/tests/unit/claims_test.cc
+++ b/tests/unit/claims_test.cc
@@ -217,6 +217,24 @@
   cr_assert(!ReadEpochs({}, 9).known);
 }
 
+// A whole data centre dies and comes back. Two holders are left in one of the
+// others; if that one dies next, filings wait until old keys have expired.
+Test(claims, holders_spread_again_when_a_data_center_returns) {
+  Rng rng(1);
+  const auto all = MakeHolders(6);
+  EpochLog log{true, FirstEpoch(), FirstEpoch()};
+  const std::vector<Holder> without_dc_0 = {all[1], all[2], all[4], all[5]};
+  const ClaimEpoch crowded = *ProposeEpoch(log, without_dc_0, rng);
+  cr_assert(FoldEpoch(log, {EpochRecordKind::kPropose, crowded, {}, 0}));
+  const ClaimEpoch spread = *ProposeEpoch(log, all, rng);
+  std::set<std::string> data_centers;
+  for (const Holder& holder : spread.holders)
+    data_centers.insert(holder.data_center);
+  cr_assert(data_centers.size() == 3);
+  cr_assert(FoldEpoch(log, {EpochRecordKind::kPropose, spread, {}, 0}));
+  cr_assert(!ProposeEpoch(log, all, rng).has_value());
+}
+
 // Retention took every record about epochs while the log could not be written.
 // The new holders wait until the old ones have surely stopped.
 Test(claims, a_restart_waits_for_the_whole_fence) {
