--- a/benchmark/http_bench.cc
+++ b/benchmark/http_bench.cc
@@ -37,6 +37,7 @@
           0,
           "requests a second over all callers; 0 = closed loop");
 ABSL_FLAG(std::uint64_t, body_bytes, 200, "bytes of request and answer");
+ABSL_FLAG(int, warm_up, 20, "first requests of a caller, which don't count");
 ABSL_FLAG(int, port, 19500, "first port, for cxxtools only");
 
 namespace {
@@ -202,16 +203,17 @@
       std::chrono::duration<double>(
           rate > 0 ? absl::GetFlag(FLAGS_connections) / rate : 0));
   std::vector<double> latencies;
-  const int requests = absl::GetFlag(FLAGS_requests);
+  const int warm_up = absl::GetFlag(FLAGS_warm_up);
+  const int requests = absl::GetFlag(FLAGS_requests) + warm_up;
   latencies.reserve(static_cast<std::size_t>(requests));
   auto due = std::chrono::steady_clock::now();
   for (int i = 0; i < requests; ++i) {
     std::this_thread::sleep_until(due += pause);
     const auto begun = std::chrono::steady_clock::now();
-    if (call(body))
-      latencies.push_back(MillisecondsSince(begun));
-    else
+    if (!call(body))
       ++failures;
+    else if (i >= warm_up)
+      latencies.push_back(MillisecondsSince(begun));
   }
   return latencies;
 }
