Keep threads ready for new connections

When the system gives no more threads, the connection is refused; before, the process would have ended. The stand-ins' listener tries again when its old port is not free yet.

--- a/include/teaselspread/http_server.h
+++ b/include/teaselspread/http_server.h
@@ -43,6 +43,8 @@
   Address listen;
   // Each connection has a thread; those beyond get 503 and are closed.
   std::size_t max_connections = 1024;
+  // Threads that wait ready for new connections.
+  std::size_t spare_threads = 16;
   std::size_t max_header_bytes = 8192;
   std::size_t max_body_bytes = 64U << 20;
   // Bodies of requests are counted here; none means no common bound.
--- a/src/http/listener.cc
+++ b/src/http/listener.cc
@@ -63,6 +63,10 @@
   ::getsockname(this->listening, endpoint.data(), &length);
   this->local = {wanted.host, endpoint.port()};
   this->stop_fd = ::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+  this->threads.emplace(
+      this->settings.options.spare_threads, [this](int socket) {
+        ServerConnection(socket, this->stop_fd, this->settings).Serve();
+      });
   this->accepting = std::thread([this] { this->AcceptUntilStopped(); });
   return {};
 }
@@ -73,13 +77,12 @@
     ::eventfd_write(this->stop_fd, 1);
     this->accepting.join();
   }
-  std::unique_lock lock(this->gate);
-  this->ended.wait(lock, [this] { return this->connections == 0; });
+  if (this->threads)
+    this->threads->Finish();
 }
 
 std::size_t Listener::Connections() const {
-  const std::scoped_lock lock(this->gate);
-  return this->connections;
+  return this->threads ? this->threads->Busy() : 0;
 }
 
 void Listener::AcceptUntilStopped() {
@@ -108,19 +111,10 @@
 }
 
 void Listener::Start(int socket) {
-  {
-    const std::scoped_lock lock(this->gate);
-    if (this->connections >= this->settings.options.max_connections)
-      return this->Refuse(socket);
-    ++this->connections;
-  }
+  if (this->threads->Busy() >= this->settings.options.max_connections ||
+      !this->threads->Serve(socket))
+    return this->Refuse(socket);
   this->settings.counters.Add(ServerEvent::kConnection);
-  std::thread([this, socket] {
-    ServerConnection(socket, this->stop_fd, this->settings).Serve();
-    const std::scoped_lock lock(this->gate);
-    --this->connections;
-    this->ended.notify_all();
-  }).detach();
 }
 
 void Listener::Refuse(int socket) {
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -2,11 +2,12 @@
 #ifndef TEASELSPREAD_SRC_HTTP_LISTENER_H_
 #define TEASELSPREAD_SRC_HTTP_LISTENER_H_
 
-#include <condition_variable>
 #include <cstddef>
 #include <mutex>
+#include <optional>
 #include <thread>
 
+#include "http/connection_threads.h"
 #include "http/server_connection.h"
 #include "teaselspread/error.h"
 #include "teaselspread/types.h"
@@ -45,9 +46,7 @@
   int stop_fd = -1;
   std::thread accepting;
   std::mutex stopping;
-  mutable std::mutex gate;
-  std::condition_variable ended;
-  std::size_t connections = 0;
+  std::optional<ConnectionThreads> threads;
 };
 
 }  // namespace teaselspread
--- a/standins/http_server.h
+++ b/standins/http_server.h
@@ -181,6 +181,22 @@
   }
 
  private:
+  // The port may be in use for a moment, until the thread of a closed acceptor
+  // has let go of it. Ends the process when it stays in use.
+  std::shared_ptr<Tcp::acceptor> Listen() {
+    constexpr int kAttempts = 100;
+    for (int attempt = 0; attempt < kAttempts; ++attempt) {
+      try {
+        return std::make_shared<Tcp::acceptor>(this->context, this->endpoint,
+                                               true);
+      } catch (const boost::system::system_error& error) {
+        std::cerr << "can't listen: " << error.what() << "\n";
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      }
+    }
+    std::_Exit(1);
+  }
+
   void Accept(const std::shared_ptr<Tcp::acceptor>& listening) {
     while (true) {
       boost::system::error_code error;
