Keep a move the same move in every data centre and every version

Verdicts on moves are kept by the move's id and are final. An operator who writes the next move by changing the target of a finished one in place would give the next version all traffic at once, without any evidence; one who changes it in an overlay only would have two moves under one verdict. Both are refused now, as is taking back 'withdrawn'. Times, bounds and watch may change; a move may be removed, and an overlay may take it away. Not caught: an id that is removed in one publish and used again in a later one; for that the verdicts themselves have to be compared with the move.

Names have at most 32 characters, as the messages between nodes cut longer ones: a move with a longer id would never have been done or taken back anywhere but where it was judged.

--- a/include/teaselspread/config.h
+++ b/include/teaselspread/config.h
@@ -59,6 +59,11 @@
 // Renders every data centre and gives the first error. Thread safe.
 [[nodiscard]] Result<void> ValidateAll(const Document& document);
 
+// What the fold asks of a change: `after` is valid, and every move that both
+// have is still the same move. Thread safe.
+[[nodiscard]] Result<void> ValidateChange(const Document& before,
+                                          const Document& after);
+
 // The data centres that the document names, sorted; empty if it names none.
 // Thread safe.
 [[nodiscard]] std::vector<std::string> DataCentersOf(const Document& document);
--- a/src/config/judge.cc
+++ b/src/config/judge.cc
@@ -6,6 +6,7 @@
 
 #include "base/text.h"
 #include "config/delta.h"
+#include "config/move_identity.h"
 
 namespace teaselspread {
 namespace {
@@ -145,6 +146,15 @@
   return {};
 }
 
+// Whether the moves are still the same ones as before.
+Finding CheckMoves(const Document& moves_before, const Document& after) {
+  if (const auto kept = CheckMovesKept(moves_before, after); !kept) {
+    return {FoldReason::kInvalid,
+            Concat(kept.error().path, ": ", kept.error().text)};
+  }
+  return {};
+}
+
 }  // namespace
 
 FoldReason JudgeChange(Folding& folding,
@@ -163,9 +173,12 @@
   // Applied in place: a copy of the document would cost as much as the checks.
   Delta delta = DeltaOf(state.document, change);
   const Delta undoing = Undoing(state.document, delta);
+  const Document moves_before = MovesOf(state.document);
   ApplyInPlace(state.document, delta);
-  if (const auto [reason, text] = CheckResult(state.document, change.digest);
-      reason != FoldReason::kAccepted) {
+  Finding finding = CheckResult(state.document, change.digest);
+  if (finding.reason == FoldReason::kAccepted)
+    finding = CheckMoves(moves_before, state.document);
+  if (const auto& [reason, text] = finding; reason != FoldReason::kAccepted) {
     ApplyInPlace(state.document, undoing);
     return Refuse(state, offset, id, reason, text);
   }
--- a/src/config/merge.h
+++ b/src/config/merge.h
@@ -28,6 +28,7 @@
 
 inline constexpr std::string_view kBasePrefix = "base/";
 inline constexpr std::string_view kOverlayPrefix = "overlay/";
+inline constexpr std::string_view kDataCentersLeaf = "base/data_centers";
 
 // "overlay/<data_center>/". Thread safe.
 [[nodiscard]] std::string OverlayPrefixOf(std::string_view data_center);
--- a/src/config/render.cc
+++ b/src/config/render.cc
@@ -6,6 +6,7 @@
 
 #include "base/text.h"
 #include "config/entries.h"
+#include "config/move_identity.h"
 #include "config/references.h"
 #include "config/scalar.h"
 
@@ -13,7 +14,6 @@
 namespace {
 
 constexpr std::string_view kDeploymentLeaf = "base/deployment";
-constexpr std::string_view kDataCentersLeaf = "base/data_centers";
 
 // '0' follows '/': the first path that can come after all of "base/...".
 constexpr std::string_view kAfterBase = "base0";
@@ -157,6 +157,8 @@
   const auto source = SourceOf(document);
   if (!source)
     return tl::make_unexpected(source.error());
+  if (auto agree = CheckMovesAgree(document); !agree)
+    return agree;
   for (const std::string& name : source->data_centers) {
     if (auto snapshot = RenderOne(*source, name, 0); !snapshot)
       return tl::make_unexpected(std::move(snapshot.error()));
@@ -182,6 +184,14 @@
   return std::move(*snapshot);
 }
 
+Result<void> ValidateChange(const Document& before, const Document& after) {
+  if (auto valid = ValidateAll(after); !valid)
+    return valid;
+  if (const auto kept = CheckMovesKept(before, after); !kept)
+    return AsError(kept.error());
+  return {};
+}
+
 Result<void> ValidateAll(const Document& document) {
   if (const auto checked = ValidateChecked(document); !checked)
     return AsError(checked.error());
--- a/src/config/scalar.cc
+++ b/src/config/scalar.cc
@@ -13,7 +13,9 @@
 
 using Parsed = tl::expected<Scalar, std::string>;
 
-constexpr std::size_t kMaxNameSize = 63;
+// Messages between nodes carry names of this size at most; a longer one would
+// be cut there and its verdicts and counts would belong to nobody.
+constexpr std::size_t kMaxNameSize = 32;
 constexpr std::size_t kMaxPathSize = 256;
 constexpr std::array<std::string_view, 7> kMethods = {
     "DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"};
--- a/src/config/scalar.h
+++ b/src/config/scalar.h
@@ -59,7 +59,7 @@
 
 // What IsName wants, for messages.
 inline constexpr std::string_view kNameExpectation =
-    "expected a name of 1 to 63 letters, digits, '.', '_' or '-' that starts "
+    "expected a name of 1 to 32 letters, digits, '.', '_' or '-' that starts "
     "with a letter or digit";
 
 }  // namespace teaselspread
--- /dev/null
+++ b/tests/contract/config_move_test.cc
@@ -0,0 +1,130 @@
+#include <criterion/criterion.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "teaselspread/config_log.h"
+
+namespace teaselspread {
+namespace {
+
+constexpr const char* kBase = R"(
+deployment: addis
+data_centers: [bole, piassa]
+services:
+  registry-desk: {version: v1}
+moves:
+  m1:
+    service: registry-desk
+    from: v1
+    to: v2
+    start: 2026-12-04T18:00:00Z
+    by: 2026-12-04T22:00:00Z
+  m0:
+    service: registry-desk
+    from: v1
+    to: v9
+    start: 2026-12-01T18:00:00Z
+    by: 2026-12-01T22:00:00Z
+    withdrawn: true
+)";
+
+using Leaves = std::map<std::string, std::string>;
+
+void EraseMove(Leaves& leaves, const std::string& prefix) {
+  std::erase_if(leaves, [&prefix](const auto& leaf) {
+    return leaf.first.starts_with(prefix);
+  });
+}
+
+// Moves the entry of one prefix to another.
+void Rename(Leaves& leaves, const std::string& from, const std::string& to) {
+  Leaves renamed;
+  for (const auto& [path, value] : leaves) {
+    if (path.starts_with(from))
+      renamed[to + path.substr(from.size())] = value;
+  }
+  EraseMove(leaves, from);
+  leaves.merge(renamed);
+}
+
+struct MoveEdit {
+  const char* name;
+  std::function<void(Leaves&)> edit;
+  bool accepted;
+};
+
+const std::vector<MoveEdit> kEdits = {
+    {"another target",
+     [](Leaves& leaves) { leaves["base/moves/m1/to"] = "v3"; }, false},
+    {"another target at one place",
+     [](Leaves& leaves) { leaves["overlay/bole/moves/m1/to"] = "v3"; }, false},
+    {"the same id for another move in an overlay",
+     [](Leaves& leaves) {
+       Rename(leaves, "base/moves/m1/", "overlay/bole/moves/m1/");
+       leaves["overlay/bole/moves/m1/to"] = "v3";
+     },
+     false},
+    {"a withdrawn move resumed",
+     [](Leaves& leaves) { leaves.erase("base/moves/m0/withdrawn"); }, false},
+    {"a withdrawn move resumed in so many words",
+     [](Leaves& leaves) { leaves["base/moves/m0/withdrawn"] = "false"; },
+     false},
+    {"later",
+     [](Leaves& leaves) {
+       leaves["base/moves/m1/by"] = "2026-12-05T22:00:00Z";
+     },
+     true},
+    {"later at one place",
+     [](Leaves& leaves) {
+       leaves["overlay/bole/moves/m1/by"] = "2026-12-05T22:00:00Z";
+     },
+     true},
+    {"withdrawn",
+     [](Leaves& leaves) { leaves["base/moves/m1/withdrawn"] = "true"; }, true},
+    {"removed",
+     [](Leaves& leaves) {
+       EraseMove(leaves, "base/moves/m1/");
+       EraseMove(leaves, "base/moves/m0/");
+     },
+     true},
+    {"not here",
+     [](Leaves& leaves) {
+       leaves["overlay/bole/moves/m1"] = std::string(kDeletedLeaf);
+     },
+     true},
+    {"another id",
+     [](Leaves& leaves) {
+       Rename(leaves, "base/moves/m1/", "base/moves/m2/");
+       leaves["base/moves/m2/to"] = "v3";
+     },
+     true},
+};
+
+// A move is done, and the operator writes the next one by changing its target
+// in place. The verdict belongs to the id, so that the next version would get
+// all the traffic at once, and a bad one would fail every request.
+Test(config_move, a_move_keeps_its_service_and_versions) {
+  const auto before = LoadSources({{"base.yaml", kBase}, {}});
+  cr_assert(before.has_value(), "%s", before.error().message.c_str());
+  for (const MoveEdit& edit : kEdits) {
+    FoldState state;
+    Fold(state, 1, EncodeRecord(MakeChange(state, *before, "one")));
+    cr_assert(state.head == 1);
+    Document after = *before;
+    edit.edit(after.leaves);
+    const auto valid = ValidateChange(*before, after);
+    cr_assert(valid.has_value() == edit.accepted, "%s", edit.name);
+    const FoldResult result =
+        Fold(state, 2, EncodeRecord(MakeChange(state, after, "two")));
+    const FoldReason wanted =
+        edit.accepted ? FoldReason::kAccepted : FoldReason::kInvalid;
+    cr_assert(result.reason == wanted, "%s: %s", edit.name,
+              FindOutcome(state, "two")->message.c_str());
+    cr_assert(state.document == (edit.accepted ? after : *before));
+  }
+}
+
+}  // namespace
+}  // namespace teaselspread
--- a/tests/unit/config_source_test.cc
+++ b/tests/unit/config_source_test.cc
@@ -103,6 +103,13 @@
      "  m2: {service: registry-desk, from: v2, to: v3, start: "
      "2026-12-04T22:00:29Z, by: 2026-12-05T01:00:00Z}\nlimits:",
      "", "base.yaml:19: base/moves/m2/start: overlaps move m1"},
+    {"move differs between data centres", "", "", "moves: {m1: {to: v3}}\n",
+     "bole.yaml:1: overlay/bole/moves/m1/to: expected v2 as in "
+     "base/moves/m1/to"},
+    {"name of 33 letters", "bundle-works: {version",
+     "bundle-works: {version: v1}\n  a23456789012345678901234567890123: "
+     "{version",
+     "", "base.yaml:3: base/services: key"},
     {"body above memory", "8MiB", "512MiB", "",
      "base.yaml:19: base/limits/max_body_bytes: expected at most"},
     {"route above limit", "/cases/bundles",
