Refuse files made from an older version, and a node that is its own upstream

A publish takes the head as its parent at the moment it is made. An operator with an old copy of the files would undo a colleague's change without any conflict in the log; CheckOnto makes that a conflict with the winner's name where the operator gives the version that the files were made from. OutcomeTable shows the last publishes with their verdicts.

Settings are checked for sockets that would be one and the same: control at the port of http, and an upstream that is the node itself, which would pass each request to itself.

--- a/benchmark/config_bench.cc
+++ b/benchmark/config_bench.cc
@@ -118,6 +118,13 @@
     FoldState fresh;
     Fold(fresh, 2, checkpoint);
   });
+  const std::string opaque =
+      EncodeRecord(OpaqueRecord{"verdict", std::string(200, 'x')});
+  Measure("fold 100,000 opaque records", [&] {
+    FoldState fresh;
+    for (LogOffset offset = 1; offset <= 100'000; ++offset)
+      Fold(fresh, offset, opaque);
+  });
   std::printf("record bytes: full %zu, delta %zu, checkpoint %zu\n",
               full.size(), delta.size(), checkpoint.size());
 }
--- a/include/teaselspread/operator.h
+++ b/include/teaselspread/operator.h
@@ -96,6 +96,18 @@
     const std::vector<Difference>& differences,
     OutputFormat format);
 
+// Whether the version that the operator's files were made from is still the
+// accepted one. A publish takes the head as its parent when it is made, so that
+// without this an operator with an old copy of the files would undo what others
+// have published since, without a conflict. Fails with kConfigConflict and
+// names the winner. Precondition: the state is folded to the log's end.
+// Thread safe.
+[[nodiscard]] Result<void> CheckOnto(const FoldState& state,
+                                     ConfigVersion onto);
+
+// The last publishes with their verdicts, oldest first. Thread safe.
+[[nodiscard]] Table OutcomeTable(const FoldState& state);
+
 // What `publish` says in the end: accepted as which version, or refused, why
 // and by whom it was beaten. Thread safe.
 [[nodiscard]] std::string FormatOutcome(const PublishOutcome& outcome,
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -67,6 +67,15 @@
   return address.host.starts_with("127.") || address.host == "::1";
 }
 
+bool IsAnyHost(const Address& address) {
+  return address.host == "0.0.0.0" || address.host == "::";
+}
+
+// Whether two sockets at these addresses would be one and the same.
+bool Clash(const Address& a, const Address& b) {
+  return a.port == b.port && (a.host == b.host || IsAnyHost(a) || IsAnyHost(b));
+}
+
 // What no single field shows to be wrong.
 Result<void> CheckTogether(const std::string& file,
                            const YAML::Node& root,
@@ -80,6 +89,20 @@
     return wrong("announce", "announce",
                  "expected a loopback address such as 127.0.0.1:8081");
   }
+  if (Clash(settings.control, settings.http) ||
+      Clash(settings.control, settings.announce)) {
+    return wrong("control", "control",
+                 "expected another port than http and announce");
+  }
+  // A node that is its own upstream would pass each request to itself until
+  // nothing is left to hold it.
+  for (const Address& own :
+       {settings.http, settings.control, settings.announce}) {
+    if (Clash(settings.upstream, own)) {
+      return wrong("upstream", "upstream",
+                   "expected another port than http, control and announce");
+    }
+  }
   if (settings.timings.probe_timeout >= settings.timings.probe_interval) {
     return wrong("timings", "timings/probe_timeout",
                  "expected less than timings/probe_interval");
--- a/src/operator/diff.cc
+++ b/src/operator/diff.cc
@@ -57,6 +57,25 @@
   return text;
 }
 
+Result<void> CheckOnto(const FoldState& state, ConfigVersion onto) {
+  if (onto == state.head)
+    return {};
+  return Fail(ErrorKind::kConfigConflict,
+              Concat("the files were made from version ", onto,
+                     ", but version ", state.head, " of publish ",
+                     state.head_publish_id, " is in force"));
+}
+
+Table OutcomeTable(const FoldState& state) {
+  Table table{{"offset", "publish_id", "verdict", "in_force", "message"}, {}};
+  for (const PublishOutcome& outcome : state.outcomes) {
+    table.rows.push_back({Concat(outcome.offset), outcome.publish_id,
+                          std::string(NameOf(outcome.reason)),
+                          Concat(outcome.head), outcome.message});
+  }
+  return table;
+}
+
 std::string FormatOutcome(const PublishOutcome& outcome, OutputFormat format) {
   if (format == OutputFormat::kText) {
     return outcome.reason == FoldReason::kAccepted ? AcceptedText(outcome)
--- a/tests/unit/operator_test.cc
+++ b/tests/unit/operator_test.cc
@@ -99,6 +99,21 @@
   cr_assert(text.find("version 8 of publish theirs") != std::string::npos);
 }
 
+// Two operators change copies of the same files. The second publishes after the
+// first and takes the new head as its parent: the log sees no conflict, and the
+// first operator's change is gone.
+Test(operator_output, files_made_from_an_old_version_are_a_conflict) {
+  FoldState state;
+  const Document document = Load(kBase);
+  Fold(state, 1, EncodeRecord(MakeChange(state, document, "theirs")));
+  cr_assert(CheckOnto(state, 1).has_value());
+  const auto late = CheckOnto(state, 0);
+  cr_assert(late.error().kind == ErrorKind::kConfigConflict);
+  cr_assert(late.error().message.find("publish theirs") != std::string::npos);
+  const Table table = OutcomeTable(state);
+  cr_assert(table.rows.size() == 1 && table.rows[0][2] == "accepted");
+}
+
 Test(operator_output, each_exit_code_stands_once_in_the_table) {
   std::set<int> codes;
   for (const ExitCodeRow& row : ExitCodes())
