Follow the claims' own fold of a trimmed log

The claims module now finds its base in a log that has lost its beginning; the node's reader of epochs only adds the case of a reader that begins in the middle and learns the base from another node. A restart record has an active epoch without holders, so its number alone must not count as activation: the service compares the holders.

--- a/src/node/claims_messages.cc
+++ b/src/node/claims_messages.cc
@@ -14,12 +14,12 @@
   return FromBytes<ClaimMessage>(body);
 }
 
-std::string EncodeEpoch(const LoggedEpoch& epoch) {
-  return ToBytes(epoch);
+std::string EncodeEpoch(const EpochRecord& record) {
+  return ToBytes(record);
 }
 
-Result<LoggedEpoch> DecodeEpoch(const std::string& bytes) {
-  return FromBytes<LoggedEpoch>(bytes);
+Result<EpochRecord> DecodeEpoch(const std::string& bytes) {
+  return FromBytes<EpochRecord>(bytes);
 }
 
 }  // namespace teaselspread
--- a/src/node/claims_messages.h
+++ b/src/node/claims_messages.h
@@ -76,22 +76,10 @@
 [[nodiscard]] std::string EncodeClaim(const ClaimMessage& message);
 [[nodiscard]] Result<ClaimMessage> DecodeClaim(const std::string& body);
 
-// An epoch on the log. For a checkpoint, `through` is the last record that its
-// writer had folded: one between it and the checkpoint may have changed the
-// epoch, so a reader replays those.
-struct LoggedEpoch {
-  EpochRecord record;
-  std::uint64_t through = 0;
-
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(this->record, this->through);
-  }
-};
-
-// Thread safe. Errors of decoding: kFrameMalformed.
-[[nodiscard]] std::string EncodeEpoch(const LoggedEpoch& epoch);
-[[nodiscard]] Result<LoggedEpoch> DecodeEpoch(const std::string& bytes);
+// One record of the log about epochs. Thread safe. Errors of decoding:
+// kFrameMalformed.
+[[nodiscard]] std::string EncodeEpoch(const EpochRecord& record);
+[[nodiscard]] Result<EpochRecord> DecodeEpoch(const std::string& bytes);
 
 }  // namespace teaselspread
 
--- a/src/node/claims_service.cc
+++ b/src/node/claims_service.cc
@@ -20,6 +20,8 @@
 constexpr Duration kAliveWithin = std::chrono::seconds(10);
 // A proposal is made only with the log's end in sight.
 constexpr Duration kFreshRead = std::chrono::seconds(5);
+// Time for other nodes to say which epoch holds.
+constexpr Duration kRestartAfter = std::chrono::seconds(60);
 constexpr std::size_t kOffered = 4;
 constexpr int kCheckpointsPerRetention = 3;
 
@@ -58,6 +60,13 @@
   SendSeals(service, LearnEpoch(service.keeper, epoch, service.kernel->Now()));
 }
 
+// After a restart record the active epoch has the new number but no holders,
+// until it is activated: the number alone would say too much.
+void LearnActive(ClaimsService& service, const ClaimEpoch& active) {
+  if (active.holders == service.keeper.epoch.holders)
+    LearnActivation(service.keeper, active.number, service.kernel->Now());
+}
+
 EpochNotice NoticeOf(const ClaimsService& service) {
   EpochNotice notice;
   notice.epoch = service.epochs.log.current;
@@ -69,7 +78,7 @@
 
 // Whoever cannot read the log is told by those that do.
 void SendNotices(ClaimsService& service, bool to_all) {
-  if (!service.reader || !service.epochs.is_exact)
+  if (!service.reader || !service.epochs.log.known)
     return;
   const EpochNotice notice = NoticeOf(service);
   SendToHolders(service, service.epochs.log.current, notice);
@@ -98,15 +107,38 @@
 }
 
 void AppendEpoch(ClaimsService& service, const EpochRecord& record) {
-  const LoggedEpoch logged{record, service.epochs.through};
   service.kernel->Post(kLogService,
                        AppendToLog{EncodeRecord(OpaqueRecord{
-                           std::string(kEpochRecord), EncodeEpoch(logged)})});
+                           std::string(kEpochRecord), EncodeEpoch(record)})});
+}
+
+EpochRecord RecordOf(EpochRecordKind kind, const ClaimEpoch& epoch) {
+  EpochRecord record;
+  record.kind = kind;
+  record.epoch = epoch;
+  return record;
+}
+
+// The log has lost every epoch, or this reader began behind it and no other
+// node could say which one holds. A new beginning is safe but slow: its holders
+// wait until those of any lost epoch have stopped by themselves.
+void RestartIfLost(ClaimsService& service) {
+  const TimePoint now = service.kernel->Now();
+  if (!service.reader || service.epochs.log.known) {
+    service.unknown_since = now;
+    return;
+  }
+  if (now - service.unknown_since < kRestartAfter ||
+      now - service.end_read_at > kFreshRead)
+    return;
+  service.unknown_since = now;
+  if (const auto record = ProposeRestart(Candidates(service), now, service.rng))
+    AppendEpoch(service, *record);
 }
 
 void ProposeIfNeeded(ClaimsService& service) {
   const TimePoint now = service.kernel->Now();
-  if (!service.reader || !service.epochs.is_exact ||
+  if (!service.reader || !service.epochs.log.known ||
       now - service.end_read_at > kFreshRead || now < service.next_proposal)
     return;
   // Spread at random, so that the readers of all data centres do not all
@@ -118,22 +150,25 @@
   const auto candidates = Candidates(service);
   if (const auto epoch =
           ProposeEpoch(service.epochs.log, candidates, service.rng))
-    AppendEpoch(service, EpochRecord{EpochRecordKind::kPropose, *epoch, {}});
+    AppendEpoch(service, RecordOf(EpochRecordKind::kPropose, *epoch));
 }
 
 void CheckpointIfDue(ClaimsService& service) {
   const TimePoint now = service.kernel->Now();
-  if (!service.reader || !service.epochs.is_exact ||
+  if (!service.reader || !service.epochs.log.known ||
       service.epochs.log.current.number == 0 || now < service.next_checkpoint)
     return;
   const Duration third = service.retention / kCheckpointsPerRetention;
   const bool first = service.next_checkpoint == TimePoint{};
   service.next_checkpoint =
       now + third / 2 + Duration(service.rng() % std::uint64_t(third.count()));
-  if (!first)
-    AppendEpoch(service, EpochRecord{EpochRecordKind::kCheckpoint,
-                                     service.epochs.log.current,
-                                     service.epochs.log.active});
+  if (first)
+    return;
+  EpochRecord record =
+      RecordOf(EpochRecordKind::kCheckpoint, service.epochs.log.current);
+  record.active = service.epochs.log.active;
+  record.folded_upto = service.epochs.through;
+  AppendEpoch(service, record);
 }
 
 void OfferHolders(ClaimsService& service) {
@@ -197,6 +232,7 @@
   TickClaims(service.keeper, now);
   AskAgain(service);
   ProposeIfNeeded(service);
+  RestartIfLost(service);
   CheckpointIfDue(service);
   if (now >= service.next_handover) {
     service.next_handover = now + kHandoverEvery;
@@ -230,9 +266,10 @@
 }
 
 void HearNotice(ClaimsService& service, const EpochNotice& notice) {
-  AdoptEpoch(service.epochs, {notice.epoch, notice.active}, notice.through);
+  AdoptEpochs(service.epochs, {true, notice.epoch, notice.active},
+              notice.through);
   Learn(service, notice.epoch);
-  LearnActivation(service.keeper, notice.active.number, service.kernel->Now());
+  LearnActive(service, notice.active);
   if (notice.epoch.number == service.keeper.epoch.number)
     ConfirmEpoch(service.keeper, TimePoint(Duration(notice.confirmed_at_us)) -
                                      service.keeper.settings.clock_bound);
@@ -279,7 +316,7 @@
   else if (const auto* notice = std::get_if<EpochNotice>(&*message))
     HearNotice(service, *notice);
   else if (std::holds_alternative<EpochQuery>(*message) &&
-           service.epochs.is_exact && service.epochs.log.current.number != 0)
+           service.epochs.log.known && service.epochs.log.current.number != 0)
     SendTo(service, from, NoticeOf(service));
   else if (const auto* offer = std::get_if<HolderOffer>(&*message))
     HearOffer(service, *offer);
@@ -300,17 +337,16 @@
 
 void HearFolded(ClaimsService& service, const LogFolded& folded) {
   FinishEpochs(service.epochs, folded.through);
-  if (!service.epochs.is_exact)
+  if (folded.reached_end)
+    service.end_read_at = folded.read_started;
+  if (!service.epochs.log.known)
     return;
   if (service.epochs.log.current.number > 0)
     Learn(service, service.epochs.log.current);
-  LearnActivation(service.keeper, service.epochs.log.active.number,
-                  service.kernel->Now());
-  if (folded.reached_end) {
-    service.end_read_at = folded.read_started;
-    if (service.epochs.log.current.number == service.keeper.epoch.number)
-      ConfirmEpoch(service.keeper, folded.read_started);
-  }
+  LearnActive(service, service.epochs.log.active);
+  if (folded.reached_end &&
+      service.epochs.log.current.number == service.keeper.epoch.number)
+    ConfirmEpoch(service.keeper, folded.read_started);
   if (service.epochs.log.current.number > service.announced_epoch) {
     service.announced_epoch = service.epochs.log.current.number;
     SendNotices(service, true);
--- a/src/node/claims_service.h
+++ b/src/node/claims_service.h
@@ -62,6 +62,8 @@
   Rng rng;
   bool reader = false;
   TimePoint end_read_at;
+  // Since when this reader has not known the epoch in force.
+  TimePoint unknown_since;
   TimePoint next_proposal;
   TimePoint next_notice;
   TimePoint next_handover;
--- a/src/node/epoch_reader.cc
+++ b/src/node/epoch_reader.cc
@@ -1,29 +1,15 @@
 #include "node/epoch_reader.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace teaselspread {
 namespace {
 
-// Starts from an epoch known to hold after `through`, then replays what was
-// read after it.
-bool StartFrom(EpochReader& reader,
-               const EpochLog& log,
-               std::uint64_t through) {
-  const bool leaves_gap =
-      reader.first_read != 0 && through + 1 < reader.first_read;
-  if (leaves_gap)
-    return false;
-  reader.log = log;
-  reader.is_exact = true;
-  reader.through = std::max(reader.through, through);
-  const auto waiting = std::move(reader.waiting);
-  reader.waiting.clear();
-  for (const auto& [offset, each] : waiting) {
-    if (offset > through)
-      FoldEpoch(reader.log, each.record, true);
-  }
-  return true;
+// ReadEpochs takes 0 for a log that still has its first record; the platform's
+// offsets count from 1.
+std::uint64_t TrimmedBefore(std::uint64_t first_read) {
+  return first_read <= 1 ? 0 : first_read;
 }
 
 }  // namespace
@@ -31,38 +17,47 @@
 void BeginEpochs(EpochReader& reader, std::uint64_t first) {
   reader.first_read = first;
   reader.waiting.clear();
-  reader.is_exact =
-      first == 1 || (reader.is_exact && reader.through + 1 >= first);
+  const bool goes_on = reader.log.known && reader.through + 1 >= first;
+  if (!goes_on)
+    reader.log = ReadEpochs({}, TrimmedBefore(first));
 }
 
 void ReadEpoch(EpochReader& reader,
                std::uint64_t offset,
-               const LoggedEpoch& epoch) {
-  if (offset <= reader.through && reader.is_exact)
-    return;
-  if (reader.is_exact) {
-    FoldEpoch(reader.log, epoch.record, true);
+               const EpochRecord& record) {
+  if (reader.log.known) {
+    if (offset > reader.through)
+      FoldEpoch(reader.log, record);
     return;
   }
-  reader.waiting.emplace_back(offset, epoch);
-  if (epoch.record.kind == EpochRecordKind::kCheckpoint)
-    StartFrom(reader, {epoch.record.epoch, epoch.record.active}, epoch.through);
+  reader.waiting.push_back({offset, record});
+  reader.log = ReadEpochs(reader.waiting, TrimmedBefore(reader.first_read));
+  if (reader.log.known)
+    reader.waiting.clear();
 }
 
 void FinishEpochs(EpochReader& reader, std::uint64_t through) {
-  if (reader.is_exact)
+  if (reader.log.known)
     reader.through = std::max(reader.through, through);
 }
 
-bool AdoptEpoch(EpochReader& reader,
-                const EpochLog& log,
-                std::uint64_t through) {
-  if (reader.is_exact && through <= reader.through)
+bool AdoptEpochs(EpochReader& reader,
+                 const EpochLog& log,
+                 std::uint64_t through) {
+  const bool reads_itself = reader.log.known && reader.first_read != 0;
+  if (!log.known || reads_itself ||
+      (reader.log.known && through <= reader.through))
     return false;
-  // A reader that is exact folds by itself; others take the newest word.
-  if (reader.is_exact && reader.first_read != 0)
+  // Records between `through` and the first one read here are unknown.
+  if (reader.first_read != 0 && through + 1 < reader.first_read)
     return false;
-  return StartFrom(reader, log, through);
+  reader.log = log;
+  reader.through = through;
+  for (const LoggedEpoch& logged : std::exchange(reader.waiting, {})) {
+    if (logged.offset > through)
+      FoldEpoch(reader.log, logged.record);
+  }
+  return true;
 }
 
 }  // namespace teaselspread
