--- a/include/teaselspread/claims.h
+++ b/include/teaselspread/claims.h
@@ -168,8 +168,10 @@
                 TimePoint now);
 
 // Time has passed: starts to vote if it may, drops records that are too old,
-// notices pauses. Call about every 100 ms; without it no attempt begins. Not
-// thread safe.
+// notices pauses. Call it about every 100 ms, and for the first time before the
+// process accepts connections: a pause before the first call is not noticed,
+// and what came in through it could be older than any record of its key. No
+// attempt begins before the first call. Not thread safe.
 void TickClaims(ClaimKeeper& keeper, TimePoint now);
 
 // Votes on one attempt. Not thread safe.
--- a/tests/claims/world.h
+++ b/tests/claims/world.h
@@ -298,6 +298,7 @@
   node.keeper.settings = QuickSettings();
   node.keeper.self = before;
   node.keeper.self.boot_id = this->next_boot++;
+  TickClaims(node.keeper, this->LocalTime(node));
   this->AtNode(index, this->Upto(Ms(100)),
                [this, index] { this->Tick(index); });
   for (std::size_t i = 0; i < this->nodes.size(); ++i) {
--- a/tests/unit/claims_history_test.cc
+++ b/tests/unit/claims_history_test.cc
@@ -21,9 +21,9 @@
 // Seeds above kSeeds that found a fault, or that find one again when a guard is
 // taken out: the answer of one that votes already, the record that two attempts
 // share, the fence, the pause.
-constexpr std::array<std::uint64_t, 22> kKnownSeeds = {
-    959,  1304, 1342, 1598, 1628, 1667, 1707, 1823, 1901, 1949, 2008,
-    2835, 3209, 3320, 3552, 4673, 4768, 4906, 5104, 5297, 7472, 9438};
+constexpr std::array<std::uint64_t, 23> kKnownSeeds = {
+    959,  1304, 1342, 1598, 1628, 1667, 1707, 1823, 1901, 1949, 2008, 2835,
+    3209, 3320, 3552, 4673, 4768, 4906, 5104, 5297, 7472, 9438, 10127};
 
 int NodesOf(std::uint64_t seed) {
   return 3 + static_cast<int>(seed % 5);
