Claims: no epoch is active between a restart and its activation

A reader that compared numbers only would have taken the restarted epoch for activated, and its holders would have needed no activation of their own after the fence.

--- a/src/claims/epoch.cc
+++ b/src/claims/epoch.cc
@@ -87,8 +87,8 @@
 }
 
 // Numbered by the clock, which is far above any count, so that those who still
-// know a lost epoch take this one for newer. Until it is activated, `active`
-// has no holders: nobody knows whom to close.
+// know a lost epoch take this one for newer. Until it is activated there is no
+// active one: nobody knows whom to close.
 bool FoldRestart(EpochLog& log, const ClaimEpoch& epoch) {
   const bool well_formed = IsWellFormed(epoch) && epoch.previous.empty();
   if (!well_formed || epoch.number < kLeastRestart ||
@@ -97,7 +97,6 @@
   log.known = true;
   log.current = epoch;
   log.active = ClaimEpoch{};
-  log.active.number = epoch.number;
   return true;
 }
 
--- a/tests/unit/claims_test.cc
+++ b/tests/unit/claims_test.cc
@@ -245,15 +245,18 @@
   const std::vector<LoggedEpoch> records = {{9, *record}};
   log = ReadEpochs(records, 9);
   cr_assert(log.known && log.current.holders.size() == 3);
+  cr_assert(log.active.number == 0, "nothing is active yet");
   ClaimKeeper keeper;
   keeper.self = MakeHolder(0);
-  Tell(keeper, log.current, kStart);
+  (void)LearnEpoch(keeper, log.current, kStart);
   cr_assert(keeper.state == HolderState::kTakingOver);
   TickClaims(keeper, kStart + Minutes(29));
   cr_assert(!WantsActivation(keeper, kStart + Minutes(29)));
-  TickClaims(keeper, kStart + Minutes(30));
+  cr_assert(WantsActivation(keeper, kStart + Minutes(30)));
+  cr_assert(FoldEpoch(log, {EpochRecordKind::kActivate, log.current, {}, 0}));
+  LearnActivation(keeper, log.active.number, kStart + Minutes(30));
   cr_assert(keeper.state == HolderState::kVoting);
-  cr_assert(keeper.complete_since > kStart);
+  cr_assert(keeper.complete_since > kStart, "what ran before is not known");
 }
 
 // Callers' keys come in any shape; a UUID of version 7 tells when it was made.
