Load: compare answers byte for byte, send one key several times

The history of a run can then show whether a repeated filing ran twice, and whether an answer belonged to its request.

--- a/benchmark/load.cc
+++ b/benchmark/load.cc
@@ -17,12 +17,10 @@
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_split.h>
-#include <yaml-cpp/yaml.h>
 
 #include "latency.h"
+#include "load_mix.h"
 #include "teaselspread/http_client.h"
 
 ABSL_FLAG(std::string, through, "", "host:port of nodes, by commas");
@@ -45,16 +43,9 @@
 namespace {
 
 using namespace teaselspread;
+using Clock = std::chrono::steady_clock;
 
-struct RequestKind {
-  std::string method = "GET";
-  std::string path = "/";
-  std::size_t body_bytes = 0;
-  double weight = 1;
-  // Carries a new Idempotency-Key each time.
-  bool keyed = false;
-  HttpHeaders headers;
-};
+constexpr int kOk = 200;
 
 // What the requests over one way met.
 struct Tally {
@@ -64,43 +55,6 @@
   std::map<std::string, std::uint64_t> reasons;
 };
 
-std::vector<Address> AddressesOf(const std::string& text) {
-  std::vector<Address> addresses;
-  for (const auto& part : absl::StrSplit(text, ',', absl::SkipEmpty())) {
-    const std::string item(part);
-    const std::size_t colon = item.rfind(':');
-    int port = 0;
-    if (colon == std::string::npos ||
-        !absl::SimpleAtoi(item.substr(colon + 1), &port)) {
-      std::cerr << "not host:port: " << item << "\n";
-      std::exit(2);
-    }
-    addresses.push_back(
-        {item.substr(0, colon), static_cast<std::uint16_t>(port)});
-  }
-  return addresses;
-}
-
-RequestKind KindOf(const YAML::Node& node) {
-  RequestKind kind;
-  kind.method = node["method"].as<std::string>(kind.method);
-  kind.path = node["path"].as<std::string>(kind.path);
-  kind.body_bytes = node["body_bytes"].as<std::size_t>(0);
-  kind.weight = node["weight"].as<double>(1);
-  kind.keyed = node["keyed"].as<bool>(false);
-  for (const auto& header : node["headers"])
-    kind.headers.push_back(
-        {header.first.as<std::string>(), header.second.as<std::string>()});
-  return kind;
-}
-
-std::vector<RequestKind> MixOf(const std::string& text) {
-  std::vector<RequestKind> kinds;
-  for (const YAML::Node& node : YAML::Load(text))
-    kinds.push_back(KindOf(node));
-  return kinds;
-}
-
 void Add(Tally& total, const Tally& part) {
   total.latencies.insert(total.latencies.end(), part.latencies.begin(),
                          part.latencies.end());
@@ -162,15 +116,15 @@
     return std::chrono::duration_cast<std::chrono::nanoseconds>(gap);
   }
 
-  HttpRequest NewRequest(const RequestKind& kind) {
+  HttpRequest NewRequest(const RequestKind& kind, const std::string& key) {
     HttpRequest request;
     request.method = kind.method;
     request.target = kind.path;
     request.headers = kind.headers;
-    const std::string id = absl::StrCat(this->name, this->sent++);
-    SetHeader(request.headers, kHeaderRequestId, id);
+    SetHeader(request.headers, kHeaderRequestId,
+              absl::StrCat(this->name, this->sent++));
     if (kind.keyed)
-      SetHeader(request.headers, kHeaderIdempotencyKey, "key-" + id);
+      SetHeader(request.headers, kHeaderIdempotencyKey, key);
     request.body.assign(kind.body_bytes, 'b');
     return request;
   }
@@ -180,14 +134,25 @@
   void Call(const std::vector<Address>& targets,
             std::chrono::steady_clock::time_point due,
             Tally& tally) {
-    const HttpRequest request =
-        this->NewRequest(this->kinds[this->pick(this->rng)]);
+    const RequestKind& kind = this->kinds[this->pick(this->rng)];
+    const std::string key = absl::StrCat("key-", this->name, this->sent);
+    for (int i = 0; i < kind.times; ++i) {
+      const Address& target = targets[this->rng() % targets.size()];
+      this->CallOnce(kind, key, target, i == 0 ? due : Clock::now(), tally);
+    }
+  }
+
+  void CallOnce(const RequestKind& kind,
+                const std::string& key,
+                const Address& target,
+                std::chrono::steady_clock::time_point due,
+                Tally& tally) {
+    const HttpRequest request = this->NewRequest(kind, key);
     CallOptions options;
     options.timeout = std::chrono::duration_cast<Duration>(
         std::chrono::duration<double>(absl::GetFlag(FLAGS_timeout_s)));
     options.silence = options.timeout;
     options.expected_request_id = FindHeader(request.headers, kHeaderRequestId);
-    const Address& target = targets[this->rng() % targets.size()];
     const auto answer = this->pool.Send(target, request, options);
     if (!answer) {
       ++tally.statuses["error"];
@@ -201,6 +166,9 @@
     if (const auto reason = FindHeader(answer->headers, kHeaderReason);
         !reason.empty())
       ++tally.reasons[std::string(reason)];
+    if (answer->status == kOk && kind.answer_bytes > 0 &&
+        answer->body != Pattern(options.expected_request_id, kind.answer_bytes))
+      ++tally.reasons["wrong-body"];
   }
 
   std::string name;
