--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -90,8 +90,7 @@
 }
 
 Test(settings, the_example_is_good) {
-  const auto settings =
-      LoadNodeSettings(SOURCE_DIR "/examples/addis/node.yaml");
+  const auto settings = LoadNodeSettings(SOURCE_DIR "/examples/node.yaml");
   cr_assert(settings.has_value(), "%s", settings.error().message.c_str());
 }
 
