Count no checkpoint that is old on arrival

A reader that is behind the log's end would write a checkpoint that ends long before its own place. Every other reader noted it as the newest, so that the next was put off by a third of the retention, while a fresh reader could not start from it: the records behind its end were about to expire. Found by reading, not by a run; the new test failed before the change (the slow checkpoint was 'checkpoint-seen'). Callers say whether the state is behind, and a lag of more than 1,024 records is unusable.

--- a/include/teaselspread/config_log.h
+++ b/include/teaselspread/config_log.h
@@ -253,6 +253,9 @@
   std::optional<TimePoint> watched_since;
   // When to write, while one is due.
   std::optional<TimePoint> write_at;
+  // Set by the caller while the log holds more than the state has folded: what
+  // a reader wrote then would be old on arrival.
+  bool is_behind = false;
 };
 
 // Whether to append a checkpoint now. Once one is due it waits at random first:
--- a/src/config/judge.cc
+++ b/src/config/judge.cc
@@ -14,6 +14,11 @@
 constexpr std::size_t kMaxPublishId = 64;
 constexpr std::size_t kMaxMessage = 400;
 
+// A checkpoint is of use only to readers that still get every record behind
+// the last one that it covers. Counting one that ends long before its own place
+// would put off the next, while the records that it needs expire.
+constexpr LogOffset kMaxCheckpointLag = 1024;
+
 bool IsPublishId(std::string_view id) {
   return !id.empty() && id.size() <= kMaxPublishId;
 }
@@ -223,6 +228,7 @@
   const bool is_head = checkpoint.version == state.head;
   if (checkpoint.version == 0 || checkpoint.version > state.head ||
       checkpoint.through >= offset ||
+      offset - checkpoint.through > kMaxCheckpointLag ||
       (is_head && checkpoint.digest != state.digest)) {
     return FoldReason::kCheckpointUnusable;
   }
--- a/src/config/publish.cc
+++ b/src/config/publish.cc
@@ -35,7 +35,7 @@
               const FoldState& state,
               const CheckpointTimer& timer,
               TimePoint now) {
-  if (!state.is_current || state.head == 0)
+  if (!state.is_current || state.head == 0 || timer.is_behind)
     return false;
   // The records may be about to expire, for all that a fresh reader knows.
   if (state.checkpoint_offset == 0)
--- a/tests/contract/config_fold_fault_test.cc
+++ b/tests/contract/config_fold_fault_test.cc
@@ -198,6 +198,24 @@
   cr_assert(FindOutcome(taken, "one")->reason == FoldReason::kAccepted);
 }
 
+// A slow reader writes a checkpoint of what it had read an hour ago. If others
+// took it for a new one, none would be written while the records that it needs
+// expire, and fresh readers would find nothing to start from.
+Test(config_fold_fault,
+     a_checkpoint_that_ends_long_before_its_place_is_no_news) {
+  FoldState state = AtVersionTwo();
+  const CheckpointRecord slow =
+      MakeCheckpoint(state, TimePoint(std::chrono::hours(5)));
+  constexpr int kOthers = 2000;
+  for (int i = 0; i < kOthers; ++i)
+    Take(state, OpaqueRecord{"verdict", ""});
+  cr_assert(Take(state, slow).reason == FoldReason::kCheckpointUnusable);
+  cr_assert(state.checkpoint_offset == 0);
+  const CheckpointRecord fresh = MakeCheckpoint(state, slow.written_at);
+  cr_assert(Take(state, fresh).reason == FoldReason::kCheckpointSeen);
+  cr_assert(state.checkpoint_offset == state.position);
+}
+
 // A reader is paused past the retention; a change that it never saw has
 // expired. Judging on from its old head it would hold another configuration
 // than all others, for good.
--- a/tests/unit/checkpoint_rule_test.cc
+++ b/tests/unit/checkpoint_rule_test.cc
@@ -61,6 +61,10 @@
   state.is_current = false;
   cr_assert(!DueWithin(state, kStart + hours(20), seconds(20)));
   cr_assert(!DueWithin(FoldState(), kStart, seconds(20)));
+  CheckpointTimer behind;
+  behind.is_behind = true;
+  cr_assert(!DueWithin(WithCheckpoint(kStart), behind, kStart + hours(20),
+                       seconds(20)));
 }
 
 // A writer's clock runs a day ahead. Its checkpoint would look young until the
