Opaque rumours expire everywhere, and a witness doubts what it cannot know

A rumour that one node forgot came back from another with the next comparison of digests, so a forget call could not bound memory. Each rumour now carries the time at which every node drops it, and a node keeps 4096 at most.

A node that joined after a VM's restart took that VM for new, since it had never heard of the earlier start, and would have vouched for "held nothing". It now vouches so only when it was settled before it first heard of the VM.

--- a/benchmark/spread_bench.cc
+++ b/benchmark/spread_bench.cc
@@ -320,6 +320,8 @@
 
 int main(int argc, char** argv) {
   absl::ParseCommandLine(argc, argv);
+  // A long run shows each row when it is there.
+  std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
   namespace test = teaselspread::test;
   test::MeasureMemory();
   test::MeasurePeriod();
--- a/include/teaselspread/membership.h
+++ b/include/teaselspread/membership.h
@@ -75,6 +75,8 @@
   // of another member has been merged.
   Duration doubt_time = std::chrono::seconds(5);
   int max_awareness = 8;
+  // Opaque rumours kept at a time; new ones above that are dropped.
+  std::size_t max_opaque = 4096;
   // Dead members keep their held version this long.
   Duration forget_after = std::chrono::hours(24);
 };
@@ -241,9 +243,6 @@
                                                TimePoint now,
                                                Rng& rng);
 
-// Drops an opaque rumour whose subject is over, so that memory stays bounded.
-void ForgetRumour(Membership& state, Topic topic, const std::string& key);
-
 // True after a pause until the state of another member has been merged: do not
 // vouch for anything and do not judge others meanwhile.
 [[nodiscard]] bool InDoubt(const Membership& state, TimePoint now);
--- a/include/teaselspread/spread.h
+++ b/include/teaselspread/spread.h
@@ -106,6 +106,9 @@
   ConfigVersion held = 0;
   // Highest version that any start of it is known to have held.
   ConfigVersion remembered = 0;
+  // This node was settled when it first heard of the peer. Otherwise earlier
+  // starts of it may have been missed.
+  bool first_seen_settled = false;
   // The peer itself named this node as its witness.
   bool recorded = false;
   TimePoint gone_since;
--- a/include/teaselspread/wire.h
+++ b/include/teaselspread/wire.h
@@ -73,6 +73,8 @@
   std::string key;
   std::uint64_t version = 0;
   std::string body;
+  // Every node drops it then, so that no node can bring it back to another.
+  TimePoint expires = TimePoint::max();
 
   bool operator==(const OpaqueRumour&) const = default;
 };
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -298,10 +298,6 @@
   return Finish(call);
 }
 
-void ForgetRumour(Membership& state, Topic topic, const std::string& key) {
-  state.opaque.erase({topic, key});
-}
-
 bool InDoubt(const Membership& state, TimePoint now) {
   return now < state.doubt_until;
 }
--- a/src/membership/merge.cc
+++ b/src/membership/merge.cc
@@ -194,6 +194,12 @@
   auto& known = call.state.opaque;
   const auto key = std::make_pair(news.topic, news.key);
   const auto found = known.find(key);
+  const bool full =
+      found == known.end() && known.size() >= call.state.settings.max_opaque;
+  if (full || news.expires <= call.now) {
+    Count(call.state, MembershipCount::kRumourDropped);
+    return;
+  }
   if (found != known.end() && found->second.version >= news.version)
     return;
   known.insert_or_assign(key, news);
@@ -217,6 +223,9 @@
   if (InDoubt(state, call.now) || call.now < state.next_sweep)
     return;
   state.next_sweep = call.now + kSweepInterval;
+  std::erase_if(state.opaque, [&call](const auto& row) {
+    return row.second.expires <= call.now;
+  });
   for (auto row = state.members.begin(); row != state.members.end();) {
     MemberEntry& entry = row->second;
     const MemberStatus status = entry.member.status;
--- a/src/spread/floor.cc
+++ b/src/spread/floor.cc
@@ -40,7 +40,10 @@
                TimePoint now) {
   if (!state.floor_settled || now < state.doubt_until || !HearsMost(state))
     return Vouch::kNone;
-  if (peer == nullptr || peer->first_start >= StartOf(asker.incarnation))
+  const bool one_start =
+      peer == nullptr || (peer->first_seen_settled &&
+                          peer->first_start >= StartOf(asker.incarnation));
+  if (one_start)
     return Vouch::kNewVm;
   return peer->recorded ? Vouch::kRecorded : Vouch::kNone;
 }
--- a/src/spread/notice.cc
+++ b/src/spread/notice.cc
@@ -99,7 +99,8 @@
       state.reader_heard = call.now;
     return;
   }
-  state.remote_speakers[notice.data_center] = notice.speakers;
+  if (state.settings.remotes.contains(notice.data_center))
+    state.remote_speakers[notice.data_center] = notice.speakers;
   if (!notice.reply)
     Send(call, notice.from.control, MakeNotice(call, notice.sequence, true));
   const auto sent = state.notices_sent.find(notice.sequence);
--- a/src/spread/record.cc
+++ b/src/spread/record.cc
@@ -104,6 +104,7 @@
     peer.id = record.from.id;
     peer.status = MemberStatus::kLeft;
     peer.control = record.from.control;
+    peer.first_seen_settled = state.floor_settled;
     peer.start = StartOf(record.from.incarnation);
     peer.first_start = peer.start;
     peer.gone_since = call.now;
--- a/src/spread/spread.cc
+++ b/src/spread/spread.cc
@@ -39,10 +39,14 @@
 }
 
 void ForgetGone(Call& call) {
-  std::erase_if(call.state.peers, [&call](const auto& row) {
+  SpreadState& state = call.state;
+  std::erase_if(state.peers, [&call](const auto& row) {
     return !spread::IsLive(row.second) &&
            call.now - row.second.gone_since > call.state.settings.remember;
   });
+  std::erase_if(state.witness_acks, [&state](const auto& row) {
+    return !state.peers.contains(row.first);
+  });
 }
 
 // Whether `peer` comes before this node as a reader.
@@ -165,6 +169,7 @@
   if (added) {
     peer.id = member.id;
     peer.status = MemberStatus::kLeft;
+    peer.first_seen_settled = state.floor_settled;
     peer.first_start = start;
     peer.reader_rank = spread::RankOf(member.id, spread::kReaderSeed);
     peer.witness_rank = spread::RankOf(member.id, spread::SeedOf(state.id));
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -209,7 +209,7 @@
 }
 template <class C>
 void Fields(C& codec, FieldsOf<C, OpaqueRumour> value) {
-  codec(value.key, value.version, value.body);
+  codec(value.key, value.version, value.body, value.expires);
   codec.Enum(value.topic, Topic::kMoveEvidence);
 }
 template <class C>
