--- a/benchmark/fleet_bench.cc
+++ b/benchmark/fleet_bench.cc
@@ -321,11 +321,10 @@
   Report(killing ? "changes+kills" : "changes", fleet, before, after, seconds,
          samples, expected - samples.size());
   if (killing)
-    std::printf(
-        R"({"phase":"healed","nodes":%zu,"all":%s,"seconds":%.2f})"
-        "\n",
-        fleet.size(), healed ? "true" : "false",
-        MillisecondsSince(healing) / 1000);
+    std::printf(R"({"phase":"healed","nodes":%zu,"all":%s,"seconds":%.2f})"
+                "\n",
+                fleet.size(), healed ? "true" : "false",
+                MillisecondsSince(healing) / 1000);
 }
 
 bool RunSize(int nodes) {
--- a/src/node/claims_service.cc
+++ b/src/node/claims_service.cc
@@ -336,6 +336,12 @@
       old != service.local.end() && old->second.holder.boot_id < holder.boot_id)
     HolderGone(service.keeper, member.id, old->second.holder.boot_id,
                service.kernel->Now());
+  // One that leaves counts no more at once: two holders that stop within the
+  // time of grace would leave keys without a majority.
+  if (member.status == MemberStatus::kLeft) {
+    service.local.erase(member.id);
+    return;
+  }
   service.local[member.id] = {holder, service.kernel->Now(),
                               member.status == MemberStatus::kAlive};
 }
@@ -424,6 +430,10 @@
   if (verdict == ClaimVerdict::kDone)
     return Fail(ErrorKind::kOutcomeUnknown,
                 "it ran, but its answer was too large to be kept");
+  // A holder that granted this attempt would keep the key for minutes, although
+  // the attempt never runs.
+  if (!pending->attempt.epoch.holders.empty())
+    ReleaseKey(service, pending->attempt);
   return Fail(ErrorOf(verdict), std::string(NameOf(verdict)));
 }
 
@@ -466,6 +476,9 @@
   kernel.Register<LogFolded>(kClaimsService, [&](const LogFolded& folded) {
     HearFolded(service, folded);
   });
+  // Before any caller is let in: a pause between the start and the first tick
+  // must be noticed like any other.
+  TickClaims(service.keeper, SystemNow());
   kernel.Post(kClaimsService, Tick{});
 }
 
--- a/src/node/entry.cc
+++ b/src/node/entry.cc
@@ -169,7 +169,9 @@
                           : SendToGate(service, call, to, attempt.notes);
   const std::scoped_lock lock(service.gate);
   OnAnswer(service.table, call.route->service, to.version, to.id,
-           KindOf(attempt.answer), LoadIn(attempt.answer), SystemNow());
+           KindOf(attempt.answer), LoadIn(attempt.answer), SystemNow(),
+           std::chrono::duration_cast<Duration>(
+               std::chrono::steady_clock::now() - began));
   return attempt;
 }
 
@@ -266,6 +268,8 @@
     const std::scoped_lock lock(service.gate);
     snapshot = service.snapshot;
   }
+  // An error here closes the connection, since the body stays unread. So only
+  // sizes are judged; everything else is refused with the body taken in.
   constexpr std::size_t kMaxPageBody = 16384;
   if (!snapshot || IsPage(request))
     return kMaxPageBody;
--- a/src/node/membership_service.cc
+++ b/src/node/membership_service.cc
@@ -84,9 +84,6 @@
         Perform(kernel, std::move(*actions));
         SetWake(kernel, service);
       });
-  kernel.Register<DropRumour>(kMembershipService, [&](const DropRumour& drop) {
-    ForgetRumour(service.state, drop.topic, drop.key);
-  });
   kernel.Register<HeldChanged>(
       kMembershipService, [&](const HeldChanged& held) {
         SetHeld(service.state, held.held, held.fresh_as_of);
--- a/src/node/messages.h
+++ b/src/node/messages.h
@@ -61,12 +61,6 @@
   OpaqueRumour rumour;
 };
 
-// To membership: the subject of these rumours is over.
-struct DropRumour {
-  Topic topic = Topic::kVerdict;
-  std::string key;
-};
-
 // To membership: what the upstream beside this node says of itself.
 struct UpstreamAnnounced {
   Announcement announcement;
--- a/src/node/moves_service.cc
+++ b/src/node/moves_service.cc
@@ -15,6 +15,10 @@
 namespace {
 
 constexpr Duration kStep = std::chrono::seconds(1);
+// Rumours of a move outlive the longest quiet spell in it; then every node
+// drops them.
+constexpr Duration kEvidenceLife = std::chrono::hours(4);
+constexpr Duration kReportLife = std::chrono::minutes(10);
 // Rows in one second's message; the rest follow in the next.
 constexpr std::size_t kRowsAtATime = 32;
 
@@ -31,16 +35,16 @@
 
 OpaqueRumour RumourOf(const Verdict& verdict) {
   return {Topic::kVerdict, verdict.move, VerdictRank(verdict),
-          EncodeVerdict(verdict)};
+          EncodeVerdict(verdict), TimePoint::max()};
 }
 
 OpaqueRumour RumourOf(const DataCenterReport& report) {
   return {Topic::kMoveReport, report.move + "/" + report.data_center,
           static_cast<std::uint64_t>(report.at.time_since_epoch().count()),
-          EncodeReport(report)};
+          EncodeReport(report), report.at + kReportLife};
 }
 
-OpaqueRumour RumourOf(const EvidenceRow& row) {
+OpaqueRumour RumourOf(const EvidenceRow& row, TimePoint now) {
   const EvidenceKey& key = row.key;
   const EvidenceCells& cells = row.cells;
   // Every cell only grows, so their sum orders two copies of one row.
@@ -50,7 +54,7 @@
   return {Topic::kMoveEvidence,
           key.node + "/" + std::to_string(key.incarnation) + "/" + key.move +
               "/" + key.version + "/" + key.route,
-          version, EncodeRow(row)};
+          version, EncodeRow(row), now + kEvidenceLife};
 }
 
 void LogVerdict(const Verdict& verdict) {
@@ -95,7 +99,8 @@
   for (const EvidenceRow& row : rows) {
     if (row.key.node == service.node &&
         row.key.incarnation == service.incarnation)
-      kernel.Post(kMembershipService, SpreadRumour{RumourOf(row)});
+      kernel.Post(kMembershipService,
+                  SpreadRumour{RumourOf(row, kernel.Now())});
   }
 }
 
@@ -115,17 +120,6 @@
               ToOtherDataCenters{Module::kMoves, EncodeNews(news)});
 }
 
-void DropEnded(Kernel& kernel, MovesService& service) {
-  const auto live = LiveMoves(service.state, *service.snapshot);
-  for (const auto& [key, stored] : service.evidence.rows) {
-    if (!live.contains(key.move))
-      kernel.Post(kMembershipService,
-                  DropRumour{Topic::kMoveEvidence,
-                             RumourOf(EvidenceRow{key, stored.cells}).key});
-  }
-  PurgeEvidence(service.evidence, live);
-}
-
 void Step(Kernel& kernel, MovesService& service) {
   kernel.PostAt(kernel.Now() + kStep, kMovesService, Tick{});
   const std::scoped_lock lock(service.gate);
@@ -138,7 +132,7 @@
   Perform(kernel, service, actions);
   SpreadEvidence(kernel, service);
   SendNews(kernel, service);
-  DropEnded(kernel, service);
+  PurgeEvidence(service.evidence, LiveMoves(service.state, *service.snapshot));
 }
 
 // Takes in a report; true when it is news.
--- a/src/node/requests_service.cc
+++ b/src/node/requests_service.cc
@@ -177,7 +177,7 @@
 OpaqueRumour RumourOf(const SuspectRow& row) {
   // Crashes and clearances only grow: their sum orders two copies of a row.
   return {Topic::kCrashSuspect, Concat(row.fingerprint, "/", row.origin),
-          std::uint64_t{row.crashes} + row.cleared, ToBytes(row)};
+          std::uint64_t{row.crashes} + row.cleared, ToBytes(row), row.expires};
 }
 
 std::string SuspectsText(Requests& service, Fingerprint fingerprint) {
