--- a/include/teaselspread/types.h
+++ b/include/teaselspread/types.h
@@ -35,7 +35,7 @@
   std::uint16_t port = 0;
 
   bool operator==(const Address&) const = default;
-  auto operator<=>(const Address&) const = default;
+  auto operator<=>(const Address&) const = default;  // NOLINT: false alarm
 
   template <class Archive>
   void serialize(Archive& archive) {
