--- a/src/config/references.cc
+++ b/src/config/references.cc
@@ -54,6 +54,10 @@
     return Wrong(path + "/to", "expected another version than from");
   if (move.by <= move.start)
     return Wrong(path + "/by", "expected a time after start");
+  // The move is done once its watch has passed at full share: with less time
+  // than that it could only be late, or rush to full share unproved.
+  if (move.by - move.start <= move.watch)
+    return Wrong(path + "/by", "expected more time after start than watch");
   return {};
 }
 
--- a/tests/unit/config_source_test.cc
+++ b/tests/unit/config_source_test.cc
@@ -99,6 +99,8 @@
     {"move to itself", "to: v2", "to: v1", "", "base.yaml:16: "},
     {"by before start", "T22:", "T17:", "",
      "base.yaml:18: base/moves/m1/by: expected a time after start"},
+    {"by before the watch can end", "to: v2", "to: v2\n    watch: 4h", "",
+     "base.yaml:19: base/moves/m1/by: expected more time after start"},
     {"moves overlap", "limits:",
      "  m2: {service: registry-desk, from: v2, to: v3, start: "
      "2026-12-04T22:00:29Z, by: 2026-12-05T01:00:00Z}\nlimits:",
