Say in the settings' test what it relies on

The good file of the test set only the probe interval and relied on the default of the timeout; the defaults have grown, as measured on real nodes, so that the file became a bad one. It now sets both.

--- a/include/teaselspread/settings.h
+++ b/include/teaselspread/settings.h
@@ -28,15 +28,15 @@
 // Intervals that suit data centres 1 to 2 ms apart.
 struct TimingSettings {
   // Between probes of two members (SWIM's protocol period).
-  Duration probe_interval = std::chrono::milliseconds(200);
+  Duration probe_interval = std::chrono::seconds(1);
   // Answer of a probed member.
-  Duration probe_timeout = std::chrono::milliseconds(60);
+  Duration probe_timeout = std::chrono::milliseconds(300);
   // Between reads of the log while nothing is new.
   Duration log_poll = std::chrono::milliseconds(200);
   // One call to the log.
   Duration log_timeout = std::chrono::seconds(2);
   // Between exchanges with another data centre.
-  Duration exchange_interval = std::chrono::milliseconds(500);
+  Duration exchange_interval = std::chrono::seconds(1);
   // After which an upstream that did not renew its announcement is gone.
   Duration announcement_lease = std::chrono::seconds(3);
   // Longest time for requests in progress when the process is told to stop.
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -18,7 +18,7 @@
 log: {address: "10.9.0.1:8900", retention: 24h}
 seeds: ["10.1.0.2:7400"]
 remote_seeds: {piassa: ["10.2.0.1:7400"]}
-timings: {probe_interval: 300ms}
+timings: {probe_interval: 300ms, probe_timeout: 100ms}
 )";
 
 struct BadSettings {
