--- a/src/commands/files.cc
+++ b/src/commands/files.cc
@@ -95,11 +95,9 @@
   const auto document = ReadSources(options.config);
   if (!document)
     return Report(document.error(), streams);
-  auto reader = OpenLog(options);
+  const auto reader = ReadWholeLog(options);
   if (!reader)
     return Report(reader.error(), streams);
-  if (const auto read = ReadToEnd(*reader); !read)
-    return Report(read.error(), streams);
   const auto differences = DiffDocuments(reader->fold.document, *document);
   streams.out << FormatDifferences(differences, options.output);
   return differences.empty() ? ExitCode::kOk : ExitCode::kDifferent;
--- a/src/commands/log_reader.h
+++ b/src/commands/log_reader.h
@@ -26,6 +26,9 @@
 // Blocks up to the client's time limits.
 [[nodiscard]] Result<void> ReadToEnd(LogReader& reader);
 
+// OpenLog and ReadToEnd in one.
+[[nodiscard]] Result<LogReader> ReadWholeLog(const CommandOptions& options);
+
 }  // namespace teaselspread
 
 #endif  // TEASELSPREAD_SRC_COMMANDS_LOG_READER_H_
--- a/src/commands/publish.cc
+++ b/src/commands/publish.cc
@@ -125,12 +125,19 @@
   }
 }
 
-ExitCode History(const CommandOptions& options, const CommandStreams& streams) {
+Result<LogReader> ReadWholeLog(const CommandOptions& options) {
   auto reader = OpenLog(options);
   if (!reader)
-    return Report(reader.error(), streams);
+    return reader;
   if (const auto read = ReadToEnd(*reader); !read)
-    return Report(read.error(), streams);
+    return tl::make_unexpected(read.error());
+  return reader;
+}
+
+ExitCode History(const CommandOptions& options, const CommandStreams& streams) {
+  auto reader = ReadWholeLog(options);
+  if (!reader)
+    return Report(reader.error(), streams);
   streams.out << FormatTable(OutcomeTable(reader->fold), options.output);
   return ExitCode::kOk;
 }
@@ -139,11 +146,9 @@
   const auto document = ReadSources(options.config);
   if (!document)
     return Report(document.error(), streams);
-  auto reader = OpenLog(options);
+  auto reader = ReadWholeLog(options);
   if (!reader)
     return Report(reader.error(), streams);
-  if (const auto read = ReadToEnd(*reader); !read)
-    return Report(read.error(), streams);
   const std::string publish_id =
       options.publish_id.empty() ? FreshPublishId() : options.publish_id;
   if (const auto* known = FindOutcome(reader->fold, publish_id))
