--- a/src/membership/merge.cc
+++ b/src/membership/merge.cc
@@ -7,7 +7,12 @@
 namespace teaselspread::membership {
 namespace {
 
-constexpr Duration kSweepInterval = std::chrono::milliseconds(200);
+// Without suspects there is only the rare entry to forget.
+constexpr Duration kSweepInterval = std::chrono::seconds(5);
+
+void SweepBy(Membership& state, TimePoint deadline) {
+  state.next_sweep = std::min(state.next_sweep, deadline);
+}
 
 // Between a suspicion's longest and shortest time, by how many agree: one
 // accuser may itself be the faulty one.
@@ -67,6 +72,7 @@
   if (news.status == MemberStatus::kSuspect) {
     entry.accusers.insert(call.state.self.id);
     entry.suspect_deadline = call.now + SuspicionTime(call.state, 1);
+    SweepBy(call.state, entry.suspect_deadline);
   }
   MemberEntry& added =
       call.state.members.emplace(news.id, std::move(entry)).first->second;
@@ -98,6 +104,18 @@
   call.actions.changes.push_back(entry.member);
 }
 
+// Declares the suspect dead when its time is over.
+void TickSuspicion(Call& call, MemberEntry& entry) {
+  if (entry.suspect_deadline > call.now) {
+    SweepBy(call.state, entry.suspect_deadline);
+    return;
+  }
+  Count(call.state, MembershipCount::kDeclaredDead);
+  MarkGone(call, entry,
+           Accusation{entry.member.id, entry.member.incarnation,
+                      MemberStatus::kDead, call.state.self.id});
+}
+
 void ApplyToSelf(Call& call, std::uint64_t incarnation, MemberStatus status) {
   const Member& self = call.state.self;
   if (status == MemberStatus::kLeft || call.state.leaving)
@@ -150,6 +168,7 @@
     return;
   entry.suspect_deadline =
       entry.since + SuspicionTime(call.state, entry.accusers.size());
+  SweepBy(call.state, entry.suspect_deadline);
   QueueRumour(call, Accusation{entry.member.id, entry.member.incarnation,
                                MemberStatus::kSuspect, accuser});
 }
@@ -228,14 +247,8 @@
   });
   for (auto row = state.members.begin(); row != state.members.end();) {
     MemberEntry& entry = row->second;
-    const MemberStatus status = entry.member.status;
-    if (status == MemberStatus::kSuspect &&
-        entry.suspect_deadline <= call.now) {
-      Count(state, MembershipCount::kDeclaredDead);
-      MarkGone(call, entry,
-               Accusation{entry.member.id, entry.member.incarnation,
-                          MemberStatus::kDead, state.self.id});
-    }
+    if (entry.member.status == MemberStatus::kSuspect)
+      TickSuspicion(call, entry);
     const bool forget =
         !IsLive(entry) && call.now - entry.since > state.settings.forget_after;
     row = forget ? state.members.erase(row) : std::next(row);
