A VM whose clock went back over its restart counts as restarted

Others know a later start of it. It answered with a revision of that start, so they went on believing that it held what it held before, and asked it for transfers it could not serve. It now takes a start above the known one, and the spread module is told. Found by reading; a test restarts a VM an hour back.

--- a/include/teaselspread/spread.h
+++ b/include/teaselspread/spread.h
@@ -240,6 +240,10 @@
                                        TimePoint now,
                                        Rng& rng);
 
+// Feed Membership::self.incarnation after each membership call. It jumps when
+// the VM's clock went back over a restart and others know a later start.
+void SetIncarnation(SpreadState& state, std::uint64_t incarnation);
+
 // Feed every entry of MembershipActions::changes.
 [[nodiscard]] SpreadActions ObserveMember(SpreadState& state,
                                           const Member& member,
--- a/src/membership/merge.cc
+++ b/src/membership/merge.cc
@@ -129,7 +129,13 @@
 
 void Refute(Call& call, std::uint64_t accused) {
   Member& self = call.state.self;
-  self.incarnation = std::max(self.incarnation, accused) + 1;
+  if (StartOf(accused) > StartOf(self.incarnation)) {
+    // The clock went back over a restart. A mere revision of the known start
+    // would let others believe that this node still holds what it held then.
+    self.incarnation = (StartOf(accused) + 1) << kRevisionBits;
+  } else {
+    self.incarnation = std::max(self.incarnation, accused) + 1;
+  }
   Count(call.state, MembershipCount::kRefuted);
   QueueSelf(call);
   GossipNow(call, call.state.settings.gossip_fan_out);
--- a/src/membership/rumours.cc
+++ b/src/membership/rumours.cc
@@ -11,6 +11,10 @@
 // an accused receiver and an own entry.
 constexpr std::size_t kRumourRoom = kMaxDatagramBytes - 400;
 
+// More than these never fit that room; a herd's queue is much longer.
+constexpr std::size_t kMostRumours = 24;
+constexpr double kSmallestRumour = 30;
+
 std::string SubjectOf(const Member& member) {
   return "m/" + member.id;
 }
@@ -37,15 +41,19 @@
   state.rumour_tokens = std::min(burst, state.rumour_tokens + seconds * rate);
 }
 
-// The queue's rows, least sent first.
+// The rows of the queue to send next, least sent first.
 std::vector<std::map<std::string, QueuedRumour>::iterator> ByTransmits(
     Membership& state) {
   std::vector<std::map<std::string, QueuedRumour>::iterator> rows;
   for (auto row = state.queue.begin(); row != state.queue.end(); ++row)
     rows.push_back(row);
-  std::stable_sort(rows.begin(), rows.end(), [](auto left, auto right) {
-    return left->second.transmits < right->second.transmits;
-  });
+  const std::size_t count = std::min(rows.size(), kMostRumours);
+  const auto middle = rows.begin() + static_cast<std::ptrdiff_t>(count);
+  std::partial_sort(rows.begin(), middle, rows.end(),
+                    [](auto left, auto right) {
+                      return left->second.transmits < right->second.transmits;
+                    });
+  rows.resize(count);
   return rows;
 }
 
@@ -90,6 +98,10 @@
   RefillTokens(state, call.now);
   const std::size_t limit = TransmitLimit(state);
   const std::string own = SubjectOf(state.self);
+  if (state.rumour_tokens < kSmallestRumour && !state.queue.contains(own)) {
+    Count(state, MembershipCount::kBudgetDeferred);
+    return taken;
+  }
   std::size_t room = kRumourRoom;
   for (const auto& row : ByTransmits(state)) {
     QueuedRumour& queued = row->second;
--- a/src/spread/floor.cc
+++ b/src/spread/floor.cc
@@ -42,7 +42,7 @@
     return Vouch::kNone;
   const bool one_start =
       peer == nullptr || (peer->first_seen_settled &&
-                          peer->first_start >= StartOf(asker.incarnation));
+                          peer->first_start == StartOf(asker.incarnation));
   if (one_start)
     return Vouch::kNewVm;
   return peer->recorded ? Vouch::kRecorded : Vouch::kNone;
--- a/src/spread/spread.cc
+++ b/src/spread/spread.cc
@@ -284,6 +284,10 @@
   return Finish(call);
 }
 
+void SetIncarnation(SpreadState& state, std::uint64_t incarnation) {
+  state.incarnation = std::max(state.incarnation, incarnation);
+}
+
 void LeaveSpread(SpreadState& state) {
   state.leaving = true;
 }
--- a/tests/unit/membership_test.cc
+++ b/tests/unit/membership_test.cc
@@ -83,6 +83,24 @@
   }
 }
 
+// A VM comes back with its clock an hour behind. All know a later start of it,
+// and its news would lose against the entry of the dead one for an hour.
+Test(membership, a_restart_with_its_clock_set_back_is_known_as_a_restart) {
+  Network net = Joined(20, {.loss = 0.05}, 1);
+  const std::uint64_t before = net.nodes[4]->membership.self.incarnation;
+  net.Kill(4);
+  net.Run(seconds(1));
+  net.Start(4, std::chrono::hours(1));
+  net.Run(seconds(5));
+  const Node& restarted = *net.nodes[4];
+  cr_assert(KnownAs(net, "vm-4", MemberStatus::kAlive) == 19);
+  cr_assert(net.Share([&](const Node& node) {
+    return StartOf(FindMember(node.membership, "vm-4")->incarnation) >
+           StartOf(before);
+  }) == 1.0);
+  cr_assert(StartOf(restarted.spread.incarnation) > StartOf(before));
+}
+
 // A VM stands still for a while, as a live migration does. When it goes on, all
 // its timers are over at once while the answers lie unread: it would accuse
 // everyone, and healthy upstreams would drop out of every list.
@@ -191,6 +209,18 @@
     return node.membership.opaque.at({Topic::kVerdict, "move-1"}).version == 3;
   }) == 1.0);
   Node& node = *net.nodes[0];
+  Result<MembershipActions> brief =
+      Spread(node.membership,
+             {Topic::kCrashSuspect, "k", 1, "x", net.now + seconds(5)}, net.now,
+             node.rng);
+  net.Take(0, std::move(*brief));
+  const auto knows = [](const Node& any) {
+    return any.membership.opaque.contains({Topic::kCrashSuspect, "k"});
+  };
+  net.Run(seconds(4));
+  cr_assert(net.Share(knows) == 1.0);
+  net.Run(seconds(40));
+  cr_assert(net.Share(knows) == 0.0);
   const Result<MembershipActions> refused =
       Spread(node.membership,
              {Topic::kVerdict, "k", 1, std::string(kMaxOpaqueBytes, 'x')},
--- a/tests/unit/spread_test.cc
+++ b/tests/unit/spread_test.cc
@@ -190,6 +190,24 @@
   }
 }
 
+// Both readers live on, but their own way to the log is broken. The failure
+// detector has nothing to say against them, and no change would arrive.
+Test(spread, readers_that_lose_the_log_are_stood_in_for) {
+  Network net({}, 5);
+  AddNodes(net, "bole", 20);
+  net.Publish();
+  net.StartAll();
+  net.Run(seconds(10));
+  for (const auto& node : net.nodes) {
+    if (IsReader(node->spread, net.now))
+      net.log_cut.push_back(node->id);
+  }
+  cr_assert(net.log_cut.size() == 2);
+  const ConfigVersion next = net.Publish();
+  net.Run(seconds(4));
+  cr_assert(net.ShareHolding(next) == 1.0);
+}
+
 // A fifth of the nodes dies just before a change. Each dead node in the tree
 // would cost its whole branch the change until the next repair.
 Test(spread, a_change_goes_around_dead_nodes_of_the_tree) {
