Moves: a hold ends in a verdict only when the stratum before agrees

Strata now last 5 s at least and close after 100 old answers; the evidence has to reach 0.6 of the hold together with the stratum before, at both ends of the hold.

--- a/benchmark/moves_bench.cc
+++ b/benchmark/moves_bench.cc
@@ -25,7 +25,7 @@
           shared_weight,
           teaselspread::JudgeSettings().shared_weight,
           "Judge: shared_weight");
-ABSL_FLAG(int, stratum_answers, 10, "Judge: stratum_answers");
+ABSL_FLAG(int, stratum_answers, 30, "Judge: stratum_answers");
 ABSL_FLAG(std::string, only, "", "Only classes whose name holds this");
 ABSL_FLAG(bool, baselines, true, "Measure the baselines as well");
 ABSL_FLAG(bool, failures, false, "Print the seeds that went wrong");
--- a/benchmark/moves_trial.h
+++ b/benchmark/moves_trial.h
@@ -214,6 +214,8 @@
   std::array<EvidenceCells, 2> lives;
   // Copies of the last ticks, newest first, from which late views are taken.
   std::deque<std::array<std::array<EvidenceCells, kRoutes>, 2>> past;
+  // Sums of the new version's answers, for the baselines.
+  std::deque<EvidenceCells> window;
   // Failures by timeout that have not come to pass yet, by tick.
   std::deque<std::array<std::uint32_t, kRoutes>> hanging;
   int old_targets = 0;
@@ -267,6 +269,38 @@
     return this->Sum();
   }
 
+  [[nodiscard]] TimePoint Now() const {
+    return kStart + Duration(std::llround(this->time * 1e6));
+  }
+
+  MoveCapacity CapacityAt(std::size_t place) {
+    MoveCapacity capacity;
+    for (const Mover& mover : this->movers) {
+      const Place& here = mover.places.at(place);
+      int ready = UpTargets(here, true) * this->setup.site.slots;
+      if (mover.kind == Class::kSmaller)
+        ready = ready * 17 / 20;
+      const bool window = this->time >= mover.onset &&
+                          this->time < mover.onset + mover.fault_length;
+      // A health endpoint that lags: says "not ready" for seconds on end.
+      if (mover.kind == Class::kLaggingHealth && window &&
+          static_cast<int>(this->time / 5) % 2 == 0)
+        ready = 0;
+      capacity.ready_slots[{mover.config.service, "v2"}] = ready;
+      capacity.ready_slots[{mover.config.service, "v1"}] =
+          here.old_targets * this->setup.site.slots;
+    }
+    for (std::size_t other = 0; other < this->nodes.size(); ++other) {
+      if (other == place)
+        continue;
+      TimePoint& heard = this->heard[{place, other}];
+      if (!this->IsCut(place, other))
+        heard = this->Now();
+      capacity.heard[this->nodes.at(other).data_center] = heard;
+    }
+    return capacity;
+  }
+
   std::vector<MovesState> nodes;
   std::vector<Mover> movers;
   std::vector<EvidenceTable> tables;
@@ -274,6 +308,14 @@
   double time = 0;
   // Called after each tick.
   std::function<void()> trace;
+  // A cut of one data centre from the others.
+  double cut_from = 1e9;
+  double cut_until = -1e9;
+  std::size_t cut_place = 0;
+  // The log takes nothing before this time.
+  double log_down_until = -1e9;
+  // Verdicts that the log took.
+  std::vector<Verdict> log;
 
  private:
   static double Seconds(Duration duration) {
@@ -284,10 +326,6 @@
     return Seconds(this->movers.front().config.by - kStart);
   }
 
-  [[nodiscard]] TimePoint Now() const {
-    return kStart + Duration(std::llround(this->time * 1e6));
-  }
-
   void Prepare() {
     const auto count = static_cast<std::size_t>(this->setup.site.data_centers);
     for (std::size_t i = 0; i < count; ++i) {
@@ -340,7 +378,7 @@
 
   void Draw() {
     const double length = this->Deadline();
-    const double active = 0.6 * (length - 30) + 30;
+    const double active = 0.6 * (length - 30);
     for (Mover& mover : this->movers) {
       mover.onset = Uniform(this->rng, 0.1, 0.9) * active;
       mover.fault_length = Uniform(this->rng, 20, 90);
@@ -674,35 +712,10 @@
     }
   }
 
-  MoveCapacity CapacityAt(std::size_t place) {
-    MoveCapacity capacity;
-    for (const Mover& mover : this->movers) {
-      const Place& here = mover.places.at(place);
-      int ready = UpTargets(here, true) * this->setup.site.slots;
-      if (mover.kind == Class::kSmaller)
-        ready = ready * 17 / 20;
-      const bool window = this->time >= mover.onset &&
-                          this->time < mover.onset + mover.fault_length;
-      // A health endpoint that lags: says "not ready" for seconds on end.
-      if (mover.kind == Class::kLaggingHealth && window &&
-          static_cast<int>(this->time / 5) % 2 == 0)
-        ready = 0;
-      capacity.ready_slots[{mover.config.service, "v2"}] = ready;
-      capacity.ready_slots[{mover.config.service, "v1"}] =
-          here.old_targets * this->setup.site.slots;
-    }
-    for (std::size_t other = 0; other < this->nodes.size(); ++other) {
-      if (other == place)
-        continue;
-      TimePoint& heard = this->heard[{place, other}];
-      if (!this->IsCut(place, other))
-        heard = this->Now();
-      capacity.heard[this->nodes.at(other).data_center] = heard;
-    }
-    return capacity;
-  }
-
+  // Nodes step once a second.
   void Decide() {
+    if (this->tick++ % 2 != 0)
+      return;
     for (std::size_t place = 0; place < this->nodes.size(); ++place) {
       if (this->setup.policy == Policy::kJudged)
         this->Step(place);
@@ -720,7 +733,7 @@
          StepMoves(node, this->snapshot, this->tables.at(place), capacity,
                    this->Now())) {
       if (action.kind == MoveActionKind::kAppendVerdict)
-        NoteLogged(node, action.verdict, this->Now());
+        this->Append(node, action.verdict);
       else
         this->Post(place, action);
     }
@@ -733,22 +746,19 @@
     }
   }
 
+  void Append(MovesState& node, const Verdict& verdict) {
+    if (this->time < this->log_down_until)
+      return;
+    this->log.push_back(verdict);
+    NoteLogged(node, verdict, this->Now());
+  }
+
   // The error threshold of both baselines: more than 3% failures among the new
-  // version's answers of the last ten seconds, at least twenty of them.
+  // version's answers of the last minute, of at least fifty.
   void StepBaseline(std::size_t place) {
     for (Mover& mover : this->movers) {
-      const Place& here = mover.places.at(place);
-      EvidenceCells now;
-      EvidenceCells before;
-      for (std::size_t route = 0; route < kRoutes; ++route) {
-        const std::size_t lag = std::min<std::size_t>(2, here.past.size() - 1);
-        AddCells(now, here.past.at(lag).at(1).at(route));
-        AddCells(before, here.past.back().at(1).at(route));
-      }
-      const double runs = static_cast<double>(now.runs - before.runs);
-      const double failed = static_cast<double>(now.failures - before.failures);
       const bool known = mover.known_at.at(place) >= 0;
-      if (!known && runs >= 20 && failed > 0.03 * runs) {
+      if (!known && this->ManyFailures(mover.places.at(place))) {
         mover.outcome.taken_back = true;
         mover.outcome.reason = VerdictReason::kFailures;
         for (std::size_t other = 0; other < this->nodes.size(); ++other) {
@@ -761,6 +771,21 @@
     }
   }
 
+  static bool ManyFailures(Place& here) {
+    constexpr std::size_t kWindow = 60;
+    const std::size_t lag = std::min<std::size_t>(2, here.past.size() - 1);
+    EvidenceCells now;
+    for (const EvidenceCells& cells : here.past.at(lag).at(1))
+      AddCells(now, cells);
+    here.window.push_front(now);
+    if (here.window.size() > kWindow)
+      here.window.pop_back();
+    const EvidenceCells& before = here.window.back();
+    const double runs = static_cast<double>(now.runs - before.runs);
+    const double failed = static_cast<double>(now.failures - before.failures);
+    return runs >= 50 && failed > 0.03 * runs;
+  }
+
   [[nodiscard]] bool Ended() const {
     return std::all_of(
         this->movers.begin(), this->movers.end(), [](const Mover& mover) {
@@ -808,10 +833,8 @@
   Rng rng;
   std::map<double, Buckets> chances;
   std::vector<Letter> letters;
+  std::uint64_t tick = 0;
   std::map<std::pair<std::size_t, std::size_t>, TimePoint> heard;
-  double cut_from = 1e9;
-  double cut_until = -1e9;
-  std::size_t cut_place = 0;
   double ended = -1e9;
 };
 
--- a/include/teaselspread/judge.h
+++ b/include/teaselspread/judge.h
@@ -29,10 +29,13 @@
   // Exposure stops growing, and is halved at most, from here.
   double suspect = 3;
   // The new version gets nothing until the old one has confirmed the fault.
-  double hold = 10;
-  // A stratum closes when both versions gave this many answers...
-  std::uint64_t stratum_answers = 10;
-  Duration stratum_least = std::chrono::seconds(2);
+  double hold = 9;
+  // A stratum closes when both versions gave this many answers, not before it
+  // is much longer than the counters of the two travel apart, ...
+  std::uint64_t stratum_answers = 30;
+  Duration stratum_least = std::chrono::seconds(5);
+  // ... or the old one this many, ...
+  std::uint64_t stratum_old_answers = 100;
   // ... or at this age.
   Duration stratum_most = std::chrono::seconds(120);
   // ... or when the old version has not answered for so long.
@@ -42,6 +45,8 @@
   std::uint64_t doubt_answers = 20;
   Duration doubt_least = std::chrono::seconds(5);
   Duration doubt_most = std::chrono::seconds(60);
+  // After the start of the judge rows still come in that are older than it.
+  Duration settle = std::chrono::seconds(5);
   // Weight of a ratio that has nothing to do with the old version's history,
   // which is how a fault of both versions looks.
   double shared_weight = 0.5;
@@ -51,6 +56,11 @@
   Duration hold_most = std::chrono::seconds(120);
   // Answers of the old version during the hold.
   std::uint64_t hold_answers = 3;
+  // Part of `hold` that the evidence must reach together with the stratum
+  // before, both at the start and at the end of the hold. A shared fault that
+  // has just ended looks for a moment like one of the version whose counters
+  // come later, and old answers from after its end would confirm that.
+  double confirm = 0.6;
   // Early exits of new upstreams before they can count as crashing on start.
   std::uint64_t early_exits = 4;
 };
@@ -133,11 +143,13 @@
   MoveBounds bounds;
   std::array<FaultTable, kMetrics> tables{};
   std::map<std::string, ScopeJudge> scopes;
-  bool started = false;
+  // Epoch before the first step.
+  TimePoint started;
   // Epoch while nothing is held.
   TimePoint held_since;
   // Answers of the old version when the hold began.
   std::uint64_t old_runs_at_hold = 0;
+  double confirmed_at_hold = 0;
   // Epoch while nothing is doubted.
   TimePoint doubted_since;
   std::uint64_t old_runs_at_doubt = 0;
@@ -149,6 +161,8 @@
   VerdictReason reason = VerdictReason::kNone;
   std::string scope;
   double score = 0;
+  // The score together with the stratum before.
+  double confirmed = 0;
   Pair pair;
 };
 
--- a/include/teaselspread/moves.h
+++ b/include/teaselspread/moves.h
@@ -52,6 +52,8 @@
   Duration unheard_after = std::chrono::seconds(10);
   // How often an unchanged report is sent again.
   Duration report_every = std::chrono::seconds(3);
+  // The same when the move has ended.
+  Duration report_ended_every = std::chrono::seconds(30);
   // Verdicts are written to the log again this often until seen there, ...
   Duration append_every = std::chrono::seconds(5);
   // ... and again before the log's retention drops them.
--- a/include/teaselspread/verdict.h
+++ b/include/teaselspread/verdict.h
@@ -62,6 +62,8 @@
   TimePoint at;
   // Part of its requests that go to the new version, 0..1.
   double share = 0;
+  // Its requests per second, for nodes that have just started.
+  double rate = 0;
   // When it reached full share without falling back since; epoch if it has not.
   TimePoint full_since;
   // A whole watch period passed at full share without a fault. Never unset.
--- a/src/moves/judge.cc
+++ b/src/moves/judge.cc
@@ -63,28 +63,34 @@
 
 Finding FindingOf(JudgeState& state,
                   const JudgeSettings& settings,
-                  double score,
+                  const Judgement& now_seen,
                   std::uint64_t old_runs,
                   bool old_serves,
                   TimePoint now) {
+  const double score = now_seen.score;
   const bool doubt = InDoubt(state, settings, score, old_runs, now);
   const bool held = state.held_since != TimePoint();
   if (!held && score >= settings.hold) {
     state.held_since = now;
     state.old_runs_at_hold = old_runs;
+    state.confirmed_at_hold = now_seen.confirmed;
     return Finding::kHeld;
   }
   if (held && !HoldIsOver(state, settings, old_runs, old_serves, now))
     return Finding::kHeld;
   if (held)
     state.held_since = TimePoint();
-  if (held && score >= settings.hold)
+  const double confirmed =
+      std::min(state.confirmed_at_hold, now_seen.confirmed);
+  if (held && score >= settings.hold &&
+      confirmed >= settings.hold * settings.confirm)
     return Finding::kBad;
   return doubt ? Finding::kSuspect : Finding::kCalm;
 }
 
 void TakeBounds(JudgeState& state, const MoveBounds& bounds) {
-  if (state.started && state.bounds.extra_failures == bounds.extra_failures &&
+  if (state.started != TimePoint() &&
+      state.bounds.extra_failures == bounds.extra_failures &&
       state.bounds.slowdown == bounds.slowdown)
     return;
   state.bounds = bounds;
@@ -92,14 +98,20 @@
     state.tables.at(m) = moves::MakeFaultTable(static_cast<Metric>(m), bounds);
 }
 
-void Observe(JudgeState& state, const std::vector<Feed>& feeds, TimePoint now) {
+// What a restarted node hears first is the whole past in one piece, of which
+// nothing can be said of which answers came at the same time.
+void Observe(JudgeState& state,
+             const JudgeSettings& settings,
+             const std::vector<Feed>& feeds,
+             TimePoint now) {
+  if (state.started == TimePoint())
+    state.started = now;
+  const bool settled = now - state.started >= settings.settle;
   for (const Feed& feed : feeds) {
     ScopeJudge& scope = state.scopes[feed.scope];
-    if (!state.started)
-      moves::StartScope(scope, feed, now);
-    else if (scope.seen.empty())
+    if (scope.seen.empty())
       scope.opened = now;
-    moves::ObserveFeed(scope, feed);
+    moves::ObserveFeed(scope, feed, settled && feed.counted);
   }
 }
 
@@ -113,8 +125,7 @@
                     TimePoint now) {
   const bool held = state.held_since != TimePoint();
   TakeBounds(state, bounds);
-  Observe(state, feeds, now);
-  state.started = true;
+  Observe(state, settings, feeds, now);
   const moves::Rules rules{settings, state.bounds, state.tables};
   Judgement strongest;
   for (auto& [name, scope] : state.scopes) {
@@ -125,12 +136,13 @@
     if (score <= strongest.score)
       continue;
     strongest.score = score;
+    strongest.confirmed = found.confirmed;
     strongest.reason = kReasonOf.at(static_cast<std::size_t>(found.metric));
     strongest.scope = name;
     strongest.pair = found.pair;
   }
-  strongest.finding = FindingOf(state, settings, strongest.score,
-                                OldRuns(feeds), old_serves, now);
+  strongest.finding =
+      FindingOf(state, settings, strongest, OldRuns(feeds), old_serves, now);
   return strongest;
 }
 
--- a/src/moves/schedule.cc
+++ b/src/moves/schedule.cc
@@ -122,7 +122,7 @@
   demand.busy = MeanLatency(both);
   demand.runs = std::max(demand.runs, both.runs);
   demand.last = now;
-  demand.known = now - demand.first >= kDemandSettles;
+  demand.known = demand.known || now - demand.first >= kDemandSettles;
 }
 
 }  // namespace teaselspread::moves
--- a/src/moves/scope_judge.cc
+++ b/src/moves/scope_judge.cc
@@ -104,11 +104,13 @@
   const Duration age = now - scope.opened;
   if (age >= settings.stratum_most)
     return true;
-  const bool enough = scope.open.fresh.runs >= settings.stratum_answers;
-  if (age >= settings.control_wait && enough)
+  if (age < settings.stratum_least)
+    return false;
+  const std::uint64_t old = scope.open.old.runs;
+  if (old >= settings.stratum_old_answers)
     return true;
-  return age >= settings.stratum_least && enough &&
-         scope.open.old.runs >= settings.stratum_answers;
+  return scope.open.fresh.runs >= settings.stratum_answers &&
+         (old >= settings.stratum_answers || age >= settings.control_wait);
 }
 
 // The old version answered enough beside the new one for a comparison.
@@ -158,19 +160,12 @@
 
 }  // namespace
 
-void StartScope(ScopeJudge& scope, const Feed& feed, TimePoint now) {
-  if (scope.seen.empty())
-    scope.opened = now;
-  scope.seen[feed.data_center] = feed.totals;
-  AddCells(scope.history, feed.totals.old);
-}
-
-void ObserveFeed(ScopeJudge& scope, const Feed& feed) {
+void ObserveFeed(ScopeJudge& scope, const Feed& feed, bool counted) {
   RouteTotals& seen = scope.seen[feed.data_center];
   const RouteTotals grown = {Growth(feed.totals.fresh, seen.fresh),
                              Growth(feed.totals.old, seen.old)};
   seen = feed.totals;
-  if (feed.counted)
+  if (counted)
     scope.open = Joined(scope.open, grown);
   else
     AddCells(scope.history, grown.old);
@@ -192,15 +187,19 @@
     open.at(m) = now_open.added;
     // Only what speaks against the new version needs to be confirmed.
     StratumScore now_joined = now_open;
-    if (AnyAbove(scope.last_added.at(m), 0))
+    if (AnyAbove(scope.last_added.at(m), 0) ||
+        AnyAbove(now_open.added, rules.settings.suspect))
       now_joined = ScoreStratum(scope, both, metric, slow, rules);
     joined.at(m) = now_joined.added;
     for (std::size_t i = 0; i < kAlternatives; ++i) {
       const double score =
           ScoreOf(scope.sums.at(m).at(i), scope.last_added.at(m).at(i),
                   open.at(m).at(i), joined.at(m).at(i));
-      if (score > strongest.score)
-        strongest = {score, metric, now_joined.pair};
+      if (score <= strongest.score)
+        continue;
+      const double confirmed =
+          scope.sums.at(m).at(i) + std::min(score, joined.at(m).at(i));
+      strongest = {score, confirmed, metric, now_joined.pair, true};
     }
   }
   strongest.controlled = IsControlled(scope.open, rules.settings);
--- a/src/moves/scope_judge.h
+++ b/src/moves/scope_judge.h
@@ -16,17 +16,17 @@
 // The strongest test of a scope.
 struct ScopeScore {
   double score = 0;
+  // The same together with the stratum before.
+  double confirmed = 0;
   Metric metric = Metric::kFailures;
   Pair pair;
   // The old version answered beside the new one.
   bool controlled = true;
 };
 
-// Sets the mark to count from: everything up to `feed` is history.
-void StartScope(ScopeJudge& scope, const Feed& feed, TimePoint now);
-
-// Takes in the growth since the last feed of this data centre.
-void ObserveFeed(ScopeJudge& scope, const Feed& feed);
+// Takes in the growth since the last feed of this data centre; as history only
+// unless `counted`.
+void ObserveFeed(ScopeJudge& scope, const Feed& feed, bool counted);
 
 // Scores the scope, and closes its stratum when that is due and `may_close`.
 [[nodiscard]] ScopeScore StepScope(ScopeJudge& scope,
--- a/src/moves/step.cc
+++ b/src/moves/step.cc
@@ -208,6 +208,26 @@
   return limited;
 }
 
+// The last report of the own data centre, if it is recent: what a restarted
+// node goes on from.
+const DataCenterReport* OwnReport(const MovesState& state,
+                                  const MoveState& move,
+                                  TimePoint now) {
+  const auto own = state.reports.find({move.config.id, state.data_center});
+  if (own == state.reports.end() ||
+      now - own->second.at > state.settings.unheard_after)
+    return nullptr;
+  return &own->second;
+}
+
+void TakeDemand(const MovesState& state, MoveState& move, TimePoint now) {
+  const DataCenterReport* own = OwnReport(state, move, now);
+  if (move.demand.known || own == nullptr || own->rate <= 0)
+    return;
+  move.demand.rate = own->rate;
+  move.demand.known = true;
+}
+
 void NoteFullShare(MovesState& state, MoveState& move, TimePoint now) {
   if (move.share < kFull) {
     move.full_since = TimePoint();
@@ -216,46 +236,68 @@
   if (move.full_since != TimePoint())
     return;
   move.full_since = now;
-  // After a restart: the data centre was there before this node was.
-  const auto own = state.reports.find({move.config.id, state.data_center});
-  if (own == state.reports.end())
+  const DataCenterReport* own = OwnReport(state, move, now);
+  if (own != nullptr && own->full_since != TimePoint())
+    move.full_since = std::min(move.full_since, own->full_since);
+}
+
+bool WatchIsClean(const MoveState& move, TimePoint now) {
+  return move.stage == MoveStage::kRunning && move.full_since != TimePoint() &&
+         now - move.full_since >= move.config.watch &&
+         move.judgement.finding == Finding::kCalm;
+}
+
+// Sends the report when it says something new or is due again.
+void SendReport(MovesState& state,
+                MoveState& move,
+                DataCenterReport report,
+                Duration every,
+                Actions& actions) {
+  DataCenterReport& kept = state.reports[{report.move, report.data_center}];
+  report.clean |= kept.clean;
+  const bool changed = kept.clean != report.clean ||
+                       kept.stage != report.stage ||
+                       std::abs(kept.share - report.share) >= kShareStep ||
+                       kept.full_since != report.full_since;
+  if (!changed && report.at - move.reported_at < every)
     return;
-  const DataCenterReport& report = own->second;
-  const bool recent = now - report.at < state.settings.unheard_after;
-  if (recent && report.full_since != TimePoint())
-    move.full_since = std::min(move.full_since, report.full_since);
+  kept = JoinReports(kept, report);
+  move.reported_at = report.at;
+  actions.push_back({MoveActionKind::kSpreadReport, {}, kept});
 }
 
-void Report(MovesState& state,
-            MoveState& move,
-            const StepInput& in,
-            const RouteTotals& own,
-            Actions& actions) {
+void ReportRunning(MovesState& state,
+                   MoveState& move,
+                   const RouteTotals& own,
+                   TimePoint now,
+                   Actions& actions) {
   DataCenterReport report;
   report.move = move.config.id;
   report.data_center = state.data_center;
-  report.at = in.now;
+  report.at = now;
   report.share = move.share;
+  report.rate = move.demand.known ? move.demand.rate : 0;
   report.full_since = move.full_since;
-  report.clean = move.stage != MoveStage::kTakenBack &&
-                 move.full_since != TimePoint() &&
-                 in.now - move.full_since >= move.config.watch &&
-                 move.judgement.finding == Finding::kCalm;
-  report.stage = move.stage;
+  report.clean = WatchIsClean(move, now);
   report.new_runs = own.fresh.runs;
   report.new_failures = own.fresh.failures;
   report.old_runs = own.old.runs;
   report.old_failures = own.old.failures;
-  DataCenterReport& kept = state.reports[{report.move, report.data_center}];
-  const bool changed = kept.clean != report.clean ||
-                       kept.stage != report.stage ||
-                       std::abs(kept.share - report.share) >= kShareStep ||
-                       kept.full_since != report.full_since;
-  if (!changed && in.now - move.reported_at < state.settings.report_every)
-    return;
-  kept = JoinReports(kept, report);
-  move.reported_at = in.now;
-  actions.push_back({MoveActionKind::kSpreadReport, {}, kept});
+  SendReport(state, move, report, state.settings.report_every, actions);
+}
+
+// The figures stay as they were last: the evidence is dropped with the end.
+void ReportEnded(MovesState& state,
+                 MoveState& move,
+                 TimePoint now,
+                 Actions& actions) {
+  DataCenterReport report = state.reports[{move.config.id, state.data_center}];
+  report.move = move.config.id;
+  report.data_center = state.data_center;
+  report.at = now;
+  report.share = move.share;
+  report.stage = move.stage;
+  SendReport(state, move, report, state.settings.report_ended_every, actions);
 }
 
 bool EveryDataCenterIsClean(const MovesState& state,
@@ -299,6 +341,7 @@
   EvidenceCells both = own.fresh;
   AddCells(both, own.old);
   moves::ObserveDemand(move.demand, both, in.now);
+  TakeDemand(state, move, in.now);
   const bool old_serves = SlotsOf(in.capacity, config.service, config.from) > 0;
   NoteSilences(move, in, state.settings.unheard_after);
   move.judgement = StepJudge(move.judge, state.settings.judge, config.bounds,
@@ -313,7 +356,7 @@
   move.share = limited.share;
   move.limit = limited.limit;
   NoteFullShare(state, move, in.now);
-  Report(state, move, in, own, actions);
+  ReportRunning(state, move, own, in.now, actions);
   if (EveryDataCenterIsClean(state, move, in)) {
     Give(state,
          MakeVerdict(state, config, MoveStage::kDone,
@@ -340,7 +383,7 @@
   if (move.stage != MoveStage::kRunning) {
     move.share = move.stage == MoveStage::kDone ? 1 : 0;
     move.limit = ShareLimit::kNone;
-    Report(state, move, in, {}, actions);
+    ReportEnded(state, move, in.now, actions);
   }
   AppendIfDue(state, move, in.now, actions);
 }
--- a/src/moves/verdict.cc
+++ b/src/moves/verdict.cc
@@ -28,7 +28,7 @@
 }
 
 auto OrderOf(const DataCenterReport& r) {
-  return std::tie(r.at, r.share, r.new_runs, r.new_failures, r.old_runs,
+  return std::tie(r.at, r.share, r.rate, r.new_runs, r.new_failures, r.old_runs,
                   r.old_failures, r.full_since);
 }
 
@@ -101,7 +101,7 @@
   return moves::Encode([&r](auto& archive) {
     SaveText(archive, r.move);
     SaveText(archive, r.data_center);
-    archive(Ticks(r.at), r.share, Ticks(r.full_since), r.clean,
+    archive(Ticks(r.at), r.share, r.rate, Ticks(r.full_since), r.clean,
             static_cast<std::uint8_t>(r.stage));
     archive(r.new_runs, r.new_failures, r.old_runs, r.old_failures);
   });
@@ -115,7 +115,7 @@
         std::int64_t full_since = 0;
         LoadText(archive, r.move);
         LoadText(archive, r.data_center);
-        archive(at, r.share, full_since, r.clean, stage);
+        archive(at, r.share, r.rate, full_since, r.clean, stage);
         archive(r.new_runs, r.new_failures, r.old_runs, r.old_failures);
         r.at = FromTicks(at);
         r.full_since = FromTicks(full_since);
