Moves: after a hold without a verdict the open strata are dropped

Only the old version answered during the hold, so what stayed open was held against the new one a second time (khomas seed 83: taken back after a shared fault).

--- a/src/moves/judge.cc
+++ b/src/moves/judge.cc
@@ -143,6 +143,12 @@
   }
   strongest.finding =
       FindingOf(state, settings, strongest, OldRuns(feeds), old_serves, now);
+  // During the hold only the old version answered, so that its answers no
+  // longer belong to the same time.
+  if (held && state.held_since == TimePoint()) {
+    for (auto& [name, scope] : state.scopes)
+      moves::DropOpenStrata(scope, now);
+  }
   return strongest;
 }
 
--- a/src/moves/scope_judge.cc
+++ b/src/moves/scope_judge.cc
@@ -171,6 +171,15 @@
     AddCells(scope.history, grown.old);
 }
 
+void DropOpenStrata(ScopeJudge& scope, TimePoint now) {
+  AddCells(scope.history, scope.last.old);
+  AddCells(scope.history, scope.open.old);
+  scope.last = {};
+  scope.open = {};
+  scope.last_added = {};
+  scope.opened = now;
+}
+
 ScopeScore StepScope(ScopeJudge& scope,
                      const Rules& rules,
                      bool may_close,
--- a/src/moves/scope_judge.h
+++ b/src/moves/scope_judge.h
@@ -28,6 +28,9 @@
 // unless `counted`.
 void ObserveFeed(ScopeJudge& scope, const Feed& feed, bool counted);
 
+// Forgets the strata that are not summed up yet.
+void DropOpenStrata(ScopeJudge& scope, TimePoint now);
+
 // Scores the scope, and closes its stratum when that is due and `may_close`.
 [[nodiscard]] ScopeScore StepScope(ScopeJudge& scope,
                                    const Rules& rules,
