--- a/src/moves/scope_judge.cc
+++ b/src/moves/scope_judge.cc
@@ -128,6 +128,7 @@
 void Close(ScopeJudge& scope,
            const ScoreTable& open,
            const ScoreTable& joined,
+           const std::array<double, kMetrics>& open_bad,
            TimePoint now) {
   for (std::size_t m = 0; m < kMetrics; ++m) {
     for (std::size_t i = 0; i < kAlternatives; ++i) {
@@ -135,7 +136,10 @@
       sum += Confirmed(scope.last_added.at(m).at(i), joined.at(m).at(i));
       sum = std::max(0.0, sum);
     }
+    const bool carries = AnyAbove(scope.sums.at(m), 0);
+    scope.bad.at(m) = carries ? scope.bad.at(m) + scope.last_bad.at(m) : 0;
   }
+  scope.last_bad = open_bad;
   scope.last_added = open;
   AddCells(scope.history, scope.last.old);
   scope.last = scope.open;
@@ -177,6 +181,7 @@
   scope.last = {};
   scope.open = {};
   scope.last_added = {};
+  scope.last_bad = {};
   scope.opened = now;
 }
 
@@ -188,12 +193,14 @@
   const RouteTotals both = Joined(scope.last, scope.open);
   ScoreTable open{};
   ScoreTable joined{};
+  std::array<double, kMetrics> open_bad{};
   ScopeScore strongest;
   for (std::size_t m = 0; m < kMetrics; ++m) {
     const auto metric = static_cast<Metric>(m);
     const StratumScore now_open =
         ScoreStratum(scope, scope.open, metric, slow, rules);
     open.at(m) = now_open.added;
+    open_bad.at(m) = now_open.pair.fresh.bad;
     // Only what speaks against the new version needs to be confirmed.
     StratumScore now_joined = now_open;
     if (AnyAbove(scope.last_added.at(m), 0) ||
@@ -208,7 +215,9 @@
         continue;
       const double confirmed =
           scope.sums.at(m).at(i) + std::min(score, joined.at(m).at(i));
-      strongest = {score, confirmed, metric, now_joined.pair, true};
+      const double bad =
+          scope.bad.at(m) + scope.last_bad.at(m) + open_bad.at(m);
+      strongest = {score, confirmed, metric, now_joined.pair, true, bad};
     }
   }
   strongest.controlled = IsControlled(scope.open, rules.settings);
@@ -216,7 +225,7 @@
   const bool drop = doubt && !strongest.controlled;
   if (!may_close || !(drop || IsDue(scope, rules.settings, now)))
     return strongest;
-  Close(scope, open, joined, now);
+  Close(scope, open, joined, open_bad, now);
   if (!strongest.controlled)
     ForgetFaults(scope);
   return strongest;
--- a/src/moves/scope_judge.h
+++ b/src/moves/scope_judge.h
@@ -22,6 +22,8 @@
   Pair pair;
   // The old version answered beside the new one.
   bool controlled = true;
+  // Bad answers of the new version behind the score.
+  double bad = 0;
 };
 
 // Takes in the growth since the last feed of this data centre; as history only
