--- a/include/teaselspread/moves.h
+++ b/include/teaselspread/moves.h
@@ -113,6 +113,7 @@
   // Full share reached at, epoch if not.
   TimePoint full_since;
   TimePoint reported_at;
+  TimePoint spread_at;
   TimePoint appended_at;
   // When the verdict was seen in the log, epoch if it was not.
   TimePoint logged_at;
--- a/src/moves/step.cc
+++ b/src/moves/step.cc
@@ -300,6 +300,36 @@
   SendReport(state, move, report, state.settings.report_ended_every, actions);
 }
 
+// A data centre that is heard does not know the verdict yet: the rumour was
+// lost, or it was cut off when the verdict fell.
+bool SomeoneLags(const MovesState& state,
+                 const MoveState& move,
+                 const StepInput& in) {
+  for (const std::string& name : in.snapshot.data_centers) {
+    const auto report = state.reports.find({move.config.id, name});
+    if (report == state.reports.end() || report->second.stage >= move.stage)
+      continue;
+    if (in.now - report->second.at <= state.settings.unheard_after)
+      return true;
+  }
+  return false;
+}
+
+void SpreadAgain(const MovesState& state,
+                 MoveState& move,
+                 const StepInput& in,
+                 Actions& actions) {
+  const MovesSettings& settings = state.settings;
+  const Duration every = SomeoneLags(state, move, in)
+                             ? settings.report_every
+                             : settings.report_ended_every;
+  if (in.now - move.spread_at < every)
+    return;
+  move.spread_at = in.now;
+  actions.push_back(
+      {MoveActionKind::kSpreadVerdict, state.verdicts.at(move.config.id), {}});
+}
+
 bool EveryDataCenterIsClean(const MovesState& state,
                             const MoveState& move,
                             const StepInput& in) {
@@ -384,6 +414,7 @@
     move.share = move.stage == MoveStage::kDone ? 1 : 0;
     move.limit = ShareLimit::kNone;
     ReportEnded(state, move, in.now, actions);
+    SpreadAgain(state, move, in, actions);
   }
   AppendIfDue(state, move, in.now, actions);
 }
