--- a/benchmark/moves_bench.cc
+++ b/benchmark/moves_bench.cc
@@ -70,6 +70,7 @@
   std::vector<Run> runs(static_cast<std::size_t>(absl::GetFlag(FLAGS_seeds)));
   std::atomic<std::size_t> next{0};
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<std::size_t>(absl::GetFlag(FLAGS_threads)));
   for (int i = 0; i < absl::GetFlag(FLAGS_threads); ++i) {
     threads.emplace_back([&] {
       for (std::size_t n = next++; n < runs.size(); n = next++) {
@@ -154,6 +155,7 @@
   constexpr std::array<const char*, 4> kBandNames = {"0.2-2", "2-20", "20-200",
                                                      "200-2000"};
   std::vector<const Run*> all;
+  all.reserve(runs.size());
   for (const Run& run : runs)
     all.push_back(&run);
   PrintLine(deployment, kind, policy, "all", all);
--- a/src/moves/account.cc
+++ b/src/moves/account.cc
@@ -92,10 +92,19 @@
       v.from);
 }
 
+// The judge's scope in words: a route, "*" for all, and "everywhere" in front
+// when the answers of all data centres were put together.
 std::string Place(const Verdict& v) {
-  if (v.route.empty() || v.route == "*")
-    return v.data_center;
-  return v.data_center + ", route " + v.route;
+  constexpr std::string_view kEverywhere = "everywhere";
+  std::string route = v.route;
+  std::string place = v.data_center;
+  if (route.rfind(kEverywhere, 0) == 0) {
+    place = "all data centres together";
+    route.erase(0, std::min(route.size(), kEverywhere.size() + 1));
+  }
+  if (route.empty() || route == "*")
+    return place;
+  return place + ", route " + route;
 }
 
 std::string Explain(const Verdict& v) {
