--- a/src/moves/scope_judge.cc
+++ b/src/moves/scope_judge.cc
@@ -104,11 +104,13 @@
   const Duration age = now - scope.opened;
   if (age >= settings.stratum_most)
     return true;
-  const bool enough = scope.open.fresh.runs >= settings.stratum_answers;
-  if (age >= settings.control_wait && enough)
+  if (age < settings.stratum_least)
+    return false;
+  const std::uint64_t old = scope.open.old.runs;
+  if (old >= settings.stratum_old_answers)
     return true;
-  return age >= settings.stratum_least && enough &&
-         scope.open.old.runs >= settings.stratum_answers;
+  return scope.open.fresh.runs >= settings.stratum_answers &&
+         (old >= settings.stratum_answers || age >= settings.control_wait);
 }
 
 // The old version answered enough beside the new one for a comparison.
@@ -126,6 +128,7 @@
 void Close(ScopeJudge& scope,
            const ScoreTable& open,
            const ScoreTable& joined,
+           const std::array<double, kMetrics>& open_bad,
            TimePoint now) {
   for (std::size_t m = 0; m < kMetrics; ++m) {
     for (std::size_t i = 0; i < kAlternatives; ++i) {
@@ -133,7 +136,10 @@
       sum += Confirmed(scope.last_added.at(m).at(i), joined.at(m).at(i));
       sum = std::max(0.0, sum);
     }
+    const bool carries = AnyAbove(scope.sums.at(m), 0);
+    scope.bad.at(m) = carries ? scope.bad.at(m) + scope.last_bad.at(m) : 0;
   }
+  scope.last_bad = open_bad;
   scope.last_added = open;
   AddCells(scope.history, scope.last.old);
   scope.last = scope.open;
@@ -158,24 +164,27 @@
 
 }  // namespace
 
-void StartScope(ScopeJudge& scope, const Feed& feed, TimePoint now) {
-  if (scope.seen.empty())
-    scope.opened = now;
-  scope.seen[feed.data_center] = feed.totals;
-  AddCells(scope.history, feed.totals.old);
-}
-
-void ObserveFeed(ScopeJudge& scope, const Feed& feed) {
+void ObserveFeed(ScopeJudge& scope, const Feed& feed, bool counted) {
   RouteTotals& seen = scope.seen[feed.data_center];
   const RouteTotals grown = {Growth(feed.totals.fresh, seen.fresh),
                              Growth(feed.totals.old, seen.old)};
   seen = feed.totals;
-  if (feed.counted)
+  if (counted)
     scope.open = Joined(scope.open, grown);
   else
     AddCells(scope.history, grown.old);
 }
 
+void DropOpenStrata(ScopeJudge& scope, TimePoint now) {
+  AddCells(scope.history, scope.last.old);
+  AddCells(scope.history, scope.open.old);
+  scope.last = {};
+  scope.open = {};
+  scope.last_added = {};
+  scope.last_bad = {};
+  scope.opened = now;
+}
+
 ScopeScore StepScope(ScopeJudge& scope,
                      const Rules& rules,
                      bool may_close,
@@ -184,23 +193,31 @@
   const RouteTotals both = Joined(scope.last, scope.open);
   ScoreTable open{};
   ScoreTable joined{};
+  std::array<double, kMetrics> open_bad{};
   ScopeScore strongest;
   for (std::size_t m = 0; m < kMetrics; ++m) {
     const auto metric = static_cast<Metric>(m);
     const StratumScore now_open =
         ScoreStratum(scope, scope.open, metric, slow, rules);
     open.at(m) = now_open.added;
+    open_bad.at(m) = now_open.pair.fresh.bad;
     // Only what speaks against the new version needs to be confirmed.
     StratumScore now_joined = now_open;
-    if (AnyAbove(scope.last_added.at(m), 0))
+    if (AnyAbove(scope.last_added.at(m), 0) ||
+        AnyAbove(now_open.added, rules.settings.suspect))
       now_joined = ScoreStratum(scope, both, metric, slow, rules);
     joined.at(m) = now_joined.added;
     for (std::size_t i = 0; i < kAlternatives; ++i) {
       const double score =
           ScoreOf(scope.sums.at(m).at(i), scope.last_added.at(m).at(i),
                   open.at(m).at(i), joined.at(m).at(i));
-      if (score > strongest.score)
-        strongest = {score, metric, now_joined.pair};
+      if (score <= strongest.score)
+        continue;
+      const double confirmed =
+          scope.sums.at(m).at(i) + std::min(score, joined.at(m).at(i));
+      const double bad =
+          scope.bad.at(m) + scope.last_bad.at(m) + open_bad.at(m);
+      strongest = {score, confirmed, metric, now_joined.pair, true, bad};
     }
   }
   strongest.controlled = IsControlled(scope.open, rules.settings);
@@ -208,7 +225,7 @@
   const bool drop = doubt && !strongest.controlled;
   if (!may_close || !(drop || IsDue(scope, rules.settings, now)))
     return strongest;
-  Close(scope, open, joined, now);
+  Close(scope, open, joined, open_bad, now);
   if (!strongest.controlled)
     ForgetFaults(scope);
   return strongest;
