--- a/src/node/claims_service.cc
+++ b/src/node/claims_service.cc
@@ -12,7 +12,12 @@
 
 constexpr Duration kTick = std::chrono::milliseconds(100);
 constexpr Duration kProposalEvery = std::chrono::seconds(2);
+// Holders hear this of every reader of every data centre, 48 of them at the
+// size of the first letter: each second, that alone took over twice a node's
+// budget (docs/CAPACITY.md). Once an epoch is active, the notice only says that
+// the log still shows it, which a holder needs within minutes.
 constexpr Duration kNoticeEvery = std::chrono::seconds(1);
+constexpr Duration kQuietNoticeEvery = std::chrono::seconds(10);
 // Three offers within kAliveWithin: two may be lost.
 constexpr Duration kOfferEvery = std::chrono::seconds(3);
 constexpr Duration kActivationEvery = std::chrono::seconds(1);
@@ -24,7 +29,8 @@
 constexpr Duration kFreshRead = std::chrono::seconds(5);
 // Time for other nodes to say which epoch holds.
 constexpr Duration kRestartAfter = std::chrono::seconds(60);
-constexpr std::size_t kOffered = 4;
+// Offers go to every other data centre: no more than a change of holders needs.
+constexpr std::size_t kOffered = 2;
 constexpr int kCheckpointsPerRetention = 3;
 
 void SendTo(ClaimsService& service,
@@ -90,6 +96,11 @@
     SendTo(service, known.holder.control, notice);
 }
 
+bool IsSettled(const ClaimsService& service) {
+  const EpochLog& log = service.epochs.log;
+  return log.known && log.current.number == log.active.number;
+}
+
 // A member counts until it is said to be gone and for a while after; an offer
 // from another data centre counts while it is fresh.
 bool IsAlive(const KnownHolder& known, TimePoint now) {
@@ -187,7 +198,7 @@
           std::any_of(holders.begin(), holders.end(),
                       [&](const Holder& each) { return each.id == name; });
       if (is_holder == holding && IsAlive(known, now) &&
-          offer.holders.size() < kOffered)
+          (holding || offer.holders.size() < kOffered))
         offer.holders.push_back(known.holder);
     }
   }
@@ -250,10 +261,14 @@
     service.next_offer = now + kOfferEvery;
     OfferHolders(service);
   }
+  if (now >= service.next_query) {
+    service.next_query = now + kNoticeEvery;
+    AskForEpoch(service);
+  }
   if (now >= service.next_notice) {
-    service.next_notice = now + kNoticeEvery;
+    service.next_notice =
+        now + (IsSettled(service) ? kQuietNoticeEvery : kNoticeEvery);
     SendNotices(service, false);
-    AskForEpoch(service);
   }
 }
 
@@ -362,6 +377,12 @@
     service.announced_epoch = service.epochs.log.current.number;
     SendNotices(service, true);
   }
+  if (service.epochs.log.active.number > service.announced_activation) {
+    service.announced_activation = service.epochs.log.active.number;
+    SendNotices(service, false);
+    // Once more soon: the first may get lost.
+    service.next_notice = service.kernel->Now() + kNoticeEvery;
+  }
 }
 
 void HearRecord(ClaimsService& service, const OpaqueRecordFound& found) {
--- a/src/node/claims_service.h
+++ b/src/node/claims_service.h
@@ -66,6 +66,7 @@
   TimePoint unknown_since;
   TimePoint next_proposal;
   TimePoint next_notice;
+  TimePoint next_query;
   TimePoint next_offer;
   TimePoint next_handover;
   TimePoint next_activation;
@@ -73,6 +74,8 @@
   std::uint64_t next_sequence = 1;
   // Highest epoch that the whole data centre was told of.
   std::uint64_t announced_epoch = 0;
+  // Highest activation that the holders were told of.
+  std::uint64_t announced_activation = 0;
   // Processes of the own data centre by id, and offers of the others.
   std::map<std::string, KnownHolder> local;
   std::map<std::string, KnownHolder> remote;
--- a/src/node/moves_service.cc
+++ b/src/node/moves_service.cc
@@ -21,6 +21,13 @@
 constexpr Duration kReportLife = std::chrono::minutes(10);
 // Rows in one second's message; the rest follow in the next.
 constexpr std::size_t kRowsAtATime = 32;
+// News goes to each other data centre twice. Saying everything each second
+// took 26 times a node's whole budget at 24 data centres with 20 live moves and
+// 50 verdicts (docs/CAPACITY.md). So what changed goes at once, and the rest
+// takes turns.
+constexpr Duration kNewsEvery = std::chrono::seconds(3);
+constexpr std::size_t kReportsInTurn = 3;
+constexpr std::size_t kVerdictsInTurn = 1;
 
 std::uint64_t VerdictRank(const Verdict& verdict) {
   // A higher stage wins and, of two equal ones, the earlier: the same order as
@@ -104,16 +111,100 @@
   }
 }
 
-void SendNews(Kernel& kernel, MovesService& service) {
-  if (!service.reader)
-    return;
-  MoveNews news;
+// Changes only with what the others must hear at once; shares and counts wait
+// for their turn.
+std::uint64_t FactsOf(const DataCenterReport& report) {
+  constexpr unsigned kStageShift = 1;
+  constexpr unsigned kTimeShift = 3;
+  const auto full =
+      static_cast<std::uint64_t>(report.full_since.time_since_epoch().count());
+  return (full << kTimeShift) |
+         (static_cast<std::uint64_t>(report.stage) << kStageShift) |
+         static_cast<std::uint64_t>(report.clean);
+}
+
+// One thing to tell the other data centres.
+struct NewsItem {
+  std::string key;
+  std::uint64_t facts = 0;
+  // Said in each turn.
+  bool always = false;
+  std::string bytes;
+};
+
+// The items to send now: the changed ones and, in a turn, those that are always
+// said and the `in_turn` others that wait the longest. Notes them in `sent`.
+std::vector<std::string> TakeNews(std::map<std::string, NewsSent>& sent,
+                                  std::vector<NewsItem> items,
+                                  bool turn,
+                                  std::size_t in_turn,
+                                  TimePoint now) {
+  std::map<std::string, NewsSent> still;
+  for (const NewsItem& item : items) {
+    if (const auto found = sent.find(item.key); found != sent.end())
+      still.insert(*found);
+  }
+  sent = std::move(still);
+  const auto sent_at = [&](const NewsItem& item) {
+    const auto found = sent.find(item.key);
+    return found == sent.end() ? TimePoint() : found->second.at;
+  };
+  std::stable_sort(items.begin(), items.end(),
+                   [&](const NewsItem& left, const NewsItem& right) {
+                     return sent_at(left) < sent_at(right);
+                   });
+  std::vector<std::string> taken;
+  for (NewsItem& item : items) {
+    const auto found = sent.find(item.key);
+    const bool changed =
+        found == sent.end() || found->second.facts != item.facts;
+    if (!changed && !(turn && item.always)) {
+      if (!turn || in_turn == 0)
+        continue;
+      --in_turn;
+    }
+    sent[item.key] = {item.facts, now};
+    taken.push_back(std::move(item.bytes));
+  }
+  return taken;
+}
+
+std::vector<NewsItem> VerdictItems(const MovesService& service) {
+  std::vector<NewsItem> items;
   for (const auto& [move, verdict] : service.state.verdicts)
-    news.verdicts.push_back(EncodeVerdict(verdict));
+    items.push_back(
+        {move, VerdictRank(verdict), false, EncodeVerdict(verdict)});
+  return items;
+}
+
+// A move is done once every data centre has lately said that it is clean: such
+// reports are said in each turn.
+std::vector<NewsItem> ReportItems(const MovesService& service) {
+  std::vector<NewsItem> items;
   for (const auto& [key, report] : service.state.reports) {
-    if (key.second == service.data_center)
-      news.reports.push_back(EncodeReport(report));
+    if (key.second != service.data_center)
+      continue;
+    const bool waits = report.clean && report.stage == MoveStage::kRunning;
+    items.push_back({key.first, FactsOf(report), waits, EncodeReport(report)});
   }
+  return items;
+}
+
+void SendNews(Kernel& kernel, MovesService& service) {
+  if (!service.reader) {
+    service.verdicts_sent.clear();
+    service.reports_sent.clear();
+    return;
+  }
+  const TimePoint now = kernel.Now();
+  const bool turn = now >= service.next_news;
+  if (turn)
+    service.next_news = now + kNewsEvery;
+  MoveNews news;
+  news.verdicts = TakeNews(service.verdicts_sent, VerdictItems(service), turn,
+                           kVerdictsInTurn, now);
+  news.reports = TakeNews(service.reports_sent, ReportItems(service), turn,
+                          kReportsInTurn, now);
   if (news.verdicts.empty() && news.reports.empty())
     return;
   kernel.Post(kSpreadService,
--- a/src/node/moves_service.h
+++ b/src/node/moves_service.h
@@ -23,6 +23,12 @@
 // Kind of the log records that carry verdicts.
 inline constexpr std::string_view kVerdictRecord = "verdict";
 
+// What was last said of one verdict or report to the other data centres.
+struct NewsSent {
+  std::uint64_t facts = 0;
+  TimePoint at;
+};
+
 // Callers' threads pick versions and record answers while the kernel's thread
 // steps the moves: everything below `gate` is guarded by it.
 struct MovesService {
@@ -40,6 +46,10 @@
   MoveCapacity capacity;
   // Revision of `evidence` up to which own rows have been spread.
   std::uint64_t spread_revision = 0;
+  // By move, and by move and data centre.
+  std::map<std::string, NewsSent> verdicts_sent;
+  std::map<std::string, NewsSent> reports_sent;
+  TimePoint next_news;
 };
 
 // Registers the service. Precondition: `service` outlives `kernel`.
