Let the holders of claims come to rest

Cause: a reader knows its own data centre's members and what other readers offer every 3 s. A holder that another data centre had just chosen was in neither, so it counted as gone and was replaced, by every reader in turn. Ruled out: failed activations (every proposal was accepted and activated). New holders now count for 10 s after the epoch changed, until the next offers say more.

--- a/src/node/claims_service.cc
+++ b/src/node/claims_service.cc
@@ -107,6 +107,24 @@
   return known.member_alive || now - known.seen <= kAliveWithin;
 }
 
+bool IsKnown(const ClaimsService& service, const Holder& holder) {
+  return holder.id == service.self.id || service.local.contains(holder.id) ||
+         service.remote.contains(holder.id);
+}
+
+// A holder that another data centre has chosen among its own nodes is unknown
+// here until its next offer. Taken for gone, it would be replaced by every
+// reader in turn, and the epoch would never come to rest.
+void AddNewHolders(const ClaimsService& service,
+                   std::vector<Holder>& candidates) {
+  if (service.kernel->Now() - service.epoch_changed_at > kAliveWithin)
+    return;
+  for (const Holder& holder : service.epochs.log.current.holders) {
+    if (!IsKnown(service, holder))
+      candidates.push_back(holder);
+  }
+}
+
 std::vector<Holder> Candidates(const ClaimsService& service) {
   const TimePoint now = service.kernel->Now();
   std::vector<Holder> candidates = {service.self};
@@ -116,6 +134,7 @@
         candidates.push_back(known.holder);
     }
   }
+  AddNewHolders(service, candidates);
   return candidates;
 }
 
@@ -367,6 +386,10 @@
     service.end_read_at = folded.read_started;
   if (!service.epochs.log.known)
     return;
+  if (service.epochs.log.current.number != service.newest_epoch) {
+    service.newest_epoch = service.epochs.log.current.number;
+    service.epoch_changed_at = service.kernel->Now();
+  }
   if (service.epochs.log.current.number > 0)
     Learn(service, service.epochs.log.current);
   LearnActive(service, service.epochs.log.active);
--- a/src/node/claims_service.h
+++ b/src/node/claims_service.h
@@ -62,6 +62,9 @@
   Rng rng;
   bool reader = false;
   TimePoint end_read_at;
+  // The newest epoch read from the log, and since when.
+  std::uint64_t newest_epoch = 0;
+  TimePoint epoch_changed_at;
   // Since when this reader has not known the epoch in force.
   TimePoint unknown_since;
   TimePoint next_proposal;
