--- a/src/moves/step.cc
+++ b/src/moves/step.cc
@@ -2,35 +2,26 @@
 #include <cmath>
 
 #include "moves/effect.h"
+#include "moves/feeds.h"
+#include "moves/reports.h"
 #include "moves/schedule.h"
 #include "teaselspread/moves.h"
 
 namespace teaselspread {
 namespace {
 
+using moves::Actions;
+using moves::FeedsOf;
+using moves::NoteSilences;
 using moves::StageOf;
+using moves::StepInput;
 using moves::WaitsForEarlier;
 
-constexpr double kFull = 0.999;
 // Verdicts kept for moves that the configuration no longer names.
 constexpr std::size_t kMaxVerdicts = 512;
-// A report is sent early when the share has changed by this much.
-constexpr double kShareStep = 0.05;
-// Below this rate a data centre cannot judge by its own answers alone.
-constexpr double kLittleTraffic = 5;
 // Demand that is taken before any was seen: asks for the most evidence.
 constexpr double kUnknownRate = 1000;
 
-// Everything that one step of one move looks at.
-struct StepInput {
-  const Snapshot& snapshot;
-  const EvidenceTable& evidence;
-  const MoveCapacity& capacity;
-  TimePoint now;
-};
-
-using Actions = std::vector<MoveAction>;
-
 int SlotsOf(const MoveCapacity& capacity,
             const std::string& service,
             const std::string& version) {
@@ -73,77 +64,6 @@
     actions.push_back({MoveActionKind::kSpreadVerdict, std::move(verdict), {}});
 }
 
-// Notes which data centres have just come back after a silence. Their rows
-// bring minutes of answers at once, of which only the sums are known.
-void NoteSilences(MoveState& move, const StepInput& in, Duration unheard) {
-  for (const std::string& name : in.snapshot.data_centers) {
-    const auto heard = in.capacity.heard.find(name);
-    const bool silent =
-        heard != in.capacity.heard.end() && in.now - heard->second > unheard;
-    if (silent)
-      move.doubted_until[name] = in.now + unheard;
-  }
-}
-
-bool IsDoubted(const MoveState& move,
-               const std::string& data_center,
-               TimePoint now) {
-  const auto found = move.doubted_until.find(data_center);
-  return found != move.doubted_until.end() && now < found->second;
-}
-
-struct FeedTable {
-  // By scope and data centre.
-  std::map<std::pair<std::string, std::string>, Feed> feeds;
-};
-
-void AddRow(FeedTable& table,
-            const std::string& scope,
-            const EvidenceKey& key,
-            const EvidenceCells& cells,
-            bool fresh,
-            bool counted) {
-  Feed& feed = table.feeds[{scope, key.data_center}];
-  feed.scope = scope;
-  feed.data_center = key.data_center;
-  feed.counted = counted;
-  AddCells(fresh ? feed.totals.fresh : feed.totals.old, cells);
-}
-
-// Answers by route in the own data centre and everywhere. The sums over all
-// data centres count only with little traffic, when none of them sees enough by
-// itself: the shares of the data centres differ, and a fault of one of them
-// that both versions share would look like one of the version that has more of
-// its traffic there.
-std::vector<Feed> FeedsOf(const MovesState& state,
-                          const MoveState& move,
-                          const StepInput& in) {
-  const bool pooled = move.demand.known && move.demand.rate < kLittleTraffic;
-  FeedTable table;
-  EvidenceKey first;
-  first.move = move.config.id;
-  const auto& rows = in.evidence.rows;
-  for (auto row = rows.lower_bound(first);
-       row != rows.end() && row->first.move == move.config.id; ++row) {
-    const EvidenceKey& key = row->first;
-    const EvidenceCells& cells = row->second.cells;
-    const bool fresh = key.version == move.config.to;
-    if (key.route.empty() || (!fresh && key.version != move.config.from))
-      continue;
-    const bool counted = pooled && !IsDoubted(move, key.data_center, in.now);
-    AddRow(table, "everywhere", key, cells, fresh, counted);
-    AddRow(table, "everywhere/" + key.route, key, cells, fresh, counted);
-    if (key.data_center != state.data_center)
-      continue;
-    AddRow(table, "*", key, cells, fresh, true);
-    AddRow(table, key.route, key, cells, fresh, true);
-  }
-  std::vector<Feed> feeds;
-  for (auto& [key, feed] : table.feeds)
-    feeds.push_back(std::move(feed));
-  return feeds;
-}
-
 void TakeBack(MovesState& state,
               const MoveState& move,
               VerdictReason reason,
@@ -208,141 +128,6 @@
   return limited;
 }
 
-// The last report of the own data centre, if it is recent: what a restarted
-// node goes on from.
-const DataCenterReport* OwnReport(const MovesState& state,
-                                  const MoveState& move,
-                                  TimePoint now) {
-  const auto own = state.reports.find({move.config.id, state.data_center});
-  if (own == state.reports.end() ||
-      now - own->second.at > state.settings.unheard_after)
-    return nullptr;
-  return &own->second;
-}
-
-void TakeDemand(const MovesState& state, MoveState& move, TimePoint now) {
-  const DataCenterReport* own = OwnReport(state, move, now);
-  if (move.demand.known || own == nullptr || own->rate <= 0)
-    return;
-  move.demand.rate = own->rate;
-  move.demand.known = true;
-}
-
-void NoteFullShare(MovesState& state, MoveState& move, TimePoint now) {
-  if (move.share < kFull) {
-    move.full_since = TimePoint();
-    return;
-  }
-  if (move.full_since != TimePoint())
-    return;
-  move.full_since = now;
-  const DataCenterReport* own = OwnReport(state, move, now);
-  if (own != nullptr && own->full_since != TimePoint())
-    move.full_since = std::min(move.full_since, own->full_since);
-}
-
-bool WatchIsClean(const MoveState& move, TimePoint now) {
-  return move.stage == MoveStage::kRunning && move.full_since != TimePoint() &&
-         now - move.full_since >= move.config.watch &&
-         move.judgement.finding == Finding::kCalm;
-}
-
-// Sends the report when it says something new or is due again.
-void SendReport(MovesState& state,
-                MoveState& move,
-                DataCenterReport report,
-                Duration every,
-                Actions& actions) {
-  DataCenterReport& kept = state.reports[{report.move, report.data_center}];
-  report.clean |= kept.clean;
-  const bool changed = kept.clean != report.clean ||
-                       kept.stage != report.stage ||
-                       std::abs(kept.share - report.share) >= kShareStep ||
-                       kept.full_since != report.full_since;
-  if (!changed && report.at - move.reported_at < every)
-    return;
-  kept = JoinReports(kept, report);
-  move.reported_at = report.at;
-  actions.push_back({MoveActionKind::kSpreadReport, {}, kept});
-}
-
-void ReportRunning(MovesState& state,
-                   MoveState& move,
-                   const RouteTotals& own,
-                   TimePoint now,
-                   Actions& actions) {
-  DataCenterReport report;
-  report.move = move.config.id;
-  report.data_center = state.data_center;
-  report.at = now;
-  report.share = move.share;
-  report.rate = move.demand.known ? move.demand.rate : 0;
-  report.full_since = move.full_since;
-  report.clean = WatchIsClean(move, now);
-  report.new_runs = own.fresh.runs;
-  report.new_failures = own.fresh.failures;
-  report.old_runs = own.old.runs;
-  report.old_failures = own.old.failures;
-  SendReport(state, move, report, state.settings.report_every, actions);
-}
-
-// The figures stay as they were last: the evidence is dropped with the end.
-void ReportEnded(MovesState& state,
-                 MoveState& move,
-                 TimePoint now,
-                 Actions& actions) {
-  DataCenterReport report = state.reports[{move.config.id, state.data_center}];
-  report.move = move.config.id;
-  report.data_center = state.data_center;
-  report.at = now;
-  report.share = move.share;
-  report.stage = move.stage;
-  SendReport(state, move, report, state.settings.report_ended_every, actions);
-}
-
-// A data centre that is heard does not know the verdict yet: the rumour was
-// lost, or it was cut off when the verdict fell.
-bool SomeoneLags(const MovesState& state,
-                 const MoveState& move,
-                 const StepInput& in) {
-  for (const std::string& name : in.snapshot.data_centers) {
-    const auto report = state.reports.find({move.config.id, name});
-    if (report == state.reports.end() || report->second.stage >= move.stage)
-      continue;
-    if (in.now - report->second.at <= state.settings.unheard_after)
-      return true;
-  }
-  return false;
-}
-
-void SpreadAgain(const MovesState& state,
-                 MoveState& move,
-                 const StepInput& in,
-                 Actions& actions) {
-  const MovesSettings& settings = state.settings;
-  const Duration every = SomeoneLags(state, move, in)
-                             ? settings.report_every
-                             : settings.report_ended_every;
-  if (in.now - move.spread_at < every)
-    return;
-  move.spread_at = in.now;
-  actions.push_back(
-      {MoveActionKind::kSpreadVerdict, state.verdicts.at(move.config.id), {}});
-}
-
-bool EveryDataCenterIsClean(const MovesState& state,
-                            const MoveState& move,
-                            const StepInput& in) {
-  for (const std::string& data_center : in.snapshot.data_centers) {
-    const auto report = state.reports.find({move.config.id, data_center});
-    if (report == state.reports.end() || !report->second.clean)
-      return false;
-    if (in.now - report->second.at > state.settings.unheard_after)
-      return false;
-  }
-  return true;
-}
-
 void AppendIfDue(MovesState& state,
                  MoveState& move,
                  TimePoint now,
@@ -371,7 +156,7 @@
   EvidenceCells both = own.fresh;
   AddCells(both, own.old);
   moves::ObserveDemand(move.demand, both, in.now);
-  TakeDemand(state, move, in.now);
+  moves::TakeDemand(state, move, in.now);
   const bool old_serves = SlotsOf(in.capacity, config.service, config.from) > 0;
   NoteSilences(move, in, state.settings.unheard_after);
   move.judgement = StepJudge(move.judge, state.settings.judge, config.bounds,
@@ -385,9 +170,9 @@
     limited = ShareNow(state.settings, move, in, own.fresh);
   move.share = limited.share;
   move.limit = limited.limit;
-  NoteFullShare(state, move, in.now);
-  ReportRunning(state, move, own, in.now, actions);
-  if (EveryDataCenterIsClean(state, move, in)) {
+  moves::NoteFullShare(state, move, in.now);
+  moves::ReportRunning(state, move, own, in.now, actions);
+  if (moves::EveryDataCenterIsClean(state, move, in)) {
     Give(state,
          MakeVerdict(state, config, MoveStage::kDone,
                      VerdictReason::kWatchClean, in.now),
@@ -413,8 +198,8 @@
   if (move.stage != MoveStage::kRunning) {
     move.share = move.stage == MoveStage::kDone ? 1 : 0;
     move.limit = ShareLimit::kNone;
-    ReportEnded(state, move, in.now, actions);
-    SpreadAgain(state, move, in, actions);
+    moves::ReportEnded(state, move, in.now, actions);
+    moves::SpreadAgain(state, move, in, actions);
   }
   AppendIfDue(state, move, in.now, actions);
 }
