--- a/src/http/exchange.cc
+++ b/src/http/exchange.cc
@@ -200,6 +200,9 @@
   if (unsent && (stream.LastEnd() != WaitEnd::kReady ||
                  stream.BytesSent() == sent_before))
     return failed(FailureOf(stream, sent_before, unsent));
+  // An answer is never there at once: to read first would only be told so.
+  if (!unsent && stream.Wait(POLLIN) != WaitEnd::kReady)
+    return failed(FailureOf(stream, sent_before, http::error::end_of_stream));
   boost::beast::flat_buffer buffer;
   std::optional<Parser> parser;
   if (const auto error = ReadHead(stream, buffer, parser, request, options))
--- a/src/http/poll_stream.cc
+++ b/src/http/poll_stream.cc
@@ -64,7 +64,12 @@
   return *this;
 }
 
-WaitEnd PollStream::Wait(short events) const {
+WaitEnd PollStream::Wait(short events) {
+  this->last_end = this->Poll(events);
+  return this->last_end;
+}
+
+WaitEnd PollStream::Poll(short events) const {
   const auto silent_at = this->limits.silence >= std::chrono::hours(1)
                              ? Clock::time_point::max()
                              : Clock::now() + this->limits.silence;
@@ -90,8 +95,7 @@
 }
 
 bool PollStream::WaitOrFail(short events, boost::system::error_code& error) {
-  this->last_end = this->Wait(events);
-  if (this->last_end == WaitEnd::kReady)
+  if (this->Wait(events) == WaitEnd::kReady)
     return true;
   error =
       this->last_end == WaitEnd::kWatched
--- a/src/http/poll_stream.h
+++ b/src/http/poll_stream.h
@@ -73,14 +73,15 @@
   }
   // NOLINTEND(readability-identifier-naming)
 
-  // Waits until the socket has `events` (poll's names).
-  [[nodiscard]] WaitEnd Wait(short events) const;
+  // Waits until the socket has `events` (poll's names). What ended the wait is
+  // kept for LastEnd().
+  [[nodiscard]] WaitEnd Wait(short events);
 
   void SetLimits(const StreamLimits& bounds) { this->limits = bounds; }
   [[nodiscard]] int Fd() const { return this->fd; }
   [[nodiscard]] std::uint64_t BytesSent() const { return this->sent; }
   [[nodiscard]] std::uint64_t BytesReceived() const { return this->received; }
-  // Why the last failed read or write gave up; kReady when the socket failed.
+  // How the last wait ended; kReady when the socket failed.
   [[nodiscard]] WaitEnd LastEnd() const { return this->last_end; }
 
  private:
@@ -110,6 +111,7 @@
   std::size_t Receive(const Vectors& vectors, boost::system::error_code& error);
   std::size_t Transmit(const Vectors& vectors,
                        boost::system::error_code& error);
+  [[nodiscard]] WaitEnd Poll(short events) const;
   bool WaitOrFail(short events, boost::system::error_code& error);
 
   int fd;
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -12,6 +12,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -141,6 +142,8 @@
   int WaitExit(std::chrono::milliseconds limit = kHarnessPatience) {
     if (!WaitUntil([this] { return this->Exited(); }, limit) || this->pid <= 0)
       return -1;
+    // Its last words may still be on their way through the pipe.
+    WaitUntil([this] { return this->collected.load(); }, limit);
     return WIFEXITED(this->status) ? WEXITSTATUS(this->status)
                                    : 128 + WTERMSIG(this->status);
   }
@@ -161,6 +164,7 @@
       this->output.append(buffer, static_cast<std::size_t>(count));
     }
     ::close(fd);
+    this->collected = true;
   }
 
   pid_t pid = -1;
@@ -168,6 +172,7 @@
   std::string output;
   bool exited = false;
   int status = 0;
+  std::atomic<bool> collected{false};
   std::thread reader;
 };
 
