Node: announcements on their own address, idle connections closed, loud refusals

Three faults, found by reading the settings and by process tests.

The settings' announce address was read and then ignored: the upstream could announce itself on the callers' address only, so any caller could. A second server now serves the pages on announce when it differs from http, and http then answers 404 to /announce (node/announcements_are_taken_on_their_own_address_only).

Idle connections were never pruned, and those to a member that died or left were kept; a timer prunes after 30 s idle, and membership's changes forget the member.

A frame of another format was counted, but its reason was logged at debug only: an operator who mixes releases saw nothing. The first one, and one every 10 s, is a warning now; more would let rubbish fill the log.

The harness returned a program's output before its last lines had left the pipe; one test read an empty answer. WaitExit waits for the end of the pipe.

--- a/src/node/membership_service.cc
+++ b/src/node/membership_service.cc
@@ -15,7 +15,14 @@
        {"upstream", NameOf(member.upstream.state)}});
 }
 
-void Perform(Kernel& kernel, MembershipActions actions) {
+bool IsGone(const Member& member) {
+  return member.status == MemberStatus::kDead ||
+         member.status == MemberStatus::kLeft;
+}
+
+void Perform(Kernel& kernel,
+             const MembershipService& service,
+             MembershipActions actions) {
   for (SendMessage& send : actions.sends)
     kernel.Post(kTransportService, SendFrame{std::move(send)});
   for (const Member& member : actions.changes) {
@@ -23,6 +30,8 @@
     kernel.Post(kSpreadService, MemberChanged{member});
     kernel.Post(kRequestsService, MemberChanged{member});
     kernel.Post(kClaimsService, MemberChanged{member});
+    if (IsGone(member) && service.on_gone)
+      service.on_gone(member);
   }
   for (const PeerVersion& peer : actions.versions)
     kernel.Post(kSpreadService, PeerVersionSeen{peer});
@@ -48,7 +57,8 @@
   if (kernel.Now() >= service.wake_at)
     service.wake_set = false;
   if (kernel.Now() >= NextWake(service.state))
-    Perform(kernel, TickMembership(service.state, kernel.Now(), service.rng));
+    Perform(kernel, service,
+            TickMembership(service.state, kernel.Now(), service.rng));
   SetWake(kernel, service);
 }
 
@@ -59,16 +69,18 @@
                         [&](const Tick&) { OnTick(kernel, service); });
   kernel.Register<FrameArrived>(
       kMembershipService, [&](const FrameArrived& frame) {
-        Perform(kernel, ReceiveMembership(service.state, frame.message,
-                                          kernel.Now(), service.rng));
+        Perform(kernel, service,
+                ReceiveMembership(service.state, frame.message, kernel.Now(),
+                                  service.rng));
         SetWake(kernel, service);
       });
   kernel.Register<UpstreamAnnounced>(
       kMembershipService, [&](const UpstreamAnnounced& announced) {
         if (announced.announcement == service.state.self.upstream)
           return;
-        Perform(kernel, SetAnnouncement(service.state, announced.announcement,
-                                        kernel.Now(), service.rng));
+        Perform(kernel, service,
+                SetAnnouncement(service.state, announced.announcement,
+                                kernel.Now(), service.rng));
         SetWake(kernel, service);
       });
   kernel.Register<SpreadRumour>(
@@ -81,7 +93,7 @@
                {"reason", NameOf(actions.error().kind)}});
           return;
         }
-        Perform(kernel, std::move(*actions));
+        Perform(kernel, service, std::move(*actions));
         SetWake(kernel, service);
       });
   kernel.Register<HeldChanged>(
@@ -92,7 +104,7 @@
 }
 
 void AnnounceLeave(Kernel& kernel, MembershipService& service) {
-  Perform(kernel, Leave(service.state, kernel.Now(), service.rng));
+  Perform(kernel, service, Leave(service.state, kernel.Now(), service.rng));
 }
 
 }  // namespace teaselspread
--- a/src/node/membership_service.h
+++ b/src/node/membership_service.h
@@ -2,6 +2,8 @@
 #ifndef TEASELSPREAD_NODE_MEMBERSHIP_SERVICE_H_
 #define TEASELSPREAD_NODE_MEMBERSHIP_SERVICE_H_
 
+#include <functional>
+
 #include "node/messages.h"
 #include "teaselspread/kernel.h"
 #include "teaselspread/membership.h"
@@ -12,6 +14,8 @@
 struct MembershipService {
   Membership state;
   Rng rng;
+  // Called for each member that is dead or has left; may be empty.
+  std::function<void(const Member&)> on_gone;
   bool wake_set = false;
   TimePoint wake_at;
 };
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -21,10 +21,17 @@
 
 constexpr std::size_t kConnectionsPerTarget = 130;
 constexpr std::size_t kBodyMemory = 256U << 20;
+constexpr std::size_t kAnnounceConnections = 16;
+constexpr std::size_t kMaxAnnouncement = 16384;
 constexpr std::size_t kMaxBody = 64U << 20;
 // Others learn within this time that the node is leaving; until then it goes
 // on serving what they still send.
 constexpr std::chrono::milliseconds kLeaveNotice{1500};
+constexpr Duration kFrameWarningEvery = std::chrono::seconds(10);
+// Idle connections are looked through this often; one that was idle for the
+// whole time is closed. Otherwise each node would keep one to every node that
+// it ever sent to.
+constexpr Duration kIdleConnections = std::chrono::seconds(30);
 // The loop looks at least this often for work of callers' threads.
 constexpr std::chrono::milliseconds kLongestSleep{100};
 
@@ -66,13 +73,24 @@
   node.kernel.Post(owner, ModuleBody{frame.from, frame.body});
 }
 
+// Each refusal is counted. The first, and one every ten seconds, is a warning:
+// an operator who mixes releases must see why two nodes do not hear each other,
+// while a flood of rubbish must not fill the log.
+void RefuseFrame(Node& node, const Error& error) {
+  node.refused_frames.Add(error.kind);
+  const TimePoint now = SystemNow();
+  const bool loud = now >= node.next_frame_warning;
+  if (loud)
+    node.next_frame_warning = now + kFrameWarningEvery;
+  Log(loud ? LogLevel::kWarning : LogLevel::kDebug, kTransportService,
+      "frame-refused",
+      {{"reason", NameOf(error.kind)}, {"message", error.message}});
+}
+
 void HandleFrame(Node& node, std::string_view bytes) {
   const auto message = Decode(bytes);
   if (!message) {
-    node.refused_frames.Add(message.error().kind);
-    Log(LogLevel::kDebug, kTransportService, "frame-refused",
-        {{"reason", NameOf(message.error().kind)},
-         {"message", message.error().message}});
+    RefuseFrame(node, message.error());
     return;
   }
   if (const auto* frame = std::get_if<ModuleFrame>(&*message)) {
@@ -107,6 +125,41 @@
   StartRequestsService(node.kernel, node.requests);
 }
 
+bool HasAnnounceServer(const Node& node) {
+  return node.settings.announce != node.settings.http;
+}
+
+HttpResponse NotFound() {
+  return ErrorResponse(Error{ErrorKind::kNoRoute, "no such page here"});
+}
+
+// Announcements come from the VM itself. Where callers reach the node on
+// another address, they must not be able to move its traffic elsewhere.
+HttpResponse ServeCaller(Node& node, HttpRequest request) {
+  if (!IsPage(request))
+    return HandleRequest(node.requests, std::move(request));
+  if (PathOf(request) == kAnnouncePath && HasAnnounceServer(node))
+    return NotFound();
+  return ServePage(node, request);
+}
+
+Result<void> StartAnnounceServer(Node& node) {
+  if (!HasAnnounceServer(node))
+    return {};
+  HttpServerOptions options;
+  options.listen = node.settings.announce;
+  options.max_connections = kAnnounceConnections;
+  options.spare_threads = 1;
+  options.max_body_bytes = kMaxAnnouncement;
+  auto server = HttpServer::Start(options, [&node](const HttpRequest& request) {
+    return IsPage(request) ? ServePage(node, request) : NotFound();
+  });
+  if (!server)
+    return tl::make_unexpected(server.error());
+  node.announce_server = std::move(*server);
+  return {};
+}
+
 Result<void> StartServer(Node& node) {
   HttpServerOptions options;
   options.listen = node.settings.http;
@@ -115,9 +168,7 @@
   auto server = HttpServer::Start(
       options,
       [&node](HttpRequest request) {
-        return IsPage(request)
-                   ? ServePage(node, request)
-                   : HandleRequest(node.requests, std::move(request));
+        return ServeCaller(node, std::move(request));
       },
       [&node](const HttpRequest& request) {
         return CheckHead(node.requests, request);
@@ -145,6 +196,8 @@
     LeaveRequests(node.requests);
     std::thread([&node] {
       node.server->Stop();
+      if (node.announce_server)
+        node.announce_server->Stop();
       boost::asio::post(node.io, [&node] { node.io.stop(); });
     }).detach();
   });
@@ -159,6 +212,16 @@
   });
 }
 
+void PruneConnections(Node& node) {
+  node.prune.expires_after(kIdleConnections);
+  node.prune.async_wait([&node](boost::system::error_code error) {
+    if (error)
+      return;
+    node.clients.Prune(kIdleConnections);
+    PruneConnections(node);
+  });
+}
+
 SpreadSettings SpreadSettingsOf(const NodeSettings& settings) {
   SpreadSettings spread;
   spread.remotes = settings.remote_seeds;
@@ -187,6 +250,9 @@
   node.membership.state =
       MakeMembership(MembershipSettings{}, self, node.settings.seeds, now);
   node.membership.rng = FreshRng();
+  node.membership.on_gone = [&node](const Member& member) {
+    node.clients.Forget(member.http);
+  };
   node.spread.state = MakeSpread(SpreadSettingsOf(node.settings), self, now);
   node.spread.rng = FreshRng();
   node.config.data_center = node.settings.data_center;
@@ -213,6 +279,7 @@
 Node::Node(const NodeSettings& from)
     : settings(from),
       wake(this->io),
+      prune(this->io),
       signals(this->io, SIGTERM, SIGINT),
       transport(this->io,
                 [this](const Address&, std::string_view frame) {
@@ -237,7 +304,12 @@
   node.requests.budget = MemoryBudgetPtr(new MemoryBudget(kBodyMemory));
   if (auto served = StartServer(node); !served)
     return served;
+  if (auto served = StartAnnounceServer(node); !served)
+    return served;
+  const bool one_address = !HasAnnounceServer(node);
   node.settings.http = node.server->LocalAddress();
+  if (one_address)
+    node.settings.announce = node.settings.http;
   const Member self = SelfOf(node.settings);
   {
     const std::scoped_lock lock(node.requests.gate);
@@ -245,6 +317,7 @@
   }
   StartServices(node);
   WaitForSignals(node);
+  PruneConnections(node);
   Advance(node);
   Sleep(node);
   Log(LogLevel::kInfo, "node", "started",
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -39,6 +39,7 @@
   NodeSettings settings;
   boost::asio::io_context io;
   boost::asio::steady_timer wake;
+  boost::asio::steady_timer prune;
   boost::asio::signal_set signals;
   FrameTransport transport;
   Kernel kernel;
@@ -51,6 +52,9 @@
   ClaimsService claims;
   Requests requests;
   std::unique_ptr<HttpServer> server;
+  // The pages on the settings' `announce`, where that differs from `http`.
+  std::unique_ptr<HttpServer> announce_server;
+  TimePoint next_frame_warning;
   // Bytes of the frames sent, by kind of message.
   std::array<std::atomic<std::uint64_t>, kMessageKinds> bytes_by_kind{};
   // Frames that were refused, by kind of error.
--- a/src/node/pages.cc
+++ b/src/node/pages.cc
@@ -213,7 +213,7 @@
     {"/health", "GET", Health},
     {"/moves", "GET", Moves},
     {"/explain", "GET", Explain},
-    {"/announce", "POST", Announce},
+    {kAnnouncePath, "POST", Announce},
 }};
 
 }  // namespace
--- a/src/node/pages.h
+++ b/src/node/pages.h
@@ -2,6 +2,8 @@
 #ifndef TEASELSPREAD_NODE_PAGES_H_
 #define TEASELSPREAD_NODE_PAGES_H_
 
+#include <string_view>
+
 #include "node/requests.h"
 #include "teaselspread/http.h"
 
@@ -9,6 +11,9 @@
 
 struct Node;
 
+// Where the upstream announces itself.
+inline constexpr std::string_view kAnnouncePath = "/announce";
+
 // Whether `request` asks for one of the node's own pages. Their paths are
 // reserved: routes never see them. Thread safe.
 [[nodiscard]] bool IsPage(const HttpRequest& request);
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -28,6 +28,8 @@
   std::vector<std::string> upstream_flags;
   Address http;
   Address control;
+  // Where the upstream announces itself; a port of 0 is `http`.
+  Address announce;
   std::unique_ptr<Program> node;
   std::unique_ptr<Program> upstream;
 };
@@ -130,7 +132,8 @@
   void StartUpstream(FleetVm& vm) {
     std::vector<std::string> flags = {
         "--service=" + vm.service, "--version=" + vm.version,
-        "--node=" + TextOf(vm.http), "--renew_ms=300"};
+        "--node=" + TextOf(vm.announce.port == 0 ? vm.http : vm.announce),
+        "--renew_ms=300"};
     flags.insert(flags.end(), vm.upstream_flags.begin(),
                  vm.upstream_flags.end());
     vm.upstream = std::make_unique<Program>("upstream_standin", flags);
@@ -224,6 +227,41 @@
     return true;
   }
 
+  // The digest of what the node holds; "" when it does not answer.
+  static std::string DigestHeld(const FleetVm& vm) {
+    const HttpResponse page = CallOnce(vm.http, "GET", "/status");
+    if (page.status != 200)
+      return "";
+    return YAML::Load(page.body)["digest"].as<std::string>();
+  }
+
+  // What each node says of itself, for a test that fails.
+  std::string Describe() {
+    std::string text;
+    for (const auto& vm : this->vms) {
+      const std::string page = CallOnce(vm->http, "GET", "/status").body;
+      text.append(vm->id).append(": ");
+      text.append(page.substr(0, page.find('\n'))).append("\n");
+    }
+    return text;
+  }
+
+  // Whether all nodes hold `version` or more, and all the same.
+  bool AllAgree(ConfigVersion version) {
+    const std::string digest = DigestHeld(*this->vms.front());
+    for (const auto& vm : this->vms) {
+      if (DigestHeld(*vm) != digest)
+        return false;
+    }
+    return this->AllHold(version);
+  }
+
+  // More lines of `log:` in the settings of nodes that start from now on, each
+  // with two spaces before it.
+  void SetLogSettings(std::string lines) {
+    this->log_settings = std::move(lines);
+  }
+
   FleetVm& At(std::size_t index) { return *this->vms.at(index); }
   [[nodiscard]] std::size_t size() const { return this->vms.size(); }
   [[nodiscard]] const Address& LogAddress() const { return this->log_address; }
@@ -263,8 +301,11 @@
          << "\ndata_center: " << vm.data_center << "\nhttp: " << TextOf(vm.http)
          << "\ncontrol: " << TextOf(vm.control)
          << "\nupstream: 127.0.0.1:1\nlog:\n  address: "
-         << TextOf(this->log_address)
-         << "\nseeds: " << this->SeedsOf(vm.data_center, vm.id) << "\n";
+         << TextOf(this->log_address) << "\n"
+         << this->log_settings
+         << "seeds: " << this->SeedsOf(vm.data_center, vm.id) << "\n";
+    if (vm.announce.port != 0)
+      text << "announce: " << TextOf(vm.announce) << "\n";
     std::map<std::string, std::string> remotes;
     for (const auto& other : this->vms) {
       if (other->data_center != vm.data_center)
@@ -290,6 +331,7 @@
 
   std::string deployment;
   std::string folder;
+  std::string log_settings;
   int configs = 0;
   std::unique_ptr<Program> log;
   Address log_address;
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -12,6 +12,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -141,6 +142,8 @@
   int WaitExit(std::chrono::milliseconds limit = kHarnessPatience) {
     if (!WaitUntil([this] { return this->Exited(); }, limit) || this->pid <= 0)
       return -1;
+    // What it printed last may still be in the pipe.
+    WaitUntil([this] { return this->collected.load(); }, kHarnessPatience);
     return WIFEXITED(this->status) ? WEXITSTATUS(this->status)
                                    : 128 + WTERMSIG(this->status);
   }
@@ -161,9 +164,11 @@
       this->output.append(buffer, static_cast<std::size_t>(count));
     }
     ::close(fd);
+    this->collected = true;
   }
 
   pid_t pid = -1;
+  std::atomic<bool> collected{false};
   mutable std::mutex gate;
   std::string output;
   bool exited = false;
--- a/tests/process/node_test.cc
+++ b/tests/process/node_test.cc
@@ -263,5 +263,24 @@
             "%d %s", refused.status, refused.body.c_str());
 }
 
+// The upstream announces itself on a loopback address of its own. If the
+// address that callers use took announcements as well, any of them could send
+// the traffic of a VM to a place of their choice.
+Test(node, announcements_are_taken_on_their_own_address_only) {
+  Fleet fleet("test");
+  FleetVm& vm = fleet.Add("bole", "registry-desk", "v1");
+  fleet.Add("bole", "registry-desk", "v1");
+  vm.announce = FreeAddress();
+  cr_assert(fleet.Start());
+  cr_assert(fleet.Publish(fleet.WriteConfig(kBase)).exit_code == 0);
+  cr_assert(WaitUntil([&] { return fleet.AllHold(1); }, kPatience));
+  cr_assert(WaitUntil([&] { return fleet.AllSeen(); }, kPatience));
+  cr_assert(CallOnce(vm.http, "POST", "/announce", "{}").status == 404);
+  cr_assert(CallOnce(vm.http, "GET", "/cases/1").status == 200);
+  cr_assert(CallOnce(vm.announce, "GET", "/cases/1").status == 404);
+  cr_assert(CallOnce(vm.announce, "GET", "/health").status == 200);
+  cr_assert(vm.node->Stop() == 0);
+}
+
 }  // namespace
 }  // namespace teaselspread
