teaselctl: exit code 2 for bad flags, marks for nodes that are behind

Cause: the flags' parser ends the program with 1 on an unknown flag or a bad value, which the table of exit codes calls 'failed'. Our own check goes first, with the parser's public reflection; replacing the parser was ruled out.

--- a/src/commands/commands.cc
+++ b/src/commands/commands.cc
@@ -21,7 +21,8 @@
       {{"publish", "append the files and wait for the verdict"}, Publish},
       {{"status", "which version each proxy holds"}, Status},
       {{"moves", "the account of all moves"}, Moves},
-      {{"watch", "wait until --version is in force, or until all moves ended"},
+      {{"watch",
+        "wait until version --until is in force, or until all moves ended"},
        Watch},
       {{"explain", "how a request is routed, and why it was refused"}, Explain},
   };
--- a/src/commands/nodes.cc
+++ b/src/commands/nodes.cc
@@ -46,6 +46,8 @@
 struct DataCenterStatus {
   std::string data_center;
   ConfigVersion version = 0;
+  // The highest version that the node has heard of.
+  ConfigVersion newest = 0;
   Table members;
 };
 
@@ -58,6 +60,8 @@
     const YAML::Node page = YAML::Load(body);
     status.data_center = page["data_center"].as<std::string>();
     status.version = page["version"].as<ConfigVersion>();
+    status.newest =
+        std::max(status.version, page["highest_heard"].as<ConfigVersion>());
     for (const YAML::Node& member : page["members"]) {
       std::vector<std::string> row;
       for (const std::string& column : status.members.columns)
@@ -95,10 +99,29 @@
   std::string missing;
 };
 
+// The columns of ParseStatus that are read again.
+constexpr std::size_t kStatusColumn = 2;
+constexpr std::size_t kVersionColumn = 3;
+
+ConfigVersion VersionIn(const std::vector<std::string>& row) {
+  return ParseNumberText<ConfigVersion>(row.at(kVersionColumn)).value_or(0);
+}
+
+// Adds a column that says which rows do not hold the newest version known: what
+// an operator looks for in a list of hundreds.
+void MarkBehind(Table& table, ConfigVersion newest) {
+  for (const auto& row : table.rows)
+    newest = std::max(newest, VersionIn(row));
+  table.columns.emplace_back("config");
+  for (auto& row : table.rows) {
+    const bool alive = row.at(kStatusColumn) == "alive";
+    const bool behind = VersionIn(row) < newest;
+    row.emplace_back(!alive ? "-" : behind ? "behind" : "newest");
+  }
+}
+
 // How many live members of all the data centres asked hold `version`.
 Progress CountHolders(const CommandOptions& options) {
-  constexpr std::size_t kStatusColumn = 2;
-  constexpr std::size_t kVersionColumn = 3;
   Progress progress;
   for (const std::string& node : options.nodes) {
     const auto body = Fetch(node, "/status");
@@ -114,9 +137,7 @@
       if (row.at(kStatusColumn) != "alive")
         continue;
       ++progress.all;
-      const auto held =
-          ParseNumberText<ConfigVersion>(row.at(kVersionColumn)).value_or(0);
-      if (held >= options.version)
+      if (VersionIn(row) >= options.version)
         ++progress.there;
       else
         progress.missing = row.front();
@@ -146,12 +167,21 @@
   return progress;
 }
 
+// The result of a watch that came to its end.
+std::string ProgressText(const Progress& progress, OutputFormat format) {
+  if (format == OutputFormat::kJson)
+    return Concat("{\"reached\": ", progress.there, ", \"of\": ", progress.all,
+                  "}\n");
+  return Concat(progress.there, " of ", progress.all, "\n");
+}
+
 }  // namespace
 
 ExitCode Status(const CommandOptions& options, const CommandStreams& streams) {
   if (const auto given = CheckNodes(options); !given)
     return Report(given.error(), streams);
   Table all;
+  ConfigVersion newest = 0;
   for (const std::string& node : options.nodes) {
     const auto body = Fetch(node, "/status");
     if (!body)
@@ -159,12 +189,14 @@
     auto status = ParseStatus(*body);
     if (!status)
       return Report(status.error(), streams);
+    newest = std::max(newest, status->newest);
     all.columns = status->members.columns;
     for (auto& row : status->members.rows)
       all.rows.push_back(std::move(row));
   }
   std::sort(all.rows.begin(), all.rows.end());
   all.rows.erase(std::unique(all.rows.begin(), all.rows.end()), all.rows.end());
+  MarkBehind(all, newest);
   streams.out << FormatTable(all, options.output);
   return ExitCode::kOk;
 }
@@ -190,7 +222,7 @@
     const Progress progress =
         options.version > 0 ? CountHolders(options) : CountEnded(options);
     if (progress.there == progress.all) {
-      streams.out << progress.there << " of " << progress.all << "\n";
+      streams.out << ProgressText(progress, options.output);
       return ExitCode::kOk;
     }
     if (Clock::now() >= give_up) {
--- a/src/commands/publish.cc
+++ b/src/commands/publish.cc
@@ -142,6 +142,8 @@
     return Report(base.error(), streams);
   const std::string record =
       RecordFor(options, reader->fold, *document, publish_id);
+  streams.err << "publishing on version " << reader->fold.head
+              << ", publish_id " << publish_id << "\n";
   const auto outcome = Settle(options, *reader, record, publish_id, streams);
   if (!outcome)
     return Report(outcome.error(), streams);
--- a/tools/teaselctl.cc
+++ b/tools/teaselctl.cc
@@ -3,10 +3,12 @@
 #include <cstdint>
 #include <iostream>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
+#include <absl/flags/reflection.h>
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
 
@@ -78,11 +80,55 @@
 
 }  // namespace
 
+namespace {
+
+// The parser's own flags, which it doesn't list as such.
+bool IsHelpFlag(const std::string& name) {
+  return name.rfind("help", 0) == 0 || name == "version";
+}
+
+// What is wrong with the flags; "" if nothing. The parser ends the program with
+// 1 on a bad flag, which for a script means "failed" and not "mistyped".
+std::string FlagFault(int argc, char** argv) {
+  for (int i = 1; i < argc; ++i) {
+    std::string_view word = argv[i];
+    if (word == "--")
+      return "";
+    if (word.size() < 2 || word.front() != '-')
+      continue;
+    word.remove_prefix(word.substr(0, 2) == "--" ? 2 : 1);
+    const std::size_t equals = word.find('=');
+    const std::string name(word.substr(0, equals));
+    if (IsHelpFlag(name))
+      continue;
+    absl::CommandLineFlag* flag = absl::FindCommandLineFlag(name);
+    const bool negated = flag == nullptr && name.rfind("no", 0) == 0;
+    if (negated)
+      flag = absl::FindCommandLineFlag(name.substr(2));
+    if (flag == nullptr || (negated && !flag->IsOfType<bool>()))
+      return "no flag --" + name;
+    const bool has_value = equals != std::string_view::npos;
+    if (flag->IsOfType<bool>() && !has_value)
+      continue;
+    if (negated || (!has_value && i + 1 == argc))
+      return "bad value of --" + name;
+    const std::string value(has_value ? word.substr(equals + 1) : argv[++i]);
+    // The parser takes it again, to the same effect.
+    if (std::string error; !flag->ParseFrom(value, &error))
+      return error;
+  }
+  return "";
+}
+
+}  // namespace
+
 int main(int argc, char** argv) {
   absl::FlagsUsageConfig usage;
   usage.version_string = VersionText;
   absl::SetFlagsUsageConfig(usage);
   absl::SetProgramUsageMessage(HelpText());
+  if (const std::string fault = FlagFault(argc, argv); !fault.empty())
+    return Usage(fault);
   const std::vector<char*> words = absl::ParseCommandLine(argc, argv);
   constexpr std::size_t kWords = 2;
   if (words.size() != kWords)
