Node: the published limit on headers holds

Cause: limits/max_header_bytes was validated, published and never read; the server kept its own 8192 bytes. It now asks for the limit before each request, and a caller's head is held to it exactly. Ruled out: one fixed limit of the largest value that a file may set, 1 MiB, times 1024 connections is more memory than a node may take; the same limit for requests of other nodes, which add headers to a request that was let in at the limit.

Before: 4200 bytes pass with a limit of 4 KiB. After: 431 there, and 200 once 7 KiB is published (node/the_published_header_limit_holds). Not tested through to an upstream above 8 KiB: the upstream stand-in reads no longer heads.

--- a/include/teaselspread/http_server.h
+++ b/include/teaselspread/http_server.h
@@ -46,6 +46,9 @@
   // Threads that wait ready for new connections.
   std::size_t spare_threads = 16;
   std::size_t max_header_bytes = 8192;
+  // Asked before each request, in place of max_header_bytes; may be empty. Must
+  // be thread safe.
+  std::function<std::size_t()> head_limit;
   std::size_t max_body_bytes = 64U << 20;
   // Bodies of requests are counted here; none means no common bound.
   MemoryBudgetPtr budget;
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -94,7 +94,9 @@
 
 Result<void> ServerConnection::ReadHead(Parser& parser) {
   const HttpServerOptions& options = this->settings.options;
-  parser.header_limit(static_cast<std::uint32_t>(options.max_header_bytes));
+  const std::size_t head_bytes =
+      options.head_limit ? options.head_limit() : options.max_header_bytes;
+  parser.header_limit(static_cast<std::uint32_t>(head_bytes));
   parser.body_limit(options.max_body_bytes);
   StreamLimits bounds;
   bounds.deadline = Clock::now() + options.head_timeout;
--- a/src/node/config_service.cc
+++ b/src/node/config_service.cc
@@ -101,6 +101,7 @@
     return;
   }
   service.in_force = std::move(*next);
+  service.max_header_bytes = service.in_force.snapshot->limits.max_header_bytes;
   Log(LogLevel::kInfo, kConfigService, "in-force",
       {{"version", service.in_force.version},
        {"publish_id", service.in_force.publish_id}});
--- a/src/node/config_service.h
+++ b/src/node/config_service.h
@@ -2,6 +2,8 @@
 #ifndef TEASELSPREAD_NODE_CONFIG_SERVICE_H_
 #define TEASELSPREAD_NODE_CONFIG_SERVICE_H_
 
+#include <atomic>
+#include <cstddef>
 #include <string>
 
 #include "node/messages.h"
@@ -31,6 +33,8 @@
   FoldState fold;
   CheckpointTimer checkpoint_timer;
   bool reader = false;
+  // The limit in force, for the callers' threads.
+  std::atomic<std::size_t> max_header_bytes{LimitsConfig{}.max_header_bytes};
   Rng rng;
 };
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -21,6 +21,8 @@
 
 constexpr std::size_t kConnectionsPerTarget = 130;
 constexpr std::size_t kBodyMemory = 256U << 20;
+// Room for the headers that nodes add to a request.
+constexpr std::size_t kNodeHeaderBytes = 4096;
 constexpr std::size_t kAnnounceConnections = 16;
 constexpr std::size_t kMaxAnnouncement = 16384;
 constexpr std::size_t kMaxBody = 64U << 20;
@@ -160,18 +162,43 @@
   return {};
 }
 
+std::size_t HeadBytes(const HttpRequest& request) {
+  // "METHOD TARGET HTTP/1.1", its line end, and the empty line.
+  constexpr std::size_t kAroundLine = 14;
+  constexpr std::size_t kAroundHeader = 4;
+  std::size_t bytes =
+      request.method.size() + request.target.size() + kAroundLine;
+  for (const auto& [name, value] : request.headers)
+    bytes += name.size() + value.size() + kAroundHeader;
+  return bytes;
+}
+
+// Another node adds headers of its own to a request that was within the limit;
+// refused here, it would fail at random, depending on the node it came to. So
+// the server leaves room for them, and only a caller's request is held to the
+// limit itself.
+Result<std::size_t> CheckCallersHead(Node& node, const HttpRequest& request) {
+  const bool from_node = !FindHeader(request.headers, kHeaderHop).empty();
+  if (!from_node && HeadBytes(request) > node.config.max_header_bytes)
+    return Fail(ErrorKind::kHeadersTooLarge, "the headers are too large");
+  return CheckHead(node.requests, request);
+}
+
 Result<void> StartServer(Node& node) {
   HttpServerOptions options;
   options.listen = node.settings.http;
   options.max_body_bytes = kMaxBody;
   options.budget = node.requests.budget;
+  options.head_limit = [&node] {
+    return node.config.max_header_bytes + kNodeHeaderBytes;
+  };
   auto server = HttpServer::Start(
       options,
       [&node](HttpRequest request) {
         return ServeCaller(node, std::move(request));
       },
       [&node](const HttpRequest& request) {
-        return CheckHead(node.requests, request);
+        return CheckCallersHead(node, request);
       });
   if (!server)
     return tl::make_unexpected(server.error());
--- a/tests/process/node_test.cc
+++ b/tests/process/node_test.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <future>
+#include <set>
 #include <string>
 
 #include "process/fleet.h"
@@ -263,6 +264,30 @@
             "%d %s", refused.status, refused.body.c_str());
 }
 
+// The operator raises the limit on headers, for clerks whose tokens are long. A
+// node that kept its own limit would go on refusing them; one that held other
+// nodes to the limit would refuse what the first node has let in.
+Test(node, the_published_header_limit_holds) {
+  Fleet fleet("test");
+  SetUp(fleet);
+  const auto status_with = [&](std::size_t bytes) {
+    const HttpHeaders headers = {{"X-Token", std::string(bytes, 'a')}};
+    std::set<int> seen;
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+      seen.insert(
+          CallOnce(fleet.At(i).http, "GET", "/cases/1", "", headers).status);
+    return seen;
+  };
+  cr_assert(status_with(3900) == std::set<int>{200});
+  cr_assert(status_with(4200) == std::set<int>{431});
+  const std::string raised =
+      std::string(kBase) + "limits: {max_header_bytes: 7KiB}\n";
+  cr_assert(fleet.Publish(fleet.WriteConfig(raised)).exit_code == 0);
+  cr_assert(WaitUntil([&] { return status_with(6800) == std::set<int>{200}; },
+                      kPatience));
+  cr_assert(status_with(7300) == std::set<int>{431});
+}
+
 // The upstream announces itself on a loopback address of its own. If the
 // address that callers use took announcements as well, any of them could send
 // the traffic of a VM to a place of their choice.
