--- a/src/commands/commands.cc
+++ b/src/commands/commands.cc
@@ -22,7 +22,8 @@
       {{"history", "the last publishes and what became of each"}, History},
       {{"status", "which version each proxy holds"}, Status},
       {{"moves", "the account of all moves"}, Moves},
-      {{"watch", "wait until --version is in force, or until all moves ended"},
+      {{"watch",
+        "wait until version --until is in force, or until all moves ended"},
        Watch},
       {{"explain", "how a request is routed, and why it was refused"}, Explain},
   };
--- a/src/node/membership_service.cc
+++ b/src/node/membership_service.cc
@@ -15,7 +15,19 @@
        {"upstream", NameOf(member.upstream.state)}});
 }
 
-void Perform(Kernel& kernel, MembershipActions actions) {
+bool IsGone(const Member& member) {
+  return member.status == MemberStatus::kDead ||
+         member.status == MemberStatus::kLeft;
+}
+
+void Perform(Kernel& kernel,
+             MembershipService& service,
+             MembershipActions actions) {
+  if (const std::uint64_t own = service.state.self.incarnation;
+      own != service.told_incarnation) {
+    service.told_incarnation = own;
+    kernel.Post(kSpreadService, IncarnationChanged{own});
+  }
   for (SendMessage& send : actions.sends)
     kernel.Post(kTransportService, SendFrame{std::move(send)});
   for (const Member& member : actions.changes) {
@@ -23,6 +35,8 @@
     kernel.Post(kSpreadService, MemberChanged{member});
     kernel.Post(kRequestsService, MemberChanged{member});
     kernel.Post(kClaimsService, MemberChanged{member});
+    if (IsGone(member) && service.on_gone)
+      service.on_gone(member);
   }
   for (const PeerVersion& peer : actions.versions)
     kernel.Post(kSpreadService, PeerVersionSeen{peer});
@@ -48,7 +62,8 @@
   if (kernel.Now() >= service.wake_at)
     service.wake_set = false;
   if (kernel.Now() >= NextWake(service.state))
-    Perform(kernel, TickMembership(service.state, kernel.Now(), service.rng));
+    Perform(kernel, service,
+            TickMembership(service.state, kernel.Now(), service.rng));
   SetWake(kernel, service);
 }
 
@@ -61,7 +76,7 @@
         {{"key", rumour.key}, {"reason", NameOf(actions.error().kind)}});
     return;
   }
-  Perform(kernel, std::move(*actions));
+  Perform(kernel, service, std::move(*actions));
   SetWake(kernel, service);
 }
 
@@ -86,16 +101,18 @@
                         [&](const Tick&) { OnTick(kernel, service); });
   kernel.Register<FrameArrived>(
       kMembershipService, [&](const FrameArrived& frame) {
-        Perform(kernel, ReceiveMembership(service.state, frame.message,
-                                          kernel.Now(), service.rng));
+        Perform(kernel, service,
+                ReceiveMembership(service.state, frame.message, kernel.Now(),
+                                  service.rng));
         SetWake(kernel, service);
       });
   kernel.Register<UpstreamAnnounced>(
       kMembershipService, [&](const UpstreamAnnounced& announced) {
         if (announced.announcement == service.state.self.upstream)
           return;
-        Perform(kernel, SetAnnouncement(service.state, announced.announcement,
-                                        kernel.Now(), service.rng));
+        Perform(kernel, service,
+                SetAnnouncement(service.state, announced.announcement,
+                                kernel.Now(), service.rng));
         SetWake(kernel, service);
       });
   kernel.Register<SpreadRumour>(kMembershipService,
@@ -115,7 +132,7 @@
 }
 
 void AnnounceLeave(Kernel& kernel, MembershipService& service) {
-  Perform(kernel, Leave(service.state, kernel.Now(), service.rng));
+  Perform(kernel, service, Leave(service.state, kernel.Now(), service.rng));
 }
 
 }  // namespace teaselspread
--- a/src/node/messages.h
+++ b/src/node/messages.h
@@ -51,6 +51,12 @@
   PeerVersion peer;
 };
 
+// From membership: this node's own incarnation. It jumps when the VM's clock
+// went back over a restart and others know a later start.
+struct IncarnationChanged {
+  std::uint64_t incarnation = 0;
+};
+
 // From membership: a rumour that is new here.
 struct RumourHeard {
   OpaqueRumour rumour;
--- a/src/node/spread_service.cc
+++ b/src/node/spread_service.cc
@@ -95,6 +95,10 @@
     Perform(kernel, service,
             ReceiveSpread(state, frame.message, kernel.Now(), rng));
   });
+  kernel.Register<IncarnationChanged>(
+      kSpreadService, [&](const IncarnationChanged& changed) {
+        SetIncarnation(state, changed.incarnation);
+      });
   kernel.Register<MemberChanged>(
       kSpreadService, [&](const MemberChanged& change) {
         Perform(kernel, service,
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -168,11 +168,11 @@
   }
 
   pid_t pid = -1;
+  std::atomic<bool> collected{false};
   mutable std::mutex gate;
   std::string output;
   bool exited = false;
   int status = 0;
-  std::atomic<bool> collected{false};
   std::thread reader;
 };
 
