--- a/benchmark/capacity_requests.h
+++ b/benchmark/capacity_requests.h
@@ -119,6 +119,7 @@
   const std::string ask = ClaimFrame(AskOf(attempt));
   sum.gatekeeper_us += ThreadMicros() - begin;
   std::vector<std::string> votes;
+  votes.reserve(keepers.size());
   begin = ThreadMicros();
   for (ClaimKeeper& keeper : keepers)
     votes.push_back(
