Let data centres hear each other's evidence of a move

Cause: the judge pools the answers of all data centres when traffic is low, but nodes sent only verdicts and reports across, so each data centre judged its own few answers. Found by reading the module's contract; the new test of the service on a virtual clock fails without the rows (the other side hears 0 runs) and passes with them. A connection that could not be opened no longer counts against a version.

--- a/src/node/gate.cc
+++ b/src/node/gate.cc
@@ -246,8 +246,10 @@
                  const Admitted& admitted,
                  const Result<HttpResponse>& answer,
                  Duration took) {
-  // The caller left: that says nothing of the upstream.
-  if (!answer && answer.error().kind == ErrorKind::kCancelled)
+  // The caller left, or nothing was sent and another upstream gets the request:
+  // neither says anything of the version.
+  if (!answer && (answer.error().kind == ErrorKind::kCancelled ||
+                  answer.error().kind == ErrorKind::kConnectFailed))
     return;
   AnswerSample sample;
   sample.outcome = OutcomeOf(answer, admitted.suspect);
--- a/src/node/moves_service.cc
+++ b/src/node/moves_service.cc
@@ -19,6 +19,8 @@
 // drops them.
 constexpr Duration kEvidenceLife = std::chrono::hours(4);
 constexpr Duration kReportLife = std::chrono::minutes(10);
+// Rows in one turn for other data centres.
+constexpr std::size_t kRowsInTurn = 24;
 // Rows in one second's message; the rest follow in the next.
 constexpr std::size_t kRowsAtATime = 32;
 // News goes to each other data centre twice. Saying everything each second
@@ -190,6 +192,20 @@
   return items;
 }
 
+// With little traffic one data centre alone sees too few answers, and the judge
+// pools those of all of them. Without the others' rows it would let a bad
+// version through that fails now and then.
+std::vector<std::string> RowsForOthers(MovesService& service) {
+  std::vector<std::string> rows;
+  for (const EvidenceRow& row :
+       RowsSince(service.evidence, service.news_revision, kRowsInTurn,
+                 &service.news_revision)) {
+    if (row.key.data_center == service.data_center)
+      rows.push_back(EncodeRow(row));
+  }
+  return rows;
+}
+
 void SendNews(Kernel& kernel, MovesService& service) {
   if (!service.reader) {
     service.verdicts_sent.clear();
@@ -205,7 +221,9 @@
                            kVerdictsInTurn, now);
   news.reports = TakeNews(service.reports_sent, ReportItems(service), turn,
                           kReportsInTurn, now);
-  if (news.verdicts.empty() && news.reports.empty())
+  if (turn)
+    news.rows = RowsForOthers(service);
+  if (news.verdicts.empty() && news.reports.empty() && news.rows.empty())
     return;
   kernel.Post(kSpreadService,
               ToOtherDataCenters{Module::kMoves, EncodeNews(news)});
@@ -269,6 +287,12 @@
         kernel.Post(kMembershipService, SpreadRumour{RumourOf(*verdict)});
     }
   }
+  for (const std::string& bytes : news->rows) {
+    const auto row = DecodeRow(bytes);
+    if (row && MergeRow(service.evidence, *row))
+      kernel.Post(kMembershipService,
+                  SpreadRumour{RumourOf(*row, kernel.Now())});
+  }
   for (const std::string& bytes : news->reports) {
     if (TakeReport(kernel, service, bytes)) {
       if (const auto report = DecodeReport(bytes))
--- a/src/node/moves_service.h
+++ b/src/node/moves_service.h
@@ -44,6 +44,8 @@
   MovesState state;
   EvidenceTable evidence;
   MoveCapacity capacity;
+  // Revision of `evidence` up to which rows have gone to other data centres.
+  std::uint64_t news_revision = 0;
   // Revision of `evidence` up to which own rows have been spread.
   std::uint64_t spread_revision = 0;
   // By move, and by move and data centre.
@@ -97,10 +99,12 @@
 struct MoveNews {
   std::vector<std::string> verdicts;
   std::vector<std::string> reports;
+  // Evidence rows of the sender's data centre.
+  std::vector<std::string> rows;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->verdicts, this->reports);
+    archive(this->verdicts, this->reports, this->rows);
   }
 };
 
--- /dev/null
+++ b/tests/unit/moves_service_test.cc
@@ -0,0 +1,81 @@
+#include "node/moves_service.h"
+
+#include <criterion/criterion.h>
+
+#include <vector>
+
+#include "node/module_frames.h"
+#include "teaselspread/config.h"
+
+namespace teaselspread {
+namespace {
+
+constexpr TimePoint kStart{std::chrono::hours(500000)};
+
+// One data centre's reader: its moves, its kernel, and what it sent across.
+struct Side {
+  Kernel kernel;
+  MovesService service;
+  std::vector<ToOtherDataCenters> sent;
+};
+
+SnapshotPtr SnapshotFor(const std::string& data_center) {
+  ConfigSources sources;
+  sources.base = {"base.yaml",
+                  "deployment: test\n"
+                  "data_centers: [bole, piassa]\n"
+                  "services: {registry-desk: {version: v1}}\n"
+                  "routes:\n"
+                  "  case-index: {service: registry-desk, method: GET,\n"
+                  "               path_prefix: /cases}\n"
+                  "moves:\n"
+                  "  ledger: {service: registry-desk, from: v1, to: v2,\n"
+                  "           start: 2026-01-01T00:00:00Z,\n"
+                  "           by: 2036-01-01T00:00:00Z, watch: 10s}\n"};
+  const auto document = LoadSources(sources);
+  cr_assert(document.has_value(), "%s",
+            document ? "" : document.error().message.c_str());
+  return *Render(*document, data_center, 1);
+}
+
+void Begin(Side& side, const std::string& data_center) {
+  side.service.node = data_center + "-1";
+  side.service.incarnation = 1;
+  side.service.data_center = data_center;
+  side.service.state.node = side.service.node;
+  side.service.state.data_center = data_center;
+  side.service.reader = true;
+  side.kernel.Register<ToOtherDataCenters>(
+      kSpreadService,
+      [&side](const ToOtherDataCenters& sent) { side.sent.push_back(sent); });
+  StartMovesService(side.kernel, side.service);
+  side.kernel.Post(kMovesService, SnapshotInForce{SnapshotFor(data_center)});
+  side.kernel.Advance(kStart);
+}
+
+// A service has one request every few seconds in each data centre. Each alone
+// sees too few answers of the new version to judge it; unless they hear each
+// other's counters, a version that fails now and then is called done.
+Test(moves_service, a_data_center_hears_the_answers_of_the_others) {
+  Side bole;
+  Side piassa;
+  Begin(bole, "bole");
+  Begin(piassa, "piassa");
+  const SnapshotPtr snapshot = SnapshotFor("bole");
+  for (int i = 0; i < 7; ++i)
+    RecordAnswer(bole.service, *snapshot, snapshot->routes.front(), "v2",
+                 AnswerSample{AnswerOutcome::kFailed,
+                              std::chrono::milliseconds(3), false});
+  for (int second = 1; second <= 5; ++second)
+    bole.kernel.Advance(kStart + std::chrono::seconds(second));
+  for (const ToOtherDataCenters& sent : bole.sent)
+    piassa.kernel.Post(kMovesService, ModuleBody{{}, sent.body});
+  piassa.kernel.Advance(kStart + std::chrono::seconds(6));
+  const EvidenceCells heard =
+      TotalOf(piassa.service.evidence, "ledger", "bole", "v2", "case-index");
+  cr_assert(heard.runs == 7, "%d heard", static_cast<int>(heard.runs));
+  cr_assert(heard.failures == 7);
+}
+
+}  // namespace
+}  // namespace teaselspread
