--- a/tests/process/requests_test.cc
+++ b/tests/process/requests_test.cc
@@ -294,6 +294,9 @@
   cr_assert(refused > 0 && good >= 6, "%zu refused, %zu good", refused, good);
   cr_assert(late == 0, "%d refusals came late", late.load());
   cr_assert(Executions(fleet.At(0), "load-") == good);
+  // The load has gone: nothing of it may linger.
+  for (std::size_t i = 0; i < 8; ++i)
+    cr_assert(Get(fleet.At(i % 2), "/cases/1").status == 200);
 }
 
 // The queue is full of clerks' requests when other services ask for rates.
