herd_test: the paused node's neighbours did declare someone dead

The check for accusations reads the neighbours' logs. It would have passed as well if the log's words had changed; it now also requires the line on the paused node itself.

--- a/tests/process/herd_test.cc
+++ b/tests/process/herd_test.cc
@@ -183,6 +183,9 @@
   const ConfigVersion version = Publish(fleet, second);
   fleet.At(0).node->Signal(SIGCONT);
   cr_assert(WaitUntil([&] { return fleet.AllAgree(version); }, kPatience));
+  // The sleeper itself was declared dead, so the search below finds what it
+  // looks for.
+  bool sleeper_found = false;
   // Whoever was declared dead wrote so in its neighbours' logs.
   for (std::size_t i = 0; i < fleet.size(); ++i) {
     const std::string output = fleet.At(i).node->Output();
@@ -196,8 +199,10 @@
         continue;
       cr_assert(text.find(fleet.At(0).id) != std::string::npos, "%s",
                 text.c_str());
+      sleeper_found = true;
     }
   }
+  cr_assert(sleeper_found);
   cr_assert(WaitUntil([&] { return fleet.AllSeen(); }, kPatience));
 }
 
