--- a/include/teaselspread/claims.h
+++ b/include/teaselspread/claims.h
@@ -114,6 +114,8 @@
   TimePoint epoch_learned;
   TimePoint log_confirmed;
   TimePoint last_tick;
+  // When records that are too old are looked for next.
+  TimePoint next_sweep;
   // Requests read before this may have waited through a pause.
   TimePoint distrust_until;
   std::map<std::string, Handover> handovers;
--- a/src/claims/takeover.cc
+++ b/src/claims/takeover.cc
@@ -7,6 +7,8 @@
 namespace teaselspread {
 namespace {
 
+constexpr Duration kSweepEvery = std::chrono::seconds(10);
+
 const Holder* FindHolder(const std::vector<Holder>& holders,
                          std::string_view id) {
   const auto found =
@@ -139,7 +141,12 @@
   }
 }
 
+// A holder may keep a hundred thousand records: looking through all of them at
+// every tick was what first used up a holder's share of a core.
 void DropOldRecords(ClaimKeeper& keeper, TimePoint now) {
+  if (now < keeper.next_sweep)
+    return;
+  keeper.next_sweep = now + kSweepEvery;
   const Duration kept = LongestRepeat(keeper.settings);
   std::erase_if(keeper.records, [now, kept](const auto& entry) {
     return now - entry.second.touched > kept;
--- a/src/node/entry.cc
+++ b/src/node/entry.cc
@@ -119,7 +119,7 @@
             std::to_string(std::max<std::int64_t>(left.count(), 0)));
   CallOptions options;
   options.timeout = std::max(call.deadline - SystemNow(), Duration{1});
-  options.silence = std::min(options.timeout, call.snapshot->limits.silence);
+  options.silence = SilenceFor(call, options.timeout);
   options.reuse_within = call.route->idempotent ? std::chrono::seconds(15)
                                                 : std::chrono::seconds(1);
   options.expected_request_id = call.id;
--- a/src/node/gate.cc
+++ b/src/node/gate.cc
@@ -135,7 +135,7 @@
   CallOptions options;
   const Duration left = call.deadline - SystemNow();
   options.timeout = std::max(left, Duration{1});
-  options.silence = std::min(options.timeout, call.snapshot->limits.silence);
+  options.silence = SilenceFor(call, options.timeout);
   // A request that may not be repeated must not be lost in a connection that
   // went silent while it was idle.
   options.reuse_within = call.route->idempotent ? kReuse : kReuseForOnce;
@@ -364,6 +364,10 @@
       XXH3_64bits(call.request.body.data(), call.request.body.size()));
 }
 
+Duration SilenceFor(const Call& call, Duration left) {
+  return std::min(left, std::max(call.snapshot->limits.silence, left / 2));
+}
+
 void Apply(Requests& service, const GateActions& actions) {
   for (const std::uint64_t id : actions.run) {
     if (const auto waiter = service.waiters.find(id);
--- a/src/node/requests.h
+++ b/src/node/requests.h
@@ -169,6 +169,12 @@
 // safe.
 [[nodiscard]] Fingerprint RequestFingerprint(const Call& call);
 
+// Longest stretch without a byte in a call that may take `left`. Work of a
+// route with a long deadline may send nothing for longer than the limit for
+// connections; half of the time left keeps the other half for another try.
+// Thread safe.
+[[nodiscard]] Duration SilenceFor(const Call& call, Duration left);
+
 // The rows about `fingerprint` as header text, empty without any; and back,
 // ignoring rows about other requests. Thread safe.
 [[nodiscard]] std::string SuspectsText(Requests& service,
