--- a/include/teaselspread/settings.h
+++ b/include/teaselspread/settings.h
@@ -26,16 +26,14 @@
   Duration probe_interval = std::chrono::seconds(1);
   // Answer of a probed member.
   Duration probe_timeout = std::chrono::milliseconds(300);
-  // Between reads of the log while nothing is new.
-  Duration log_poll = std::chrono::milliseconds(200);
+  // How long one read of the log waits for news.
+  Duration log_poll = std::chrono::seconds(2);
   // One call to the log.
   Duration log_timeout = std::chrono::seconds(2);
   // Between exchanges with another data centre.
   Duration exchange_interval = std::chrono::seconds(1);
   // After which an upstream that did not renew its announcement is gone.
   Duration announcement_lease = std::chrono::seconds(3);
-  // Longest time for requests in progress when the process is told to stop.
-  Duration drain = std::chrono::seconds(30);
 };
 
 // The platform's log service as far as readers must know it.
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -29,8 +29,7 @@
                  Interval("log_poll", timings.log_poll),
                  Interval("log_timeout", timings.log_timeout),
                  Interval("exchange_interval", timings.exchange_interval),
-                 Interval("announcement_lease", timings.announcement_lease),
-                 Interval("drain", timings.drain)});
+                 Interval("announcement_lease", timings.announcement_lease)});
 }
 
 Key LogKey(LogSettings& log) {
--- a/src/node/claims_service.cc
+++ b/src/node/claims_service.cc
@@ -33,27 +33,6 @@
 constexpr std::size_t kOffered = 2;
 constexpr int kCheckpointsPerRetention = 3;
 
-void SendTo(ClaimsService& service,
-            const Address& to,
-            const ClaimMessage& message) {
-  ModuleFrame frame;
-  frame.from.id = service.self.id;
-  frame.from.incarnation = service.self.boot_id;
-  frame.from.control = service.self.control;
-  frame.module = Module::kClaims;
-  frame.body = EncodeClaim(message);
-  SendMessage send{to, Transport::kDatagram, std::move(frame)};
-  send.transport = TransportFor(send.message);
-  service.kernel->Post(kTransportService, SendFrame{std::move(send)});
-}
-
-void SendToHolders(ClaimsService& service,
-                   const ClaimEpoch& epoch,
-                   const ClaimMessage& message) {
-  for (const Holder& holder : epoch.holders)
-    SendTo(service, holder.control, message);
-}
-
 void SendSeals(ClaimsService& service, const SealAsks& asks) {
   for (const Holder& holder : asks.to)
     SendTo(service, holder.control,
@@ -233,30 +212,6 @@
   SendTo(service, peer->second.holder.control, EpochQuery{});
 }
 
-void Decide(ClaimsService& service, std::uint64_t sequence) {
-  const auto found = service.pending.find(sequence);
-  if (found == service.pending.end())
-    return;
-  const PendingClaimPtr pending = found->second;
-  service.pending.erase(found);
-  const std::scoped_lock lock(pending->gate);
-  ++service.verdicts.at(static_cast<std::size_t>(pending->attempt.verdict));
-  pending->decided = true;
-  pending->changed.notify_all();
-}
-
-// A lost ask or vote is made good by asking again.
-void AskAgain(ClaimsService& service) {
-  for (const auto& [sequence, pending] : service.pending) {
-    const std::scoped_lock lock(pending->gate);
-    const ClaimAttempt& attempt = pending->attempt;
-    for (const Holder& holder : attempt.epoch.holders) {
-      if (!attempt.votes.contains(holder.id))
-        SendTo(service, holder.control, AskOf(attempt));
-    }
-  }
-}
-
 void OnTick(ClaimsService& service) {
   Kernel& kernel = *service.kernel;
   const TimePoint now = kernel.Now();
@@ -291,19 +246,6 @@
   }
 }
 
-void HearVote(ClaimsService& service, const ClaimVote& vote) {
-  const auto found = service.pending.find(vote.attempt.sequence);
-  if (found == service.pending.end())
-    return;
-  ClaimVerdict verdict = ClaimVerdict::kPending;
-  {
-    const std::scoped_lock lock(found->second->gate);
-    verdict = TakeVote(found->second->attempt, vote, service.kernel->Now());
-  }
-  if (verdict != ClaimVerdict::kPending)
-    Decide(service, vote.attempt.sequence);
-}
-
 void HearNotice(ClaimsService& service, const EpochNotice& notice) {
   AdoptEpochs(service.epochs, {true, notice.epoch, notice.active},
               notice.through);
@@ -415,89 +357,8 @@
     ReadEpoch(service.epochs, found.offset, *epoch);
 }
 
-void Begin(ClaimsService& service, const PendingClaimPtr& pending) {
-  std::uint64_t sequence = 0;
-  {
-    const std::scoped_lock lock(pending->gate);
-    ClaimAttempt& attempt = pending->attempt;
-    sequence = service.next_sequence++;
-    const AttemptId id{service.self.id, service.self.boot_id, sequence};
-    attempt = BeginClaim(service.keeper, id, attempt.key, attempt.digest,
-                         service.kernel->Now());
-    if (attempt.verdict == ClaimVerdict::kPending)
-      SendToHolders(service, attempt.epoch, AskOf(attempt));
-  }
-  service.pending.emplace(sequence, pending);
-  if (pending->attempt.verdict != ClaimVerdict::kPending)
-    Decide(service, sequence);
-  service.kernel->Advance(SystemNow());
-}
-
-// The verdict, given up on if none comes in time.
-ClaimVerdict Await(ClaimsService& service,
-                   const PendingClaimPtr& pending,
-                   TimePoint deadline) {
-  std::unique_lock lock(pending->gate);
-  const bool decided = pending->changed.wait_until(
-      lock, deadline, [&] { return pending->decided; });
-  if (decided)
-    return pending->attempt.verdict;
-  const ClaimVerdict verdict = GiveUpClaim(pending->attempt);
-  service.post(
-      [&service, pending] { Decide(service, pending->attempt.id.sequence); });
-  return verdict;
-}
-
 }  // namespace
 
-Result<Claim> ClaimKeyFor(ClaimsService& service,
-                          const std::string& key,
-                          const std::string& method,
-                          const std::string& path,
-                          const std::string& body,
-                          TimePoint deadline) {
-  auto parsed = ParseClaimKey(key);
-  if (!parsed)
-    return tl::make_unexpected(parsed.error());
-  auto pending = std::make_shared<PendingClaim>();
-  pending->attempt.key = std::move(*parsed);
-  pending->attempt.digest = DigestOf(method, path, body);
-  service.post([&service, pending] { Begin(service, pending); });
-  const TimePoint limit =
-      std::min(deadline, SystemNow() + service.keeper.settings.claim_window);
-  const ClaimVerdict verdict = Await(service, pending, limit);
-  const std::scoped_lock lock(pending->gate);
-  if (verdict == ClaimVerdict::kGranted)
-    return Claim{pending->attempt, std::nullopt};
-  if (verdict == ClaimVerdict::kDone && pending->attempt.outcome.body_kept)
-    return Claim{pending->attempt, pending->attempt.outcome};
-  if (verdict == ClaimVerdict::kDone)
-    return Fail(ErrorKind::kOutcomeUnknown,
-                "it ran, but its answer was too large to be kept");
-  // A holder that granted this attempt would keep the key for minutes, although
-  // the attempt never runs.
-  if (!pending->attempt.epoch.holders.empty())
-    ReleaseKey(service, pending->attempt);
-  return Fail(ErrorOf(verdict), std::string(NameOf(verdict)));
-}
-
-void ReleaseKey(ClaimsService& service, const ClaimAttempt& attempt) {
-  service.post([&service, attempt] {
-    SendToHolders(service, attempt.epoch, ReleaseOf(attempt));
-    service.kernel->Advance(SystemNow());
-  });
-}
-
-void RecordKey(ClaimsService& service,
-               const ClaimAttempt& attempt,
-               const ClaimOutcome& outcome) {
-  service.post([&service, attempt, outcome] {
-    SendToHolders(service, attempt.epoch,
-                  DoneOf(service.keeper.settings, attempt, outcome));
-    service.kernel->Advance(SystemNow());
-  });
-}
-
 void StartClaimsService(Kernel& kernel, ClaimsService& service) {
   service.kernel = &kernel;
   kernel.Register<Tick>(kClaimsService, [&](const Tick&) { OnTick(service); });
--- a/src/node/claims_service.h
+++ b/src/node/claims_service.h
@@ -40,6 +40,8 @@
   std::mutex gate;
   std::condition_variable changed;
   bool decided = false;
+  // The caller's thread waits no more.
+  bool abandoned = false;
   ClaimAttempt attempt;
 };
 
@@ -110,6 +112,22 @@
                const ClaimAttempt& attempt,
                const ClaimOutcome& outcome);
 
+// The parts that the two files of this service share; kernel's thread only.
+
+// Sends `message` to one control address, or to every holder of `epoch`.
+void SendTo(ClaimsService& service,
+            const Address& to,
+            const ClaimMessage& message);
+void SendToHolders(ClaimsService& service,
+                   const ClaimEpoch& epoch,
+                   const ClaimMessage& message);
+
+// Asks the holders again that have not voted: an ask or a vote was lost.
+void AskAgain(ClaimsService& service);
+
+// Counts a vote for the attempt that it belongs to.
+void HearVote(ClaimsService& service, const ClaimVote& vote);
+
 }  // namespace teaselspread
 
 #endif  // TEASELSPREAD_NODE_CLAIMS_SERVICE_H_
--- a/src/node/log_service.cc
+++ b/src/node/log_service.cc
@@ -18,9 +18,6 @@
                    "appended",      "append-refused", "append-unknown",
                    "append-dropped"};
 
-// A read waits this long for news: an idle reader costs the log one request in
-// that time, and a change is still seen at once.
-constexpr Duration kLongPoll = std::chrono::seconds(2);
 constexpr std::size_t kRecordsAtATime = 256;
 constexpr Duration kFirstPause = std::chrono::milliseconds(100);
 constexpr Duration kLongestPause = std::chrono::seconds(3);
@@ -65,8 +62,9 @@
               const ReadPost& post) {
   LogBatch batch;
   batch.read_started = Now();
-  const ReadResult read = service.client->Read(
-      StreamOf(service.deployment), position.from, kRecordsAtATime, kLongPoll);
+  const ReadResult read =
+      service.client->Read(StreamOf(service.deployment), position.from,
+                           kRecordsAtATime, service.timings.log_poll);
   LogOffset next = position.from;
   if (!read) {
     if (read.error().error.kind != ErrorKind::kLogExpired) {
