Let one reader append a verdict instead of all of them

Cause: every reader of every data centre comes to the same verdict in the same second and appended it; at 24 data centres ten moves ended by one fault make 480 appends (worked out in CAPACITY.md), more than the log takes in a second. Readers now wait at random within 4 s and append unless they have read it. With 12 readers on a virtual clock: 12 appends without the wait, at most 3 with it (moves_service_test, seen failing without).

--- a/src/node/moves_service.cc
+++ b/src/node/moves_service.cc
@@ -15,6 +15,9 @@
 namespace {
 
 constexpr Duration kStep = std::chrono::seconds(1);
+// Over which the readers' appends of one verdict are spread; shorter than the
+// time after which the decision asks for the append again.
+constexpr Duration kAppendSpread = std::chrono::seconds(4);
 // Rumours of a move outlive the longest quiet spell in it; then every node
 // drops them.
 constexpr Duration kEvidenceLife = std::chrono::hours(4);
@@ -75,8 +78,34 @@
        {"route", verdict.route}});
 }
 
+// To this service itself: append the verdict unless it stands in the log.
+struct AppendVerdict {
+  Verdict verdict;
+};
+
+// The readers of all data centres come to one verdict at the same time. Each
+// waits at random first, and most then find that another was quicker.
+Duration RandomWait(MovesService& service) {
+  return Duration(service.rng() %
+                  static_cast<std::uint64_t>(kAppendSpread.count()));
+}
+
+void AppendUnlessLogged(Kernel& kernel,
+                        const MovesService& service,
+                        const Verdict& verdict) {
+  const auto logged = service.logged.find(verdict.move);
+  const bool is_there = logged != service.logged.end() &&
+                        logged->second.stage >= verdict.stage &&
+                        kernel.Now() - logged->second.at < kAppendSpread;
+  if (is_there || !service.reader)
+    return;
+  kernel.Post(kLogService,
+              AppendToLog{EncodeRecord(OpaqueRecord{std::string(kVerdictRecord),
+                                                    EncodeVerdict(verdict)})});
+}
+
 void Perform(Kernel& kernel,
-             const MovesService& service,
+             MovesService& service,
              const std::vector<MoveAction>& actions) {
   for (const MoveAction& action : actions) {
     switch (action.kind) {
@@ -85,11 +114,9 @@
         kernel.Post(kMembershipService, SpreadRumour{RumourOf(action.verdict)});
         break;
       case MoveActionKind::kAppendVerdict:
-        if (service.reader) {
-          kernel.Post(kLogService, AppendToLog{EncodeRecord(OpaqueRecord{
-                                       std::string(kVerdictRecord),
-                                       EncodeVerdict(action.verdict)})});
-        }
+        if (service.reader)
+          kernel.PostAt(kernel.Now() + RandomWait(service), kMovesService,
+                        AppendVerdict{action.verdict});
         break;
       case MoveActionKind::kSpreadReport:
         // Every node works out the same report; two readers are enough to
@@ -310,6 +337,7 @@
   if (!verdict)
     return;
   const std::scoped_lock lock(service.gate);
+  service.logged[verdict->move] = {verdict->stage, kernel.Now()};
   if (NoteLogged(service.state, *verdict, kernel.Now())) {
     LogVerdict(*verdict);
     kernel.Post(kMembershipService, SpreadRumour{RumourOf(*verdict)});
@@ -329,6 +357,10 @@
 void StartMovesService(Kernel& kernel, MovesService& service) {
   kernel.Register<Tick>(kMovesService,
                         [&](const Tick&) { Step(kernel, service); });
+  kernel.Register<AppendVerdict>(
+      kMovesService, [&](const AppendVerdict& append) {
+        AppendUnlessLogged(kernel, service, append.verdict);
+      });
   kernel.Register<SnapshotInForce>(kMovesService,
                                    [&](const SnapshotInForce& message) {
                                      const std::scoped_lock lock(service.gate);
--- a/src/node/moves_service.h
+++ b/src/node/moves_service.h
@@ -29,6 +29,12 @@
   TimePoint at;
 };
 
+// A verdict that was read in the log, and when.
+struct LoggedVerdict {
+  MoveStage stage = MoveStage::kRunning;
+  TimePoint at;
+};
+
 // Callers' threads pick versions and record answers while the kernel's thread
 // steps the moves: everything below `gate` is guarded by it.
 struct MovesService {
@@ -38,6 +44,9 @@
   // Readers speak for the data centre and append to the log. Used on the
   // kernel's thread only.
   bool reader = false;
+  Rng rng;
+  // By move; kernel's thread only.
+  std::map<std::string, LoggedVerdict> logged;
 
   mutable std::mutex gate;
   SnapshotPtr snapshot;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -285,6 +285,7 @@
   node.config.data_center = node.settings.data_center;
   node.config.checkpoint_rule.retention = node.settings.log.retention;
   node.config.rng = FreshRng();
+  node.moves.rng = FreshRng();
   node.moves.node = self.id;
   node.moves.incarnation = StartOf(self.incarnation);
   node.moves.data_center = self.data_center;
--- a/tests/unit/moves_service_test.cc
+++ b/tests/unit/moves_service_test.cc
@@ -77,5 +77,48 @@
   cr_assert(heard.failures == 7);
 }
 
+// A fault ends a move in every data centre at the same moment. Each of the 48
+// readers appended the verdict at once, so that ten moves ended by one shared
+// fault filled the log for more than a second, and operators' publishes waited
+// behind them.
+Test(moves_service, one_reader_appends_a_verdict_and_the_others_see_it) {
+  constexpr int kReaders = 12;
+  std::vector<Side> sides(kReaders);
+  std::vector<std::string> log;
+  for (int i = 0; i < kReaders; ++i) {
+    Side& side = sides.at(i);
+    Begin(side, i % 2 == 0 ? "bole" : "piassa");
+    side.service.rng.seed(i + 1);
+    side.kernel.Register<AppendToLog>(
+        kLogService,
+        [&log](const AppendToLog& append) { log.push_back(append.bytes); });
+  }
+  Verdict verdict;
+  verdict.move = "ledger";
+  verdict.service = "registry-desk";
+  verdict.from = "v1";
+  verdict.to = "v2";
+  verdict.stage = MoveStage::kTakenBack;
+  verdict.reason = VerdictReason::kFailures;
+  verdict.at = kStart;
+  for (Side& side : sides)
+    cr_assert(MergeVerdict(side.service.state, verdict));
+  std::size_t read = 0;
+  for (int tenth = 1; tenth <= 100; ++tenth) {
+    for (Side& side : sides)
+      side.kernel.Advance(kStart + tenth * std::chrono::milliseconds(100));
+    for (; read < log.size(); ++read) {
+      const auto record = DecodeRecord(log.at(read));
+      cr_assert(record.has_value());
+      for (Side& side : sides)
+        side.kernel.Post(
+            kMovesService,
+            OpaqueRecordFound{read + 1, std::get<OpaqueRecord>(*record)});
+    }
+  }
+  cr_assert(!log.empty());
+  cr_assert(log.size() <= 3, "%zu appends", log.size());
+}
+
 }  // namespace
 }  // namespace teaselspread
