--- a/benchmark/capacity_links.h
+++ b/benchmark/capacity_links.h
@@ -7,7 +7,7 @@
 
 #include "capacity_fit.h"
 #include "node/claims_messages.h"
-#include "node/moves_service.h"
+#include "node/moves_news.h"
 #include "teaselspread/spread.h"
 #include "teaselspread/verdict.h"
 #include "teaselspread/wire.h"
--- a/src/node/entry.cc
+++ b/src/node/entry.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/text.h"
+#include "node/crash_watch.h"
 #include "node/pages.h"
 #include "node/requests.h"
 #include "teaselspread/logging.h"
--- a/src/node/gate.cc
+++ b/src/node/gate.cc
@@ -2,20 +2,15 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
-#include <thread>
 #include <utility>
 
-#include <xxhash.h>
-
+#include "node/crash_watch.h"
 #include "node/requests.h"
 #include "teaselspread/logging.h"
 
 namespace teaselspread {
 namespace {
 
-constexpr Duration kProbeTimeout = std::chrono::milliseconds(200);
-constexpr int kProbes = 4;
-constexpr std::chrono::milliseconds kProbePause{20};
 constexpr Duration kCancelTimeout = std::chrono::milliseconds(200);
 constexpr Duration kReuseForOnce = std::chrono::seconds(1);
 constexpr Duration kReuse = std::chrono::seconds(15);
@@ -161,52 +156,6 @@
   return request;
 }
 
-bool BrokeOff(ErrorKind kind) {
-  return kind == ErrorKind::kUpstreamFailed || kind == ErrorKind::kTruncated ||
-         kind == ErrorKind::kConnectFailed;
-}
-
-// Whether the upstream takes no connection any more. While a process ends, its
-// listening socket may outlive the connection that broke by some milliseconds
-// and then resets what it accepted; so anything but an answer is asked again.
-bool IsGone(Requests& service, const Address& upstream) {
-  HttpRequest probe;
-  probe.target = "/health";
-  CallOptions options;
-  options.connect_timeout = kProbeTimeout;
-  options.timeout = kProbeTimeout;
-  options.reuse_within = Duration{0};
-  for (int attempt = 0; attempt < kProbes; ++attempt) {
-    const auto answer = service.clients->Send(upstream, probe, options);
-    if (answer)
-      return false;
-    if (answer.error().kind == ErrorKind::kConnectFailed)
-      return true;
-    std::this_thread::sleep_for(kProbePause);
-  }
-  return false;
-}
-
-// A connection that broke may be one connection's fault. Only an upstream that
-// takes no new one either has crashed, and then whatever ran there is suspect.
-void CheckCrash(Requests& service, const Address& upstream) {
-  if (!IsGone(service, upstream))
-    return;
-  const std::scoped_lock lock(service.gate);
-  if (service.upstream.crashed || service.upstream.address != upstream)
-    return;
-  std::vector<Fingerprint> in_flight;
-  for (const auto& [id, run] : service.running)
-    in_flight.push_back(run.fingerprint);
-  Log(LogLevel::kWarning, kRequestsService, "upstream-crashed",
-      {{"in_flight", in_flight.size()}});
-  for (const SuspectRow& row :
-       OnCrash(service.suspects, in_flight, SystemNow()))
-    service.rumours.push_back(RumourOf(row));
-  LoseUpstream(service, SystemNow());
-  service.flush();
-}
-
 // The caller left, but the upstream would work on for nobody, in a slot that is
 // given to the next request here. The thread is the caller's own, which has
 // nothing else to do.
@@ -262,13 +211,6 @@
                admitted.announcement.version, sample);
 }
 
-void ClearSuspect(Requests& service, Fingerprint fingerprint) {
-  const std::scoped_lock lock(service.gate);
-  for (const SuspectRow& row :
-       OnCleanRun(service.suspects, fingerprint, SystemNow()))
-    service.rumours.push_back(RumourOf(row));
-}
-
 // Sends the request to the upstream; the slot is held meanwhile.
 Result<HttpResponse> RunOnce(Requests& service,
                              const Call& call,
@@ -358,12 +300,6 @@
   return head;
 }
 
-Fingerprint RequestFingerprint(const Call& call) {
-  return FingerprintOf(
-      call.request.method, call.request.target,
-      XXH3_64bits(call.request.body.data(), call.request.body.size()));
-}
-
 Duration SilenceFor(const Call& call, Duration left) {
   return std::min(left, std::max(call.snapshot->limits.silence, left / 2));
 }
--- a/src/node/moves_service.h
+++ b/src/node/moves_service.h
@@ -104,23 +104,6 @@
 [[nodiscard]] std::vector<AccountRow> AccountOf(MovesService& service,
                                                 TimePoint now);
 
-// Verdicts and reports that another data centre should know, encoded.
-struct MoveNews {
-  std::vector<std::string> verdicts;
-  std::vector<std::string> reports;
-  // Evidence rows of the sender's data centre.
-  std::vector<std::string> rows;
-
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(this->verdicts, this->reports, this->rows);
-  }
-};
-
-// Thread safe. Errors of DecodeNews: kFrameMalformed.
-[[nodiscard]] std::string EncodeNews(const MoveNews& news);
-[[nodiscard]] Result<MoveNews> DecodeNews(const std::string& body);
-
 }  // namespace teaselspread
 
 #endif  // TEASELSPREAD_NODE_MOVES_SERVICE_H_
--- a/src/node/requests.h
+++ b/src/node/requests.h
@@ -115,10 +115,6 @@
   std::string suspects;
 };
 
-// Carries the rows about one request that may crash upstreams. An entry's next
-// attempt comes sooner than any rumour, so the rows travel with the request.
-inline constexpr std::string_view kHeaderSuspects = "X-Suspects";
-
 // Registers the service with the kernel. Precondition: `service` outlives it.
 void StartRequestsService(Kernel& kernel, Requests& service);
 
@@ -165,27 +161,12 @@
 // `request` as it is sent on: no body and no hop headers. Thread safe.
 [[nodiscard]] HttpRequest HeadOf(const HttpRequest& request);
 
-// Hash of what makes `call` the same request when it is sent again. Thread
-// safe.
-[[nodiscard]] Fingerprint RequestFingerprint(const Call& call);
-
 // Longest stretch without a byte in a call that may take `left`. Work of a
 // route with a long deadline may send nothing for longer than the limit for
 // connections; half of the time left keeps the other half for another try.
 // Thread safe.
 [[nodiscard]] Duration SilenceFor(const Call& call, Duration left);
 
-// The rows about `fingerprint` as header text, empty without any; and back,
-// ignoring rows about other requests. Thread safe.
-[[nodiscard]] std::string SuspectsText(Requests& service,
-                                       Fingerprint fingerprint);
-void TakeSuspectsText(Requests& service,
-                      Fingerprint fingerprint,
-                      std::string_view text);
-
-// One row about a crash as a rumour. Thread safe.
-[[nodiscard]] OpaqueRumour RumourOf(const SuspectRow& row);
-
 // The system clock. Edge code only.
 [[nodiscard]] TimePoint SystemNow();
 
--- a/src/node/requests_service.cc
+++ b/src/node/requests_service.cc
@@ -1,11 +1,9 @@
 #include <utility>
 
-#include <absl/strings/escaping.h>
 #include <yaml-cpp/yaml.h>
-#include <cereal/types/vector.hpp>
 
 #include "base/text.h"
-#include "node/bytes.h"
+#include "node/crash_watch.h"
 #include "node/requests.h"
 #include "teaselspread/logging.h"
 
@@ -73,14 +71,6 @@
   MarkStale(kernel, service);
 }
 
-void TakeSuspects(Requests& service, const OpaqueRumour& rumour) {
-  const auto row = FromBytes<SuspectRow>(rumour.body);
-  if (!row)
-    return;
-  const std::scoped_lock lock(service.gate);
-  MergeSuspects(service.suspects, std::span(&*row, 1), SystemNow());
-}
-
 // Renewals are seconds apart, so a lease of a few of them bears one loss.
 void CheckLease(Requests& service, TimePoint now) {
   if (service.upstream.announcement.state == UpstreamState::kNone)
@@ -177,36 +167,6 @@
 
 }  // namespace
 
-OpaqueRumour RumourOf(const SuspectRow& row) {
-  // Crashes and clearances only grow: their sum orders two copies of a row.
-  return {Topic::kCrashSuspect, Concat(row.fingerprint, "/", row.origin),
-          std::uint64_t{row.crashes} + row.cleared, ToBytes(row), row.expires};
-}
-
-std::string SuspectsText(Requests& service, Fingerprint fingerprint) {
-  const std::scoped_lock lock(service.gate);
-  const auto rows = service.suspects.rows.find(fingerprint);
-  if (rows == service.suspects.rows.end())
-    return "";
-  return absl::BytesToHexString(ToBytes(rows->second));
-}
-
-void TakeSuspectsText(Requests& service,
-                      Fingerprint fingerprint,
-                      std::string_view text) {
-  if (text.empty())
-    return;
-  const auto rows = FromBytes<std::vector<SuspectRow>>(
-      absl::HexStringToBytes(std::string(text)));
-  if (!rows)
-    return;
-  const std::scoped_lock lock(service.gate);
-  for (const SuspectRow& row : *rows) {
-    if (row.fingerprint == fingerprint)
-      MergeSuspects(service.suspects, std::span(&row, 1), SystemNow());
-  }
-}
-
 Result<void> TakeAnnouncement(Requests& service,
                               const std::string& body,
                               TimePoint now) {
