Wait until the sleeping node is given up instead of five seconds

herd::a_paused_node_accuses_nobody_and_catches_up failed twice on a busy machine (1 of 10 copies run at once): it slept 5 s and then expected that the neighbours had declared the sleeper dead. Cause: with two neighbours a suspicion lasts up to eight periods, so 5 s are sometimes too few; nothing was wrong in the nodes. The test now waits for the condition itself, which is as strict: the sleeper is dead to its neighbours when it wakes, no other member may be, and it must catch up.

--- a/tests/process/herd_test.cc
+++ b/tests/process/herd_test.cc
@@ -170,14 +170,21 @@
             reads, seconds);
 }
 
-// A VM stands still for five seconds and wakes up. It then believes that all
-// others were silent; if it said so, healthy upstreams would lose their
-// traffic.
+// A VM stands still until the others have given it up, and wakes up. It then
+// believes that all others were silent; if it said so, healthy upstreams would
+// lose their traffic.
 Test(herd, a_paused_node_accuses_nobody_and_catches_up) {
   Fleet fleet("test");
   SetUp(fleet, kHead);
   fleet.At(0).node->Signal(SIGSTOP);
-  std::this_thread::sleep_for(std::chrono::seconds(5));
+  // It sleeps until its neighbours have given it up, some seconds: only then is
+  // what it believes of them at its worst.
+  const std::string given_up = "member=" + fleet.At(0).id + " status=dead";
+  cr_assert(WaitUntil(
+      [&] {
+        return fleet.At(1).node->Output().find(given_up) != std::string::npos;
+      },
+      kPatience));
   std::string second = kHead;
   second += "  pages: {service: registry-desk, method: GET, path_prefix: /p}\n";
   const ConfigVersion version = Publish(fleet, second);
