Use the library's back-off and clock in the log service

The service had written again what the library has: doubled pauses spread at random (backoff.h) and the system clock (SystemNow).

--- a/src/node/log_service.cc
+++ b/src/node/log_service.cc
@@ -1,13 +1,13 @@
 #include "node/log_service.h"
 
-#include <algorithm>
 #include <array>
 #include <random>
 #include <utility>
 
 #include <boost/asio/post.hpp>
 
-#include "teaselspread/logging.h"
+#include "node/requests.h"
+#include "teaselspread/backoff.h"
 
 namespace teaselspread {
 namespace {
@@ -41,27 +41,19 @@
   return !service.stopping;
 }
 
-// Pauses before the next try: doubled each time, and spread at random, since
-// all readers lose the log at the same moment.
-void Pause(LogService& service, Duration& pause, Rng& rng) {
-  std::uniform_real_distribution<double> spread(0.5, 1.5);
-  const auto length = std::chrono::duration_cast<Duration>(pause * spread(rng));
-  pause = std::min(pause * 2, kLongestPause);
+// Pauses before the next try: all readers lose the log at the same moment.
+void Pause(LogService& service, Backoff& backoff, Rng& rng) {
+  const Duration length = NextDelay(backoff, rng);
   std::unique_lock lock(service.gate);
   service.changed.wait_for(lock, length, [&] { return service.stopping; });
 }
 
-TimePoint Now() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::system_clock::now());
-}
-
 // One read; false when it failed for a reason that a pause may mend.
 bool ReadOnce(LogService& service,
               const Position& position,
               const ReadPost& post) {
   LogBatch batch;
-  batch.read_started = Now();
+  batch.read_started = SystemNow();
   const ReadResult read =
       service.client->Read(StreamOf(service.deployment), position.from,
                            kRecordsAtATime, service.timings.log_poll);
@@ -94,13 +86,13 @@
 
 void ReadForever(LogService& service, const ReadPost& post) {
   Rng rng{std::random_device{}()};
-  Duration pause = kFirstPause;
+  Backoff backoff{kFirstPause, kLongestPause};
   Position position;
   while (AwaitReading(service, position)) {
     if (ReadOnce(service, position, post))
-      pause = kFirstPause;
+      Reset(backoff);
     else
-      Pause(service, pause, rng);
+      Pause(service, backoff, rng);
   }
 }
 
