--- a/include/teaselspread/logging.h
+++ b/include/teaselspread/logging.h
@@ -5,6 +5,7 @@
 
 #include <concepts>
 #include <cstdint>
+#include <functional>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -39,6 +40,13 @@
                   LogLevel level,
                   const std::string& file);
 
+// Takes whole lines, without their line end.
+using LogSink = std::function<void(std::string_view line)>;
+
+// The same with a sink in place of a file. The sink is called from the threads
+// that log; an empty one ends logging.
+void StartLogging(const LogIdentity& identity, LogLevel level, LogSink sink);
+
 // Writes one line; without StartLogging() it does nothing. Thread safe.
 void Log(LogLevel level,
          std::string_view service,
--- a/include/teaselspread/routing.h
+++ b/include/teaselspread/routing.h
@@ -28,6 +28,13 @@
                                             std::string_view method,
                                             std::string_view path);
 
+// The same among the routes of `host`, which is compared without its port and
+// without regard to case; the longest prefix wins. Thread safe.
+[[nodiscard]] const RouteConfig* MatchRoute(const Snapshot& snapshot,
+                                            std::string_view host,
+                                            std::string_view method,
+                                            std::string_view path);
+
 // How an upstream's answer counts for ejection. Shedding is load, not a fault.
 enum class AnswerKind : std::uint8_t { kGood, kFailed, kTimedOut, kShed };
 
--- a/include/teaselspread/snapshot.h
+++ b/include/teaselspread/snapshot.h
@@ -26,6 +26,8 @@
   std::string name;
   // Version that serves while no move of the service has changed it.
   std::string version;
+  // Path of the upstreams' health check; empty without one.
+  std::string health_path;
   // Requests that may wait at one gatekeeper.
   int queue_limit = 64;
   // Connections that one target accepts.
@@ -34,9 +36,22 @@
   Duration warm_up = std::chrono::seconds(5);
 };
 
+// One part of a route that is split between services.
+struct WeightedService {
+  std::string service;
+  // Share of the route's requests, relative to the other parts.
+  std::uint32_t weight = 0;
+};
+
 struct RouteConfig {
   std::string name;
   std::string service;
+  // Instead of `service`, where the route is split; empty otherwise.
+  std::vector<WeightedService> split;
+  // Host that the route belongs to, in lower case; empty fits every host.
+  std::string host;
+  // Upstreams to which one request may be sent.
+  int most_attempts = 3;
   std::string method;
   std::string path_prefix;
   Priority priority = Priority::kNormal;
@@ -78,6 +93,10 @@
   double retry_budget = 0.1;
   // Longest stretch without a byte on a connection in use.
   Duration silence = std::chrono::seconds(5);
+  // A caller's request headers have to be complete within this.
+  Duration header_timeout = std::chrono::seconds(3);
+  // A caller's connection may rest this long between requests.
+  Duration idle_timeout = std::chrono::seconds(15);
 };
 
 // Immutable once made. A request keeps the one it began with.
--- /dev/null
+++ b/include/teaselspread/upstream_lease.h
@@ -0,0 +1,96 @@
+// What the node beside an upstream believes of it: from the upstream's own
+// heartbeats, its leave call and what happens on its connections.
+//
+// Pure: the caller passes the time in. Nothing here is thread safe.
+#ifndef TEASELSPREAD_UPSTREAM_LEASE_H_
+#define TEASELSPREAD_UPSTREAM_LEASE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "teaselspread/types.h"
+
+namespace teaselspread {
+
+// One heartbeat, checked and decoded.
+struct UpstreamReport {
+  // Identity of the process; a restart may or may not keep it.
+  std::string instance;
+  std::string service;
+  std::string version;
+  int slots = 0;
+  bool leaving = false;
+  // Rises with each heartbeat of one process.
+  std::uint64_t sequence = 0;
+  // Milliseconds of the time of day at which the process started; tells two
+  // processes of one identity apart. 0 when it was not told.
+  std::int64_t born_ms = 0;
+  // How much longer the process is slow after its start.
+  Duration warm_up_left{};
+};
+
+enum class ReportVerdict : std::uint8_t {
+  kTaken,
+  // Sent before one that was taken already, or by a process that is gone.
+  kStale,
+  // The process has said that it leaves and cannot take that back.
+  kAlreadyLeaving,
+  kCount,
+};
+
+// Stable name for logs and metrics. Thread safe.
+[[nodiscard]] std::string_view NameOf(ReportVerdict verdict);
+
+enum class LeaseState : std::uint8_t { kNone, kReady, kLeaving, kLost };
+
+// Stable name for logs and metrics. Thread safe.
+[[nodiscard]] std::string_view NameOf(LeaseState state);
+
+struct LeaseSettings {
+  // Heartbeats come at about this interval.
+  Duration heartbeat = std::chrono::milliseconds(1500);
+  // Heartbeats that may be missing in a row. They may be seconds late, and a
+  // process that answers requests renews its lease with each answer.
+  int missing = 3;
+};
+
+struct UpstreamLease {
+  LeaseSettings settings;
+  std::optional<UpstreamReport> current;
+  // When the last heartbeat or good answer came.
+  TimePoint renewed;
+  // Its address took no connection; a newer heartbeat ends this.
+  bool refused_connection = false;
+  // When the process stops being slow after its start.
+  TimePoint warm_at;
+};
+
+// Takes in one heartbeat. A late one of an earlier process at the same address
+// must not bring that process back: requests would go to a stranger.
+[[nodiscard]] ReportVerdict TakeReport(UpstreamLease& lease,
+                                       const UpstreamReport& report,
+                                       TimePoint now);
+
+// The process `instance` leaves. `born_ms` of 0 fits any process of that name.
+// False when another process holds the lease.
+bool TakeLeave(UpstreamLease& lease,
+               std::string_view instance,
+               std::int64_t born_ms);
+
+// It answered a request that named it.
+void OnUpstreamAnswer(UpstreamLease& lease, TimePoint now);
+
+// It took no connection, or another process answered in its place.
+void OnUpstreamUnreachable(UpstreamLease& lease);
+
+[[nodiscard]] LeaseState StateOf(const UpstreamLease& lease, TimePoint now);
+
+// When the lease runs out by itself; the epoch when none is held.
+[[nodiscard]] TimePoint LapseOf(const UpstreamLease& lease);
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_UPSTREAM_LEASE_H_
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -1,9 +1,5 @@
 #include "teaselspread/settings.h"
 
-#include <fstream>
-#include <sstream>
-
-#include "base/text.h"
 #include "config/settings_reader.h"
 #include "config/yaml.h"
 
@@ -131,15 +127,10 @@
 }
 
 Result<NodeSettings> LoadNodeSettings(const std::string& path) {
-  std::ifstream stream(path);
-  std::ostringstream text;
-  if (!stream || !(text << stream.rdbuf())) {
-    return Fail(ErrorKind::kSettings,
-                Concat(path,
-                       ":1: settings: expected a readable file that is "
-                       "not empty"));
-  }
-  return ParseNodeSettings(path, text.str());
+  const auto text = ReadSettingsFile(path);
+  if (!text)
+    return tl::make_unexpected(text.error());
+  return ParseNodeSettings(path, *text);
 }
 
 }  // namespace teaselspread
--- a/src/config/settings_reader.cc
+++ b/src/config/settings_reader.cc
@@ -1,7 +1,9 @@
 #include "config/settings_reader.h"
 
 #include <array>
+#include <fstream>
 #include <set>
+#include <sstream>
 
 #include "base/text.h"
 #include "config/scalar.h"
@@ -202,15 +204,41 @@
           }};
 }
 
-Key FileKey(std::string_view name, std::string& target) {
-  return {name, kOptional, [&target](const Item& item) {
-            return ReadValue(item, "expected the name of a file", target,
+namespace {
+
+Key AnyTextKey(std::string_view name,
+               std::string_view expected,
+               std::string& target) {
+  return {name, kOptional, [expected, &target](const Item& item) {
+            return ReadValue(item, expected, target,
                              [](const std::string& text) {
                                return std::optional<std::string>(text);
                              });
           }};
 }
 
+}  // namespace
+
+Key FileKey(std::string_view name, std::string& target) {
+  return AnyTextKey(name, "expected the name of a file", target);
+}
+
+Key TextKey(std::string_view name, std::string& target) {
+  return AnyTextKey(name, "expected one text", target);
+}
+
+Result<std::string> ReadSettingsFile(const std::string& path) {
+  std::ifstream stream(path);
+  std::ostringstream text;
+  if (!stream || !(text << stream.rdbuf())) {
+    return Fail(ErrorKind::kSettings,
+                Concat(path,
+                       ":1: settings: expected a readable file that is "
+                       "not empty"));
+  }
+  return text.str();
+}
+
 Key MapKey(std::string_view name, bool required, std::vector<Key> keys) {
   return {name, required, [keys = std::move(keys)](const Item& item) {
             return ReadMap(item, keys);
--- a/src/config/settings_reader.h
+++ b/src/config/settings_reader.h
@@ -42,6 +42,10 @@
 [[nodiscard]] Result<void> ReadMap(const SettingsItem& item,
                                    const std::vector<SettingsKey>& keys);
 
+// The whole file. Errors: kSettings when it cannot be read. Blocks on the file.
+// Thread safe.
+[[nodiscard]] Result<std::string> ReadSettingsFile(const std::string& path);
+
 // Keys that set the member given. Precondition of all: the member outlives the
 // key.
 [[nodiscard]] SettingsKey NameKey(std::string_view name, std::string& target);
@@ -60,6 +64,7 @@
                                       Duration& target);
 [[nodiscard]] SettingsKey LevelKey(std::string_view name, LogLevel& target);
 [[nodiscard]] SettingsKey FileKey(std::string_view name, std::string& target);
+[[nodiscard]] SettingsKey TextKey(std::string_view name, std::string& target);
 [[nodiscard]] SettingsKey MapKey(std::string_view name,
                                  bool required,
                                  std::vector<SettingsKey> keys);
--- /dev/null
+++ b/src/edge/edge_node.cc
@@ -0,0 +1,419 @@
+#include "edge/edge_node.h"
+
+#include <sys/stat.h>
+
+#include <algorithm>
+#include <csignal>
+#include <memory>
+#include <utility>
+
+#include <xxhash.h>
+
+#include "edge/clock.h"
+#include "edge/frame_socket.h"
+#include "teaselspread/logging.h"
+
+namespace teaselspread {
+namespace {
+
+constexpr std::int64_t kMicrosPerMilli = 1000;
+// How often leases, settings and the stop are looked at.
+constexpr std::chrono::milliseconds kTickInterval{250};
+// Whoever sends callers here asks once a second and needs two answers in a row
+// to notice a stop; until then requests still come.
+constexpr Duration kStopNotice = std::chrono::milliseconds(2300);
+// No request for this long while stopping: callers have gone elsewhere.
+constexpr Duration kStopQuiet = std::chrono::milliseconds(400);
+// Before the process would be ended by force.
+constexpr Duration kStopReserve = std::chrono::milliseconds(700);
+// A peer that holds a newer configuration is asked for it, once in this time.
+constexpr Duration kConfigAskEvery = std::chrono::milliseconds(300);
+// Remote runs have numbers of their own at the gate.
+constexpr std::uint64_t kRemoteRunBit = std::uint64_t{1} << 63U;
+constexpr std::string_view kConfigKey = "config";
+
+EntrySettings EntrySettingsOf(const EdgeSettings& settings) {
+  return {settings.vm, settings.data_center, settings.service,
+          settings.retry_share, settings.retry_slack};
+}
+
+LeaseSettings LeaseSettingsOf(const EdgeSettings& settings) {
+  LeaseSettings lease;
+  lease.heartbeat = settings.heartbeat;
+  return lease;
+}
+
+HttpResponse StatusOnly(int status) {
+  HttpResponse response;
+  response.status = status;
+  return response;
+}
+
+void RefreshVersions(EdgeNode& node) {
+  std::map<std::string, VersionSlots, std::less<>> ready;
+  const auto add = [&ready](const GateStatus& status) {
+    if (status.state == GateState::kReady)
+      ready[status.service][status.version] += std::max(status.slots, 1U);
+  };
+  add(node.gate.Status());
+  for (const auto& [name, peer] : node.links.Peers()) {
+    if (peer.connected)
+      add(peer.status);
+  }
+  node.versions.SetSlots(std::move(ready));
+}
+
+void OnRun(EdgeNode& node, FrameSocket* from, RunFrame frame) {
+  const std::uint64_t id = kRemoteRunBit | ++node.next_remote_run;
+  const std::uint64_t call = frame.call;
+  node.remote_runs[id] = {from, call};
+  node.gate.Run(id, std::move(frame), [&node, id, from](ResultFrame result) {
+    const auto found = node.remote_runs.find(id);
+    if (found == node.remote_runs.end())
+      return;
+    result.call = found->second.call;
+    node.remote_runs.erase(found);
+    node.links.SendResult(from, result);
+  });
+  TellStatus(node);
+}
+
+void OnCancel(EdgeNode& node, FrameSocket* from, std::uint64_t call) {
+  for (auto run = node.remote_runs.begin(); run != node.remote_runs.end();
+       ++run) {
+    if (run->second.from != from || run->second.call != call)
+      continue;
+    const std::uint64_t id = run->first;
+    node.remote_runs.erase(run);
+    node.gate.Cancel(id);
+    return;
+  }
+}
+
+void OnCallerGone(EdgeNode& node, FrameSocket* from) {
+  std::vector<std::uint64_t> gone;
+  for (const auto& [id, run] : node.remote_runs) {
+    if (run.from == from)
+      gone.push_back(id);
+  }
+  for (const std::uint64_t id : gone) {
+    node.remote_runs.erase(id);
+    node.gate.Cancel(id);
+  }
+}
+
+void AskForNewer(EdgeNode& node, const std::string& peer) {
+  const Peer* from = node.links.Find(peer);
+  const SnapshotPtr& held = node.entry.InForce();
+  const ConfigVersion own = held ? held->version : 0;
+  const TimePoint now = SteadyNow();
+  if (from == nullptr || from->status.held <= own ||
+      now - node.config_asked < kConfigAskEvery)
+    return;
+  node.config_asked = now;
+  node.links.AskConfig(peer);
+}
+
+LinkHandlers LinkHandlersOf(EdgeNode& node) {
+  LinkHandlers on;
+  on.on_run = [&node](FrameSocket* from, RunFrame frame) {
+    OnRun(node, from, std::move(frame));
+  };
+  on.on_cancel = [&node](FrameSocket* from, std::uint64_t call) {
+    OnCancel(node, from, call);
+  };
+  on.on_caller_gone = [&node](FrameSocket* from) { OnCallerGone(node, from); };
+  on.on_result = [&node](const std::string&, ResultFrame result) {
+    node.entry.OnResult(std::move(result));
+  };
+  on.on_lost = [&node](const std::string& name) {
+    RefreshVersions(node);
+    node.entry.OnLost(name);
+  };
+  on.on_status = [&node](const std::string& name) {
+    RefreshVersions(node);
+    AskForNewer(node, name);
+  };
+  on.on_hello = [&node](const Hello& hello) { node.links.Add(hello); };
+  on.on_config_ask = [&node] {
+    const SnapshotPtr& held = node.entry.InForce();
+    return ConfigFrame{held ? held->version : 0, node.config_record};
+  };
+  on.on_config = [&node](const ConfigFrame& frame) {
+    if (!frame.record.empty())
+      TakeConfig(node, {std::string(kConfigKey), frame.record});
+  };
+  return on;
+}
+
+void OnReadiness(EdgeNode& node, const ExchangePtr& exchange) {
+  const bool asked = PathOf(exchange->request) == node.adapter.readiness_path;
+  const bool ready = node.entry.InForce() != nullptr && !node.stopping;
+  constexpr int kOk = 200;
+  constexpr int kNotFound = 404;
+  constexpr int kUnavailable = 503;
+  const int status = ready ? kOk : kUnavailable;
+  Answer(*exchange, StatusOnly(asked ? status : kNotFound));
+}
+
+void OnAdmin(EdgeNode& node, const ExchangePtr& exchange) {
+  const auto call = node.adapter.decode_upstream_call(exchange->request);
+  if (!call) {
+    Log(LogLevel::kWarning, "admin", "call-refused",
+        {{"path", PathOf(exchange->request)},
+         {"reason", NameOf(call.error().kind)},
+         {"message", call.error().message}});
+    Answer(*exchange, ErrorResponse(call.error()));
+    return;
+  }
+  if (const auto* leave = std::get_if<LeaveCall>(&*call)) {
+    const bool known = node.gate.LeaveUpstream(*leave);
+    Log(LogLevel::kInfo, "admin", "upstream-leaves",
+        {{"instance", leave->instance}, {"known", known ? 1 : 0}});
+    Answer(*exchange, node.adapter.acknowledge());
+    return;
+  }
+  const auto& report = std::get<UpstreamReport>(*call);
+  const ReportVerdict verdict = node.gate.Report(report);
+  node.heartbeats.Add(verdict);
+  if (verdict != ReportVerdict::kTaken) {
+    Log(LogLevel::kWarning, "admin", "heartbeat-not-taken",
+        {{"instance", report.instance},
+         {"verdict", NameOf(verdict)},
+         {"sequence", report.sequence},
+         {"born_ms", report.born_ms}});
+  }
+  if (verdict == ReportVerdict::kStale) {
+    Answer(*exchange, ErrorResponse(Error{ErrorKind::kStaleVersion,
+                                          "a later heartbeat was taken"}));
+    return;
+  }
+  Answer(*exchange, node.adapter.acknowledge());
+}
+
+void OnMetrics(EdgeNode& node, const ExchangePtr& exchange) {
+  HttpResponse response;
+  SetHeader(response.headers, "Content-Type", "text/plain; version=0.0.4");
+  response.body = MetricsText(node);
+  Answer(*exchange, response);
+}
+
+std::int64_t ChangedAt(const std::string& file) {
+  struct stat entry {};
+  if (::stat(file.c_str(), &entry) != 0)
+    return 0;
+  constexpr std::int64_t kNanosPerSecond = 1'000'000'000;
+  return entry.st_mtim.tv_sec * kNanosPerSecond + entry.st_mtim.tv_nsec;
+}
+
+void ReloadSettings(EdgeNode& node, const char* why) {
+  node.settings_changed_ns = ChangedAt(node.settings_file);
+  auto settings = LoadEdgeSettings(node.settings_file);
+  if (!settings) {
+    Log(LogLevel::kError, "node", "reload-refused",
+        {{"why", why}, {"message", settings.error().message}});
+    return;
+  }
+  node.adapter.apply_agreed(*settings);
+  // Addresses that this node listens on stay: callers hold connections to them.
+  node.settings.service = settings->service;
+  node.settings.upstream = settings->upstream;
+  node.entry.SetService(settings->service);
+  node.gate.SetAddress(settings->upstream);
+  Log(LogLevel::kInfo, "node", "reloaded",
+      {{"why", why}, {"service", settings->service}});
+}
+
+// A planned stop cuts nothing: others hear of it first, callers are given time
+// to go elsewhere, and what runs ends.
+void BeginStop(EdgeNode& node) {
+  if (node.stopping)
+    return;
+  node.stopping = true;
+  node.stop_at = SteadyNow();
+  Log(LogLevel::kInfo, "node", "stopping",
+      {{"open", node.entry.CountOpen()},
+       {"running", node.gate.CountRunning()}});
+  node.gate.LeaveNode();
+  node.outbound.CloseAfterAnswers();
+  TellStatus(node);
+}
+
+bool MayEnd(const EdgeNode& node, TimePoint now) {
+  const Duration passed = now - node.stop_at;
+  if (passed >= node.settings.stop_grace - kStopReserve)
+    return true;
+  const bool quiet = now - node.outbound.LastRequest() >= kStopQuiet;
+  const bool idle = node.outbound.CountOpen() == 0 &&
+                    node.gate.CountRunning() == 0 && node.remote_runs.empty();
+  return passed >= kStopNotice && quiet && idle;
+}
+
+void WaitForSignals(EdgeNode& node) {
+  node.signals.async_wait([&node](boost::system::error_code error, int signal) {
+    if (error)
+      return;
+    if (signal == SIGHUP)
+      ReloadSettings(node, "signal");
+    else
+      BeginStop(node);
+    WaitForSignals(node);
+  });
+}
+
+void Tick(EdgeNode& node) {
+  node.tick.expires_after(kTickInterval);
+  node.tick.async_wait([&node](boost::system::error_code error) {
+    if (error)
+      return;
+    node.gate.Tick();
+    TellStatus(node);
+    RefreshVersions(node);
+    for (const auto& [name, peer] : node.links.Peers())
+      AskForNewer(node, name);
+    if (ChangedAt(node.settings_file) != node.settings_changed_ns)
+      ReloadSettings(node, "file");
+    if (node.stopping && MayEnd(node, SteadyNow())) {
+      node.outbound.CloseIdle();
+      node.loop.stop();
+      return;
+    }
+    Tick(node);
+  });
+}
+
+Result<void> Listen(HttpListener& listener, const Address& address) {
+  const auto bound = listener.Listen(address);
+  if (!bound)
+    return tl::make_unexpected(bound.error());
+  return {};
+}
+
+Result<void> ListenAll(EdgeNode& node) {
+  const auto link = node.links.Listen(node.settings.link);
+  if (!link)
+    return tl::make_unexpected(link.error());
+  for (auto [listener, address] :
+       {std::pair{&node.outbound, &node.settings.outbound},
+        std::pair{&node.readiness, &node.settings.readiness},
+        std::pair{&node.admin, &node.settings.admin},
+        std::pair{&node.metrics, &node.settings.metrics}}) {
+    if (auto bound = Listen(*listener, *address); !bound)
+      return bound;
+  }
+  return {};
+}
+
+Result<void> Run(EdgeNode& node) {
+  if (auto listening = ListenAll(node); !listening)
+    return listening;
+  node.gate.SetAddress(node.settings.upstream);
+  node.gate.on_change = [&node] { TellStatus(node); };
+  node.started = SteadyNow();
+  node.settings_changed_ns = ChangedAt(node.settings_file);
+  WaitForSignals(node);
+  Log(LogLevel::kInfo, "node", "started",
+      {{"outbound", ToString(node.settings.outbound)},
+       {"link", ToString(node.settings.link)},
+       {"service", node.settings.service}});
+  node.orders.Start();
+  StartRoster(node);
+  Tick(node);
+  node.loop.run();
+  Log(LogLevel::kInfo, "node", "stopped",
+      {{"log_lines_dropped", node.log.Dropped()}});
+  node.log.Flush();
+  return {};
+}
+
+}  // namespace
+
+EdgeNode::EdgeNode(const EdgeSettings& from, const AdapterMaker& make_adapter)
+    : settings(from),
+      loop(1),
+      adapter(make_adapter(this->loop, this->settings)),
+      log(this->loop),
+      gate(this->loop, this->adapter.headers, LeaseSettingsOf(from)),
+      links(this->loop, LinkHandlersOf(*this)),
+      entry(this->loop,
+            EntrySettingsOf(from),
+            this->adapter.headers,
+            this->gate,
+            this->links,
+            this->versions),
+      orders(this->loop,
+             this->adapter.store,
+             RecordStream::kOrders,
+             [this](const StoredRecord& record) { TakeConfig(*this, record); }),
+      outbound(
+          this->loop,
+          [this](const ExchangePtr& exchange) { this->entry.Take(exchange); }),
+      readiness(this->loop,
+                [this](const ExchangePtr& exchange) {
+                  OnReadiness(*this, exchange);
+                }),
+      admin(this->loop,
+            [this](const ExchangePtr& exchange) { OnAdmin(*this, exchange); }),
+      metrics(
+          this->loop,
+          [this](const ExchangePtr& exchange) { OnMetrics(*this, exchange); }),
+      signals(this->loop, SIGTERM, SIGINT, SIGHUP),
+      tick(this->loop),
+      roster_timer(this->loop) {
+  this->adapter.apply_agreed(this->settings);
+  this->links.self.node = from.vm;
+  this->links.self.data_center = from.data_center;
+}
+
+void TellStatus(EdgeNode& node) {
+  GateStatus status = node.gate.Status();
+  const SnapshotPtr& held = node.entry.InForce();
+  status.held = held ? held->version : 0;
+  node.links.SetStatus(status);
+}
+
+void TakeConfig(EdgeNode& node, const StoredRecord& record) {
+  const auto order = node.adapter.decode_order(record);
+  if (!order) {
+    Log(LogLevel::kWarning, "orders", "record-refused",
+        {{"key", record.key},
+         {"reason", NameOf(order.error().kind)},
+         {"message", order.error().message}});
+    return;
+  }
+  const auto* snapshot = std::get_if<SnapshotPtr>(&*order);
+  if (snapshot == nullptr)
+    return;
+  const SnapshotPtr& held = node.entry.InForce();
+  const ConfigVersion own = held ? held->version : 0;
+  if ((*snapshot)->version <= own)
+    return;
+  const LimitsConfig& limits = (*snapshot)->limits;
+  node.outbound.limits = {limits.max_header_bytes, limits.max_body_bytes,
+                          limits.header_timeout, limits.idle_timeout};
+  node.config_record = record.value;
+  node.entry.SetSnapshot(*snapshot);
+  Log(LogLevel::kInfo, "config", "in-force",
+      {{"version", (*snapshot)->version},
+       {"before", own},
+       {"routes", (*snapshot)->routes.size()},
+       {"bytes", record.value.size()}});
+  TellStatus(node);
+}
+
+Result<void> RunEdge(const std::string& settings_file,
+                     const AdapterMaker& make_adapter) {
+  const auto settings = LoadEdgeSettings(settings_file);
+  if (!settings)
+    return tl::make_unexpected(settings.error());
+  std::signal(SIGPIPE, SIG_IGN);
+  const auto node = std::make_unique<EdgeNode>(*settings, make_adapter);
+  node->settings_file = settings_file;
+  StartLogging({settings->vm, settings->data_center}, settings->log_level,
+               [&log = node->log](std::string_view line) { log.Add(line); });
+  auto ran = Run(*node);
+  StartLogging({}, settings->log_level, LogSink{});
+  return ran;
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/src/edge/edge_node.h
@@ -0,0 +1,82 @@
+// One node on a platform: all parts and the loop that drives them.
+#ifndef TEASELSPREAD_SRC_EDGE_EDGE_NODE_H_
+#define TEASELSPREAD_SRC_EDGE_EDGE_NODE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "edge/entry.h"
+#include "edge/gate.h"
+#include "edge/http_listener.h"
+#include "edge/links.h"
+#include "edge/log_writer.h"
+#include "edge/stream_watch.h"
+#include "edge/version_choice.h"
+#include "teaselspread/counters.h"
+#include "teaselspread/edge.h"
+
+namespace teaselspread {
+
+// A run for another node: the socket that asked and its number there.
+struct RemoteRun {
+  FrameSocket* from = nullptr;
+  std::uint64_t call = 0;
+};
+
+// Belongs to the thread in RunEdge.
+struct EdgeNode {
+  EdgeNode(const EdgeSettings& from, const AdapterMaker& make_adapter);
+
+  EdgeSettings settings;
+  std::string settings_file;
+  boost::asio::io_context loop;
+  EdgeAdapter adapter;
+  LogWriter log;
+  Gate gate;
+  Links links;
+  VersionChoice versions;
+  Entry entry;
+  StreamWatch orders;
+  HttpListener outbound;
+  HttpListener readiness;
+  HttpListener admin;
+  HttpListener metrics;
+  boost::asio::signal_set signals;
+  boost::asio::steady_timer tick;
+  boost::asio::steady_timer roster_timer;
+  // Runs that other nodes asked for, by their number at the gate.
+  std::map<std::uint64_t, RemoteRun> remote_runs;
+  std::uint64_t next_remote_run = 0;
+  // The record from which the configuration in force was made.
+  std::string config_record;
+  bool registered = false;
+  bool stopping = false;
+  TimePoint stop_at;
+  TimePoint started;
+  std::int64_t settings_changed_ns = 0;
+  // When a peer was asked for its configuration.
+  TimePoint config_asked;
+  CounterTable<ReportVerdict> heartbeats;
+};
+
+// All counters and histograms as text for the metrics address.
+[[nodiscard]] std::string MetricsText(const EdgeNode& node);
+
+// Takes in a configuration, from the store or from a peer; one that is not
+// newer is ignored.
+void TakeConfig(EdgeNode& node, const StoredRecord& record);
+
+// Tells every node the present status, if it changed.
+void TellStatus(EdgeNode& node);
+
+// Finds the other nodes through the store, and makes this one known there.
+void StartRoster(EdgeNode& node);
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_SRC_EDGE_EDGE_NODE_H_
--- /dev/null
+++ b/src/edge/edge_settings.cc
@@ -0,0 +1,51 @@
+#include "config/settings_reader.h"
+#include "config/yaml.h"
+#include "teaselspread/edge.h"
+
+namespace teaselspread {
+namespace {
+
+using Key = SettingsKey;
+
+// In seconds.
+constexpr double kLeastHeartbeat = 0.05;
+constexpr double kMostHeartbeat = 60;
+
+std::vector<Key> KeysOf(EdgeSettings& settings) {
+  return {NameKey("vm", settings.vm),
+          NameKey("data_center", settings.data_center),
+          NameKey("service", settings.service),
+          AddressKey("outbound", kRequired, settings.outbound),
+          AddressKey("readiness", kRequired, settings.readiness),
+          AddressKey("admin", kRequired, settings.admin),
+          AddressKey("metrics", kRequired, settings.metrics),
+          AddressKey("link", kRequired, settings.link),
+          AddressKey("upstream", kRequired, settings.upstream),
+          AddressKey("store", kRequired, settings.store),
+          DurationKey("heartbeat", kLeastHeartbeat, kMostHeartbeat,
+                      settings.heartbeat),
+          TextKey("agreed", settings.agreed),
+          LevelKey("log_level", settings.log_level)};
+}
+
+}  // namespace
+
+Result<EdgeSettings> ParseEdgeSettings(const std::string& file,
+                                       const std::string& text) {
+  const auto root = ParseYaml(file, text, ErrorKind::kSettings);
+  if (!root)
+    return tl::make_unexpected(root.error());
+  EdgeSettings settings;
+  if (const auto done = ReadMap({file, "", *root}, KeysOf(settings)); !done)
+    return tl::make_unexpected(done.error());
+  return settings;
+}
+
+Result<EdgeSettings> LoadEdgeSettings(const std::string& path) {
+  const auto text = ReadSettingsFile(path);
+  if (!text)
+    return tl::make_unexpected(text.error());
+  return ParseEdgeSettings(path, *text);
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/src/edge/entry.cc
@@ -0,0 +1,520 @@
+#include "edge/entry.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <random>
+#include <utility>
+
+#include <absl/strings/str_format.h>
+
+#include "edge/clock.h"
+#include "teaselspread/logging.h"
+#include "teaselspread/routing.h"
+
+namespace teaselspread {
+namespace {
+
+constexpr std::int64_t kMicrosPerMilli = 1000;
+// After a route's time the answer of the upstream itself is given this long to
+// come; it says more than an answer of this node.
+constexpr Duration kAnswerSlack = std::chrono::milliseconds(80);
+// Gates may refuse one request this often before its caller is told to come
+// back: each refusal costs a way and says that the service is full.
+constexpr int kMostRefusals = 3;
+// Least time in which an upstream may still answer a request.
+constexpr Duration kLeastTime = std::chrono::milliseconds(10);
+// Retry-After of this node's own refusals: callers wait for a third of what
+// they have left at most.
+constexpr Duration kRetryAfter = std::chrono::milliseconds(100);
+// Failures fade with this time constant, so that an upstream which was bad is
+// tried again.
+constexpr double kFailureFadeSeconds = 3.0;
+constexpr double kNewestShare = 0.15;
+constexpr int kFirstServerError = 500;
+constexpr double kMicrosPerSecond = 1e6;
+
+std::optional<Duration> DeadlineIn(std::string_view text) {
+  std::int64_t millis = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), millis);
+  if (error != std::errc{} || end != text.data() + text.size() || millis < 0)
+    return std::nullopt;
+  constexpr std::int64_t kMostMillis = 24LL * 3600 * 1000;
+  return std::chrono::milliseconds(std::min(millis, kMostMillis));
+}
+
+std::string SecondsText(Duration span) {
+  return absl::StrFormat("%.3f",
+                         static_cast<double>(span.count()) / kMicrosPerSecond);
+}
+
+HttpResponse ErrorWith(ErrorKind kind, Duration retry_after) {
+  HttpResponse response = ErrorResponse(Error{kind, std::string(NameOf(kind))});
+  if (AnswerOf(kind).retry_after)
+    SetHeader(response.headers, kHeaderRetryAfter, SecondsText(retry_after));
+  return response;
+}
+
+}  // namespace
+
+Entry::Entry(boost::asio::io_context& io,
+             EntrySettings entry_settings,
+             EdgeHeaderNames header_names,
+             Gate& own_gate,
+             Links& node_links,
+             VersionChoice& version_choice)
+    : loop(io),
+      settings(std::move(entry_settings)),
+      names(std::move(header_names)),
+      gate(own_gate),
+      links(node_links),
+      versions(version_choice),
+      rng(std::random_device{}()) {}
+
+void Entry::Take(const ExchangePtr& exchange) {
+  ++this->counters.requests;
+  if (!this->snapshot) {
+    this->RefuseAtOnce(exchange, ErrorKind::kNotReady);
+    return;
+  }
+  const HttpRequest& request = exchange->request;
+  const RouteConfig* route =
+      MatchRoute(*this->snapshot, FindHeader(request.headers, "Host"),
+                 request.method, PathOf(request));
+  if (route == nullptr) {
+    this->RefuseAtOnce(exchange, ErrorKind::kNoRoute);
+    return;
+  }
+  if (FindHeader(request.headers, kHeaderRequestId).empty()) {
+    this->RefuseAtOnce(exchange, ErrorKind::kBadRequest);
+    return;
+  }
+  const std::uint64_t id = this->next_id++;
+  Pending pending;
+  pending.exchange = exchange;
+  pending.snapshot = this->snapshot;
+  pending.route = route;
+  pending.service = route->service;
+  if (!route->split.empty()) {
+    std::vector<std::uint32_t> weights;
+    for (const WeightedService& part : route->split)
+      weights.push_back(part.weight);
+    const std::size_t turn = NextTurn(this->turns[route->name], weights);
+    pending.service = route->split[turn].service;
+  }
+  Duration allowed = route->deadline;
+  const auto asked =
+      DeadlineIn(FindHeader(request.headers, this->names.deadline));
+  if (asked)
+    allowed = std::min(allowed, *asked);
+  pending.deadline = exchange->arrived + allowed;
+  pending.timer = std::make_unique<boost::asio::steady_timer>(this->loop);
+  pending.timer->expires_after(pending.deadline - SteadyNow() + kAnswerSlack);
+  pending.timer->async_wait([this, id](boost::system::error_code error) {
+    if (!error)
+      this->OnDeadline(id);
+  });
+  exchange->on_gone = [this, id] { this->OnGone(id); };
+  OnFirstAttempt(this->BudgetOf(pending.service));
+  this->open.emplace(id, std::move(pending));
+  this->Attempt(id);
+}
+
+RetryBudget& Entry::BudgetOf(const std::string& service) {
+  const auto [found, added] = this->budgets.try_emplace(service);
+  RetryBudget& budget = found->second;
+  // Nodes spend without talking to each other: each has its part of what all
+  // together may spend, with a margin for windows that cut a burst in two.
+  constexpr double kMargin = 0.7;
+  const double nodes = static_cast<double>(this->links.Peers().size()) + 1;
+  budget.settings.share = this->settings.retry_share * kMargin;
+  budget.settings.burst =
+      std::max(1.0, this->settings.retry_slack * kMargin / nodes);
+  if (added)
+    budget.tokens = budget.settings.burst;
+  return budget;
+}
+
+std::vector<Candidate> Entry::CandidatesFor(const Pending& pending) {
+  std::vector<Candidate> candidates;
+  const TimePoint now = SteadyNow();
+  const auto tried = [&pending](std::string_view node) {
+    return std::find(pending.tried.begin(), pending.tried.end(), node) !=
+           pending.tried.end();
+  };
+  const auto fits = [&pending](const GateStatus& status) {
+    return status.state == GateState::kReady &&
+           status.service == pending.service &&
+           status.version == pending.version;
+  };
+  const auto add = [&](std::string_view node, Distance distance,
+                       const GateStatus& status, std::uint32_t load) {
+    Candidate candidate;
+    candidate.node = node;
+    candidate.distance = distance;
+    candidate.slots = std::max<std::uint32_t>(status.slots, 1);
+    candidate.load = load;
+    candidate.run_time = Duration(status.mean_us);
+    candidate.failure_share = this->FailureShare(std::string(node), now);
+    candidates.push_back(candidate);
+  };
+  const GateStatus own = this->gate.Status();
+  if (fits(own) && !tried(this->settings.vm))
+    add(this->settings.vm, Distance::kOwnVm, own, own.running + own.waiting);
+  for (const auto& [name, peer] : this->links.Peers()) {
+    if (!peer.connected || !fits(peer.status) || tried(name))
+      continue;
+    const bool near = peer.data_center == this->settings.data_center;
+    const std::uint32_t told = peer.status.running + peer.status.waiting;
+    add(name, near ? Distance::kOwnDataCenter : Distance::kOtherDataCenter,
+        peer.status, std::max(told, peer.in_flight));
+  }
+  return candidates;
+}
+
+void Entry::Attempt(std::uint64_t id) {
+  const auto found = this->open.find(id);
+  if (found == this->open.end())
+    return;
+  Pending& pending = found->second;
+  if (pending.version.empty())
+    pending.version = this->versions.Pick(pending.service);
+  const auto candidates = this->CandidatesFor(pending);
+  constexpr std::size_t kAnswerBytes = 3000;
+  const std::size_t bytes = pending.exchange->request.body.size();
+  const std::size_t chosen =
+      Place(this->placement, candidates, bytes + kAnswerBytes, this->rng);
+  if (chosen == candidates.size()) {
+    if (pending.has_answer) {
+      this->GiveAnswer(id, std::move(pending.answer));
+      return;
+    }
+    this->GiveError(id, pending.last_error,
+                    std::max(pending.retry_after, kRetryAfter));
+    return;
+  }
+  this->SendTo(id, pending, candidates[chosen]);
+}
+
+const std::string& Entry::InstanceOf(const std::string& node) const {
+  static const std::string kNone;
+  const Peer* peer = this->links.Find(node);
+  return peer == nullptr ? kNone : peer->status.instance;
+}
+
+RunFrame Entry::FrameOf(std::uint64_t id, const Pending& pending) {
+  RunFrame frame;
+  frame.call = id;
+  frame.route = pending.route->name;
+  frame.priority = static_cast<std::uint8_t>(pending.route->priority);
+  frame.idempotent = pending.route->idempotent;
+  frame.repeated = pending.attempts > 0;
+  const Duration left = pending.deadline - SteadyNow();
+  frame.deadline_ms = static_cast<std::uint32_t>(
+      std::max<std::int64_t>(left.count() / kMicrosPerMilli, 1));
+  frame.request = pending.exchange->request;
+  frame.request.hold = nullptr;
+  RemoveHopHeaders(frame.request.headers);
+  SetHeader(frame.request.headers, this->names.caller_service,
+            this->settings.service);
+  RemoveHeader(frame.request.headers, this->names.expected_instance);
+  return frame;
+}
+
+void Entry::SendTo(std::uint64_t id,
+                   Pending& pending,
+                   const Candidate& chosen) {
+  pending.node = std::string(chosen.node);
+  pending.at_own_gate = chosen.distance == Distance::kOwnVm;
+  pending.under_way = true;
+  pending.sent = SteadyNow();
+  RunFrame frame = this->FrameOf(id, pending);
+  if (pending.at_own_gate) {
+    this->gate.Run(id, std::move(frame), [this](ResultFrame result) {
+      const std::uint64_t call = result.call;
+      this->Settle(call, std::move(result));
+    });
+    return;
+  }
+  frame.instance = this->InstanceOf(pending.node);
+  if (!this->links.Run(pending.node, frame)) {
+    pending.under_way = false;
+    pending.tried.push_back(pending.node);
+    pending.last_error = ErrorKind::kPeerUnreachable;
+    this->Attempt(id);
+  }
+}
+
+void Entry::OnResult(ResultFrame result) {
+  const std::uint64_t id = result.call;
+  this->Settle(id, std::move(result));
+}
+
+void Entry::Settle(std::uint64_t id, ResultFrame result) {
+  const auto found = this->open.find(id);
+  if (found == this->open.end() || !found->second.under_way)
+    return;
+  Pending& pending = found->second;
+  pending.under_way = false;
+  if (result.answered) {
+    this->TakeAnswer(id, pending, std::move(result));
+  } else if (result.execution == Execution::kNotRun) {
+    this->TakeRefusal(id, pending, result);
+  } else {
+    this->TakeFailure(id, pending, result);
+  }
+}
+
+void Entry::TakeAnswer(std::uint64_t id, Pending& pending, ResultFrame result) {
+  const bool failed = result.response.status >= kFirstServerError;
+  this->Learn(pending.node, failed);
+  VersionAnswer answer;
+  answer.service = pending.service;
+  answer.version = pending.version;
+  answer.route = pending.route->name;
+  answer.failed = failed;
+  answer.took = Duration(result.took_us);
+  this->versions.OnAnswer(answer);
+  ++pending.attempts;
+  pending.may_have_run = true;
+  if (failed && this->MayRepeat(pending, ErrorKind::kUpstreamFailed, false)) {
+    pending.has_answer = true;
+    pending.answer = std::move(result.response);
+    this->Attempt(id);
+    return;
+  }
+  this->GiveAnswer(id, std::move(result.response));
+}
+
+// Nothing ran. A gate's refusal never reached the upstream, so trying another
+// costs no budget; a refusal of the upstream itself was an arrival there.
+void Entry::TakeRefusal(std::uint64_t id,
+                        Pending& pending,
+                        ResultFrame& result) {
+  pending.tried.push_back(pending.node);
+  pending.last_error = result.error;
+  pending.retry_after = std::chrono::milliseconds(result.retry_after_ms);
+  ++pending.refusals;
+  const bool arrived = result.error == ErrorKind::kUpstreamShed;
+  if (arrived) {
+    ++pending.attempts;
+    this->Learn(pending.node, true);
+  }
+  const bool time_left = pending.deadline - SteadyNow() > kLeastTime;
+  const bool again = arrived ? this->MayRepeat(pending, result.error, true)
+                             : pending.refusals < kMostRefusals && time_left;
+  if (again) {
+    this->Attempt(id);
+    return;
+  }
+  if (pending.has_answer) {
+    this->GiveAnswer(id, std::move(pending.answer));
+    return;
+  }
+  this->GiveError(id, result.error, pending.retry_after);
+}
+
+void Entry::TakeFailure(std::uint64_t id,
+                        Pending& pending,
+                        ResultFrame& result) {
+  this->Learn(pending.node, true);
+  VersionAnswer answer;
+  answer.service = pending.service;
+  answer.version = pending.version;
+  answer.route = pending.route->name;
+  answer.failed = true;
+  answer.timed_out = result.error == ErrorKind::kTimeout;
+  answer.took = Duration(result.took_us);
+  this->versions.OnAnswer(answer);
+  pending.tried.push_back(pending.node);
+  pending.last_error = result.error;
+  ++pending.attempts;
+  pending.may_have_run = true;
+  if (this->MayRepeat(pending, result.error, false)) {
+    this->Attempt(id);
+    return;
+  }
+  if (pending.has_answer) {
+    this->GiveAnswer(id, std::move(pending.answer));
+    return;
+  }
+  this->GiveError(id, result.error, kRetryAfter);
+}
+
+bool Entry::MayRepeat(Pending& pending, ErrorKind kind, bool not_run) {
+  if (pending.attempts >= pending.route->most_attempts)
+    return false;
+  if (std::find(pending.tried.begin(), pending.tried.end(), pending.node) ==
+      pending.tried.end())
+    pending.tried.push_back(pending.node);
+  FailedAttempt failed;
+  failed.kind = kind;
+  failed.not_run = not_run;
+  failed.idempotent = pending.route->idempotent;
+  failed.attempts_made = pending.attempts;
+  failed.other_upstream = !this->CandidatesFor(pending).empty();
+  failed.deadline = pending.deadline;
+  failed.attempt_time = kLeastTime;
+  RetryBudget& budget = this->BudgetOf(pending.service);
+  const RetryReason reason = DecideRetry(budget, failed, SteadyNow());
+  this->counters.retries.Add(reason);
+  return IsRetry(reason);
+}
+
+void Entry::OnLost(const std::string& node) {
+  std::vector<std::uint64_t> lost;
+  for (const auto& [id, pending] : this->open) {
+    if (pending.under_way && !pending.at_own_gate && pending.node == node)
+      lost.push_back(id);
+  }
+  for (const std::uint64_t id : lost) {
+    ResultFrame result;
+    result.call = id;
+    result.error = ErrorKind::kPeerUnreachable;
+    result.execution = Execution::kUnknown;
+    this->Settle(id, std::move(result));
+  }
+}
+
+void Entry::OnDeadline(std::uint64_t id) {
+  const auto found = this->open.find(id);
+  if (found == this->open.end())
+    return;
+  Pending& pending = found->second;
+  if (pending.under_way) {
+    if (pending.at_own_gate)
+      this->gate.Cancel(id);
+    else
+      this->links.Cancel(pending.node, id);
+    this->Learn(pending.node, true);
+    VersionAnswer answer;
+    answer.service = pending.service;
+    answer.version = pending.version;
+    answer.route = pending.route->name;
+    answer.failed = true;
+    answer.timed_out = true;
+    answer.took = SteadyNow() - pending.sent;
+    this->versions.OnAnswer(answer);
+  }
+  this->GiveError(id, ErrorKind::kTimeout, kRetryAfter);
+}
+
+// What may be repeated is stopped: nobody waits for it. What may not goes on,
+// since cutting it off would leave it half done.
+void Entry::OnGone(std::uint64_t id) {
+  const auto found = this->open.find(id);
+  if (found == this->open.end())
+    return;
+  Pending& pending = found->second;
+  ++this->counters.callers_left;
+  if (pending.under_way) {
+    if (pending.at_own_gate)
+      this->gate.Cancel(id);
+    else
+      this->links.Cancel(pending.node, id);
+  }
+  this->LogDecision(pending, "caller-left", ErrorKind::kCancelled, 0);
+  this->open.erase(found);
+}
+
+void Entry::GiveAnswer(std::uint64_t id, HttpResponse response) {
+  const auto found = this->open.find(id);
+  Pending& pending = found->second;
+  ++this->counters.answered;
+  Count(this->latency_by_route[pending.route->name],
+        SteadyNow() - pending.exchange->arrived);
+  RemoveHopHeaders(response.headers);
+  this->LogDecision(pending, "answered", ErrorKind::kInternal, response.status);
+  const ExchangePtr exchange = pending.exchange;
+  this->open.erase(found);
+  Answer(*exchange, response);
+}
+
+// `kind` says "not run" for most refusals, which must be true of every attempt:
+// once one may have run, the answer promises nothing.
+void Entry::GiveError(std::uint64_t id, ErrorKind kind, Duration retry_after) {
+  const auto found = this->open.find(id);
+  Pending& pending = found->second;
+  const bool promises = AnswerOf(kind).execution == Execution::kNotRun;
+  if (promises && pending.may_have_run)
+    kind = ErrorKind::kOutcomeUnknown;
+  if (kind == ErrorKind::kPeerUnreachable && pending.may_have_run)
+    kind = ErrorKind::kOutcomeUnknown;
+  const Duration spread = SpreadRetryAfter(retry_after, this->rng);
+  HttpResponse response = ErrorWith(kind, spread);
+  const HttpRequest& request = pending.exchange->request;
+  SetHeader(response.headers, kHeaderRequestId,
+            FindHeader(request.headers, kHeaderRequestId));
+  this->counters.refusals.Add(kind);
+  this->LogDecision(pending, "refused", kind, response.status);
+  const ExchangePtr exchange = pending.exchange;
+  this->open.erase(found);
+  Answer(*exchange, response);
+}
+
+void Entry::RefuseAtOnce(const ExchangePtr& exchange, ErrorKind kind) {
+  this->counters.refusals.Add(kind);
+  const HttpRequest& request = exchange->request;
+  const std::string_view request_id =
+      FindHeader(request.headers, kHeaderRequestId);
+  HttpResponse response =
+      ErrorWith(kind, SpreadRetryAfter(kRetryAfter, this->rng));
+  if (!request_id.empty())
+    SetHeader(response.headers, kHeaderRequestId, request_id);
+  Log(LogLevel::kInfo, "requests", "refused",
+      {{"id", request_id},
+       {"reason", NameOf(kind)},
+       {"config", this->snapshot ? this->snapshot->version : 0},
+       {"host", FindHeader(request.headers, "Host")},
+       {"path", PathOf(request)}});
+  Answer(*exchange, response);
+}
+
+void Entry::Learn(const std::string& node, bool failed) {
+  NodeRecord& record = this->records[node];
+  const TimePoint now = SteadyNow();
+  record.failure_share = this->FailureShare(node, now);
+  record.failure_share +=
+      kNewestShare * ((failed ? 1.0 : 0.0) - record.failure_share);
+  record.failed_at = now;
+}
+
+double Entry::FailureShare(const std::string& node, TimePoint now) {
+  const auto found = this->records.find(node);
+  if (found == this->records.end())
+    return 0;
+  const Duration age = now - found->second.failed_at;
+  const double seconds = static_cast<double>(age.count()) / kMicrosPerSecond;
+  return found->second.failure_share * std::exp(-seconds / kFailureFadeSeconds);
+}
+
+void Entry::LogDecision(const Pending& pending,
+                        std::string_view outcome,
+                        ErrorKind kind,
+                        int status) {
+  const TimePoint now = SteadyNow();
+  const Duration age = now - pending.exchange->arrived;
+  const Peer* peer = this->links.Find(pending.node);
+  const GateStatus seen = peer == nullptr ? this->gate.Status() : peer->status;
+  const Duration seen_age =
+      peer == nullptr ? Duration{0} : now - peer->status_at;
+  Log(LogLevel::kInfo, "requests", outcome,
+      {{"id", FindHeader(pending.exchange->request.headers, kHeaderRequestId)},
+       {"reason", kind == ErrorKind::kInternal ? "" : NameOf(kind)},
+       {"status", status},
+       {"route", pending.route->name},
+       {"config", pending.snapshot->version},
+       {"to", pending.service},
+       {"version", pending.version},
+       {"node", pending.node},
+       {"instance", seen.instance},
+       {"load", seen.running + seen.waiting},
+       {"slots", seen.slots},
+       {"load_age_ms", seen_age.count() / kMicrosPerMilli},
+       {"attempts", pending.attempts},
+       {"refusals", pending.refusals},
+       {"took_ms", age.count() / kMicrosPerMilli}});
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/src/edge/entry.h
@@ -0,0 +1,157 @@
+// The entry: takes the requests of this VM's callers, finds an upstream for
+// each and gives the answer.
+//
+// Everything here belongs to the thread that runs the loop.
+#ifndef TEASELSPREAD_SRC_EDGE_ENTRY_H_
+#define TEASELSPREAD_SRC_EDGE_ENTRY_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "edge/gate.h"
+#include "edge/http_listener.h"
+#include "edge/latency_histogram.h"
+#include "edge/links.h"
+#include "edge/version_choice.h"
+#include "teaselspread/counters.h"
+#include "teaselspread/edge.h"
+#include "teaselspread/placement.h"
+#include "teaselspread/retry.h"
+#include "teaselspread/snapshot.h"
+#include "teaselspread/weighted_turns.h"
+
+namespace teaselspread {
+
+// One request of a caller until its final answer.
+struct Pending {
+  ExchangePtr exchange;
+  SnapshotPtr snapshot;
+  const RouteConfig* route = nullptr;
+  std::string service;
+  std::string version;
+  TimePoint deadline;
+  std::unique_ptr<boost::asio::steady_timer> timer;
+  // Where it is now; empty before the first attempt.
+  std::string node;
+  bool at_own_gate = false;
+  bool under_way = false;
+  TimePoint sent;
+  // Nodes that refused it or failed.
+  std::vector<std::string> tried;
+  // Upstreams that it was sent to, or may have been.
+  int attempts = 0;
+  int refusals = 0;
+  // Some upstream may have run it.
+  bool may_have_run = false;
+  ErrorKind last_error = ErrorKind::kNoUpstream;
+  Duration retry_after{};
+  // A failure that an upstream gave, kept in case no other does better.
+  bool has_answer = false;
+  HttpResponse answer;
+};
+
+// How upstreams answered this node's requests lately.
+struct NodeRecord {
+  double failure_share = 0;
+  TimePoint failed_at;
+};
+
+struct EntryCounters {
+  CounterTable<ErrorKind> refusals;
+  CounterTable<RetryReason> retries;
+  std::uint64_t requests = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t callers_left = 0;
+};
+
+struct EntrySettings {
+  std::string vm;
+  std::string data_center;
+  std::string service;
+  double retry_share = 0.2;
+  double retry_slack = 50;
+};
+
+// Not thread safe.
+class Entry {
+ public:
+  Entry(boost::asio::io_context& io,
+        EntrySettings entry_settings,
+        EdgeHeaderNames header_names,
+        Gate& own_gate,
+        Links& node_links,
+        VersionChoice& version_choice);
+  Entry(const Entry&) = delete;
+  Entry& operator=(const Entry&) = delete;
+
+  // In force for every request that is taken from now on.
+  void SetSnapshot(SnapshotPtr now) { this->snapshot = std::move(now); }
+  [[nodiscard]] const SnapshotPtr& InForce() const { return this->snapshot; }
+
+  void SetService(std::string service) {
+    this->settings.service = std::move(service);
+  }
+
+  void Take(const ExchangePtr& exchange);
+
+  // The result of a call over a link.
+  void OnResult(ResultFrame result);
+  // The link to `node` is gone.
+  void OnLost(const std::string& node);
+
+  [[nodiscard]] std::size_t CountOpen() const { return this->open.size(); }
+
+  EntryCounters counters;
+  std::map<std::string, LatencyHistogram> latency_by_route;
+
+ private:
+  void Attempt(std::uint64_t id);
+  void SendTo(std::uint64_t id, Pending& pending, const Candidate& chosen);
+  void Settle(std::uint64_t id, ResultFrame result);
+  void TakeAnswer(std::uint64_t id, Pending& pending, ResultFrame result);
+  void TakeRefusal(std::uint64_t id, Pending& pending, ResultFrame& result);
+  void TakeFailure(std::uint64_t id, Pending& pending, ResultFrame& result);
+  bool MayRepeat(Pending& pending, ErrorKind kind, bool not_run);
+  void OnDeadline(std::uint64_t id);
+  void OnGone(std::uint64_t id);
+  void GiveAnswer(std::uint64_t id, HttpResponse response);
+  void GiveError(std::uint64_t id, ErrorKind kind, Duration retry_after);
+  void RefuseAtOnce(const ExchangePtr& exchange, ErrorKind kind);
+  [[nodiscard]] std::vector<Candidate> CandidatesFor(const Pending& pending);
+  [[nodiscard]] RunFrame FrameOf(std::uint64_t id, const Pending& pending);
+  [[nodiscard]] const std::string& InstanceOf(const std::string& node) const;
+  void Learn(const std::string& node, bool failed);
+  [[nodiscard]] double FailureShare(const std::string& node, TimePoint now);
+  [[nodiscard]] RetryBudget& BudgetOf(const std::string& service);
+  void LogDecision(const Pending& pending,
+                   std::string_view outcome,
+                   ErrorKind kind,
+                   int status);
+
+  boost::asio::io_context& loop;
+  EntrySettings settings;
+  EdgeHeaderNames names;
+  Gate& gate;
+  Links& links;
+  VersionChoice& versions;
+  SnapshotPtr snapshot;
+  std::unordered_map<std::uint64_t, Pending> open;
+  std::uint64_t next_id = 1;
+  std::map<std::string, WeightedTurns> turns;
+  std::map<std::string, NodeRecord> records;
+  std::map<std::string, RetryBudget> budgets;
+  PlacementSettings placement;
+  Rng rng;
+};
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_SRC_EDGE_ENTRY_H_
--- /dev/null
+++ b/src/edge/frames.cc
@@ -0,0 +1,129 @@
+#include "edge/frames.h"
+
+#include <array>
+#include <istream>
+#include <sstream>
+#include <utility>
+
+#include <boost/iostreams/device/array.hpp>
+#include <boost/iostreams/stream.hpp>
+
+#include "wire/codec.h"
+
+namespace teaselspread {
+
+template <class C>
+void Fields(C& codec, FieldsOf<C, HttpHeader> value) {
+  codec(value.name, value.value);
+}
+template <class C>
+void Fields(C& codec, FieldsOf<C, GateStatus> value) {
+  codec(value.instance, value.service, value.version, value.slots);
+  codec(value.running, value.waiting, value.mean_us, value.warm_up_ms);
+  codec(value.held, value.moves);
+  codec.Enum(value.state, GateState::kLost);
+}
+template <class C>
+void Fields(C& codec, FieldsOf<C, Hello> value) {
+  codec(value.node, value.data_center, value.link);
+}
+template <class C>
+void Fields(C& codec, FieldsOf<C, Status> value) {
+  codec(value.node, value.status);
+}
+template <class C>
+void Fields(C& codec, FieldsOf<C, RunFrame> value) {
+  codec(value.call, value.route, value.priority, value.idempotent);
+  codec(value.repeated, value.deadline_ms, value.instance);
+  codec(value.request.method, value.request.target, value.request.headers);
+  codec(value.request.body);
+}
+template <class C>
+void Fields(C& codec, FieldsOf<C, ResultFrame> value) {
+  codec(value.call, value.answered, value.retry_after_ms, value.took_us);
+  codec.Enum(value.error, ErrorKind::kInternal);
+  codec.Enum(value.execution, Execution::kUnknown);
+  codec.Small(value.response.status);
+  codec(value.response.headers, value.response.body);
+}
+template <class C>
+void Fields(C& codec, FieldsOf<C, CancelFrame> value) {
+  codec(value.call);
+}
+template <class C>
+void Fields(C& codec, FieldsOf<C, PingFrame> value) {
+  codec(value.sequence);
+}
+template <class C>
+void Fields(C& codec, FieldsOf<C, PongFrame> value) {
+  codec(value.sequence);
+}
+template <class C>
+void Fields(C& /*codec*/, FieldsOf<C, ConfigAsk> /*value*/) {}
+template <class C>
+void Fields(C& codec, FieldsOf<C, ConfigFrame> value) {
+  codec(value.version, value.record);
+}
+
+namespace {
+
+namespace io = boost::iostreams;
+
+constexpr std::array<std::string_view, 4> kGateNames = {"none", "ready",
+                                                        "leaving", "lost"};
+constexpr unsigned kBitsPerByte = 8;
+
+template <std::size_t kIndex = 0>
+void ReadAlternative(wire::Reader& reader,
+                     std::size_t index,
+                     LinkFrame& frame) {
+  if constexpr (kIndex < std::variant_size_v<LinkFrame>) {
+    if (index != kIndex) {
+      ReadAlternative<kIndex + 1>(reader, index, frame);
+      return;
+    }
+    reader(frame.emplace<kIndex>());
+  } else {
+    throw cereal::Exception("unknown frame");
+  }
+}
+
+}  // namespace
+
+std::string_view NameOf(GateState state) {
+  return kGateNames.at(static_cast<std::size_t>(state));
+}
+
+std::string EncodeLinkFrame(const LinkFrame& frame) {
+  std::ostringstream stream;
+  constexpr std::array<char, kFrameLengthBytes> kNoLength{};
+  stream.write(kNoLength.data(), kNoLength.size());
+  {
+    wire::Writer writer(stream);
+    writer(static_cast<std::uint8_t>(frame.index()));
+    std::visit([&writer](const auto& value) { writer(value); }, frame);
+  }
+  std::string bytes = std::move(stream).str();
+  auto length = static_cast<std::uint32_t>(bytes.size() - kFrameLengthBytes);
+  for (std::size_t i = kFrameLengthBytes; i-- > 0; length >>= kBitsPerByte)
+    bytes[i] = static_cast<char>(length & 0xFFU);
+  return bytes;
+}
+
+Result<LinkFrame> DecodeLinkFrame(std::string_view bytes) {
+  try {
+    io::stream<io::array_source> stream(bytes.data(), bytes.size());
+    wire::Reader reader(stream);
+    std::uint8_t index = 0;
+    reader(index);
+    LinkFrame frame;
+    ReadAlternative(reader, index, frame);
+    if (stream.peek() != std::istream::traits_type::eof())
+      return Fail(ErrorKind::kFrameMalformed, "bytes after the frame");
+    return frame;
+  } catch (const cereal::Exception& error) {
+    return Fail(ErrorKind::kFrameMalformed, error.what());
+  }
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/src/edge/frames.h
@@ -0,0 +1,131 @@
+// What two nodes say to each other on a link: one TCP connection that carries
+// many requests at a time.
+#ifndef TEASELSPREAD_SRC_EDGE_FRAMES_H_
+#define TEASELSPREAD_SRC_EDGE_FRAMES_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "teaselspread/error.h"
+#include "teaselspread/http.h"
+#include "teaselspread/types.h"
+
+namespace teaselspread {
+
+// Whether a node's upstream may get requests.
+enum class GateState : std::uint8_t { kNone, kReady, kLeaving, kLost };
+
+// Stable name for logs and metrics. Thread safe.
+[[nodiscard]] std::string_view NameOf(GateState state);
+
+// What a node tells of itself and of the upstream beside it.
+struct GateStatus {
+  // Identity of the upstream's process, as it names itself.
+  std::string instance;
+  std::string service;
+  std::string version;
+  GateState state = GateState::kNone;
+  std::uint32_t slots = 0;
+  // Requests at the upstream and waiting at its node.
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  // Moving average of the time that the upstream takes, in microseconds.
+  std::uint32_t mean_us = 0;
+  // How much longer the upstream is slow after its start, in milliseconds.
+  std::uint32_t warm_up_ms = 0;
+  ConfigVersion held = 0;
+  // What this node knows of moves; opaque to the link.
+  std::string moves;
+
+  bool operator==(const GateStatus&) const = default;
+};
+
+// First frame of a caller's side.
+struct Hello {
+  std::string node;
+  std::string data_center;
+  // Where this node takes links.
+  Address link;
+};
+
+// First frame of the other side, and again whenever it changed.
+struct Status {
+  std::string node;
+  GateStatus status;
+};
+
+// A request for the upstream beside the receiver.
+struct RunFrame {
+  std::uint64_t call = 0;
+  std::string route;
+  std::uint8_t priority = 0;
+  bool idempotent = false;
+  // Sent to an upstream before: counts against the budget of retries.
+  bool repeated = false;
+  std::uint32_t deadline_ms = 0;
+  // The run must reach this process and no other.
+  std::string instance;
+  HttpRequest request;
+};
+
+struct ResultFrame {
+  std::uint64_t call = 0;
+  // The upstream answered; otherwise `error` tells what went wrong.
+  bool answered = false;
+  ErrorKind error = ErrorKind::kInternal;
+  Execution execution = Execution::kUnknown;
+  std::uint32_t retry_after_ms = 0;
+  // Time at the upstream, in microseconds.
+  std::uint32_t took_us = 0;
+  HttpResponse response;
+};
+
+// The caller has left.
+struct CancelFrame {
+  std::uint64_t call = 0;
+};
+
+struct PingFrame {
+  std::uint32_t sequence = 0;
+};
+struct PongFrame {
+  std::uint32_t sequence = 0;
+};
+
+// Asks for the configuration that the receiver holds.
+struct ConfigAsk {};
+
+// A configuration as the store holds it.
+struct ConfigFrame {
+  ConfigVersion version = 0;
+  std::string record;
+};
+
+using LinkFrame = std::variant<Hello,
+                               Status,
+                               RunFrame,
+                               ResultFrame,
+                               CancelFrame,
+                               PingFrame,
+                               PongFrame,
+                               ConfigAsk,
+                               ConfigFrame>;
+
+// Bytes of the length that stands before each frame.
+inline constexpr std::size_t kFrameLengthBytes = 4;
+// Longest frame: the largest body that a configuration may allow, and headers.
+inline constexpr std::size_t kMaxLinkFrame = (64U << 20) + (1U << 20);
+
+// The frame with its length in front. Thread safe.
+[[nodiscard]] std::string EncodeLinkFrame(const LinkFrame& frame);
+
+// `bytes` without the length. kFrameMalformed for anything that the encoder
+// does not write. Thread safe.
+[[nodiscard]] Result<LinkFrame> DecodeLinkFrame(std::string_view bytes);
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_SRC_EDGE_FRAMES_H_
--- /dev/null
+++ b/src/edge/gate.cc
@@ -0,0 +1,349 @@
+#include "edge/gate.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include <xxhash.h>
+
+#include "edge/clock.h"
+#include "teaselspread/logging.h"
+#include "teaselspread/wire.h"
+
+namespace teaselspread {
+namespace {
+
+// The upstream gives its own answer at the deadline that it was told; this is
+// how much later the connection is closed instead of waiting on.
+constexpr Duration kDeadlineSlack = std::chrono::milliseconds(60);
+// Idle connections to the upstream are used again within this time. Upstreams
+// close them after some seconds, and a request that crosses the close may or
+// may not have run.
+constexpr Duration kReuseWithin = std::chrono::seconds(8);
+constexpr Duration kReuseWithinOnce = std::chrono::seconds(4);
+// Least Retry-After of a refusal; callers wait a third of what they have left
+// at most, so half a second would mean "never" to many.
+constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(80);
+constexpr std::uint32_t kWarmUpStepMs = 500;
+constexpr int kHttpMisdirected = 421;
+constexpr int kHttpBadRequest = 400;
+constexpr std::int64_t kMicrosPerMilli = 1000;
+
+std::uint32_t MillisOf(Duration span) {
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(span.count(), 0) /
+                                    kMicrosPerMilli);
+}
+
+ErrorKind RefusalOf(LeaseState state) {
+  return state == LeaseState::kLeaving ? ErrorKind::kLeaving
+                                       : ErrorKind::kNotReady;
+}
+
+GateState GateStateOf(LeaseState state) {
+  switch (state) {
+    case LeaseState::kReady:
+      return GateState::kReady;
+    case LeaseState::kLeaving:
+      return GateState::kLeaving;
+    case LeaseState::kLost:
+      return GateState::kLost;
+    case LeaseState::kNone:
+      break;
+  }
+  return GateState::kNone;
+}
+
+Priority PriorityOf(std::uint8_t rank) {
+  constexpr std::uint8_t kLowest =
+      static_cast<std::uint8_t>(Priority::kBackground);
+  return static_cast<Priority>(std::min(rank, kLowest));
+}
+
+ResultFrame RefusedFrame(std::uint64_t call, const Refusal& refusal) {
+  ResultFrame result;
+  result.call = call;
+  result.error = refusal.kind;
+  result.execution = Execution::kNotRun;
+  result.retry_after_ms = MillisOf(refusal.retry_after);
+  return result;
+}
+
+}  // namespace
+
+Gate::Gate(boost::asio::io_context& io,
+           const EdgeHeaderNames& header_names,
+           const LeaseSettings& lease_settings)
+    : pool(io),
+      loop(io),
+      names(header_names),
+      expiry(io),
+      rng(std::random_device{}()) {
+  this->lease.settings = lease_settings;
+  this->keeper.settings.retry_after = kLeastRetryAfter;
+  this->keeper.ready = false;
+}
+
+void Gate::Run(std::uint64_t id, RunFrame frame, ResultHandler done) {
+  const TimePoint now = SteadyNow();
+  GateRun run;
+  run.arrived = now;
+  run.deadline = now + std::chrono::milliseconds(frame.deadline_ms);
+  run.done = std::move(done);
+  Arrival arrival;
+  arrival.id = id;
+  arrival.route = frame.route;
+  arrival.priority = PriorityOf(frame.priority);
+  arrival.deadline = run.deadline;
+  arrival.body_bytes = frame.request.body.size();
+  run.frame = std::move(frame);
+  const bool wrong_instance =
+      !run.frame.instance.empty() && this->lease.current &&
+      run.frame.instance != this->lease.current->instance;
+  const LeaseState state = StateOf(this->lease, now);
+  this->runs.emplace(id, std::move(run));
+  if (wrong_instance || state != LeaseState::kReady) {
+    const ErrorKind kind =
+        wrong_instance ? ErrorKind::kNotReady : RefusalOf(state);
+    this->Refuse(id, {id, kind, kLeastRetryAfter});
+    return;
+  }
+  const Arrived arrived = Arrive(this->keeper, arrival, now, this->rng);
+  if (arrived.evicted)
+    this->Refuse(arrived.evicted->id, *arrived.evicted);
+  if (arrived.refusal) {
+    this->Refuse(id, *arrived.refusal);
+    return;
+  }
+  if (arrived.admission == Admission::kRun)
+    this->Start(id);
+  else
+    this->ScheduleExpiry();
+}
+
+void Gate::Start(std::uint64_t id) {
+  const auto found = this->runs.find(id);
+  const TimePoint now = SteadyNow();
+  if (found == this->runs.end()) {
+    // Its caller left between the decision and now; the slot is free again.
+    this->Apply(teaselspread::Finish(this->keeper, id, Duration{0}, false, now,
+                                     this->rng));
+    return;
+  }
+  GateRun& run = found->second;
+  run.started = now;
+  HttpRequest& request = run.frame.request;
+  const Duration left = run.deadline - now;
+  SetHeader(request.headers, this->names.deadline,
+            std::to_string(std::max<std::uint32_t>(MillisOf(left), 1)));
+  SetHeader(request.headers, this->names.expected_instance,
+            this->lease.current->instance);
+  const std::string request_id(FindHeader(request.headers, kHeaderRequestId));
+  const Duration reuse = run.frame.idempotent ? kReuseWithin : kReuseWithinOnce;
+  run.timer = std::make_unique<boost::asio::steady_timer>(this->loop);
+  run.timer->expires_after(left + kDeadlineSlack);
+  run.timer->async_wait([this, id](boost::system::error_code error) {
+    if (!error)
+      this->OnDeadline(id);
+  });
+  run.call = this->pool.Call(request, request_id, reuse,
+                             [this, id](CallResult result) {
+                               this->OnCallEnd(id, std::move(result));
+                             });
+}
+
+void Gate::OnCallEnd(std::uint64_t id, CallResult result) {
+  const auto found = this->runs.find(id);
+  if (found == this->runs.end())
+    return;
+  GateRun& run = found->second;
+  run.call = nullptr;
+  const TimePoint now = SteadyNow();
+  ResultFrame frame;
+  frame.call = id;
+  frame.answered = result.answered;
+  frame.error = result.error;
+  frame.execution = result.execution;
+  frame.took_us = static_cast<std::uint32_t>((now - run.started).count());
+  bool counts = false;
+  if (result.answered) {
+    const int status = result.response.status;
+    const bool says_not_run =
+        !FindHeader(result.response.headers, this->names.not_run).empty();
+    const bool wrong_process = status == kHttpMisdirected;
+    frame.response = std::move(result.response);
+    if (wrong_process) {
+      this->LoseUpstream("another-process-answered");
+    } else {
+      OnUpstreamAnswer(this->lease, now);
+    }
+    if (wrong_process || (says_not_run && status != kHttpBadRequest)) {
+      frame.answered = false;
+      frame.error = ErrorKind::kUpstreamShed;
+      frame.execution = Execution::kNotRun;
+      frame.retry_after_ms = MillisOf(kLeastRetryAfter);
+      frame.response = {};
+    } else {
+      counts = true;
+    }
+  } else if (result.error == ErrorKind::kConnectFailed) {
+    this->LoseUpstream("no-connection");
+  }
+  this->Finish(id, counts, frame);
+}
+
+void Gate::OnDeadline(std::uint64_t id) {
+  const auto found = this->runs.find(id);
+  if (found == this->runs.end() || found->second.call == nullptr)
+    return;
+  this->pool.Cancel(std::exchange(found->second.call, nullptr));
+  ResultFrame frame;
+  frame.call = id;
+  frame.error = ErrorKind::kTimeout;
+  frame.execution = Execution::kUnknown;
+  frame.took_us =
+      static_cast<std::uint32_t>((SteadyNow() - found->second.started).count());
+  this->Finish(id, true, frame);
+}
+
+void Gate::Finish(std::uint64_t id, bool counts, const ResultFrame& result) {
+  const auto found = this->runs.find(id);
+  const TimePoint now = SteadyNow();
+  const Duration took = now - found->second.started;
+  const ResultHandler done = std::move(found->second.done);
+  this->runs.erase(found);
+  const GateActions actions =
+      teaselspread::Finish(this->keeper, id, took, counts, now, this->rng);
+  if (done)
+    done(result);
+  this->Apply(actions);
+}
+
+void Gate::Refuse(std::uint64_t id, const Refusal& refusal) {
+  const auto found = this->runs.find(id);
+  if (found == this->runs.end())
+    return;
+  const ResultHandler done = std::move(found->second.done);
+  this->runs.erase(found);
+  if (done)
+    done(RefusedFrame(id, refusal));
+}
+
+void Gate::Apply(const GateActions& actions) {
+  for (const std::uint64_t id : actions.run)
+    this->Start(id);
+  for (const Refusal& refusal : actions.refused)
+    this->Refuse(refusal.id, refusal);
+  this->ScheduleExpiry();
+}
+
+void Gate::Cancel(std::uint64_t id) {
+  const auto found = this->runs.find(id);
+  if (found == this->runs.end())
+    return;
+  GateRun& run = found->second;
+  if (run.started == TimePoint{}) {
+    Withdraw(this->keeper, id);
+    this->runs.erase(found);
+    return;
+  }
+  run.done = nullptr;
+  if (!run.frame.idempotent || run.call == nullptr)
+    return;
+  this->pool.Cancel(std::exchange(run.call, nullptr));
+  this->Finish(id, false, {});
+}
+
+ReportVerdict Gate::Report(const UpstreamReport& report) {
+  const ReportVerdict verdict = TakeReport(this->lease, report, SteadyNow());
+  this->ApplyLease();
+  this->on_change();
+  return verdict;
+}
+
+bool Gate::LeaveUpstream(const LeaveCall& call) {
+  const bool known = TakeLeave(this->lease, call.instance, call.born_ms);
+  this->ApplyLease();
+  this->on_change();
+  return known;
+}
+
+void Gate::LeaveNode() {
+  this->node_leaving = true;
+  this->Apply(Leave(this->keeper, SteadyNow(), this->rng));
+  this->on_change();
+}
+
+void Gate::LoseUpstream(const char* why) {
+  OnUpstreamUnreachable(this->lease);
+  Log(LogLevel::kWarning, "gate", "upstream-unreachable",
+      {{"why", why},
+       {"instance", this->lease.current ? this->lease.current->instance : ""}});
+  this->ApplyLease();
+}
+
+void Gate::Tick() {
+  this->ApplyLease();
+  this->pool.Prune(kReuseWithin);
+}
+
+// Everything that the lease says is in force when this returns: whoever was
+// told that the upstream leaves may rely on it.
+void Gate::ApplyLease() {
+  const TimePoint now = SteadyNow();
+  const LeaseState state = StateOf(this->lease, now);
+  const bool ready = state == LeaseState::kReady;
+  const int slots = this->lease.current ? this->lease.current->slots : 1;
+  if (state == this->applied && slots == this->keeper.settings.slots)
+    return;
+  Log(LogLevel::kInfo, "gate", "upstream-state",
+      {{"from", NameOf(this->applied)},
+       {"to", NameOf(state)},
+       {"slots", slots},
+       {"instance", this->lease.current ? this->lease.current->instance : ""},
+       {"version", this->lease.current ? this->lease.current->version : ""},
+       {"sequence", this->lease.current ? this->lease.current->sequence : 0},
+       {"age_ms", MillisOf(now - this->lease.renewed)}});
+  this->applied = state;
+  this->Apply(SetUpstream(this->keeper, slots, ready, now, this->rng));
+  this->on_change();
+}
+
+// A request that waits is refused as soon as it cannot make its deadline any
+// more, not when the deadline has passed: its caller can still use the time.
+void Gate::ScheduleExpiry() {
+  const auto next = NextExpiry(this->keeper);
+  if (!next || *next == this->expiry_at)
+    return;
+  this->expiry_at = *next;
+  this->expiry.expires_after(*next - SteadyNow() +
+                             std::chrono::milliseconds(1));
+  this->expiry.async_wait([this](boost::system::error_code error) {
+    if (error)
+      return;
+    this->expiry_at = TimePoint{};
+    this->Apply(Expire(this->keeper, SteadyNow(), this->rng));
+  });
+}
+
+GateStatus Gate::Status() const {
+  GateStatus status;
+  const TimePoint now = SteadyNow();
+  if (this->lease.current) {
+    status.instance = this->lease.current->instance;
+    status.service = this->lease.current->service;
+    status.version = this->lease.current->version;
+    status.slots = static_cast<std::uint32_t>(this->lease.current->slots);
+    // In steps: each change is told to every node.
+    status.warm_up_ms =
+        MillisOf(this->lease.warm_at - now) / kWarmUpStepMs * kWarmUpStepMs;
+  }
+  status.state = GateStateOf(StateOf(this->lease, now));
+  if (this->node_leaving && status.state == GateState::kReady)
+    status.state = GateState::kLeaving;
+  status.running = static_cast<std::uint32_t>(this->keeper.running);
+  status.waiting = static_cast<std::uint32_t>(this->keeper.queue.size());
+  status.mean_us = static_cast<std::uint32_t>(this->keeper.all_routes.mean_us);
+  return status;
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/src/edge/gate.h
@@ -0,0 +1,108 @@
+// The gate of the upstream beside this node: every request to it passes here,
+// from callers of this VM and from other nodes.
+//
+// Everything here belongs to the thread that runs the loop.
+#ifndef TEASELSPREAD_SRC_EDGE_GATE_H_
+#define TEASELSPREAD_SRC_EDGE_GATE_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "edge/frames.h"
+#include "edge/loop_client.h"
+#include "teaselspread/admission.h"
+#include "teaselspread/counters.h"
+#include "teaselspread/edge.h"
+#include "teaselspread/suspects.h"
+#include "teaselspread/upstream_lease.h"
+
+namespace teaselspread {
+
+using ResultHandler = std::function<void(ResultFrame)>;
+
+// One request between its arrival at the gate and its result.
+struct GateRun {
+  RunFrame frame;
+  ResultHandler done;
+  TimePoint arrived;
+  TimePoint deadline;
+  // When it was sent to the upstream; the epoch while it waits.
+  TimePoint started;
+  LoopConnection* call = nullptr;
+  std::unique_ptr<boost::asio::steady_timer> timer;
+  Fingerprint fingerprint = 0;
+};
+
+// Not thread safe.
+class Gate {
+ public:
+  Gate(boost::asio::io_context& io,
+       const EdgeHeaderNames& names,
+       const LeaseSettings& lease_settings);
+  Gate(const Gate&) = delete;
+  Gate& operator=(const Gate&) = delete;
+
+  void SetAddress(const Address& upstream) { this->pool.SetAddress(upstream); }
+
+  // Runs the request or says why not; `done` is called once, perhaps before
+  // this returns. Precondition: `id` is not under way.
+  void Run(std::uint64_t id, RunFrame frame, ResultHandler done);
+
+  // The caller has left; `done` is not called any more. What may not be
+  // repeated goes on at the upstream.
+  void Cancel(std::uint64_t id);
+
+  // A heartbeat; it is in force when this returns.
+  [[nodiscard]] ReportVerdict Report(const UpstreamReport& report);
+  // False when another process holds the lease.
+  bool LeaveUpstream(const LeaveCall& call);
+
+  // The node itself stops: nothing new runs, what runs goes on.
+  void LeaveNode();
+
+  // Applies what has lapsed; call it a few times a second.
+  void Tick();
+
+  [[nodiscard]] GateStatus Status() const;
+  [[nodiscard]] std::size_t CountRunning() const {
+    return static_cast<std::size_t>(this->keeper.running);
+  }
+  [[nodiscard]] const Gatekeeper& Keeper() const { return this->keeper; }
+
+  // Called when Status() has changed in more than its load.
+  std::function<void()> on_change = [] {};
+
+  LoopClient pool;
+  UpstreamLease lease;
+
+ private:
+  void Start(std::uint64_t id);
+  void Finish(std::uint64_t id, bool counts, const ResultFrame& result);
+  void OnCallEnd(std::uint64_t id, CallResult result);
+  void OnDeadline(std::uint64_t id);
+  void Refuse(std::uint64_t id, const Refusal& refusal);
+  void Apply(const GateActions& actions);
+  void LoseUpstream(const char* why);
+  void ApplyLease();
+  void ScheduleExpiry();
+
+  boost::asio::io_context& loop;
+  EdgeHeaderNames names;
+  Gatekeeper keeper;
+  std::unordered_map<std::uint64_t, GateRun> runs;
+  boost::asio::steady_timer expiry;
+  TimePoint expiry_at;
+  LeaseState applied = LeaseState::kNone;
+  bool node_leaving = false;
+  Rng rng;
+};
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_SRC_EDGE_GATE_H_
--- /dev/null
+++ b/src/edge/http_listener.cc
@@ -0,0 +1,458 @@
+#include "edge/http_listener.h"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "edge/clock.h"
+#include "edge/http_text.h"
+#include "http/beast_convert.h"
+#include "teaselspread/settings.h"
+
+namespace teaselspread {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using Parser = http::request_parser<http::string_body>;
+
+constexpr std::size_t kReadBytes = 16384;
+// A caller that sends faster than it is served is read no further than this:
+// its requests would only wait here instead of in its own buffers.
+constexpr std::size_t kMostPipelined = 32;
+// How often connections are looked through for idle and slow ones; a timer for
+// each would be set and cleared with each request.
+constexpr std::chrono::milliseconds kSweepInterval{500};
+// A caller across data centres has read its answer by then.
+constexpr std::chrono::milliseconds kLingerTime{1000};
+
+constexpr std::array<std::string_view,
+                     static_cast<std::size_t>(ListenerEvent::kCount)>
+    kNames = {"accepted",      "request",        "bad-request",
+              "headers-large", "body-too-large", "header-timeout",
+              "idle-closed",   "caller-left",    "accept-failed"};
+
+struct Refused {
+  ErrorKind kind;
+  ListenerEvent event;
+  const char* message;
+};
+
+Refused RefusedBy(boost::system::error_code error) {
+  if (error == http::error::header_limit)
+    return {ErrorKind::kHeadersTooLarge, ListenerEvent::kHeadersTooLarge,
+            "the headers are too large"};
+  if (error == http::error::body_limit)
+    return {ErrorKind::kBodyTooLarge, ListenerEvent::kBodyTooLarge,
+            "the body is too large"};
+  return {ErrorKind::kBadRequest, ListenerEvent::kBadRequest,
+          "no valid HTTP request"};
+}
+
+}  // namespace
+
+std::string_view NameOf(ListenerEvent event) {
+  return kNames.at(static_cast<std::size_t>(event));
+}
+
+// One connection of a caller.
+class HttpSession
+    : public boost::intrusive_ref_counter<HttpSession,
+                                          boost::thread_unsafe_counter> {
+ public:
+  HttpSession(tcp::socket connected, HttpListener& owner)
+      : socket(std::move(connected)), listener(&owner) {
+    this->last_active = SteadyNow();
+  }
+
+  void Start() {
+    this->NewParser();
+    this->Read();
+  }
+
+  // Writes the answers that stand at the head of the line.
+  void Flush();
+  void QueueAnswer(Exchange& exchange);
+  void OnWritten(boost::system::error_code error);
+  void Linger();
+  void Close();
+  void LoseListener() { this->listener = nullptr; }
+  void CheckTimes(TimePoint now);
+  [[nodiscard]] std::size_t CountOpen() const;
+  [[nodiscard]] bool Idle() const {
+    return this->pending.empty() && !this->writing && !this->in_request;
+  }
+  [[nodiscard]] bool ClosingAfterAnswers() const {
+    return this->listener == nullptr || this->listener->closing;
+  }
+
+ private:
+  using Self = boost::intrusive_ptr<HttpSession>;
+
+  void NewParser();
+  void Read();
+  void OnBytes(std::size_t bytes);
+  void Parse();
+  void TakeRequest();
+  void RefuseAndClose(boost::system::error_code error);
+  void CallerLeft();
+
+  tcp::socket socket;
+  HttpListener* listener;
+  boost::beast::flat_buffer buffer;
+  std::optional<Parser> parser;
+  std::deque<ExchangePtr> pending;
+  std::string output;
+  TimePoint last_active;
+  TimePoint request_began;
+  bool in_request = false;
+  bool reading = false;
+  bool writing = false;
+  // No further request is taken from this connection.
+  bool last_taken = false;
+  bool closed = false;
+  bool continue_sent = false;
+  bool lingering = false;
+};
+
+void HttpSession::NewParser() {
+  this->parser.emplace();
+  this->parser->eager(true);
+  const SessionLimits& limits = this->listener->limits;
+  this->parser->header_limit(
+      static_cast<std::uint32_t>(limits.max_header_bytes));
+  this->parser->body_limit(limits.max_body_bytes);
+  this->in_request = false;
+  this->continue_sent = false;
+}
+
+void HttpSession::Read() {
+  if (this->reading || this->closed || this->pending.size() >= kMostPipelined)
+    return;
+  this->reading = true;
+  this->socket.async_read_some(
+      this->buffer.prepare(kReadBytes),
+      [self = Self(this)](boost::system::error_code error, std::size_t bytes) {
+        self->reading = false;
+        if (self->closed)
+          return;
+        if (error) {
+          self->CallerLeft();
+          return;
+        }
+        self->OnBytes(bytes);
+      });
+}
+
+void HttpSession::OnBytes(std::size_t bytes) {
+  this->buffer.commit(bytes);
+  if (!this->lingering)
+    this->last_active = SteadyNow();
+  if (this->last_taken || this->listener == nullptr) {
+    // What follows a closing answer counts as not read.
+    this->buffer.consume(this->buffer.size());
+  } else {
+    this->Parse();
+  }
+  this->Read();
+}
+
+void HttpSession::Parse() {
+  while (this->buffer.size() > 0 && !this->last_taken && !this->closed &&
+         this->pending.size() < kMostPipelined) {
+    if (!this->in_request) {
+      this->in_request = true;
+      this->request_began = SteadyNow();
+    }
+    boost::system::error_code error;
+    const std::size_t used = this->parser->put(this->buffer.data(), error);
+    this->buffer.consume(used);
+    if (error == http::error::need_more)
+      error = {};
+    if (error) {
+      this->RefuseAndClose(error);
+      return;
+    }
+    if (this->parser->is_done()) {
+      this->TakeRequest();
+      continue;
+    }
+    if (this->parser->is_header_done() && !this->continue_sent &&
+        this->parser->get()[http::field::expect] == "100-continue" &&
+        this->pending.empty()) {
+      this->continue_sent = true;
+      this->output += "HTTP/1.1 100 Continue\r\n\r\n";
+      this->Flush();
+    }
+    if (used == 0)
+      return;
+  }
+}
+
+void HttpSession::TakeRequest() {
+  auto& message = this->parser->get();
+  ExchangePtr exchange(new Exchange);
+  exchange->session = this;
+  exchange->arrived = this->request_began;
+  exchange->request.method = std::string(message.method_string());
+  exchange->request.target = std::string(message.target());
+  exchange->request.headers = HeadersOf(message);
+  exchange->request.body = std::move(message.body());
+  exchange->head_only = message.method() == http::verb::head;
+  exchange->close_after = !message.keep_alive();
+  this->last_taken = exchange->close_after;
+  this->pending.push_back(exchange);
+  this->listener->last_request = SteadyNow();
+  this->listener->counters.Add(ListenerEvent::kRequest);
+  this->NewParser();
+  this->listener->on_request(exchange);
+}
+
+void HttpSession::RefuseAndClose(boost::system::error_code error) {
+  const Refused refused = RefusedBy(error);
+  this->listener->counters.Add(refused.event);
+  ExchangePtr exchange(new Exchange);
+  exchange->session = this;
+  exchange->close_after = true;
+  this->last_taken = true;
+  this->in_request = false;
+  this->pending.push_back(exchange);
+  Answer(*exchange, ErrorResponse(Error{refused.kind, refused.message}));
+}
+
+void HttpSession::QueueAnswer(Exchange& exchange) {
+  // While the process stops, the last answer of a connection says that it
+  // closes; saying so earlier would cut requests that follow and already run.
+  const bool last = this->pending.empty() && !this->in_request;
+  if (last && this->ClosingAfterAnswers())
+    exchange.close_after = true;
+  this->last_taken = this->last_taken || exchange.close_after;
+  const auto after =
+      exchange.close_after ? AfterMessage::kClose : AfterMessage::kKeep;
+  this->output += TextOf(exchange.response, after, exchange.head_only);
+  exchange.session = nullptr;
+}
+
+void HttpSession::Flush() {
+  while (!this->pending.empty() && this->pending.front()->answered) {
+    const ExchangePtr exchange = this->pending.front();
+    this->pending.pop_front();
+    this->QueueAnswer(*exchange);
+  }
+  if (this->writing || this->output.empty() || this->closed)
+    return;
+  this->writing = true;
+  auto text = std::make_unique<std::string>(std::move(this->output));
+  this->output.clear();
+  const auto view = asio::buffer(*text);
+  asio::async_write(this->socket, view,
+                    [self = Self(this), text = std::move(text)](
+                        boost::system::error_code error, std::size_t) {
+                      self->writing = false;
+                      self->OnWritten(error);
+                    });
+}
+
+void HttpSession::OnWritten(boost::system::error_code error) {
+  if (this->closed)
+    return;
+  if (error) {
+    this->CallerLeft();
+    return;
+  }
+  this->last_active = SteadyNow();
+  if (!this->output.empty()) {
+    this->Flush();
+    return;
+  }
+  if (this->last_taken && this->pending.empty()) {
+    this->Linger();
+    return;
+  }
+  if (this->listener != nullptr && !this->last_taken)
+    this->Parse();
+  this->Read();
+}
+
+// A socket that is closed with unread bytes resets, and the reset may overtake
+// the answer. So only the own direction is closed, and what still comes is
+// dropped until the caller closes or kLingerTime has passed.
+void HttpSession::Linger() {
+  if (this->lingering)
+    return;
+  this->lingering = true;
+  this->last_active = SteadyNow();
+  boost::system::error_code ignored;  // the peer may have closed already
+  this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+  this->Read();
+}
+
+void HttpSession::CallerLeft() {
+  if (this->closed)
+    return;
+  const auto left = std::move(this->pending);
+  this->pending.clear();
+  if (this->listener != nullptr && !left.empty())
+    this->listener->counters.Add(ListenerEvent::kCallerLeft);
+  const Self keep(this);
+  for (const ExchangePtr& exchange : left) {
+    exchange->session = nullptr;
+    if (exchange->answered)
+      continue;
+    exchange->gone = true;
+    if (exchange->on_gone)
+      std::exchange(exchange->on_gone, nullptr)();
+  }
+  this->Close();
+}
+
+void HttpSession::Close() {
+  if (this->closed)
+    return;
+  this->closed = true;
+  boost::system::error_code ignored;  // the peer may have closed already
+  this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+  this->socket.close(ignored);
+  for (const ExchangePtr& exchange : this->pending)
+    exchange->session = nullptr;
+  this->pending.clear();
+  if (this->listener != nullptr) {
+    this->listener->sessions.erase(this);
+    intrusive_ptr_release(this);
+  }
+}
+
+void HttpSession::CheckTimes(TimePoint now) {
+  const SessionLimits& limits = this->listener->limits;
+  if (this->lingering) {
+    if (now - this->last_active > kLingerTime)
+      this->Close();
+    return;
+  }
+  const bool head_open = this->in_request && !this->parser->is_header_done();
+  if (head_open && now - this->request_began > limits.header_timeout) {
+    this->listener->counters.Add(ListenerEvent::kHeaderTimeout);
+    this->Close();
+    return;
+  }
+  if (this->Idle() && now - this->last_active > limits.idle_timeout) {
+    this->listener->counters.Add(ListenerEvent::kIdleClosed);
+    this->Close();
+  }
+}
+
+std::size_t HttpSession::CountOpen() const {
+  return static_cast<std::size_t>(std::count_if(
+      this->pending.begin(), this->pending.end(),
+      [](const ExchangePtr& exchange) { return !exchange->answered; }));
+}
+
+void Answer(Exchange& exchange, const HttpResponse& response) {
+  if (exchange.answered || exchange.gone || exchange.session == nullptr)
+    return;
+  exchange.answered = true;
+  exchange.on_gone = nullptr;
+  exchange.close_after = exchange.close_after || response.close;
+  exchange.response = response;
+  exchange.session->Flush();
+}
+
+HttpListener::HttpListener(asio::io_context& io, ExchangeHandler handler)
+    : loop(io), acceptor(io), sweep(io), on_request(std::move(handler)) {}
+
+HttpListener::~HttpListener() {
+  const std::set<HttpSession*> open = std::move(this->sessions);
+  this->sessions.clear();
+  for (HttpSession* session : open) {
+    session->LoseListener();
+    session->Close();
+    intrusive_ptr_release(session);
+  }
+}
+
+Result<Address> HttpListener::Listen(const Address& address) {
+  constexpr int kBacklog = 512;
+  boost::system::error_code error;
+  const auto ip = asio::ip::make_address(address.host, error);
+  if (error)
+    return Fail(ErrorKind::kSettings, "no IP number: " + address.host);
+  const tcp::endpoint endpoint(ip, address.port);
+  this->acceptor.open(endpoint.protocol(), error);
+  if (!error)
+    this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error)
+    this->acceptor.bind(endpoint, error);
+  if (!error)
+    this->acceptor.listen(kBacklog, error);
+  if (error)
+    return Fail(ErrorKind::kSettings, "cannot listen on " + ToString(address) +
+                                          ": " + error.message());
+  this->Accept();
+  this->Sweep();
+  return Address{address.host, this->acceptor.local_endpoint().port()};
+}
+
+void HttpListener::Accept() {
+  this->acceptor.async_accept(
+      [this](boost::system::error_code error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted)
+          return;
+        if (error) {
+          this->counters.Add(ListenerEvent::kAcceptFailed);
+          this->Accept();
+          return;
+        }
+        this->counters.Add(ListenerEvent::kAccepted);
+        boost::system::error_code ignored;  // a reset socket fails at its read
+        socket.set_option(tcp::no_delay(true), ignored);
+        auto* session = new HttpSession(std::move(socket), *this);
+        intrusive_ptr_add_ref(session);
+        this->sessions.insert(session);
+        session->Start();
+        this->Accept();
+      });
+}
+
+void HttpListener::Sweep() {
+  this->sweep.expires_after(kSweepInterval);
+  this->sweep.async_wait([this](boost::system::error_code error) {
+    if (error)
+      return;
+    const std::vector<HttpSession*> open(this->sessions.begin(),
+                                         this->sessions.end());
+    const TimePoint now = SteadyNow();
+    for (HttpSession* session : open)
+      session->CheckTimes(now);
+    this->Sweep();
+  });
+}
+
+void HttpListener::CloseIdle() {
+  boost::system::error_code ignored;  // closing twice is no fault
+  this->acceptor.close(ignored);
+  this->sweep.cancel();
+  const std::vector<HttpSession*> open(this->sessions.begin(),
+                                       this->sessions.end());
+  for (HttpSession* session : open) {
+    if (session->Idle())
+      session->Close();
+  }
+}
+
+std::size_t HttpListener::CountOpen() const {
+  std::size_t open = 0;
+  for (const HttpSession* session : this->sessions)
+    open += session->CountOpen();
+  return open;
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/src/edge/http_text.h
@@ -0,0 +1,28 @@
+// HTTP/1.1 messages as text, framed for one connection.
+#ifndef TEASELSPREAD_SRC_EDGE_HTTP_TEXT_H_
+#define TEASELSPREAD_SRC_EDGE_HTTP_TEXT_H_
+
+#include <string>
+#include <string_view>
+
+#include "teaselspread/http.h"
+
+namespace teaselspread {
+
+// How the connection goes on after a message.
+enum class AfterMessage : std::uint8_t { kKeep, kClose };
+
+// A request with a Content-Length for its body; a GET or HEAD without a body
+// gets none. Framing headers in `request` are replaced. Thread safe.
+[[nodiscard]] std::string TextOf(const HttpRequest& request,
+                                 std::string_view host);
+
+// An answer with a Content-Length. `head_only` leaves the body out, as the
+// answer to HEAD requires. Thread safe.
+[[nodiscard]] std::string TextOf(const HttpResponse& response,
+                                 AfterMessage after,
+                                 bool head_only);
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_SRC_EDGE_HTTP_TEXT_H_
--- /dev/null
+++ b/src/edge/latency_histogram.h
@@ -0,0 +1,28 @@
+// Latencies in the buckets that evidence of moves uses too.
+#ifndef TEASELSPREAD_SRC_EDGE_LATENCY_HISTOGRAM_H_
+#define TEASELSPREAD_SRC_EDGE_LATENCY_HISTOGRAM_H_
+
+#include <array>
+#include <cstdint>
+
+#include "teaselspread/evidence.h"
+#include "teaselspread/types.h"
+
+namespace teaselspread {
+
+struct LatencyHistogram {
+  std::array<std::uint64_t, kLatencyBuckets> counts{};
+  std::uint64_t count = 0;
+  Duration sum{};
+};
+
+// Not thread safe.
+inline void Count(LatencyHistogram& histogram, Duration latency) {
+  ++histogram.counts.at(LatencyBucketOf(latency));
+  ++histogram.count;
+  histogram.sum += latency;
+}
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_SRC_EDGE_LATENCY_HISTOGRAM_H_
--- /dev/null
+++ b/src/edge/links.cc
@@ -0,0 +1,399 @@
+#include "edge/links.h"
+
+#include <array>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+
+#include "edge/clock.h"
+#include "edge/frame_socket.h"
+#include "teaselspread/logging.h"
+#include "teaselspread/settings.h"
+
+namespace teaselspread {
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using SocketPtr = boost::intrusive_ptr<FrameSocket>;
+
+// Status that changed is told this often at most: the load of a gate changes
+// with each request, and each telling costs both ends a wake-up.
+constexpr std::chrono::milliseconds kTickInterval{100};
+// A link on which nothing came for this long is asked; a node that has not
+// answered kSilenceLimit after that is taken for cut off.
+constexpr Duration kPingAfter = std::chrono::milliseconds(500);
+constexpr Duration kSilenceLimit = std::chrono::milliseconds(700);
+// The other end of an accepted link asks every kPingAfter; one that has been
+// quiet for this long is gone, and its sockets would pile up.
+constexpr Duration kCallerSilence = std::chrono::seconds(5);
+// First and longest wait between attempts to reach a node.
+constexpr Duration kRetryBase = std::chrono::milliseconds(100);
+constexpr Duration kRetryCap = std::chrono::seconds(1);
+
+constexpr std::array<std::string_view,
+                     static_cast<std::size_t>(LinkEvent::kCount)>
+    kNames = {"opened",        "accepted",        "connect-failed",
+              "lost",          "silent",          "malformed",
+              "frames-sent",   "frames-received", "bytes-sent",
+              "bytes-received"};
+
+tcp::endpoint EndpointOf(const Address& address) {
+  return {asio::ip::make_address(address.host), address.port};
+}
+
+// What one tells others only when it matters to them: small changes of the
+// load wait for the next tick anyway.
+template <class Handler>
+void WithSelf(const std::shared_ptr<bool>& alive, Handler handler) {
+  if (*alive)
+    handler();
+}
+
+}  // namespace
+
+std::string_view NameOf(LinkEvent event) {
+  return kNames.at(static_cast<std::size_t>(event));
+}
+
+Links::Links(asio::io_context& io, LinkHandlers on)
+    : loop(io),
+      handlers(std::move(on)),
+      acceptor(io),
+      tick(io),
+      rng(std::random_device{}()) {}
+
+Links::~Links() {
+  *this->alive = false;
+  for (auto& [name, peer] : this->peers) {
+    if (peer.socket == nullptr)
+      continue;
+    peer.socket->Close();
+    intrusive_ptr_release(peer.socket);
+  }
+  for (FrameSocket* caller : this->callers) {
+    caller->Close();
+    intrusive_ptr_release(caller);
+  }
+}
+
+Result<Address> Links::Listen(const Address& address) {
+  boost::system::error_code error;
+  const tcp::endpoint endpoint = EndpointOf(address);
+  this->acceptor.open(endpoint.protocol(), error);
+  if (!error)
+    this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error)
+    this->acceptor.bind(endpoint, error);
+  if (!error)
+    this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (error)
+    return Fail(ErrorKind::kSettings, "cannot listen on " + ToString(address) +
+                                          ": " + error.message());
+  this->self.link = {address.host, this->acceptor.local_endpoint().port()};
+  this->Accept();
+  this->Tick();
+  return this->self.link;
+}
+
+namespace {
+
+FrameSocketHandlers HandlersOf(
+    Links& links,
+    const std::shared_ptr<bool>& alive,
+    std::function<void(FrameSocket*, LinkFrame)> on_frame,
+    std::function<void(FrameSocket*)> on_closed) {
+  FrameSocketHandlers handlers;
+  handlers.on_frame = [alive, on_frame = std::move(on_frame)](FrameSocket* from,
+                                                              LinkFrame frame) {
+    WithSelf(alive, [&] { on_frame(from, std::move(frame)); });
+  };
+  handlers.on_closed = [alive,
+                        on_closed = std::move(on_closed)](FrameSocket* socket) {
+    WithSelf(alive, [&] { on_closed(socket); });
+  };
+  handlers.on_sent = [alive, &links](std::size_t bytes) {
+    WithSelf(alive, [&] { links.counters.Add(LinkEvent::kBytesSent, bytes); });
+  };
+  handlers.on_received = [alive, &links](std::size_t bytes) {
+    WithSelf(alive,
+             [&] { links.counters.Add(LinkEvent::kBytesReceived, bytes); });
+  };
+  return handlers;
+}
+
+}  // namespace
+
+void Links::Accept() {
+  this->acceptor.async_accept(
+      [this, lives = this->alive](boost::system::error_code error,
+                                  tcp::socket socket) {
+        if (!*lives || error == asio::error::operation_aborted)
+          return;
+        if (!error) {
+          auto* caller = new FrameSocket(
+              std::move(socket),
+              HandlersOf(
+                  *this, this->alive,
+                  [this](FrameSocket* from, LinkFrame frame) {
+                    this->OnFrame(from, std::move(frame));
+                  },
+                  [this](FrameSocket* closed) { this->OnClosed(closed); }));
+          intrusive_ptr_add_ref(caller);
+          this->callers.insert(caller);
+          this->counters.Add(LinkEvent::kAccepted);
+          caller->Start();
+          caller->Send(Status{this->self.node, this->status});
+        }
+        this->Accept();
+      });
+}
+
+void Links::Add(const Hello& node) {
+  if (node.node == this->self.node)
+    return;
+  const auto [found, added] = this->peers.try_emplace(node.node);
+  Peer& peer = found->second;
+  peer.node = node.node;
+  peer.data_center = node.data_center;
+  peer.backoff.base = kRetryBase;
+  peer.backoff.cap = kRetryCap;
+  const bool moved = !added && peer.link != node.link;
+  peer.link = node.link;
+  if (moved && peer.socket != nullptr) {
+    const SocketPtr old(peer.socket);
+    old->Close();
+    this->OnClosed(old.get());
+    return;
+  }
+  if (added)
+    this->Connect(peer);
+}
+
+void Links::Remove(const std::string& node) {
+  const auto found = this->peers.find(node);
+  if (found == this->peers.end())
+    return;
+  FrameSocket* socket = std::exchange(found->second.socket, nullptr);
+  if (socket != nullptr) {
+    socket->Close();
+    intrusive_ptr_release(socket);
+    this->handlers.on_lost(node);
+  }
+  this->peers.erase(node);
+}
+
+Peer* Links::Find(const std::string& node) {
+  const auto found = this->peers.find(node);
+  return found == this->peers.end() ? nullptr : &found->second;
+}
+
+void Links::Connect(Peer& peer) {
+  auto* socket = new FrameSocket(
+      tcp::socket(this->loop),
+      HandlersOf(
+          *this, this->alive,
+          [this](FrameSocket* from, LinkFrame frame) {
+            this->OnFrame(from, std::move(frame));
+          },
+          [this](FrameSocket* closed) { this->OnClosed(closed); }));
+  intrusive_ptr_add_ref(socket);
+  socket->node = peer.node;
+  socket->opened_here = true;
+  socket->asked = SteadyNow();
+  peer.socket = socket;
+  peer.connected = false;
+  socket->Connect(EndpointOf(peer.link),
+                  [this, lives = this->alive, socket, name = peer.node] {
+                    if (!*lives)
+                      return;
+                    this->counters.Add(LinkEvent::kOpened);
+                    socket->Send(this->self);
+                    socket->Start();
+                    socket->asked = SteadyNow();
+                  });
+}
+
+void Links::Retry(const std::string& node) {
+  Peer* peer = this->Find(node);
+  if (peer == nullptr)
+    return;
+  const Duration wait = NextDelay(peer->backoff, this->rng);
+  auto timer = std::make_shared<asio::steady_timer>(this->loop);
+  timer->expires_after(wait);
+  timer->async_wait([this, lives = this->alive, timer,
+                     node](boost::system::error_code error) {
+    if (error || !*lives)
+      return;
+    Peer* waiting = this->Find(node);
+    if (waiting != nullptr && waiting->socket == nullptr)
+      this->Connect(*waiting);
+  });
+}
+
+void Links::OnClosed(FrameSocket* socket) {
+  const SocketPtr keep(socket);
+  if (this->callers.erase(socket) > 0) {
+    intrusive_ptr_release(socket);
+    this->handlers.on_caller_gone(socket);
+    return;
+  }
+  Peer* peer = this->Find(socket->node);
+  if (peer == nullptr || peer->socket != socket)
+    return;
+  peer->socket = nullptr;
+  intrusive_ptr_release(socket);
+  const bool was_connected = std::exchange(peer->connected, false);
+  peer->in_flight = 0;
+  this->counters.Add(was_connected ? LinkEvent::kLost
+                                   : LinkEvent::kConnectFailed);
+  const std::string name = peer->node;
+  if (was_connected) {
+    Log(LogLevel::kWarning, "links", "link-lost", {{"node", name}});
+    this->handlers.on_lost(name);
+  }
+  this->Retry(name);
+}
+
+void Links::OnFrame(FrameSocket* from, LinkFrame frame) {
+  this->counters.Add(LinkEvent::kFramesReceived);
+  if (from->opened_here)
+    this->TakeServerFrame(from->node, std::move(frame));
+  else
+    this->TakeCallerFrame(from, std::move(frame));
+}
+
+void Links::TakeServerFrame(const std::string& name, LinkFrame frame) {
+  Peer* peer = this->Find(name);
+  if (peer == nullptr)
+    return;
+  if (auto* status_frame = std::get_if<Status>(&frame)) {
+    if (!peer->connected)
+      Log(LogLevel::kInfo, "links", "link-up", {{"node", name}});
+    peer->connected = true;
+    Reset(peer->backoff);
+    peer->status = std::move(status_frame->status);
+    peer->status_at = SteadyNow();
+    this->handlers.on_status(name);
+  } else if (auto* result = std::get_if<ResultFrame>(&frame)) {
+    if (peer->in_flight > 0)
+      --peer->in_flight;
+    this->handlers.on_result(name, std::move(*result));
+  } else if (auto* config = std::get_if<ConfigFrame>(&frame)) {
+    this->handlers.on_config(std::move(*config));
+  }
+}
+
+void Links::TakeCallerFrame(FrameSocket* from, LinkFrame frame) {
+  if (auto* run = std::get_if<RunFrame>(&frame)) {
+    this->handlers.on_run(from, std::move(*run));
+  } else if (const auto* cancel = std::get_if<CancelFrame>(&frame)) {
+    this->handlers.on_cancel(from, cancel->call);
+  } else if (const auto* ping = std::get_if<PingFrame>(&frame)) {
+    from->Send(PongFrame{ping->sequence});
+  } else if (const auto* hello = std::get_if<Hello>(&frame)) {
+    from->node = hello->node;
+    this->handlers.on_hello(*hello);
+  } else if (std::holds_alternative<ConfigAsk>(frame)) {
+    from->Send(this->handlers.on_config_ask());
+  }
+}
+
+void Links::SetStatus(const GateStatus& now) {
+  if (now == this->status)
+    return;
+  const bool urgent = now.state != this->status.state ||
+                      now.instance != this->status.instance ||
+                      now.held != this->status.held ||
+                      now.moves != this->status.moves;
+  this->status = now;
+  this->status_changed = true;
+  if (!urgent)
+    return;
+  this->status_changed = false;
+  for (FrameSocket* caller : this->callers)
+    caller->Send(Status{this->self.node, this->status});
+}
+
+bool Links::Run(const std::string& node, const RunFrame& frame) {
+  Peer* peer = this->Find(node);
+  if (peer == nullptr || !peer->connected)
+    return false;
+  ++peer->in_flight;
+  peer->socket->Send(frame);
+  this->Ask(*peer);
+  return true;
+}
+
+// A run may take long, so its answer does not show that the link works; the
+// answer to a ping does.
+void Links::Ask(Peer& peer) {
+  if (peer.socket->asked != TimePoint{})
+    return;
+  peer.socket->asked = SteadyNow();
+  peer.socket->Send(PingFrame{peer.next_sequence++});
+}
+
+void Links::Cancel(const std::string& node, std::uint64_t call) {
+  Peer* peer = this->Find(node);
+  if (peer == nullptr || !peer->connected)
+    return;
+  // A cancelled call gives no result.
+  if (peer->in_flight > 0)
+    --peer->in_flight;
+  peer->socket->Send(CancelFrame{call});
+}
+
+void Links::AskConfig(const std::string& node) {
+  Peer* peer = this->Find(node);
+  if (peer != nullptr && peer->connected)
+    peer->socket->Send(ConfigAsk{});
+}
+
+void Links::SendResult(FrameSocket* to, const ResultFrame& result) {
+  if (this->callers.contains(to))
+    to->Send(result);
+}
+
+void Links::CheckSilence() {
+  const TimePoint now = SteadyNow();
+  std::vector<SocketPtr> silent;
+  for (auto& [name, peer] : this->peers) {
+    FrameSocket* socket = peer.socket;
+    if (socket == nullptr)
+      continue;
+    const bool owed = socket->asked != TimePoint{};
+    if (owed && now - socket->asked > kSilenceLimit) {
+      silent.emplace_back(socket);
+    } else if (peer.connected && now - socket->heard > kPingAfter) {
+      this->Ask(peer);
+    }
+  }
+  for (FrameSocket* caller : this->callers) {
+    if (now - caller->heard > kCallerSilence)
+      silent.emplace_back(caller);
+  }
+  for (const SocketPtr& socket : silent) {
+    this->counters.Add(LinkEvent::kSilent);
+    socket->Close();
+    this->OnClosed(socket.get());
+  }
+}
+
+void Links::Tick() {
+  this->tick.expires_after(kTickInterval);
+  this->tick.async_wait([this](boost::system::error_code error) {
+    if (error)
+      return;
+    if (std::exchange(this->status_changed, false)) {
+      for (FrameSocket* caller : this->callers)
+        caller->Send(Status{this->self.node, this->status});
+    }
+    this->CheckSilence();
+    this->Tick();
+  });
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/src/edge/links.h
@@ -0,0 +1,145 @@
+// Links between nodes: this node calls the gates of others over the links that
+// it opens, and serves the calls of those that open one to it.
+//
+// A link is also how nodes learn of each other: each side tells its status at
+// once and whenever it changes, so a gate that leaves is known within one way.
+//
+// Everything here belongs to the thread that runs the loop.
+#ifndef TEASELSPREAD_SRC_EDGE_LINKS_H_
+#define TEASELSPREAD_SRC_EDGE_LINKS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "edge/frames.h"
+#include "teaselspread/backoff.h"
+#include "teaselspread/counters.h"
+#include "teaselspread/error.h"
+#include "teaselspread/types.h"
+
+namespace teaselspread {
+
+enum class LinkEvent : std::uint8_t {
+  kOpened,
+  kAccepted,
+  kConnectFailed,
+  kLost,
+  kSilent,
+  kMalformed,
+  kFramesSent,
+  kFramesReceived,
+  kBytesSent,
+  kBytesReceived,
+  kCount,
+};
+
+// Stable name of a counter. Thread safe.
+[[nodiscard]] std::string_view NameOf(LinkEvent event);
+
+class FrameSocket;
+
+// What this node knows of another one.
+struct Peer {
+  std::string node;
+  std::string data_center;
+  Address link;
+  // The link that this node opened; null while there is none.
+  FrameSocket* socket = nullptr;
+  bool connected = false;
+  GateStatus status;
+  TimePoint status_at;
+  // Requests of this node that are under way there.
+  std::uint32_t in_flight = 0;
+  Backoff backoff;
+  std::uint32_t next_sequence = 1;
+};
+
+struct LinkHandlers {
+  // A request for the own gate; answer with SendResult on the same socket.
+  std::function<void(FrameSocket*, RunFrame)> on_run;
+  std::function<void(FrameSocket*, std::uint64_t call)> on_cancel;
+  // The socket of runs that are under way is gone.
+  std::function<void(FrameSocket*)> on_caller_gone;
+  std::function<void(const std::string& node, ResultFrame)> on_result;
+  // The link to `node` is gone; the results of its calls will not come.
+  std::function<void(const std::string& node)> on_lost;
+  std::function<void(const std::string& node)> on_status;
+  // Another node introduced itself.
+  std::function<void(const Hello&)> on_hello;
+  std::function<ConfigFrame()> on_config_ask;
+  std::function<void(ConfigFrame)> on_config;
+};
+
+// Not thread safe.
+class Links {
+ public:
+  Links(boost::asio::io_context& io, LinkHandlers on);
+  Links(const Links&) = delete;
+  Links& operator=(const Links&) = delete;
+  ~Links();
+
+  // Errors: kSettings when the address cannot be bound.
+  [[nodiscard]] Result<Address> Listen(const Address& address);
+
+  // Keeps a link to this node from now on; a new address replaces the old one.
+  void Add(const Hello& node);
+  // Ends the link and forgets the node.
+  void Remove(const std::string& node);
+
+  // Told to every node whenever it differs from what was told last.
+  void SetStatus(const GateStatus& status);
+
+  // False when there is no link to the node. Precondition: `frame.call` is not
+  // under way.
+  bool Run(const std::string& node, const RunFrame& frame);
+  void Cancel(const std::string& node, std::uint64_t call);
+  void AskConfig(const std::string& node);
+  // To a caller that sent RunFrame; one that is gone is ignored.
+  void SendResult(FrameSocket* to, const ResultFrame& result);
+
+  [[nodiscard]] const std::map<std::string, Peer>& Peers() const {
+    return this->peers;
+  }
+  [[nodiscard]] Peer* Find(const std::string& node);
+
+  Hello self;
+  CounterTable<LinkEvent> counters;
+
+ private:
+  friend class FrameSocket;
+
+  void Accept();
+  void Tick();
+  void Connect(Peer& peer);
+  void Retry(const std::string& node);
+  void OnFrame(FrameSocket* from, LinkFrame frame);
+  void OnClosed(FrameSocket* socket);
+  void TakeServerFrame(const std::string& node, LinkFrame frame);
+  void TakeCallerFrame(FrameSocket* from, LinkFrame frame);
+  void CheckSilence();
+  void Ask(Peer& peer);
+
+  boost::asio::io_context& loop;
+  LinkHandlers handlers;
+  boost::asio::ip::tcp::acceptor acceptor;
+  boost::asio::steady_timer tick;
+  std::map<std::string, Peer> peers;
+  std::set<FrameSocket*> callers;
+  GateStatus status;
+  bool status_changed = false;
+  Rng rng;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_SRC_EDGE_LINKS_H_
--- /dev/null
+++ b/src/edge/loop_client.cc
@@ -0,0 +1,402 @@
+#include "edge/loop_client.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include "edge/clock.h"
+#include "edge/http_text.h"
+#include "http/beast_convert.h"
+#include "teaselspread/settings.h"
+
+namespace teaselspread {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using Parser = http::response_parser<http::string_body>;
+
+constexpr std::size_t kReadBytes = 16384;
+constexpr std::uint64_t kMostAnswerBytes = 64U << 20;
+constexpr std::uint32_t kMostHeaderBytes = 65536;
+// A server that is there takes a connection within a few milliseconds; one lost
+// opening packet is sent again within this time.
+constexpr std::chrono::milliseconds kConnectTimeout{1000};
+// A server that says when it closes idle connections is believed but for
+// this margin, since a request that crosses the close may or may not have run.
+constexpr std::chrono::milliseconds kKeepAliveMargin{1000};
+
+constexpr std::array<std::string_view,
+                     static_cast<std::size_t>(ClientEvent::kCount)>
+    kNames = {"opened",      "reused",        "connect-failed",
+              "idle-closed", "unasked-bytes", "foreign-answer",
+              "truncated",   "bad-answer",    "cancelled"};
+
+// "timeout=5, max=100" as a span; none without a whole number.
+std::optional<Duration> KeepAliveOf(std::string_view value) {
+  constexpr std::string_view kName = "timeout=";
+  const std::size_t at = value.find(kName);
+  if (at == std::string_view::npos)
+    return std::nullopt;
+  const std::string_view digits = value.substr(at + kName.size());
+  int seconds = 0;
+  const auto [end, error] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (error != std::errc{})
+    return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+std::string_view NameOf(ClientEvent event) {
+  return kNames.at(static_cast<std::size_t>(event));
+}
+
+// One connection; it carries one call at a time.
+class LoopConnection
+    : public boost::intrusive_ref_counter<LoopConnection,
+                                          boost::thread_unsafe_counter> {
+ public:
+  LoopConnection(asio::io_context& io, LoopClient& owner)
+      : pool(&owner), socket(io), connect_timer(io) {}
+
+  void Open(const Address& to);
+  void Begin(std::string text, std::string id, bool head, CallHandler handler);
+  void Close();
+  void LosePool() { this->pool = nullptr; }
+
+  TimePoint idle_since;
+  // The upstream closes the connection when it was idle for this long.
+  std::optional<Duration> keep_alive;
+
+ private:
+  using Self = boost::intrusive_ptr<LoopConnection>;
+
+  void Write();
+  void Read();
+  void OnEnd(boost::system::error_code error);
+  void Parse();
+  void NewParser();
+  bool TakeAnswer();
+  void Complete();
+  void FailCall(ErrorKind kind, Execution execution, ClientEvent event);
+  void MaybeRest();
+
+  LoopClient* pool;
+  tcp::socket socket;
+  asio::steady_timer connect_timer;
+  boost::beast::flat_buffer buffer;
+  std::optional<Parser> parser;
+  std::string output;
+  std::string request_id;
+  CallHandler done;
+  bool head_only = false;
+  bool connected = false;
+  bool reading = false;
+  bool writing = false;
+  bool busy = false;
+  bool must_close = false;
+  bool closed = false;
+};
+
+void LoopConnection::Open(const Address& to) {
+  const tcp::endpoint endpoint(asio::ip::make_address(to.host), to.port);
+  this->connect_timer.expires_after(kConnectTimeout);
+  this->connect_timer.async_wait(
+      [self = Self(this)](boost::system::error_code error) {
+        if (!error && !self->connected)
+          self->FailCall(ErrorKind::kConnectFailed, Execution::kNotRun,
+                         ClientEvent::kConnectFailed);
+      });
+  this->socket.async_connect(
+      endpoint, [self = Self(this)](boost::system::error_code error) {
+        if (self->closed)
+          return;
+        self->connect_timer.cancel();
+        if (error) {
+          self->FailCall(ErrorKind::kConnectFailed, Execution::kNotRun,
+                         ClientEvent::kConnectFailed);
+          return;
+        }
+        self->connected = true;
+        boost::system::error_code ignored;  // only speed depends on it
+        self->socket.set_option(tcp::no_delay(true), ignored);
+        self->Write();
+        self->Read();
+      });
+}
+
+void LoopConnection::Begin(std::string text,
+                           std::string id,
+                           bool head,
+                           CallHandler handler) {
+  this->output = std::move(text);
+  this->request_id = std::move(id);
+  this->head_only = head;
+  this->done = std::move(handler);
+  this->busy = true;
+  this->NewParser();
+  if (this->connected)
+    this->Write();
+}
+
+void LoopConnection::NewParser() {
+  this->parser.emplace();
+  this->parser->eager(true);
+  this->parser->skip(this->head_only);
+  this->parser->header_limit(kMostHeaderBytes);
+  this->parser->body_limit(kMostAnswerBytes);
+}
+
+void LoopConnection::Write() {
+  this->writing = true;
+  asio::async_write(
+      this->socket, asio::buffer(this->output),
+      [self = Self(this)](boost::system::error_code error, std::size_t) {
+        self->writing = false;
+        if (self->closed)
+          return;
+        // A write that breaks is not the end: an answer that says
+        // why may be on its way. The read finds out.
+        self->must_close = self->must_close || bool{error};
+        self->MaybeRest();
+      });
+}
+
+void LoopConnection::Read() {
+  if (this->reading || this->closed)
+    return;
+  this->reading = true;
+  this->socket.async_read_some(
+      this->buffer.prepare(kReadBytes),
+      [self = Self(this)](boost::system::error_code error, std::size_t bytes) {
+        self->reading = false;
+        if (self->closed)
+          return;
+        if (error) {
+          self->OnEnd(error);
+          return;
+        }
+        self->buffer.commit(bytes);
+        self->Parse();
+        self->Read();
+      });
+}
+
+void LoopConnection::OnEnd(boost::system::error_code error) {
+  if (!this->busy) {
+    if (this->pool != nullptr)
+      this->pool->counters.Add(ClientEvent::kClosedWhileIdle);
+    this->Close();
+    return;
+  }
+  this->must_close = true;
+  if (error == asio::error::eof && this->parser->got_some()) {
+    boost::system::error_code parse_error;
+    this->parser->put_eof(parse_error);
+    if (!parse_error && this->parser->is_done() && this->TakeAnswer())
+      return;
+  }
+  const bool began = this->parser->got_some();
+  this->FailCall(began ? ErrorKind::kTruncated : ErrorKind::kUpstreamFailed,
+                 Execution::kUnknown, ClientEvent::kTruncated);
+}
+
+void LoopConnection::Parse() {
+  while (this->busy && this->buffer.size() > 0) {
+    boost::system::error_code error;
+    const std::size_t used = this->parser->put(this->buffer.data(), error);
+    this->buffer.consume(used);
+    if (error && error != http::error::need_more) {
+      this->FailCall(ErrorKind::kWrongAnswer, Execution::kUnknown,
+                     ClientEvent::kBadAnswer);
+      return;
+    }
+    if (this->parser->is_done()) {
+      if (this->TakeAnswer())
+        break;
+      continue;
+    }
+    if (used == 0)
+      return;
+  }
+  if (!this->busy && this->buffer.size() > 0 && !this->closed) {
+    // Bytes that follow a whole answer belong to no request.
+    if (this->pool != nullptr)
+      this->pool->counters.Add(ClientEvent::kUnaskedBytes);
+    this->Close();
+  }
+}
+
+// True when the call has ended. An answer to another request, or an interim
+// one, is dropped: the one that is waited for may follow.
+bool LoopConnection::TakeAnswer() {
+  constexpr unsigned kFirstFinal = 200;
+  constexpr unsigned kFirstNoSuccess = 300;
+  const auto& message = this->parser->get();
+  const unsigned status = message.result_int();
+  if (status < kFirstFinal) {
+    this->NewParser();
+    return false;
+  }
+  const auto echoed = message["X-Request-Id"];
+  const bool success = status < kFirstNoSuccess;
+  const bool names_another =
+      echoed.empty() ? success : echoed != this->request_id;
+  const bool foreign = !this->request_id.empty() && names_another;
+  if (foreign) {
+    if (this->pool != nullptr)
+      this->pool->counters.Add(ClientEvent::kForeignAnswer);
+    this->must_close = true;
+    this->NewParser();
+    return false;
+  }
+  this->Complete();
+  return true;
+}
+
+void LoopConnection::Complete() {
+  auto& message = this->parser->get();
+  CallResult result;
+  result.answered = true;
+  result.execution = Execution::kRan;
+  result.response.status = static_cast<int>(message.result_int());
+  result.response.headers = HeadersOf(message);
+  this->must_close = this->must_close || !message.keep_alive();
+  this->keep_alive =
+      KeepAliveOf(FindHeader(result.response.headers, "Keep-Alive"));
+  result.response.body = std::move(message.body());
+  this->busy = false;
+  this->idle_since = SteadyNow();
+  const CallHandler handler = std::exchange(this->done, nullptr);
+  const Self keep(this);
+  this->MaybeRest();
+  handler(std::move(result));
+}
+
+void LoopConnection::FailCall(ErrorKind kind,
+                              Execution execution,
+                              ClientEvent event) {
+  if (this->pool != nullptr)
+    this->pool->counters.Add(event);
+  const CallHandler handler = std::exchange(this->done, nullptr);
+  this->busy = false;
+  const Self keep(this);
+  this->Close();
+  CallResult result;
+  result.error = kind;
+  result.execution = execution;
+  if (handler)
+    handler(std::move(result));
+}
+
+// An answer may come before the whole request was read; the connection is only
+// free when the rest of the request is written too.
+void LoopConnection::MaybeRest() {
+  if (this->busy || this->writing || this->closed || this->pool == nullptr)
+    return;
+  if (this->must_close || this->buffer.size() > 0) {
+    this->Close();
+    return;
+  }
+  auto& idle = this->pool->idle;
+  if (std::find(idle.begin(), idle.end(), this) == idle.end())
+    idle.push_back(this);
+}
+
+void LoopConnection::Close() {
+  if (this->closed)
+    return;
+  this->closed = true;
+  this->done = nullptr;
+  this->connect_timer.cancel();
+  boost::system::error_code ignored;  // the peer may have closed already
+  this->socket.close(ignored);
+  if (this->pool != nullptr) {
+    std::erase(this->pool->idle, this);
+    this->pool->all.erase(this);
+    intrusive_ptr_release(this);
+  }
+}
+
+LoopClient::~LoopClient() {
+  const std::set<LoopConnection*> open = std::move(this->all);
+  this->all.clear();
+  for (LoopConnection* connection : open) {
+    connection->LosePool();
+    connection->Close();
+    intrusive_ptr_release(connection);
+  }
+}
+
+void LoopClient::SetAddress(const Address& to) {
+  if (this->address == to)
+    return;
+  this->address = to;
+  this->Prune(Duration{0});
+}
+
+LoopConnection* LoopClient::TakeIdle(Duration reuse_within) {
+  while (!this->idle.empty()) {
+    LoopConnection* connection = this->idle.back();
+    const Duration rested = SteadyNow() - connection->idle_since;
+    const auto& told = connection->keep_alive;
+    const bool about_to_close = told && rested + kKeepAliveMargin > *told;
+    if (rested <= reuse_within && !about_to_close) {
+      this->idle.pop_back();
+      return connection;
+    }
+    connection->Close();
+  }
+  return nullptr;
+}
+
+LoopConnection* LoopClient::Call(const HttpRequest& request,
+                                 std::string request_id,
+                                 Duration reuse_within,
+                                 CallHandler done) {
+  std::string text = TextOf(request, ToString(this->address));
+  const bool head = request.method == "HEAD";
+  LoopConnection* connection = this->TakeIdle(reuse_within);
+  const bool fresh = connection == nullptr;
+  this->counters.Add(fresh ? ClientEvent::kOpened : ClientEvent::kReused);
+  if (fresh) {
+    connection = new LoopConnection(this->loop, *this);
+    intrusive_ptr_add_ref(connection);
+    this->all.insert(connection);
+  }
+  connection->Begin(std::move(text), std::move(request_id), head,
+                    std::move(done));
+  if (fresh)
+    connection->Open(this->address);
+  return connection;
+}
+
+void LoopClient::Cancel(LoopConnection* call) {
+  this->counters.Add(ClientEvent::kCancelled);
+  call->Close();
+}
+
+void LoopClient::Prune(Duration longer_than) {
+  const std::vector<LoopConnection*> rested = this->idle;
+  const TimePoint now = SteadyNow();
+  for (LoopConnection* connection : rested) {
+    if (now - connection->idle_since >= longer_than)
+      connection->Close();
+  }
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/src/edge/loop_client.h
@@ -0,0 +1,96 @@
+// HTTP calls from the event loop to one address, over connections that are
+// kept.
+//
+// Everything here belongs to the thread that runs the loop.
+#ifndef TEASELSPREAD_SRC_EDGE_LOOP_CLIENT_H_
+#define TEASELSPREAD_SRC_EDGE_LOOP_CLIENT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "teaselspread/counters.h"
+#include "teaselspread/error.h"
+#include "teaselspread/http.h"
+#include "teaselspread/types.h"
+
+namespace teaselspread {
+
+class LoopConnection;
+
+// How one call ended. `execution` is kNotRun only if the upstream cannot have
+// seen the request.
+struct CallResult {
+  bool answered = false;
+  HttpResponse response;
+  ErrorKind error = ErrorKind::kInternal;
+  Execution execution = Execution::kUnknown;
+};
+
+using CallHandler = std::function<void(CallResult)>;
+
+enum class ClientEvent : std::uint8_t {
+  kOpened,
+  kReused,
+  kConnectFailed,
+  kClosedWhileIdle,
+  kUnaskedBytes,
+  kForeignAnswer,
+  kTruncated,
+  kBadAnswer,
+  kCancelled,
+  kCount,
+};
+
+// Stable name of a counter. Thread safe.
+[[nodiscard]] std::string_view NameOf(ClientEvent event);
+
+// Not thread safe.
+class LoopClient {
+ public:
+  explicit LoopClient(boost::asio::io_context& io) : loop(io) {}
+  LoopClient(const LoopClient&) = delete;
+  LoopClient& operator=(const LoopClient&) = delete;
+  ~LoopClient();
+
+  // Where calls go from now on; idle connections elsewhere are closed.
+  void SetAddress(const Address& to);
+
+  // Sends `request` and gives the whole answer to `done`, once and never from
+  // inside this function. `request_id` is what the answer has to echo; empty
+  // for a server that echoes nothing. A connection that was idle for longer
+  // than `reuse_within` is not used. The handle stays valid until `done` was
+  // called.
+  LoopConnection* Call(const HttpRequest& request,
+                       std::string request_id,
+                       Duration reuse_within,
+                       CallHandler done);
+
+  // Closes the connection of a call; `done` is not called. Precondition:
+  // `done` was not called yet.
+  void Cancel(LoopConnection* call);
+
+  // Closes connections that were idle for `longer_than`.
+  void Prune(Duration longer_than);
+
+  CounterTable<ClientEvent> counters;
+
+ private:
+  friend class LoopConnection;
+
+  LoopConnection* TakeIdle(Duration reuse_within);
+
+  boost::asio::io_context& loop;
+  Address address;
+  std::vector<LoopConnection*> idle;
+  std::set<LoopConnection*> all;
+};
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_SRC_EDGE_LOOP_CLIENT_H_
--- /dev/null
+++ b/src/edge/metrics.cc
@@ -0,0 +1,89 @@
+#include <string>
+
+#include <absl/strings/str_cat.h>
+
+#include "edge/edge_node.h"
+
+namespace teaselspread {
+namespace {
+
+constexpr double kMicrosPerSecond = 1e6;
+
+void AppendValue(std::string& text,
+                 std::string_view name,
+                 std::string_view label,
+                 std::string_view value,
+                 std::uint64_t count) {
+  absl::StrAppend(&text, "teaselspread_", std::string(name));
+  if (!label.empty()) {
+    absl::StrAppend(&text, "{", std::string(label), "=\"", std::string(value),
+                    "\"}");
+  }
+  absl::StrAppend(&text, " ", count, "\n");
+}
+
+template <class Reason>
+void AppendTable(std::string& text,
+                 std::string_view name,
+                 std::string_view label,
+                 const CounterTable<Reason>& table) {
+  for (std::size_t i = 0; i < CounterTable<Reason>::kSize; ++i) {
+    const auto reason = static_cast<Reason>(i);
+    if (const std::uint64_t count = table.Get(reason); count > 0)
+      AppendValue(text, name, label, NameOf(reason), count);
+  }
+}
+
+void AppendHistogram(std::string& text,
+                     const std::string& route,
+                     const LatencyHistogram& histogram) {
+  const std::string name = "teaselspread_request_seconds";
+  std::uint64_t below = 0;
+  for (std::size_t i = 0; i < kLatencyBuckets; ++i) {
+    if (histogram.counts.at(i) == 0)
+      continue;
+    below += histogram.counts.at(i);
+    const double bound =
+        static_cast<double>(LatencyBound(i).count()) / kMicrosPerSecond;
+    absl::StrAppend(&text, name, "_bucket{route=\"", route, "\",le=\"", bound,
+                    "\"} ", below, "\n");
+  }
+  const double sum =
+      static_cast<double>(histogram.sum.count()) / kMicrosPerSecond;
+  absl::StrAppend(&text, name, "_bucket{route=\"", route, "\",le=\"+Inf\"} ",
+                  histogram.count, "\n", name, "_sum{route=\"", route, "\"} ",
+                  sum, "\n", name, "_count{route=\"", route, "\"} ",
+                  histogram.count, "\n");
+}
+
+}  // namespace
+
+std::string MetricsText(const EdgeNode& node) {
+  std::string text;
+  const EntryCounters& entry = node.entry.counters;
+  const SnapshotPtr& held = node.entry.InForce();
+  AppendValue(text, "config_version", "", "", held ? held->version : 0);
+  AppendValue(text, "requests_total", "", "", entry.requests);
+  AppendValue(text, "answered_total", "", "", entry.answered);
+  AppendValue(text, "callers_left_total", "", "", entry.callers_left);
+  AppendTable(text, "refused_total", "reason", entry.refusals);
+  AppendTable(text, "retries_total", "reason", entry.retries);
+  AppendTable(text, "gate_refused_total", "reason",
+              node.gate.Keeper().refusals);
+  AppendTable(text, "listener_total", "event", node.outbound.counters);
+  AppendTable(text, "upstream_connections_total", "event",
+              node.gate.pool.counters);
+  AppendTable(text, "links_total", "event", node.links.counters);
+  AppendTable(text, "heartbeats_total", "verdict", node.heartbeats);
+  AppendTable(text, "store_reads_total", "outcome", node.orders.outcomes);
+  AppendValue(text, "log_lines_dropped_total", "", "", node.log.Dropped());
+  const GateStatus gate = node.gate.Status();
+  AppendValue(text, "gate_running", "", "", gate.running);
+  AppendValue(text, "gate_waiting", "", "", gate.waiting);
+  AppendValue(text, "gate_slots", "", "", gate.slots);
+  for (const auto& [route, histogram] : node.entry.latency_by_route)
+    AppendHistogram(text, route, histogram);
+  return text;
+}
+
+}  // namespace teaselspread
--- a/src/logging/logging.cc
+++ b/src/logging/logging.cc
@@ -10,6 +10,10 @@
 #include <array>
 #include <cctype>
 #include <memory>
+#include <utility>
+
+#include <absl/time/clock.h>
+#include <absl/time/time.h>
 
 namespace teaselspread {
 namespace {
@@ -19,8 +23,20 @@
 struct LoggingState {
   LogIdentity identity;
   log4cxx::LoggerPtr logger;
+  // In place of `logger`, which waits for whoever reads what it writes.
+  LogSink sink;
+  LogLevel sink_level = LogLevel::kInfo;
 };
 
+constexpr std::array<std::string_view,
+                     static_cast<std::size_t>(LogLevel::kCount)>
+    kLevelNames = {"DEBUG", "INFO", "WARN", "ERROR"};
+
+std::string TimeText() {
+  const absl::Time now = absl::Now();
+  return absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", now, absl::UTCTimeZone());
+}
+
 LoggingState& State() {
   static LoggingState state;
   return state;
@@ -93,11 +109,29 @@
   state.logger->setLevel(LevelOf(level));
 }
 
+void StartLogging(const LogIdentity& identity, LogLevel level, LogSink sink) {
+  LoggingState& state = State();
+  state.identity = identity;
+  state.sink = std::move(sink);
+  state.sink_level = level;
+}
+
 void Log(LogLevel level,
          std::string_view service,
          std::string_view event,
          std::initializer_list<LogField> fields) {
   const LoggingState& state = State();
+  if (state.sink) {
+    if (level < state.sink_level)
+      return;
+    std::string line = TimeText();
+    line += " level=";
+    line += kLevelNames.at(static_cast<std::size_t>(level));
+    line += ' ';
+    line += FormatLogLine(state.identity, service, event, fields);
+    state.sink(line);
+    return;
+  }
   const log4cxx::LevelPtr wanted = LevelOf(level);
   if (!state.logger || !state.logger->isEnabledFor(wanted))
     return;
--- a/src/routing/match.cc
+++ b/src/routing/match.cc
@@ -1,3 +1,5 @@
+#include <absl/strings/match.h>
+
 #include "teaselspread/routing.h"
 
 namespace teaselspread {
@@ -13,8 +15,35 @@
   return next == '/' || next == '?';
 }
 
+std::string_view WithoutPort(std::string_view host) {
+  const std::size_t colon = host.rfind(':');
+  const bool is_port = colon != std::string_view::npos &&
+                       host.find(']', colon) == std::string_view::npos;
+  return is_port ? host.substr(0, colon) : host;
+}
+
+bool HostFits(std::string_view wanted, std::string_view host) {
+  return wanted.empty() ||
+         absl::EqualsIgnoreCase(absl::string_view(wanted.data(), wanted.size()),
+                                absl::string_view(host.data(), host.size()));
+}
+
 }  // namespace
 
+const RouteConfig* MatchRoute(const Snapshot& snapshot,
+                              std::string_view host,
+                              std::string_view method,
+                              std::string_view path) {
+  const std::string_view name = WithoutPort(host);
+  for (const RouteConfig& route : snapshot.routes) {
+    const bool method_fits = route.method.empty() || route.method == method;
+    if (method_fits && HostFits(route.host, name) &&
+        PrefixFits(route.path_prefix, path))
+      return &route;
+  }
+  return nullptr;
+}
+
 const RouteConfig* MatchRoute(const Snapshot& snapshot,
                               std::string_view method,
                               std::string_view path) {
