Carry out moves within seconds; close the intake before a stop ends

Cause 1 (EXPOSURE): orders to move a service were not carried out, so a bad new version kept getting requests. The judge of long moves closes strata of five seconds and learns the demand for ten; orders here last 12 to 16 s. Added a trial that compares the versions upstream by upstream and ramps 2, 6, 20, 100%. Cause 2 (LOST): a stopping node took requests until it ended, since callers that have nowhere else to go keep coming. It now closes its doors 2.3 s after SIGTERM.

--- /dev/null
+++ b/include/teaselspread/version_trial.h
@@ -0,0 +1,162 @@
+// A move of a service to a new version within some seconds: how much traffic
+// the new one gets, and when it is bad, in force for good, or neither yet.
+//
+// The judge of longer moves (judge.h) compares the versions in strata of five
+// seconds at least and learns the demand for ten; an order that has to be done
+// in twelve leaves no time for that. Here the versions are compared upstream by
+// upstream: a fault of one upstream is not one of its version, however many
+// answers it spoils.
+//
+// Pure: the caller passes the time in. Nothing here is thread safe.
+#ifndef TEASELSPREAD_VERSION_TRIAL_H_
+#define TEASELSPREAD_VERSION_TRIAL_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <vector>
+
+#include "teaselspread/edge.h"
+#include "teaselspread/types.h"
+
+namespace teaselspread {
+
+// Answers of one upstream on one route, as one node saw them.
+struct TrialCell {
+  std::string instance;
+  std::string route;
+  // Of the new version.
+  bool fresh = false;
+  std::uint32_t runs = 0;
+  std::uint32_t bad = 0;
+  // Of the answers that say something of the speed.
+  std::uint32_t timed = 0;
+  std::uint32_t sum_ms = 0;
+
+  bool operator==(const TrialCell&) const = default;
+};
+
+// What one node tells of one move.
+struct TrialNote {
+  std::string service;
+  std::string to;
+  MoveProgress progress = MoveProgress::kRunning;
+  // `progress` stands in the store.
+  bool reported = false;
+  // The node sends nothing to old versions any more.
+  bool moved = false;
+  // Time since the order was first read, as far as the node knows; 0 once the
+  // move has ended.
+  std::uint32_t age_ms = 0;
+  std::vector<TrialCell> cells;
+
+  bool operator==(const TrialNote&) const = default;
+};
+
+struct TrialSettings {
+  // Share of the new version from a part of the order's time on. Before the
+  // last step about a twenty-fifth of all requests of that time have gone to
+  // it, which leaves most of the tenth that a bad version may have for faults
+  // that show under full load only.
+  double first_share = 0.02;
+  double second_share = 0.06;
+  double second_from = 0.2;
+  double third_share = 0.2;
+  double third_from = 0.45;
+  double full_from = 0.55;
+  // The move is done from this part on if nothing speaks against it.
+  double done_from = 0.78;
+  // Without a verdict by this part it is taken back.
+  double give_up_from = 0.93;
+  // Answers of one upstream on one route before it is judged.
+  std::uint32_t least_runs = 5;
+  // Bad answers of it, and how much their share lies above the old version's.
+  std::uint32_t least_bad = 3;
+  double extra_bad = 0.15;
+  // Times the old version's mean, and milliseconds above it.
+  double slowdown = 2.5;
+  double slowdown_ms = 25;
+  // Part of the new version's judged upstreams that must be bad.
+  double bad_part = 0.6;
+  // Upstreams that get the new version's first requests. Few of them are loaded
+  // as all will be later, so faults under load show while the share is small;
+  // one alone could not be told from its version.
+  std::uint32_t first_upstreams = 2;
+  // Time between being ready and the first requests.
+  Duration settle = std::chrono::milliseconds(200);
+  // All nodes have moved for this long before the move is done: what ran at the
+  // old version has ended or has been given up.
+  Duration moved_for = std::chrono::milliseconds(1300);
+};
+
+// One answer of an upstream.
+struct TrialAnswer {
+  std::string_view instance;
+  std::string_view route;
+  bool fresh = false;
+  bool bad = false;
+  // Says something of the speed: the upstream is not cold.
+  bool timed = false;
+  Duration took{};
+};
+
+struct VersionTrial {
+  MoveOrder order;
+  TrialSettings settings;
+  // When the first node read the order, as far as this one has heard. A node
+  // that starts in the middle of a move would otherwise begin it anew, and the
+  // move would miss its time.
+  TimePoint started;
+  // When the new version had an upstream ready; the epoch before.
+  TimePoint ready_since;
+  MoveProgress progress = MoveProgress::kRunning;
+  bool reported = false;
+  // Since when all known nodes have moved; the epoch if they have not.
+  TimePoint all_moved_since;
+  // Own answers, and the newest note of each other node.
+  std::map<std::pair<std::string, std::string>, TrialCell> own;
+  std::map<std::string, TrialNote> peers;
+};
+
+// Counts one answer that this node got.
+void RecordTrial(VersionTrial& trial, const TrialAnswer& answer);
+
+// What this node tells the others.
+[[nodiscard]] TrialNote NoteOf(const VersionTrial& trial, TimePoint now);
+
+// What another node told. A verdict that it names is taken over.
+void TakeNote(VersionTrial& trial,
+              const std::string& node,
+              const TrialNote& note,
+              TimePoint now);
+
+// Share of the service's requests that the new version gets now, 0..1.
+[[nodiscard]] double ShareOf(const VersionTrial& trial, TimePoint now);
+
+// Upstreams of the new version that may get requests, out of `ready`.
+[[nodiscard]] std::size_t UpstreamsInUse(const VersionTrial& trial,
+                                         std::size_t ready,
+                                         TimePoint now);
+
+// What the answers of all nodes show.
+enum class TrialFinding : std::uint8_t { kCalm, kSuspect, kBad };
+[[nodiscard]] TrialFinding JudgeTrial(const VersionTrial& trial);
+
+// What the node knows beside the answers.
+struct TrialView {
+  bool new_ready = false;
+  bool old_ready = false;
+  // Nothing runs or waits at an upstream of an old version.
+  bool old_idle = false;
+  // Every node in touch tells that it has moved.
+  bool all_moved = false;
+};
+
+// One step, a few times a second: sets `progress`. True when it changed.
+bool StepTrial(VersionTrial& trial, const TrialView& view, TimePoint now);
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_VERSION_TRIAL_H_
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -22,8 +22,6 @@
 // Whoever sends callers here asks once a second and needs two answers in a row
 // to notice a stop; until then requests still come.
 constexpr Duration kStopNotice = std::chrono::milliseconds(2300);
-// No request for this long while stopping: callers have gone elsewhere.
-constexpr Duration kStopQuiet = std::chrono::milliseconds(400);
 // Before the process would be ended by force.
 constexpr Duration kStopReserve = std::chrono::milliseconds(700);
 // A peer that holds a newer configuration is asked for it, once in this time.
@@ -49,18 +47,41 @@
   return response;
 }
 
+void AddReady(const GateStatus& status, std::vector<ReadyUpstream>& ready) {
+  if (status.state != GateState::kReady)
+    return;
+  ready.push_back({status.service, status.version, status.instance,
+                   status.slots, status.running + status.waiting});
+}
+
 void RefreshVersions(EdgeNode& node) {
-  std::map<std::string, VersionSlots, std::less<>> ready;
-  const auto add = [&ready](const GateStatus& status) {
-    if (status.state == GateState::kReady)
-      ready[status.service][status.version] += std::max(status.slots, 1U);
-  };
-  add(node.gate.Status());
+  std::vector<ReadyUpstream> ready;
+  AddReady(node.gate.Status(), ready);
   for (const auto& [name, peer] : node.links.Peers()) {
     if (peer.connected)
-      add(peer.status);
+      AddReady(peer.status, ready);
   }
-  node.versions.SetSlots(std::move(ready));
+  node.versions.SetReady(ready);
+}
+
+std::vector<std::string> NodesInTouch(const EdgeNode& node) {
+  std::vector<std::string> nodes;
+  for (const auto& [name, peer] : node.links.Peers()) {
+    if (peer.connected)
+      nodes.push_back(name);
+  }
+  return nodes;
+}
+
+void StepMoves(EdgeNode& node) {
+  const std::vector<std::string> nodes = NodesInTouch(node);
+  node.versions.Step(nodes);
+  const auto rank = std::count_if(
+      nodes.begin(), nodes.end(),
+      [&node](const std::string& name) { return name < node.settings.vm; });
+  node.reporter.Step(static_cast<std::size_t>(rank));
+  node.notes = node.versions.Notes();
+  TellStatus(node);
 }
 
 void OnRun(EdgeNode& node, FrameSocket* from, RunFrame frame) {
@@ -128,10 +149,13 @@
   };
   on.on_lost = [&node](const std::string& name) {
     RefreshVersions(node);
+    node.versions.ForgetNode(name);
     node.entry.OnLost(name);
   };
   on.on_status = [&node](const std::string& name) {
     RefreshVersions(node);
+    if (const Peer* peer = node.links.Find(name))
+      node.versions.TakeNotes(name, peer->status.moves);
     AskForNewer(node, name);
   };
   on.on_hello = [&node](const Hello& hello) { node.links.Add(hello); };
@@ -141,7 +165,7 @@
   };
   on.on_config = [&node](const ConfigFrame& frame) {
     if (!frame.record.empty())
-      TakeConfig(node, {std::string(kConfigKey), frame.record});
+      TakeOrder(node, {std::string(kConfigKey), frame.record});
   };
   return on;
 }
@@ -239,14 +263,28 @@
   TellStatus(node);
 }
 
-bool MayEnd(const EdgeNode& node, TimePoint now) {
+// Some callers may have nowhere else to go and would keep coming until the
+// process is killed with their requests. So the doors close while there is time
+// to finish what was taken; a connection that is refused can be tried
+// elsewhere.
+void CloseIntake(EdgeNode& node) {
+  if (node.intake_closed)
+    return;
+  node.intake_closed = true;
+  Log(LogLevel::kInfo, "node", "intake-closed",
+      {{"open", node.outbound.CountOpen()}});
+  node.outbound.CloseIdle();
+}
+
+// True when the process may end.
+bool StepStop(EdgeNode& node, TimePoint now) {
   const Duration passed = now - node.stop_at;
-  if (passed >= node.settings.stop_grace - kStopReserve)
-    return true;
-  const bool quiet = now - node.outbound.LastRequest() >= kStopQuiet;
-  const bool idle = node.outbound.CountOpen() == 0 &&
+  if (passed < kStopNotice)
+    return false;
+  CloseIntake(node);
+  const bool idle = node.outbound.CountSessions() == 0 &&
                     node.gate.CountRunning() == 0 && node.remote_runs.empty();
-  return passed >= kStopNotice && quiet && idle;
+  return idle || passed >= node.settings.stop_grace - kStopReserve;
 }
 
 void WaitForSignals(EdgeNode& node) {
@@ -267,14 +305,13 @@
     if (error)
       return;
     node.gate.Tick();
-    TellStatus(node);
     RefreshVersions(node);
+    StepMoves(node);
     for (const auto& [name, peer] : node.links.Peers())
       AskForNewer(node, name);
     if (ChangedAt(node.settings_file) != node.settings_changed_ns)
       ReloadSettings(node, "file");
-    if (node.stopping && MayEnd(node, SteadyNow())) {
-      node.outbound.CloseIdle();
+    if (node.stopping && StepStop(node, SteadyNow())) {
       node.loop.stop();
       return;
     }
@@ -317,6 +354,7 @@
        {"link", ToString(node.settings.link)},
        {"service", node.settings.service}});
   node.orders.Start();
+  node.reporter.Read();
   StartRoster(node);
   Tick(node);
   node.loop.run();
@@ -344,7 +382,8 @@
       orders(this->loop,
              this->adapter.store,
              RecordStream::kOrders,
-             [this](const StoredRecord& record) { TakeConfig(*this, record); }),
+             [this](const StoredRecord& record) { TakeOrder(*this, record); }),
+      reporter(this->adapter, this->versions),
       outbound(
           this->loop,
           [this](const ExchangePtr& exchange) { this->entry.Take(exchange); }),
@@ -369,10 +408,11 @@
   GateStatus status = node.gate.Status();
   const SnapshotPtr& held = node.entry.InForce();
   status.held = held ? held->version : 0;
+  status.moves = node.notes;
   node.links.SetStatus(status);
 }
 
-void TakeConfig(EdgeNode& node, const StoredRecord& record) {
+void TakeOrder(EdgeNode& node, const StoredRecord& record) {
   const auto order = node.adapter.decode_order(record);
   if (!order) {
     Log(LogLevel::kWarning, "orders", "record-refused",
@@ -381,6 +421,8 @@
          {"message", order.error().message}});
     return;
   }
+  if (const auto* move = std::get_if<MoveOrder>(&*order))
+    node.versions.TakeOrder(*move);
   const auto* snapshot = std::get_if<SnapshotPtr>(&*order);
   if (snapshot == nullptr)
     return;
--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -15,6 +15,7 @@
 #include "edge/http_listener.h"
 #include "edge/links.h"
 #include "edge/log_writer.h"
+#include "edge/move_reporter.h"
 #include "edge/stream_watch.h"
 #include "edge/version_choice.h"
 #include "teaselspread/counters.h"
@@ -42,6 +43,7 @@
   VersionChoice versions;
   Entry entry;
   StreamWatch orders;
+  MoveReporter reporter;
   HttpListener outbound;
   HttpListener readiness;
   HttpListener admin;
@@ -54,6 +56,9 @@
   std::uint64_t next_remote_run = 0;
   // The record from which the configuration in force was made.
   std::string config_record;
+  // Told to the others with the status; refreshed with each tick.
+  std::vector<TrialNote> notes;
+  bool intake_closed = false;
   bool registered = false;
   bool stopping = false;
   TimePoint stop_at;
@@ -67,9 +72,9 @@
 // All counters and histograms as text for the metrics address.
 [[nodiscard]] std::string MetricsText(const EdgeNode& node);
 
-// Takes in a configuration, from the store or from a peer; one that is not
-// newer is ignored.
-void TakeConfig(EdgeNode& node, const StoredRecord& record);
+// Takes in an order of the operators, from the store or from a peer. A
+// configuration that is not newer than the one in force is ignored.
+void TakeOrder(EdgeNode& node, const StoredRecord& record);
 
 // Tells every node the present status, if it changed.
 void TellStatus(EdgeNode& node);
--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -49,6 +49,12 @@
                          static_cast<double>(span.count()) / kMicrosPerSecond);
 }
 
+bool MayUse(const PickedVersion& picked, const std::string& instance) {
+  return picked.only.empty() ||
+         std::find(picked.only.begin(), picked.only.end(), instance) !=
+             picked.only.end();
+}
+
 HttpResponse ErrorWith(ErrorKind kind, Duration retry_after) {
   HttpResponse response = ErrorResponse(Error{kind, std::string(NameOf(kind))});
   if (AnswerOf(kind).retry_after)
@@ -146,7 +152,8 @@
   const auto fits = [&pending](const GateStatus& status) {
     return status.state == GateState::kReady &&
            status.service == pending.service &&
-           status.version == pending.version;
+           status.version == pending.version.version &&
+           MayUse(pending.version, status.instance);
   };
   const auto add = [&](std::string_view node, Distance distance,
                        const GateStatus& status, std::uint32_t load) {
@@ -178,7 +185,7 @@
   if (found == this->open.end())
     return;
   Pending& pending = found->second;
-  if (pending.version.empty())
+  if (pending.version.version.empty())
     pending.version = this->versions.Pick(pending.service);
   const auto candidates = this->CandidatesFor(pending);
   constexpr std::size_t kAnswerBytes = 3000;
@@ -269,13 +276,7 @@
 void Entry::TakeAnswer(std::uint64_t id, Pending& pending, ResultFrame result) {
   const bool failed = result.response.status >= kFirstServerError;
   this->Learn(pending.node, failed);
-  VersionAnswer answer;
-  answer.service = pending.service;
-  answer.version = pending.version;
-  answer.route = pending.route->name;
-  answer.failed = failed;
-  answer.took = Duration(result.took_us);
-  this->versions.OnAnswer(answer);
+  this->Tell(pending, failed, Duration(result.took_us));
   ++pending.attempts;
   pending.may_have_run = true;
   if (failed && this->MayRepeat(pending, ErrorKind::kUpstreamFailed, false)) {
@@ -319,14 +320,7 @@
                         Pending& pending,
                         ResultFrame& result) {
   this->Learn(pending.node, true);
-  VersionAnswer answer;
-  answer.service = pending.service;
-  answer.version = pending.version;
-  answer.route = pending.route->name;
-  answer.failed = true;
-  answer.timed_out = result.error == ErrorKind::kTimeout;
-  answer.took = Duration(result.took_us);
-  this->versions.OnAnswer(answer);
+  this->Tell(pending, true, Duration(result.took_us));
   pending.tried.push_back(pending.node);
   pending.last_error = result.error;
   ++pending.attempts;
@@ -353,6 +347,9 @@
   failed.not_run = not_run;
   failed.idempotent = pending.route->idempotent;
   failed.attempts_made = pending.attempts;
+  // While a move runs, a repeat goes where most requests go: the answer that
+  // failed may be the new version's fault.
+  pending.version = this->versions.Pick(pending.service);
   failed.other_upstream = !this->CandidatesFor(pending).empty();
   failed.deadline = pending.deadline;
   failed.attempt_time = kLeastTime;
@@ -388,14 +385,7 @@
     else
       this->links.Cancel(pending.node, id);
     this->Learn(pending.node, true);
-    VersionAnswer answer;
-    answer.service = pending.service;
-    answer.version = pending.version;
-    answer.route = pending.route->name;
-    answer.failed = true;
-    answer.timed_out = true;
-    answer.took = SteadyNow() - pending.sent;
-    this->versions.OnAnswer(answer);
+    this->Tell(pending, true, SteadyNow() - pending.sent);
   }
   this->GiveError(id, ErrorKind::kTimeout, kRetryAfter);
 }
@@ -471,6 +461,19 @@
   Answer(*exchange, response);
 }
 
+void Entry::Tell(const Pending& pending, bool bad, Duration took) {
+  const Peer* peer = this->links.Find(pending.node);
+  const GateStatus own = this->gate.Status();
+  const GateStatus& seen = peer == nullptr ? own : peer->status;
+  TrialAnswer answer;
+  answer.instance = seen.instance;
+  answer.route = pending.route->name;
+  answer.bad = bad;
+  answer.timed = seen.warm_up_ms == 0;
+  answer.took = took;
+  this->versions.OnAnswer(pending.service, pending.version.version, answer);
+}
+
 void Entry::Learn(const std::string& node, bool failed) {
   NodeRecord& record = this->records[node];
   const TimePoint now = SteadyNow();
@@ -506,7 +509,7 @@
        {"route", pending.route->name},
        {"config", pending.snapshot->version},
        {"to", pending.service},
-       {"version", pending.version},
+       {"version", pending.version.version},
        {"node", pending.node},
        {"instance", seen.instance},
        {"load", seen.running + seen.waiting},
--- a/src/edge/entry.h
+++ b/src/edge/entry.h
@@ -36,7 +36,7 @@
   SnapshotPtr snapshot;
   const RouteConfig* route = nullptr;
   std::string service;
-  std::string version;
+  PickedVersion version;
   TimePoint deadline;
   std::unique_ptr<boost::asio::steady_timer> timer;
   // Where it is now; empty before the first attempt.
@@ -128,6 +128,8 @@
   [[nodiscard]] std::vector<Candidate> CandidatesFor(const Pending& pending);
   [[nodiscard]] RunFrame FrameOf(std::uint64_t id, const Pending& pending);
   [[nodiscard]] const std::string& InstanceOf(const std::string& node) const;
+  // What an attempt at the pending node's upstream tells of its version.
+  void Tell(const Pending& pending, bool bad, Duration took);
   void Learn(const std::string& node, bool failed);
   [[nodiscard]] double FailureShare(const std::string& node, TimePoint now);
   [[nodiscard]] RetryBudget& BudgetOf(const std::string& service);
--- a/src/edge/frames.cc
+++ b/src/edge/frames.cc
@@ -17,6 +17,17 @@
   codec(value.name, value.value);
 }
 template <class C>
+void Fields(C& codec, FieldsOf<C, TrialCell> value) {
+  codec(value.instance, value.route, value.fresh, value.runs, value.bad);
+  codec(value.timed, value.sum_ms);
+}
+template <class C>
+void Fields(C& codec, FieldsOf<C, TrialNote> value) {
+  codec(value.service, value.to, value.reported, value.moved, value.age_ms);
+  codec(value.cells);
+  codec.Enum(value.progress, MoveProgress::kTakenBack);
+}
+template <class C>
 void Fields(C& codec, FieldsOf<C, GateStatus> value) {
   codec(value.instance, value.service, value.version, value.slots);
   codec(value.running, value.waiting, value.mean_us, value.warm_up_ms);
--- a/src/edge/frames.h
+++ b/src/edge/frames.h
@@ -12,6 +12,7 @@
 #include "teaselspread/error.h"
 #include "teaselspread/http.h"
 #include "teaselspread/types.h"
+#include "teaselspread/version_trial.h"
 
 namespace teaselspread {
 
@@ -37,8 +38,8 @@
   // How much longer the upstream is slow after its start, in milliseconds.
   std::uint32_t warm_up_ms = 0;
   ConfigVersion held = 0;
-  // What this node knows of moves; opaque to the link.
-  std::string moves;
+  // What this node knows of moves.
+  std::vector<TrialNote> moves;
 
   bool operator==(const GateStatus&) const = default;
 };
--- a/src/edge/http_listener.cc
+++ b/src/edge/http_listener.cc
@@ -211,7 +211,6 @@
   exchange->close_after = !message.keep_alive();
   this->last_taken = exchange->close_after;
   this->pending.push_back(exchange);
-  this->listener->last_request = SteadyNow();
   this->listener->counters.Add(ListenerEvent::kRequest);
   this->NewParser();
   this->listener->on_request(exchange);
@@ -439,7 +438,6 @@
 void HttpListener::CloseIdle() {
   boost::system::error_code ignored;  // closing twice is no fault
   this->acceptor.close(ignored);
-  this->sweep.cancel();
   const std::vector<HttpSession*> open(this->sessions.begin(),
                                        this->sessions.end());
   for (HttpSession* session : open) {
--- a/src/edge/http_listener.h
+++ b/src/edge/http_listener.h
@@ -84,14 +84,18 @@
   // Later answers close their connection. Call before the process ends.
   void CloseAfterAnswers() { this->closing = true; }
 
-  // Stops accepting and closes connections on which nothing is under way.
+  // Stops accepting and closes connections on which nothing is under way; the
+  // others close after their last answer. Precondition: CloseAfterAnswers was
+  // called.
   void CloseIdle();
 
   // Requests that have no answer yet.
   [[nodiscard]] std::size_t CountOpen() const;
 
-  // When the last whole request was read; the epoch before the first.
-  [[nodiscard]] TimePoint LastRequest() const { return this->last_request; }
+  // Connections that are open.
+  [[nodiscard]] std::size_t CountSessions() const {
+    return this->sessions.size();
+  }
 
   SessionLimits limits;
   CounterTable<ListenerEvent> counters;
@@ -107,7 +111,6 @@
   boost::asio::steady_timer sweep;
   ExchangeHandler on_request;
   std::set<HttpSession*> sessions;
-  TimePoint last_request;
   bool closing = false;
 };
 
--- a/src/edge/links.cc
+++ b/src/edge/links.cc
@@ -306,8 +306,7 @@
     return;
   const bool urgent = now.state != this->status.state ||
                       now.instance != this->status.instance ||
-                      now.held != this->status.held ||
-                      now.moves != this->status.moves;
+                      now.held != this->status.held;
   this->status = now;
   this->status_changed = true;
   if (!urgent)
--- a/src/edge/version_choice.cc
+++ b/src/edge/version_choice.cc
@@ -1,21 +1,210 @@
 #include "edge/version_choice.h"
 
 #include <algorithm>
+#include <array>
+#include <cmath>
+
+#include "edge/clock.h"
+#include "teaselspread/logging.h"
 
 namespace teaselspread {
+namespace {
+
+// Weights of a split between two versions, in thousandths.
+constexpr double kWeightScale = 1000;
+
+void LogProgress(const VersionTrial& trial, const char* why) {
+  std::uint64_t runs = 0;
+  std::uint64_t bad = 0;
+  const auto add = [&](const TrialCell& cell) {
+    runs += cell.fresh ? cell.runs : 0;
+    bad += cell.fresh ? cell.bad : 0;
+  };
+  for (const auto& [key, cell] : trial.own)
+    add(cell);
+  for (const auto& [node, note] : trial.peers)
+    std::for_each(note.cells.begin(), note.cells.end(), add);
+  constexpr std::int64_t kMicrosPerMilli = 1000;
+  Log(LogLevel::kInfo, "moves", "progress",
+      {{"move", trial.order.service},
+       {"to", trial.order.to},
+       {"progress", NameOf(trial.progress)},
+       {"why", why},
+       {"new_runs", runs},
+       {"new_bad", bad},
+       {"nodes_heard", trial.peers.size()},
+       {"age_ms", (SteadyNow() - trial.started).count() / kMicrosPerMilli}});
+}
+
+}  // namespace
+
+void VersionChoice::SetReady(const std::vector<ReadyUpstream>& all) {
+  this->ready.clear();
+  for (const ReadyUpstream& upstream : all) {
+    Version& version = this->ready[upstream.service][upstream.version];
+    version.slots += std::max(upstream.slots, 1U);
+    version.load += upstream.load;
+    version.instances.push_back(upstream.instance);
+  }
+  // Every node takes the same ones first.
+  for (auto& [service, versions] : this->ready) {
+    for (auto& [name, version] : versions)
+      std::sort(version.instances.begin(), version.instances.end());
+  }
+}
 
 // A version that nobody ordered gets nothing while another serves: upstreams
 // of a new one may be up before the order to move is read.
-std::string VersionChoice::Pick(std::string_view service) {
-  const auto found = this->slots.find(service);
-  if (found == this->slots.end() || found->second.empty())
+std::string VersionChoice::MostReady(const Versions& versions,
+                                     std::string_view but) {
+  std::string best;
+  std::uint32_t most = 0;
+  for (const auto& [name, version] : versions) {
+    if (name == but || version.slots <= most)
+      continue;
+    best = name;
+    most = version.slots;
+  }
+  return best;
+}
+
+PickedVersion VersionChoice::PickInTrial(VersionTrial& trial,
+                                         const Versions& versions) {
+  const TimePoint now = SteadyNow();
+  const std::string& to = trial.order.to;
+  const std::string old = MostReady(versions, to);
+  const auto fresh = versions.find(to);
+  const bool has_fresh = fresh != versions.end();
+  const bool taken_back = trial.progress == MoveProgress::kTakenBack;
+  if (!has_fresh || taken_back)
+    return {old, {}};
+  if (old.empty() || trial.progress == MoveProgress::kDone)
+    return {to, {}};
+  const double share = ShareOf(trial, now);
+  const auto weight =
+      static_cast<std::uint32_t>(std::lround(share * kWeightScale));
+  const std::array<std::uint32_t, 2> weights = {
+      weight, static_cast<std::uint32_t>(kWeightScale) - weight};
+  if (NextTurn(this->turns[trial.order.service], weights) != 0)
+    return {old, {}};
+  const std::size_t count =
+      UpstreamsInUse(trial, fresh->second.instances.size(), now);
+  PickedVersion picked{to, fresh->second.instances};
+  picked.only.resize(count);
+  return picked;
+}
+
+PickedVersion VersionChoice::Pick(const std::string& service) {
+  const auto found = this->ready.find(service);
+  if (found == this->ready.end())
     return {};
-  const auto most = std::max_element(
-      found->second.begin(), found->second.end(),
-      [](const auto& a, const auto& b) { return a.second < b.second; });
-  return most->first;
+  const auto trial = this->trials.find(service);
+  if (trial == this->trials.end())
+    return {MostReady(found->second, ""), {}};
+  return this->PickInTrial(trial->second, found->second);
+}
+
+void VersionChoice::TakeOrder(const MoveOrder& order) {
+  const auto found = this->trials.find(order.service);
+  if (found != this->trials.end() && found->second.order.to == order.to)
+    return;
+  VersionTrial trial;
+  trial.order = order;
+  trial.started = SteadyNow();
+  if (const auto known = this->reports.find(order.service);
+      known != this->reports.end() && known->second.to == order.to) {
+    trial.progress = known->second.progress;
+    trial.reported = true;
+  }
+  LogProgress(trial, "ordered");
+  this->trials.insert_or_assign(order.service, std::move(trial));
 }
 
-void VersionChoice::OnAnswer(const VersionAnswer& /*answer*/) {}
+void VersionChoice::TakeReport(const MoveReport& report) {
+  this->reports[report.service] = report;
+  const auto found = this->trials.find(report.service);
+  if (found == this->trials.end() || found->second.order.to != report.to)
+    return;
+  VersionTrial& trial = found->second;
+  if (report.progress != MoveProgress::kRunning &&
+      report.progress != trial.progress) {
+    trial.progress = report.progress;
+    LogProgress(trial, "store");
+  }
+  trial.reported = report.progress == trial.progress;
+}
+
+void VersionChoice::TakeNotes(const std::string& node,
+                              const std::vector<TrialNote>& notes) {
+  for (const TrialNote& note : notes) {
+    const auto found = this->trials.find(note.service);
+    if (found == this->trials.end() || found->second.order.to != note.to)
+      continue;
+    const MoveProgress before = found->second.progress;
+    TakeNote(found->second, node, note, SteadyNow());
+    if (found->second.progress != before)
+      LogProgress(found->second, "peer");
+  }
+}
+
+void VersionChoice::ForgetNode(const std::string& node) {
+  for (auto& [service, trial] : this->trials) {
+    if (const auto found = trial.peers.find(node); found != trial.peers.end())
+      found->second.moved = false;
+  }
+}
+
+void VersionChoice::OnAnswer(std::string_view service,
+                             std::string_view version,
+                             const TrialAnswer& answer) {
+  const auto found = this->trials.find(std::string(service));
+  if (found == this->trials.end() ||
+      found->second.progress != MoveProgress::kRunning)
+    return;
+  TrialAnswer counted = answer;
+  counted.fresh = version == found->second.order.to;
+  RecordTrial(found->second, counted);
+}
+
+void VersionChoice::Step(const std::vector<std::string>& nodes) {
+  const TimePoint now = SteadyNow();
+  for (auto& [service, trial] : this->trials) {
+    TrialView view;
+    const auto found = this->ready.find(service);
+    view.old_idle = true;
+    if (found != this->ready.end()) {
+      for (const auto& [name, version] : found->second) {
+        const bool fresh = name == trial.order.to;
+        view.new_ready = view.new_ready || fresh;
+        view.old_ready = view.old_ready || !fresh;
+        view.old_idle = view.old_idle && (fresh || version.load == 0);
+      }
+    }
+    view.all_moved =
+        ShareOf(trial, now) >= 1 &&
+        std::all_of(nodes.begin(), nodes.end(), [&](const std::string& node) {
+          const auto peer = trial.peers.find(node);
+          return peer != trial.peers.end() && peer->second.moved;
+        });
+    if (!StepTrial(trial, view, now))
+      continue;
+    trial.reported = false;
+    LogProgress(trial, "judged");
+  }
+}
+
+std::vector<TrialNote> VersionChoice::Notes() const {
+  std::vector<TrialNote> notes;
+  for (const auto& [service, trial] : this->trials)
+    notes.push_back(NoteOf(trial, SteadyNow()));
+  return notes;
+}
+
+void VersionChoice::MarkReported(const std::string& service,
+                                 MoveProgress progress) {
+  const auto found = this->trials.find(service);
+  if (found != this->trials.end() && found->second.progress == progress)
+    found->second.reported = true;
+}
 
 }  // namespace teaselspread
--- a/src/edge/version_choice.h
+++ b/src/edge/version_choice.h
@@ -1,47 +1,92 @@
-// Which version of a service the next request goes to.
+// Which version of a service the next request goes to, and what becomes of the
+// moves that operators ordered.
 //
 // Everything here belongs to the thread that runs the loop.
 #ifndef TEASELSPREAD_SRC_EDGE_VERSION_CHOICE_H_
 #define TEASELSPREAD_SRC_EDGE_VERSION_CHOICE_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "edge/frames.h"
+#include "teaselspread/edge.h"
 #include "teaselspread/types.h"
+#include "teaselspread/version_trial.h"
+#include "teaselspread/weighted_turns.h"
 
 namespace teaselspread {
 
-// Ready slots by version, of one service.
-using VersionSlots = std::map<std::string, std::uint32_t, std::less<>>;
-
-// How an upstream answered, as far as a move is concerned.
-struct VersionAnswer {
-  std::string_view service;
-  std::string_view version;
-  std::string_view route;
-  bool failed = false;
-  bool timed_out = false;
-  Duration took{};
+// One upstream that is ready, somewhere.
+struct ReadyUpstream {
+  std::string service;
+  std::string version;
+  std::string instance;
+  std::uint32_t slots = 0;
+  // Requests there and waiting for it.
+  std::uint32_t load = 0;
+};
+
+// What `Pick` chose.
+struct PickedVersion {
+  // Empty when nothing is ready.
+  std::string version;
+  // Processes that may get the request; empty means any of the version.
+  std::vector<std::string> only;
 };
 
 // Not thread safe.
 class VersionChoice {
  public:
-  // What is ready now; call it when a gate's status changed.
-  void SetSlots(std::map<std::string, VersionSlots, std::less<>> ready) {
-    this->slots = std::move(ready);
-  }
+  // What is ready now.
+  void SetReady(const std::vector<ReadyUpstream>& ready);
+
+  // The version for the next request.
+  [[nodiscard]] PickedVersion Pick(const std::string& service);
+
+  // A first order, or one to another version than before, begins a trial.
+  void TakeOrder(const MoveOrder& order);
+  // What the store says of a move; ends a trial that it names.
+  void TakeReport(const MoveReport& report);
+  void TakeNotes(const std::string& node, const std::vector<TrialNote>& notes);
+  void ForgetNode(const std::string& node);
 
-  // The version for the next request; empty when nothing is ready.
-  [[nodiscard]] std::string Pick(std::string_view service);
+  void OnAnswer(std::string_view service,
+                std::string_view version,
+                const TrialAnswer& answer);
 
-  void OnAnswer(const VersionAnswer& answer);
+  // Judges; `nodes` are the others in touch.
+  void Step(const std::vector<std::string>& nodes);
+
+  [[nodiscard]] std::vector<TrialNote> Notes() const;
+  [[nodiscard]] const std::map<std::string, VersionTrial>& Trials() const {
+    return this->trials;
+  }
+  // The store holds what this node believes of the move.
+  void MarkReported(const std::string& service, MoveProgress progress);
 
  private:
-  std::map<std::string, VersionSlots, std::less<>> slots;
+  struct Version {
+    std::uint32_t slots = 0;
+    std::uint32_t load = 0;
+    std::vector<std::string> instances;
+  };
+  using Versions = std::map<std::string, Version, std::less<>>;
+
+  [[nodiscard]] static std::string MostReady(const Versions& versions,
+                                             std::string_view but);
+  [[nodiscard]] PickedVersion PickInTrial(VersionTrial& trial,
+                                          const Versions& versions);
+
+  std::map<std::string, Versions, std::less<>> ready;
+  std::map<std::string, VersionTrial> trials;
+  // Turns between the old and the new version, by service.
+  std::map<std::string, WeightedTurns> turns;
+  // What the store said before an order was read.
+  std::map<std::string, MoveReport> reports;
 };
 
 }  // namespace teaselspread
--- /dev/null
+++ b/src/moves/version_trial.cc
@@ -0,0 +1,222 @@
+#include "teaselspread/version_trial.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <utility>
+
+namespace teaselspread {
+namespace {
+
+constexpr std::int64_t kMicrosPerMilli = 1000;
+// A hung request counts this long at most: it says "slow", not how slow.
+constexpr std::int64_t kMostMillis = 10000;
+
+constexpr std::array<std::string_view, 3> kNames = {"running", "done",
+                                                    "taken-back"};
+
+// Sums over all nodes.
+struct Sums {
+  double runs = 0;
+  double bad = 0;
+  double timed = 0;
+  double sum_ms = 0;
+};
+
+void Add(Sums& sums, const TrialCell& cell) {
+  sums.runs += cell.runs;
+  sums.bad += cell.bad;
+  sums.timed += cell.timed;
+  sums.sum_ms += cell.sum_ms;
+}
+
+struct RouteSums {
+  Sums old;
+  // By upstream of the new version.
+  std::map<std::string_view, Sums> fresh;
+};
+
+using Table = std::map<std::string_view, RouteSums>;
+
+void AddCell(Table& table, const TrialCell& cell) {
+  RouteSums& route = table[cell.route];
+  if (cell.fresh)
+    Add(route.fresh[cell.instance], cell);
+  else
+    Add(route.old, cell);
+}
+
+Table TableOf(const VersionTrial& trial) {
+  Table table;
+  for (const auto& [key, cell] : trial.own)
+    AddCell(table, cell);
+  for (const auto& [node, note] : trial.peers) {
+    for (const TrialCell& cell : note.cells)
+      AddCell(table, cell);
+  }
+  return table;
+}
+
+double RatioOf(double part, double whole) {
+  return whole > 0 ? part / whole : 0;
+}
+
+bool FailsMore(const TrialSettings& settings,
+               const Sums& fresh,
+               const Sums& old) {
+  return fresh.bad >= settings.least_bad &&
+         RatioOf(fresh.bad, fresh.runs) >
+             RatioOf(old.bad, old.runs) + settings.extra_bad;
+}
+
+bool IsSlower(const TrialSettings& settings,
+              const Sums& fresh,
+              const Sums& old) {
+  if (fresh.timed < settings.least_runs || old.timed < settings.least_runs)
+    return false;
+  const double old_mean = RatioOf(old.sum_ms, old.timed);
+  return RatioOf(fresh.sum_ms, fresh.timed) >
+         old_mean * settings.slowdown + settings.slowdown_ms;
+}
+
+// Part of the order's time that has passed.
+double PartPassed(const VersionTrial& trial, TimePoint now) {
+  const double whole = static_cast<double>(trial.order.duration.count());
+  const double passed = static_cast<double>((now - trial.started).count());
+  return whole > 0 ? passed / whole : 1;
+}
+
+TrialFinding FindingOn(const TrialSettings& settings, const RouteSums& route) {
+  double judged = 0;
+  double bad = 0;
+  for (const auto& [instance, sums] : route.fresh) {
+    const bool failing = FailsMore(settings, sums, route.old);
+    const bool slow = IsSlower(settings, sums, route.old);
+    if (sums.runs < settings.least_runs && !failing)
+      continue;
+    judged += 1;
+    bad += failing || slow ? 1 : 0;
+  }
+  if (bad == 0)
+    return TrialFinding::kCalm;
+  return RatioOf(bad, judged) >= settings.bad_part ? TrialFinding::kBad
+                                                   : TrialFinding::kSuspect;
+}
+
+}  // namespace
+
+std::string_view NameOf(MoveProgress progress) {
+  return kNames.at(static_cast<std::size_t>(progress));
+}
+
+void RecordTrial(VersionTrial& trial, const TrialAnswer& answer) {
+  TrialCell& cell =
+      trial.own[{std::string(answer.instance), std::string(answer.route)}];
+  if (cell.runs == 0) {
+    cell.instance = std::string(answer.instance);
+    cell.route = std::string(answer.route);
+    cell.fresh = answer.fresh;
+  }
+  ++cell.runs;
+  cell.bad += answer.bad ? 1 : 0;
+  if (!answer.timed)
+    return;
+  ++cell.timed;
+  cell.sum_ms += static_cast<std::uint32_t>(
+      std::min(answer.took.count() / kMicrosPerMilli, kMostMillis));
+}
+
+TrialNote NoteOf(const VersionTrial& trial, TimePoint now) {
+  TrialNote note;
+  note.service = trial.order.service;
+  note.to = trial.order.to;
+  note.progress = trial.progress;
+  note.reported = trial.reported;
+  note.moved = ShareOf(trial, now) >= 1;
+  if (trial.progress != MoveProgress::kRunning)
+    return note;
+  note.age_ms = static_cast<std::uint32_t>((now - trial.started).count() /
+                                           kMicrosPerMilli);
+  for (const auto& [key, cell] : trial.own)
+    note.cells.push_back(cell);
+  return note;
+}
+
+void TakeNote(VersionTrial& trial,
+              const std::string& node,
+              const TrialNote& note,
+              TimePoint now) {
+  trial.peers[node] = note;
+  trial.started =
+      std::min(trial.started, now - std::chrono::milliseconds(note.age_ms));
+  trial.reported =
+      trial.reported || (note.reported && note.progress == trial.progress);
+  if (trial.progress == MoveProgress::kRunning &&
+      note.progress != MoveProgress::kRunning) {
+    trial.progress = note.progress;
+    trial.reported = note.reported;
+  }
+}
+
+double ShareOf(const VersionTrial& trial, TimePoint now) {
+  if (trial.progress != MoveProgress::kRunning)
+    return trial.progress == MoveProgress::kDone ? 1 : 0;
+  const TrialSettings& settings = trial.settings;
+  const bool ready = trial.ready_since != TimePoint{} &&
+                     now - trial.ready_since >= settings.settle;
+  if (!ready)
+    return 0;
+  const double part = PartPassed(trial, now);
+  const bool calm = JudgeTrial(trial) == TrialFinding::kCalm;
+  if (part < settings.second_from || !calm)
+    return settings.first_share;
+  if (part < settings.third_from)
+    return settings.second_share;
+  if (part < settings.full_from)
+    return settings.third_share;
+  return 1;
+}
+
+std::size_t UpstreamsInUse(const VersionTrial& trial,
+                           std::size_t ready,
+                           TimePoint now) {
+  const double share = ShareOf(trial, now);
+  const auto needed =
+      static_cast<std::size_t>(std::ceil(share * static_cast<double>(ready)));
+  const std::size_t least = trial.settings.first_upstreams;
+  return std::min(ready, std::max(needed, least));
+}
+
+TrialFinding JudgeTrial(const VersionTrial& trial) {
+  TrialFinding worst = TrialFinding::kCalm;
+  for (const auto& [name, route] : TableOf(trial))
+    worst = std::max(worst, FindingOn(trial.settings, route));
+  return worst;
+}
+
+bool StepTrial(VersionTrial& trial, const TrialView& view, TimePoint now) {
+  if (trial.progress != MoveProgress::kRunning)
+    return false;
+  if (!view.new_ready)
+    trial.ready_since = TimePoint{};
+  else if (trial.ready_since == TimePoint{})
+    trial.ready_since = now;
+  if (!view.all_moved)
+    trial.all_moved_since = TimePoint{};
+  else if (trial.all_moved_since == TimePoint{})
+    trial.all_moved_since = now;
+  const TrialFinding finding = JudgeTrial(trial);
+  const double part = PartPassed(trial, now);
+  const bool moved = trial.all_moved_since != TimePoint{} &&
+                     now - trial.all_moved_since >= trial.settings.moved_for;
+  if (finding == TrialFinding::kBad)
+    trial.progress = MoveProgress::kTakenBack;
+  else if (part >= trial.settings.done_from && moved && view.old_idle &&
+           finding == TrialFinding::kCalm)
+    trial.progress = MoveProgress::kDone;
+  else if (part >= trial.settings.give_up_from)
+    trial.progress = MoveProgress::kTakenBack;
+  return trial.progress != MoveProgress::kRunning;
+}
+
+}  // namespace teaselspread
