Keep links that hear much; cancel what was not sent; results carry the load

Cause 1: the end that opened a link pinged only when it heard nothing. Ruled out: cuts (the nodes lost were not cut off). Cause 3: loads of other gates were up to 100 ms old, and all nodes picked the same one; results now carry the load of the gate.

--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -94,6 +94,9 @@
       return;
     result.call = found->second.call;
     node.remote_runs.erase(found);
+    const GateStatus now = node.gate.Status();
+    result.running = now.running;
+    result.waiting = now.waiting;
     node.links.SendResult(from, result);
   });
   TellStatus(node);
--- a/src/edge/frame_socket.cc
+++ b/src/edge/frame_socket.cc
@@ -42,7 +42,10 @@
 }  // namespace
 
 FrameSocket::FrameSocket(tcp::socket from, FrameSocketHandlers on)
-    : heard(SteadyNow()), socket(std::move(from)), handlers(std::move(on)) {}
+    : socket(std::move(from)), handlers(std::move(on)) {
+  this->times.heard = SteadyNow();
+  this->times.spoke = this->times.heard;
+}
 
 void FrameSocket::Connect(const tcp::endpoint& to,
                           std::function<void()> on_connected) {
@@ -62,7 +65,7 @@
 void FrameSocket::Start() {
   SetOptions(this->socket);
   this->connected = true;
-  this->heard = SteadyNow();
+  this->times.heard = SteadyNow();
   this->Read();
   this->Flush();
 }
@@ -70,6 +73,7 @@
 void FrameSocket::Send(const LinkFrame& frame) {
   if (this->closed)
     return;
+  this->times.spoke = SteadyNow();
   this->output += EncodeLinkFrame(frame);
   if (this->connected)
     this->Flush();
@@ -106,8 +110,8 @@
           return;
         }
         self->buffer.commit(bytes);
-        self->heard = SteadyNow();
-        self->asked = TimePoint{};
+        self->times.heard = SteadyNow();
+        self->times.asked = TimePoint{};
         self->handlers.on_received(bytes);
         self->TakeFrames();
         if (!self->closed)
--- a/src/edge/frame_socket.h
+++ b/src/edge/frame_socket.h
@@ -11,6 +11,7 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include "edge/frames.h"
+#include "edge/link_health.h"
 #include "teaselspread/types.h"
 
 namespace teaselspread {
@@ -47,11 +48,7 @@
   std::string node;
   // Whether this node opened the connection.
   bool opened_here = false;
-  // When the last bytes came.
-  TimePoint heard;
-  // When something was sent that the other end answers; epoch when nothing is
-  // owed.
-  TimePoint asked;
+  LinkTimes times;
 
  private:
   void Read();
--- a/src/edge/frames.cc
+++ b/src/edge/frames.cc
@@ -52,6 +52,7 @@
 template <class C>
 void Fields(C& codec, FieldsOf<C, ResultFrame> value) {
   codec(value.call, value.answered, value.retry_after_ms, value.took_us);
+  codec(value.running, value.waiting);
   codec.Enum(value.error, ErrorKind::kInternal);
   codec.Enum(value.execution, Execution::kUnknown);
   codec.Small(value.response.status);
--- a/src/edge/frames.h
+++ b/src/edge/frames.h
@@ -81,6 +81,9 @@
   std::uint32_t retry_after_ms = 0;
   // Time at the upstream, in microseconds.
   std::uint32_t took_us = 0;
+  // Load of the gate when it gave the result.
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
   HttpResponse response;
 };
 
--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -247,7 +247,11 @@
     return;
   }
   run.done = nullptr;
-  if (!run.frame.idempotent || run.call == nullptr)
+  if (run.call == nullptr)
+    return;
+  // A connection that is still being made carries nothing yet; when it opens
+  // late, the request would run for nobody.
+  if (!run.frame.idempotent && LoopClient::MayHaveSent(run.call))
     return;
   this->pool.Cancel(std::exchange(run.call, nullptr));
   this->Finish(id, false, {});
--- a/src/edge/links.cc
+++ b/src/edge/links.cc
@@ -9,6 +9,7 @@
 
 #include "edge/clock.h"
 #include "edge/frame_socket.h"
+#include "edge/link_health.h"
 #include "teaselspread/logging.h"
 #include "teaselspread/settings.h"
 
@@ -22,13 +23,6 @@
 // Status that changed is told this often at most: the load of a gate changes
 // with each request, and each telling costs both ends a wake-up.
 constexpr std::chrono::milliseconds kTickInterval{100};
-// A link on which nothing came for this long is asked; a node that has not
-// answered kSilenceLimit after that is taken for cut off.
-constexpr Duration kPingAfter = std::chrono::milliseconds(500);
-constexpr Duration kSilenceLimit = std::chrono::milliseconds(700);
-// The other end of an accepted link asks every kPingAfter; one that has been
-// quiet for this long is gone, and its sockets would pile up.
-constexpr Duration kCallerSilence = std::chrono::seconds(5);
 // First and longest wait between attempts to reach a node.
 constexpr Duration kRetryBase = std::chrono::milliseconds(100);
 constexpr Duration kRetryCap = std::chrono::seconds(1);
@@ -44,8 +38,6 @@
   return {asio::ip::make_address(address.host), address.port};
 }
 
-// What one tells others only when it matters to them: small changes of the
-// load wait for the next tick anyway.
 template <class Handler>
 void WithSelf(const std::shared_ptr<bool>& alive, Handler handler) {
   if (*alive)
@@ -202,7 +194,7 @@
   intrusive_ptr_add_ref(socket);
   socket->node = peer.node;
   socket->opened_here = true;
-  socket->asked = SteadyNow();
+  socket->times.asked = SteadyNow();
   peer.socket = socket;
   peer.connected = false;
   socket->Connect(EndpointOf(peer.link),
@@ -212,7 +204,7 @@
                     this->counters.Add(LinkEvent::kOpened);
                     socket->Send(this->self);
                     socket->Start();
-                    socket->asked = SteadyNow();
+                    socket->times.asked = SteadyNow();
                   });
 }
 
@@ -280,6 +272,9 @@
   } else if (auto* result = std::get_if<ResultFrame>(&frame)) {
     if (peer->in_flight > 0)
       --peer->in_flight;
+    peer->status.running = result->running;
+    peer->status.waiting = result->waiting;
+    peer->status_at = SteadyNow();
     this->handlers.on_result(name, std::move(*result));
   } else if (auto* config = std::get_if<ConfigFrame>(&frame)) {
     this->handlers.on_config(std::move(*config));
@@ -329,9 +324,9 @@
 // A run may take long, so its answer does not show that the link works; the
 // answer to a ping does.
 void Links::Ask(Peer& peer) {
-  if (peer.socket->asked != TimePoint{})
+  if (peer.socket->times.asked != TimePoint{})
     return;
-  peer.socket->asked = SteadyNow();
+  peer.socket->times.asked = SteadyNow();
   peer.socket->Send(PingFrame{peer.next_sequence++});
 }
 
@@ -360,18 +355,17 @@
   const TimePoint now = SteadyNow();
   std::vector<SocketPtr> silent;
   for (auto& [name, peer] : this->peers) {
-    FrameSocket* socket = peer.socket;
-    if (socket == nullptr)
+    if (peer.socket == nullptr)
       continue;
-    const bool owed = socket->asked != TimePoint{};
-    if (owed && now - socket->asked > kSilenceLimit) {
-      silent.emplace_back(socket);
-    } else if (peer.connected && now - socket->heard > kPingAfter) {
+    const LinkAction action =
+        CheckOpened(peer.socket->times, peer.connected, now);
+    if (action == LinkAction::kGiveUp)
+      silent.emplace_back(peer.socket);
+    else if (action == LinkAction::kAsk)
       this->Ask(peer);
-    }
   }
   for (FrameSocket* caller : this->callers) {
-    if (now - caller->heard > kCallerSilence)
+    if (CheckAccepted(caller->times, now) == LinkAction::kGiveUp)
       silent.emplace_back(caller);
   }
   for (const SocketPtr& socket : silent) {
--- a/src/edge/loop_client.cc
+++ b/src/edge/loop_client.cc
@@ -77,6 +77,7 @@
   void Begin(std::string text, std::string id, bool head, CallHandler handler);
   void Close();
   void LosePool() { this->pool = nullptr; }
+  [[nodiscard]] bool Connected() const { return this->connected; }
 
   TimePoint idle_since;
   // The upstream closes the connection when it was idle for this long.
@@ -390,6 +391,10 @@
   call->Close();
 }
 
+bool LoopClient::MayHaveSent(const LoopConnection* call) {
+  return call->Connected();
+}
+
 void LoopClient::Prune(Duration longer_than) {
   const std::vector<LoopConnection*> rested = this->idle;
   const TimePoint now = SteadyNow();
--- a/src/edge/loop_client.h
+++ b/src/edge/loop_client.h
@@ -75,6 +75,9 @@
   // `done` was not called yet.
   void Cancel(LoopConnection* call);
 
+  // Whether bytes of the call's request may have reached the server.
+  [[nodiscard]] static bool MayHaveSent(const LoopConnection* call);
+
   // Closes connections that were idle for `longer_than`.
   void Prune(Duration longer_than);
 
