--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -9,7 +9,7 @@
 
 #include <xxhash.h>
 
-#include "edge/clock.h"
+#include "base/clock.h"
 #include "edge/frame_socket.h"
 #include "teaselspread/logging.h"
 
--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -8,7 +8,7 @@
 
 #include <absl/strings/str_format.h>
 
-#include "edge/clock.h"
+#include "base/clock.h"
 #include "teaselspread/logging.h"
 #include "teaselspread/routing.h"
 
--- a/src/edge/frame_socket.cc
+++ b/src/edge/frame_socket.cc
@@ -8,7 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 
-#include "edge/clock.h"
+#include "base/clock.h"
 #include "teaselspread/logging.h"
 
 namespace teaselspread {
--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -6,7 +6,7 @@
 
 #include <xxhash.h>
 
-#include "edge/clock.h"
+#include "base/clock.h"
 #include "teaselspread/logging.h"
 #include "teaselspread/wire.h"
 
--- a/src/edge/http_listener.cc
+++ b/src/edge/http_listener.cc
@@ -12,7 +12,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-#include "edge/clock.h"
+#include "base/clock.h"
 #include "edge/http_text.h"
 #include "http/beast_convert.h"
 #include "teaselspread/settings.h"
--- a/src/edge/links.cc
+++ b/src/edge/links.cc
@@ -7,7 +7,7 @@
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 
-#include "edge/clock.h"
+#include "base/clock.h"
 #include "edge/frame_socket.h"
 #include "edge/link_health.h"
 #include "teaselspread/logging.h"
--- a/src/edge/log_writer.cc
+++ b/src/edge/log_writer.cc
@@ -7,7 +7,7 @@
 
 #include <absl/strings/str_cat.h>
 
-#include "edge/clock.h"
+#include "base/clock.h"
 
 namespace teaselspread {
 namespace {
--- a/src/edge/loop_client.cc
+++ b/src/edge/loop_client.cc
@@ -15,7 +15,7 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
-#include "edge/clock.h"
+#include "base/clock.h"
 #include "edge/http_text.h"
 #include "http/beast_convert.h"
 #include "teaselspread/settings.h"
@@ -39,7 +39,7 @@
 constexpr std::chrono::milliseconds kKeepAliveMargin{1000};
 
 constexpr std::array<std::string_view,
-                     static_cast<std::size_t>(ClientEvent::kCount)>
+                     static_cast<std::size_t>(CallEvent::kCount)>
     kNames = {"opened",      "reused",        "connect-failed",
               "idle-closed", "unasked-bytes", "foreign-answer",
               "truncated",   "bad-answer",    "cancelled"};
@@ -61,7 +61,7 @@
 
 }  // namespace
 
-std::string_view NameOf(ClientEvent event) {
+std::string_view NameOf(CallEvent event) {
   return kNames.at(static_cast<std::size_t>(event));
 }
 
@@ -93,7 +93,7 @@
   void NewParser();
   bool TakeAnswer();
   void Complete();
-  void FailCall(ErrorKind kind, Execution execution, ClientEvent event);
+  void FailCall(ErrorKind kind, Execution execution, CallEvent event);
   void MaybeRest();
 
   LoopClient* pool;
@@ -120,7 +120,7 @@
       [self = Self(this)](boost::system::error_code error) {
         if (!error && !self->connected)
           self->FailCall(ErrorKind::kConnectFailed, Execution::kNotRun,
-                         ClientEvent::kConnectFailed);
+                         CallEvent::kConnectFailed);
       });
   this->socket.async_connect(
       endpoint, [self = Self(this)](boost::system::error_code error) {
@@ -129,7 +129,7 @@
         self->connect_timer.cancel();
         if (error) {
           self->FailCall(ErrorKind::kConnectFailed, Execution::kNotRun,
-                         ClientEvent::kConnectFailed);
+                         CallEvent::kConnectFailed);
           return;
         }
         self->connected = true;
@@ -200,7 +200,7 @@
 void LoopConnection::OnEnd(boost::system::error_code error) {
   if (!this->busy) {
     if (this->pool != nullptr)
-      this->pool->counters.Add(ClientEvent::kClosedWhileIdle);
+      this->pool->counters.Add(CallEvent::kClosedWhileIdle);
     this->Close();
     return;
   }
@@ -213,7 +213,7 @@
   }
   const bool began = this->parser->got_some();
   this->FailCall(began ? ErrorKind::kTruncated : ErrorKind::kUpstreamFailed,
-                 Execution::kUnknown, ClientEvent::kTruncated);
+                 Execution::kUnknown, CallEvent::kTruncated);
 }
 
 void LoopConnection::Parse() {
@@ -223,7 +223,7 @@
     this->buffer.consume(used);
     if (error && error != http::error::need_more) {
       this->FailCall(ErrorKind::kWrongAnswer, Execution::kUnknown,
-                     ClientEvent::kBadAnswer);
+                     CallEvent::kBadAnswer);
       return;
     }
     if (this->parser->is_done()) {
@@ -237,7 +237,7 @@
   if (!this->busy && this->buffer.size() > 0 && !this->closed) {
     // Bytes that follow a whole answer belong to no request.
     if (this->pool != nullptr)
-      this->pool->counters.Add(ClientEvent::kUnaskedBytes);
+      this->pool->counters.Add(CallEvent::kUnaskedBytes);
     this->Close();
   }
 }
@@ -260,7 +260,7 @@
   const bool foreign = !this->request_id.empty() && names_another;
   if (foreign) {
     if (this->pool != nullptr)
-      this->pool->counters.Add(ClientEvent::kForeignAnswer);
+      this->pool->counters.Add(CallEvent::kForeignAnswer);
     this->must_close = true;
     this->NewParser();
     return false;
@@ -290,7 +290,7 @@
 
 void LoopConnection::FailCall(ErrorKind kind,
                               Execution execution,
-                              ClientEvent event) {
+                              CallEvent event) {
   if (this->pool != nullptr)
     this->pool->counters.Add(event);
   const CallHandler handler = std::exchange(this->done, nullptr);
@@ -373,7 +373,7 @@
   const bool head = request.method == "HEAD";
   LoopConnection* connection = this->TakeIdle(reuse_within);
   const bool fresh = connection == nullptr;
-  this->counters.Add(fresh ? ClientEvent::kOpened : ClientEvent::kReused);
+  this->counters.Add(fresh ? CallEvent::kOpened : CallEvent::kReused);
   if (fresh) {
     connection = new LoopConnection(this->loop, *this);
     intrusive_ptr_add_ref(connection);
@@ -387,7 +387,7 @@
 }
 
 void LoopClient::Cancel(LoopConnection* call) {
-  this->counters.Add(ClientEvent::kCancelled);
+  this->counters.Add(CallEvent::kCancelled);
   call->Close();
 }
 
--- a/src/edge/loop_client.h
+++ b/src/edge/loop_client.h
@@ -34,7 +34,7 @@
 
 using CallHandler = std::function<void(CallResult)>;
 
-enum class ClientEvent : std::uint8_t {
+enum class CallEvent : std::uint8_t {
   kOpened,
   kReused,
   kConnectFailed,
@@ -48,7 +48,7 @@
 };
 
 // Stable name of a counter. Thread safe.
-[[nodiscard]] std::string_view NameOf(ClientEvent event);
+[[nodiscard]] std::string_view NameOf(CallEvent event);
 
 // Not thread safe.
 class LoopClient {
@@ -81,7 +81,7 @@
   // Closes connections that were idle for `longer_than`.
   void Prune(Duration longer_than);
 
-  CounterTable<ClientEvent> counters;
+  CounterTable<CallEvent> counters;
 
  private:
   friend class LoopConnection;
--- a/src/edge/move_reporter.cc
+++ b/src/edge/move_reporter.cc
@@ -1,6 +1,6 @@
 #include "edge/move_reporter.h"
 
-#include "edge/clock.h"
+#include "base/clock.h"
 #include "teaselspread/logging.h"
 
 namespace teaselspread {
--- a/src/edge/roster.cc
+++ b/src/edge/roster.cc
@@ -9,7 +9,7 @@
 
 #include <absl/strings/str_split.h>
 
-#include "edge/clock.h"
+#include "base/clock.h"
 #include "edge/edge_node.h"
 #include "teaselspread/backoff.h"
 #include "teaselspread/logging.h"
--- a/src/edge/version_choice.cc
+++ b/src/edge/version_choice.cc
@@ -4,7 +4,7 @@
 #include <array>
 #include <cmath>
 
-#include "edge/clock.h"
+#include "base/clock.h"
 #include "teaselspread/logging.h"
 
 namespace teaselspread {
--- a/src/node/requests.h
+++ b/src/node/requests.h
@@ -15,6 +15,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/clock.h"
 #include "node/claims_service.h"
 #include "node/messages.h"
 #include "node/moves_service.h"
@@ -167,9 +168,6 @@
 // Thread safe.
 [[nodiscard]] Duration SilenceFor(const Call& call, Duration left);
 
-// The system clock. Edge code only.
-[[nodiscard]] TimePoint SystemNow();
-
 }  // namespace teaselspread
 
 #endif  // TEASELSPREAD_NODE_REQUESTS_H_
--- a/src/node/requests_service.cc
+++ b/src/node/requests_service.cc
@@ -219,11 +219,6 @@
   Apply(service, Leave(service.gatekeeper, SystemNow(), service.rng));
 }
 
-TimePoint SystemNow() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::system_clock::now());
-}
-
 void StartRequestsService(Kernel& kernel, Requests& service) {
   kernel.Register<Tick>(kRequestsService,
                         [&](const Tick&) { OnTick(kernel, service); });
--- /dev/null
+++ b/tests/contract/http_listener_test.cc
@@ -0,0 +1,196 @@
+#include "edge/http_listener.h"
+
+#include <criterion/criterion.h>
+
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/post.hpp>
+
+#include "contract/raw_socket.h"
+
+namespace teaselspread {
+namespace {
+
+using Ms = std::chrono::milliseconds;
+
+// A listener with its loop on a thread of its own. `handle` runs there.
+class Server {
+ public:
+  explicit Server(ExchangeHandler handle, SessionLimits limits = {})
+      : listener(this->loop, std::move(handle)) {
+    this->listener.limits = limits;
+    this->address = *this->listener.Listen({"127.0.0.1", 0});
+    this->thread = std::thread([this] { this->loop.run(); });
+  }
+  ~Server() {
+    this->loop.stop();
+    this->thread.join();
+  }
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  // Runs `task` on the loop and waits for it.
+  void Do(const std::function<void()>& task) {
+    std::atomic<bool> done{false};
+    boost::asio::post(this->loop, [&] {
+      task();
+      done = true;
+    });
+    while (!done)
+      std::this_thread::sleep_for(Ms(1));
+  }
+
+  boost::asio::io_context loop;
+  HttpListener listener;
+  Address address;
+  std::thread thread;
+};
+
+HttpResponse TextAnswer(const std::string& text) {
+  HttpResponse response;
+  response.body = text;
+  return response;
+}
+
+std::string GetText(const std::string& path) {
+  return "GET " + path + " HTTP/1.1\r\nHost: desk.example\r\n\r\n";
+}
+
+// What a caller sends, and the first line of what it gets.
+struct RequestCase {
+  const char* name;
+  std::string bytes;
+  const char* starts;
+};
+
+const std::vector<RequestCase> kRequests = {
+    {"plain", GetText("/a"), "HTTP/1.1 200 OK"},
+    {"chunked",
+     "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+     "chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+     "HTTP/1.1 200 OK"},
+    {"nonsense", "what?\r\n\r\n", "HTTP/1.1 400 "},
+    {"two lengths",
+     "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: "
+     "4\r\n\r\nabcd",
+     "HTTP/1.1 400 "},
+    {"a length and chunks",
+     "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: "
+     "chunked\r\n\r\n0\r\n\r\n",
+     "HTTP/1.1 400 "},
+    {"large headers",
+     "GET /a HTTP/1.1\r\nHost: h\r\nX-Long: " + std::string(3000, 'x') +
+         "\r\n\r\n",
+     "HTTP/1.1 431 "},
+    {"a large body",
+     "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\n" +
+         std::string(9000, 'x'),
+     "HTTP/1.1 413 "},
+};
+
+// Bytes that two readers could take for different requests must not pass: the
+// second request would run without anybody having sent it.
+Test(http_listener, refuses_what_is_not_one_request) {
+  SessionLimits limits;
+  limits.max_header_bytes = 2000;
+  limits.max_body_bytes = 8000;
+  Server server(
+      [](const ExchangePtr& exchange) {
+        Answer(*exchange, TextAnswer("fine"));
+      },
+      limits);
+  for (const RequestCase& each : kRequests) {
+    const RawSocket caller = RawSocket::ConnectTo(server.address.port);
+    caller.Send(each.bytes);
+    const std::string got = caller.ReadUntil(
+        [](const std::string& bytes) {
+          return bytes.find("\r\n\r\n") != std::string::npos;
+        },
+        Ms(2000));
+    cr_assert(got.starts_with(each.starts), "%s: %s", each.name, got.c_str());
+  }
+}
+
+// A caller sends three requests at once, and the last is answered first. On one
+// connection answers are told apart by their order only.
+Test(http_listener, answers_come_in_the_order_of_the_requests) {
+  std::vector<ExchangePtr> waiting;
+  Server server([&waiting](const ExchangePtr& exchange) {
+    waiting.push_back(exchange);
+    if (waiting.size() < 3)
+      return;
+    for (std::size_t i = waiting.size(); i-- > 0;)
+      Answer(*waiting[i], TextAnswer(waiting[i]->request.target));
+  });
+  const RawSocket caller = RawSocket::ConnectTo(server.address.port);
+  caller.Send(GetText("/1") + GetText("/2") + GetText("/3"));
+  const std::string got = caller.ReadUntil([](const std::string& bytes) {
+    return bytes.find("/3") != std::string::npos;
+  });
+  cr_assert(got.find("/1") < got.find("/2"));
+  cr_assert(got.find("/2") < got.find("/3"));
+  server.Do([&waiting] { waiting.clear(); });
+}
+
+// A caller gives up and closes. What runs for it is told so at once, since an
+// upstream would go on working for nobody.
+Test(http_listener, tells_when_a_caller_leaves) {
+  std::atomic<int> gone{0};
+  std::vector<ExchangePtr> waiting;
+  Server server([&](const ExchangePtr& exchange) {
+    exchange->on_gone = [&gone] { ++gone; };
+    waiting.push_back(exchange);
+  });
+  {
+    const RawSocket caller = RawSocket::ConnectTo(server.address.port);
+    caller.Send(GetText("/1") + GetText("/2"));
+    bool both = false;
+    while (!both)
+      server.Do([&] { both = waiting.size() == 2; });
+  }
+  for (int i = 0; i < 2000 && gone < 2; ++i)
+    std::this_thread::sleep_for(Ms(1));
+  cr_assert(gone == 2);
+  server.Do([&waiting] { waiting.clear(); });
+}
+
+// The process stops while two requests of one connection run. Said with the
+// first answer, "close" would cut the second, which an upstream has already.
+Test(http_listener, closes_after_the_last_answer_only) {
+  std::vector<ExchangePtr> waiting;
+  Server server(
+      [&waiting](const ExchangePtr& exchange) { waiting.push_back(exchange); });
+  const RawSocket caller = RawSocket::ConnectTo(server.address.port);
+  caller.Send(GetText("/1") + GetText("/2"));
+  bool both = false;
+  while (!both)
+    server.Do([&] { both = waiting.size() == 2; });
+  server.Do([&] {
+    server.listener.CloseAfterAnswers();
+    server.listener.CloseIdle();
+    Answer(*waiting[0], TextAnswer("first"));
+    Answer(*waiting[1], TextAnswer("second"));
+  });
+  const std::string got = caller.ReadToEnd();
+  const std::size_t close = got.find("Connection: close");
+  cr_assert(got.find("first") < close);
+  cr_assert(close < got.find("second"));
+  server.Do([&waiting] { waiting.clear(); });
+}
+
+// Headers that never end would hold a connection for ever.
+Test(http_listener, drops_a_caller_that_does_not_finish_its_headers) {
+  SessionLimits limits;
+  limits.header_timeout = Ms(100);
+  Server server([](const ExchangePtr&) {}, limits);
+  const RawSocket caller = RawSocket::ConnectTo(server.address.port);
+  caller.Send("GET / HT");
+  cr_assert(caller.ReadToEnd().empty());
+  cr_assert(server.listener.counters.Get(ListenerEvent::kHeaderTimeout) == 1);
+}
+
+}  // namespace
+}  // namespace teaselspread
--- /dev/null
+++ b/tests/contract/platform_test.cc
@@ -0,0 +1,229 @@
+#include <criterion/criterion.h>
+
+#include <string>
+#include <vector>
+
+#include "platform/decode.h"
+#include "platform/store.h"
+
+namespace teaselspread::platform {
+namespace {
+
+constexpr const char* kConfig = R"({
+  "version": "0000001c",
+  "limits": {"maxHeaderBytes": 9000, "maxBodyBytes": 70000,
+             "headerTimeoutMs": 2500, "idleTimeoutMs": 12000},
+  "listeners": [
+    {"hostname": "Desk.Example", "policy": [
+      {"name": "r-view", "routeType": "safe", "priority": 2,
+       "match": {"pathPrefix": "/view/"},
+       "action": {"weightedBackends": [{"service": "desk", "weight": 90},
+                                       {"service": "works", "weight": 10}],
+                  "timeoutMs": 800, "maxAttempts": 2}},
+      {"name": "r-lodge", "routeType": "unsafe", "priority": 1,
+       "match": {"pathPrefix": "/view/lodge/"},
+       "action": {"service": "desk", "timeoutMs": 1000, "maxAttempts": 1}},
+      {"name": "r-load", "routeType": "upload", "priority": 0,
+       "match": {"pathPrefix": "/load/"}, "action": {"service": "works"}},
+      {"name": "r-bad", "match": 7, "action": "nothing"}]},
+    {"policy": []}, 5],
+  "clusters": [{"name": "desk", "healthPath": "/health", "maxConnections": 130},
+               {"name": 4}]})";
+
+SnapshotPtr SnapshotOf(const std::string& text) {
+  const auto order = DecodeOrder({"config", text});
+  cr_assert(order.has_value());
+  return std::get<SnapshotPtr>(*order);
+}
+
+Test(platform, a_configuration_is_decoded_whole) {
+  const SnapshotPtr snapshot = SnapshotOf(kConfig);
+  cr_assert(snapshot->version == 0x1c);
+  cr_assert(snapshot->routes.size() == 3);
+  const RouteConfig& lodge = snapshot->routes[0];
+  cr_assert_str_eq(lodge.name.c_str(), "r-lodge");
+  cr_assert_str_eq(lodge.host.c_str(), "desk.example");
+  cr_assert_not(lodge.idempotent);
+  cr_assert(lodge.deadline == std::chrono::milliseconds(1000));
+  cr_assert(lodge.most_attempts == 1);
+  const RouteConfig& view = snapshot->routes[1];
+  cr_assert(view.idempotent);
+  cr_assert(view.split.size() == 2 && view.split[1].weight == 10);
+  cr_assert(view.priority == Priority::kBackground);
+  cr_assert_not(snapshot->routes[2].idempotent);
+  cr_assert(snapshot->limits.max_body_bytes == 70000);
+  cr_assert(snapshot->limits.idle_timeout == std::chrono::seconds(12));
+  cr_assert(snapshot->services.at("desk").connections == 130);
+}
+
+// Records of other writers, or of a later release, stand beside the good ones.
+// They must neither stop the process nor change what is in force.
+Test(platform, records_that_cannot_be_read_name_nothing) {
+  for (const char* text : {"", "{", "[]", "7", "\xff\xfe", "{}",
+                           R"({"version": 12})", R"({"version": "xyz"})"}) {
+    const auto order = DecodeOrder({"config", text});
+    cr_assert(!order || std::holds_alternative<std::monostate>(*order), "%s",
+              text);
+  }
+  const auto other = DecodeOrder({"banner", "{\"version\":\"00000001\"}"});
+  cr_assert(other && std::holds_alternative<std::monostate>(*other));
+  for (const char* text :
+       {"{", R"({"service":"desk"})", R"({"service":1,"to":"v2"})"})
+    cr_assert_not(DecodeOrder({"rollout/desk", text}).has_value());
+}
+
+Test(platform, an_order_to_move_is_decoded) {
+  const auto order = DecodeOrder(
+      {"rollout/desk", R"({"service":"desk","to":"v2","durationS":12.5})"});
+  const auto& move = std::get<MoveOrder>(*order);
+  cr_assert_str_eq(move.service.c_str(), "desk");
+  cr_assert_str_eq(move.to.c_str(), "v2");
+  cr_assert(move.duration == std::chrono::milliseconds(12500));
+}
+
+Test(platform, a_report_survives_the_way_there_and_back) {
+  for (const MoveProgress progress :
+       {MoveProgress::kRunning, MoveProgress::kDone,
+        MoveProgress::kTakenBack}) {
+    const MoveReport report{"desk", "v2", progress};
+    const auto back = DecodeReport(EncodeReport(report));
+    cr_assert(back && *back == report);
+  }
+  cr_assert_not(DecodeReport({"rollout/desk", "{"}).has_value());
+  cr_assert_not(DecodeReport({"other", "{}"}).has_value());
+}
+
+HttpRequest Call(const std::string& path, const std::string& body) {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = path;
+  request.body = body;
+  return request;
+}
+
+constexpr const char* kHeartbeat = R"({"address":"10.0.0.9:80","born":1234,
+  "info":{"service":"desk","version":"v1","zone":"z","capacity":14},
+  "status":{"state":"draining","seq":4,"warmupLeftMs":250}})";
+
+Test(platform, a_heartbeat_is_decoded) {
+  const auto call =
+      DecodeUpstreamCall(Call("/instances/i-7/heartbeat", kHeartbeat));
+  const auto& report = std::get<UpstreamReport>(*call);
+  cr_assert_str_eq(report.instance.c_str(), "i-7");
+  cr_assert_str_eq(report.service.c_str(), "desk");
+  cr_assert(report.slots == 14 && report.sequence == 4);
+  cr_assert(report.born_ms == 1234 && report.leaving);
+  cr_assert(report.warm_up_left == std::chrono::milliseconds(250));
+}
+
+Test(platform, a_leave_call_needs_no_body) {
+  const auto bare = DecodeUpstreamCall(Call("/instances/i-7/leave", ""));
+  cr_assert(std::get<LeaveCall>(*bare).born_ms == 0);
+  const auto told =
+      DecodeUpstreamCall(Call("/instances/i-7/leave", R"({"born":77})"));
+  cr_assert(std::get<LeaveCall>(*told).born_ms == 77);
+}
+
+struct BadCall {
+  std::string path;
+  std::string body;
+  ErrorKind kind;
+};
+
+Test(platform, calls_that_name_no_upstream_are_refused) {
+  const std::vector<BadCall> calls = {
+      {"/instances/i-7/dance", kHeartbeat, ErrorKind::kNoRoute},
+      {"/instances//heartbeat", kHeartbeat, ErrorKind::kNoRoute},
+      {"/instances/i-7/heartbeat/x", kHeartbeat, ErrorKind::kNoRoute},
+      {"/instances/i-7/heartbeat", "", ErrorKind::kBadRequest},
+      {"/instances/i-7/heartbeat", "\xff", ErrorKind::kBadRequest},
+      {"/instances/i-7/heartbeat", "{}", ErrorKind::kBadRequest},
+      {"/instances/i-7/heartbeat",
+       R"({"info":{"service":"d","version":"v","capacity":0},
+           "status":{"state":"ready","seq":1}})",
+       ErrorKind::kBadRequest},
+      {"/instances/i-7/heartbeat",
+       R"({"info":{"service":"d","version":"v","capacity":"14"},
+           "status":{"state":"ready","seq":1}})",
+       ErrorKind::kBadRequest},
+      {"/instances/i-7/heartbeat",
+       R"({"info":{"service":"d","version":"v","capacity":14},
+           "status":{"state":"dancing","seq":1}})",
+       ErrorKind::kBadRequest},
+  };
+  for (const BadCall& each : calls) {
+    const auto call = DecodeUpstreamCall(Call(each.path, each.body));
+    cr_assert(!call && call.error().kind == each.kind, "%s", each.body.c_str());
+  }
+}
+
+HttpResponse Response(int status, std::string body = "") {
+  HttpResponse response;
+  response.status = status;
+  response.body = std::move(body);
+  return response;
+}
+
+std::string OffsetBytes(unsigned char last) {
+  return std::string(7, '\0') + static_cast<char>(last);
+}
+
+Test(platform, each_refusal_of_the_store_is_told_apart) {
+  const std::vector<std::pair<int, StoreOutcome>> cases = {
+      {429, StoreOutcome::kThrottled}, {503, StoreOutcome::kUnavailable},
+      {410, StoreOutcome::kForgotten}, {412, StoreOutcome::kConflict},
+      {409, StoreOutcome::kConflict},  {500, StoreOutcome::kMalformed}};
+  for (const auto& [status, outcome] : cases) {
+    cr_assert(DecodeRead(Response(status), 0).outcome == outcome);
+    cr_assert(DecodeNewest(Response(status)).outcome == outcome);
+    cr_assert(DecodeAppend(Response(status)).outcome == outcome);
+  }
+}
+
+Test(platform, records_are_read_in_order_and_counted) {
+  const std::string records = EncodeRecord({"config", "one"}) +
+                              EncodeRecord({"other", ""}) +
+                              std::string("\0\0\0\1\7", 5);
+  const RecordPage page =
+      DecodeRead(Response(200, OffsetBytes(9) + OffsetBytes(0) + records), 6);
+  cr_assert(page.outcome == StoreOutcome::kOk);
+  cr_assert(page.next == 9);
+  cr_assert(page.records.size() == 2);
+  cr_assert_str_eq(page.records[0].value.c_str(), "one");
+  cr_assert(page.records[1].value.empty());
+}
+
+Test(platform, pages_that_cannot_be_read_are_malformed) {
+  for (const std::string& body :
+       {std::string("short"),
+        OffsetBytes(1) + OffsetBytes(0) + std::string("\0\0\0\011ab", 6)})
+    cr_assert(DecodeRead(Response(200, body), 0).outcome ==
+              StoreOutcome::kMalformed);
+  for (const char* body : {"", "{}", R"({"items":7,"end":1})"})
+    cr_assert(DecodeNewest(Response(200, body)).outcome ==
+              StoreOutcome::kMalformed);
+  cr_assert(DecodeAppend(Response(200, "{}")).outcome ==
+            StoreOutcome::kMalformed);
+}
+
+Test(platform, the_newest_records_are_decoded) {
+  const RecordPage page = DecodeNewest(Response(
+      200, R"({"items":[{"key":"a","value":"b25l","offset":3},{"key":4}],
+               "hasMore":true,"end":12})"));
+  cr_assert(page.outcome == StoreOutcome::kOk);
+  cr_assert(page.next == 12 && page.more);
+  cr_assert(page.records.size() == 1);
+  cr_assert_str_eq(page.records[0].value.c_str(), "one");
+}
+
+Test(platform, the_agreed_bounds_are_read) {
+  EdgeSettings settings;
+  settings.agreed = "graceS=4,retryBudgetRatio=0.3,budgetSlack=11,new=7,odd";
+  ApplyAgreed(settings);
+  cr_assert(settings.stop_grace == std::chrono::seconds(4));
+  cr_assert(settings.retry_share == 0.3);
+  cr_assert(settings.retry_slack == 11);
+}
+
+}  // namespace
+}  // namespace teaselspread::platform
--- /dev/null
+++ b/tests/unit/clock_test.cc
@@ -0,0 +1,49 @@
+#include "base/clock.h"
+
+#include <criterion/criterion.h>
+
+#include "teaselspread/upstream_lease.h"
+
+namespace teaselspread {
+namespace {
+
+using Ms = std::chrono::milliseconds;
+
+const ClockAnchor kAnchor = {TimePoint(std::chrono::hours(500000)),
+                             TimePoint(Ms(70))};
+
+// The time of day of a VM is set forward or back by seconds while a process
+// runs. Whatever the process measures goes on as if nothing had happened: only
+// the steady clock counts after the first look at the time of day.
+Test(clock, spans_follow_the_steady_clock_alone) {
+  const TimePoint before = AnchoredTime(kAnchor, TimePoint(Ms(1000)));
+  const TimePoint after = AnchoredTime(kAnchor, TimePoint(Ms(1250)));
+  cr_assert(after - before == Ms(250));
+}
+
+// An upstream told its last heartbeat just before the time of day of its VM
+// jumped. Measured with the time of day the lease would lapse at once, and
+// callers would be refused although their upstream is well.
+Test(clock, a_lease_outlives_a_jump_of_the_time_of_day) {
+  UpstreamLease lease;
+  UpstreamReport report;
+  report.instance = "i-1";
+  report.sequence = 1;
+  const TimePoint told = AnchoredTime(kAnchor, TimePoint(Ms(1000)));
+  (void)TakeReport(lease, report, told);
+  // 40 s forward on the wall, 2 s by the steady clock.
+  const TimePoint later = AnchoredTime(kAnchor, TimePoint(Ms(3000)));
+  cr_assert(StateOf(lease, later) == LeaseState::kReady);
+}
+
+Test(clock, time_never_goes_back_within_a_process) {
+  TimePoint last = SystemNow();
+  for (int i = 0; i < 1000; ++i) {
+    const TimePoint now = SystemNow();
+    cr_assert(now >= last);
+    last = now;
+  }
+}
+
+}  // namespace
+}  // namespace teaselspread
--- /dev/null
+++ b/tests/unit/placement_test.cc
@@ -0,0 +1,97 @@
+#include "teaselspread/placement.h"
+
+#include <criterion/criterion.h>
+
+#include <vector>
+
+#include "teaselspread/weighted_turns.h"
+
+namespace teaselspread {
+namespace {
+
+using Ms = std::chrono::milliseconds;
+
+Candidate MakeCandidate(Distance distance, std::uint32_t load) {
+  Candidate candidate;
+  candidate.node = "n";
+  candidate.distance = distance;
+  candidate.slots = 10;
+  candidate.load = load;
+  candidate.run_time = Ms(100);
+  return candidate;
+}
+
+std::size_t PlaceOnce(const std::vector<Candidate>& candidates,
+                      std::size_t bytes = 3000) {
+  Rng rng(7);
+  return Place(PlacementSettings{}, candidates, bytes, rng);
+}
+
+Test(placement, none_without_candidates) {
+  cr_assert(PlaceOnce({}) == 0);
+}
+
+// With equal loads the own VM costs no way, and a data centre of its own is
+// cheaper than another.
+Test(placement, prefers_the_nearer_of_equals) {
+  PlacementSettings exact;
+  exact.spread = 0;
+  const Duration own = CostOf(exact, MakeCandidate(Distance::kOwnVm, 2), 3000);
+  const Duration near =
+      CostOf(exact, MakeCandidate(Distance::kOwnDataCenter, 2), 3000);
+  const Duration far =
+      CostOf(exact, MakeCandidate(Distance::kOtherDataCenter, 2), 3000);
+  cr_assert(own < near && near < far);
+}
+
+// A full upstream at home and an idle one across: a wait of half its run time
+// is dearer than the way.
+Test(placement, goes_across_when_home_is_full) {
+  const std::size_t chosen =
+      PlaceOnce({MakeCandidate(Distance::kOwnVm, 15),
+                 MakeCandidate(Distance::kOtherDataCenter, 0)});
+  cr_assert(chosen == 1);
+}
+
+// An upload of 60 KB costs as much across as a wait of 60 ms.
+Test(placement, keeps_large_requests_at_home_for_a_short_wait) {
+  const std::vector<Candidate> candidates = {
+      MakeCandidate(Distance::kOwnDataCenter, 11),
+      MakeCandidate(Distance::kOtherDataCenter, 0)};
+  cr_assert(PlaceOnce(candidates, 100000) == 0);
+}
+
+// An upstream fails part of its requests although it is well by its own
+// account. Without a look at its answers it would get more than its share,
+// since failures are quick.
+Test(placement, leaves_one_that_fails) {
+  Candidate failing = MakeCandidate(Distance::kOwnVm, 0);
+  failing.failure_share = 0.3;
+  const std::size_t chosen =
+      PlaceOnce({failing, MakeCandidate(Distance::kOwnDataCenter, 5)});
+  cr_assert(chosen == 1);
+}
+
+// A route is split 90 to 10. Over 300 requests each part has to be within a few
+// of its share; drawn at random it is off by more now and then.
+Test(weighted_turns, keeps_to_the_weights_in_every_stretch) {
+  WeightedTurns turns;
+  const std::vector<std::uint32_t> weights = {90, 10};
+  for (int stretch = 0; stretch < 30; ++stretch) {
+    int second = 0;
+    for (int i = 0; i < 100; ++i)
+      second += NextTurn(turns, weights) == 1 ? 1 : 0;
+    cr_assert(second >= 9 && second <= 11);
+  }
+}
+
+Test(weighted_turns, starts_anew_with_another_number_of_parts) {
+  WeightedTurns turns;
+  const std::vector<std::uint32_t> two = {1, 1};
+  const std::vector<std::uint32_t> one = {5};
+  (void)NextTurn(turns, two);
+  cr_assert(NextTurn(turns, one) == 0);
+}
+
+}  // namespace
+}  // namespace teaselspread
--- /dev/null
+++ b/tests/unit/version_trial_test.cc
@@ -0,0 +1,240 @@
+#include "teaselspread/version_trial.h"
+
+#include <criterion/criterion.h>
+
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace teaselspread {
+namespace {
+
+using Ms = std::chrono::milliseconds;
+
+const TimePoint kStart{std::chrono::hours(1)};
+constexpr double kRate = 700;
+
+struct Outcome {
+  bool bad = false;
+  Duration took = Ms(100);
+};
+
+// How an upstream of the new version answers: which one, on which route, how
+// long after the order, and how loaded it is from 0 to 1.
+struct Question {
+  int upstream = 0;
+  int route = 0;
+  Duration since{};
+  double load = 0;
+};
+using Behaviour = std::function<Outcome(const Question&, Rng&)>;
+
+struct Run {
+  MoveProgress progress = MoveProgress::kRunning;
+  Duration ended{};
+  // Requests that the new version got, and those of the service.
+  int exposed = 0;
+  int total = 0;
+};
+
+// One service of nine upstreams in each version at `rate` requests a second, as
+// one node sees it. Answers are counted when they come; each tenth of a second
+// the trial is judged. Seeded, on a virtual clock.
+Run Play(const Behaviour& fresh, Duration duration, std::uint64_t seed) {
+  constexpr int kUpstreams = 9;
+  VersionTrial trial;
+  trial.order = {"registry-desk", "v2", duration};
+  trial.started = kStart;
+  Rng rng(seed);
+  std::multimap<TimePoint, TrialAnswer> due;
+  std::vector<std::string> names;
+  for (int i = 0; i < 2 * kUpstreams; ++i)
+    names.push_back("i-" + std::to_string(i));
+  Run run;
+  const auto per_tick = static_cast<int>(kRate / 100);
+  for (Ms passed{0}; passed < duration; passed += Ms(10)) {
+    const TimePoint now = kStart + passed;
+    while (!due.empty() && due.begin()->first <= now) {
+      RecordTrial(trial, due.begin()->second);
+      due.erase(due.begin());
+    }
+    const bool ended = trial.progress != MoveProgress::kRunning;
+    if (!ended && passed % Ms(100) == Ms(0)) {
+      const bool moved = ShareOf(trial, now) >= 1;
+      if (StepTrial(trial, {true, !moved, moved, moved}, now))
+        run.ended = passed;
+    }
+    const double share = ShareOf(trial, now);
+    const std::size_t in_use = UpstreamsInUse(trial, kUpstreams, now);
+    for (int i = 0; i < per_tick; ++i) {
+      ++run.total;
+      const bool to_new = std::uniform_real_distribution<>(0, 1)(rng) < share;
+      run.exposed += to_new ? 1 : 0;
+      const int route = rng() % 4 == 0 ? 1 : 0;
+      TrialAnswer answer;
+      answer.fresh = to_new;
+      answer.timed = true;
+      answer.route = route == 0 ? "read" : "write";
+      Outcome outcome;
+      const auto upstream = static_cast<int>(
+          rng() % (to_new ? in_use : static_cast<std::size_t>(kUpstreams)));
+      if (to_new) {
+        const double load = share * kUpstreams / static_cast<double>(in_use);
+        outcome = fresh({upstream, route, passed, load}, rng);
+      }
+      answer.instance =
+          names[static_cast<std::size_t>(upstream + (to_new ? kUpstreams : 0))];
+      answer.bad = outcome.bad;
+      answer.took = outcome.took;
+      due.emplace(now + outcome.took, answer);
+    }
+  }
+  run.progress = trial.progress;
+  return run;
+}
+
+bool Chance(double share, Rng& rng) {
+  return std::uniform_real_distribution<>(0, 1)(rng) < share;
+}
+
+// A tenth of the requests between the order and its end, and fifty.
+void CheckTakenBack(const Run& run, std::uint64_t seed) {
+  cr_assert(run.progress == MoveProgress::kTakenBack, "seed %d",
+            static_cast<int>(seed));
+  cr_assert(run.exposed <= run.total / 10 + 50, "seed %d: %d of %d",
+            static_cast<int>(seed), run.exposed, run.total);
+}
+
+Test(version_trial, a_good_version_is_done_in_time) {
+  for (const Duration duration : {Ms(12000), Ms(16000)}) {
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+      const Run run =
+          Play([](const Question&, Rng&) { return Outcome{}; }, duration, seed);
+      cr_assert(run.progress == MoveProgress::kDone);
+      cr_assert(run.ended < duration * 9 / 10);
+    }
+  }
+}
+
+// The new version fails half of its requests from the start. Callers see some
+// failures, and nothing of it a few seconds after the order.
+Test(version_trial, failures_take_it_back) {
+  for (std::uint64_t seed = 0; seed < 20; ++seed) {
+    const Run run = Play(
+        [](const Question&, Rng& rng) { return Outcome{Chance(0.5, rng)}; },
+        Ms(16000), seed);
+    CheckTakenBack(run, seed);
+    cr_assert(run.ended < Ms(4000));
+  }
+}
+
+// It answers eight times slower; those answers come late, and so does the
+// evidence.
+Test(version_trial, slowness_takes_it_back) {
+  for (std::uint64_t seed = 0; seed < 20; ++seed) {
+    CheckTakenBack(Play(
+                       [](const Question&, Rng&) {
+                         return Outcome{false, Ms(800)};
+                       },
+                       Ms(12000), seed),
+                   seed);
+  }
+}
+
+// Only one route fails, which has a quarter of the requests.
+Test(version_trial, failures_of_one_route_take_it_back) {
+  for (std::uint64_t seed = 0; seed < 20; ++seed) {
+    CheckTakenBack(Play(
+                       [](const Question& asked, Rng& rng) {
+                         return Outcome{asked.route == 1 && Chance(0.5, rng)};
+                       },
+                       Ms(16000), seed),
+                   seed);
+  }
+}
+
+// It is well for three seconds and fails after that.
+Test(version_trial, a_late_fault_takes_it_back) {
+  for (std::uint64_t seed = 0; seed < 20; ++seed) {
+    CheckTakenBack(
+        Play(
+            [](const Question& asked, Rng& rng) {
+              return Outcome{asked.since > Ms(3000) && Chance(0.5, rng)};
+            },
+            Ms(12000), seed),
+        seed);
+  }
+}
+
+// It fails only when it is loaded as it will be with all requests. The first
+// requests go to two upstreams only, so that this shows before all have moved.
+Test(version_trial, a_fault_under_load_takes_it_back) {
+  for (std::uint64_t seed = 0; seed < 20; ++seed) {
+    CheckTakenBack(Play(
+                       [](const Question& asked, Rng& rng) {
+                         return Outcome{asked.load > 0.7 && Chance(0.5, rng)};
+                       },
+                       Ms(16000), seed),
+                   seed);
+  }
+}
+
+// One upstream of the new version runs on a slow VM. That says nothing of the
+// version, and a move that is taken back for it would have to be ordered again.
+Test(version_trial, one_slow_upstream_does_not_take_it_back) {
+  for (std::uint64_t seed = 0; seed < 20; ++seed) {
+    const Run run = Play(
+        [](const Question& asked, Rng&) {
+          return Outcome{false, asked.upstream == 4 ? Ms(700) : Ms(100)};
+        },
+        Ms(16000), seed);
+    cr_assert(run.progress != MoveProgress::kRunning);
+    cr_assert(run.progress == MoveProgress::kDone ||
+              run.exposed <= run.total / 10 + 50);
+  }
+}
+
+// A node that was restarted knows nothing of the fault that others have seen.
+Test(version_trial, a_verdict_of_another_node_is_taken_over) {
+  VersionTrial trial;
+  trial.order = {"registry-desk", "v2", Ms(16000)};
+  trial.started = kStart;
+  TrialNote note;
+  note.service = "registry-desk";
+  note.to = "v2";
+  note.progress = MoveProgress::kTakenBack;
+  TakeNote(trial, "bole-2", note, kStart);
+  cr_assert(trial.progress == MoveProgress::kTakenBack);
+  cr_assert(ShareOf(trial, kStart) == 0);
+  note.progress = MoveProgress::kDone;
+  TakeNote(trial, "bole-3", note, kStart);
+  cr_assert(trial.progress == MoveProgress::kTakenBack);
+}
+
+// A node starts in the middle of a move. Counted from its own start the move
+// would miss its time, because it is done only when all nodes have moved.
+Test(version_trial, a_late_node_joins_at_the_stage_of_the_others) {
+  VersionTrial trial;
+  trial.order = {"registry-desk", "v2", Ms(10000)};
+  trial.started = kStart;
+  (void)StepTrial(trial, {true, true, false, false}, kStart);
+  TrialNote note;
+  note.service = "registry-desk";
+  note.to = "v2";
+  note.age_ms = 6000;
+  TakeNote(trial, "bole-2", note, kStart + Ms(500));
+  cr_assert(ShareOf(trial, kStart + Ms(500)) == 1);
+}
+
+// Old upstreams are stopped at once when a move is done, with what runs there.
+Test(version_trial, not_done_while_old_upstreams_work) {
+  VersionTrial trial;
+  trial.order = {"registry-desk", "v2", Ms(10000)};
+  trial.started = kStart;
+  for (Ms passed{0}; passed < Ms(9000); passed += Ms(100))
+    cr_assert_not(StepTrial(trial, {true, true, false, true}, kStart + passed));
+}
+
+}  // namespace
+}  // namespace teaselspread
