Reset cancelled calls, end a stop on callers that never rest, look at idle connections before use

Cause 3 (edge_test, dead upstream): a request was written to a connection whose close had arrived but was not read yet, and a filing then ended as 502. Process test of nodes, store and upstreams on loopback added.

--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -276,7 +276,7 @@
   node.intake_closed = true;
   Log(LogLevel::kInfo, "node", "intake-closed",
       {{"open", node.outbound.CountOpen()}});
-  node.outbound.CloseIdle();
+  node.outbound.CloseIntake();
 }
 
 // True when the process may end.
--- a/src/edge/http_listener.cc
+++ b/src/edge/http_listener.cc
@@ -79,6 +79,8 @@
     this->Read();
   }
 
+  // Takes no further request; closes when none is under way.
+  void StopTaking();
   // Writes the answers that stand at the head of the line.
   void Flush();
   void QueueAnswer(Exchange& exchange);
@@ -231,7 +233,8 @@
 void HttpSession::QueueAnswer(Exchange& exchange) {
   // While the process stops, the last answer of a connection says that it
   // closes; saying so earlier would cut requests that follow and already run.
-  const bool last = this->pending.empty() && !this->in_request;
+  const bool last =
+      this->pending.empty() && (this->last_taken || !this->in_request);
   if (last && this->ClosingAfterAnswers())
     exchange.close_after = true;
   this->last_taken = this->last_taken || exchange.close_after;
@@ -295,6 +298,13 @@
   this->Read();
 }
 
+void HttpSession::StopTaking() {
+  const bool idle = this->Idle();
+  this->last_taken = true;
+  if (idle)
+    this->Close();
+}
+
 void HttpSession::CallerLeft() {
   if (this->closed)
     return;
@@ -435,15 +445,13 @@
   });
 }
 
-void HttpListener::CloseIdle() {
+void HttpListener::CloseIntake() {
   boost::system::error_code ignored;  // closing twice is no fault
   this->acceptor.close(ignored);
   const std::vector<HttpSession*> open(this->sessions.begin(),
                                        this->sessions.end());
-  for (HttpSession* session : open) {
-    if (session->Idle())
-      session->Close();
-  }
+  for (HttpSession* session : open)
+    session->StopTaking();
 }
 
 std::size_t HttpListener::CountOpen() const {
--- a/src/edge/http_listener.h
+++ b/src/edge/http_listener.h
@@ -84,10 +84,10 @@
   // Later answers close their connection. Call before the process ends.
   void CloseAfterAnswers() { this->closing = true; }
 
-  // Stops accepting and closes connections on which nothing is under way; the
-  // others close after their last answer. Precondition: CloseAfterAnswers was
-  // called.
-  void CloseIdle();
+  // Takes neither connections nor requests any more. Connections on which
+  // nothing is under way close, the others after the answers that they wait
+  // for. Precondition: CloseAfterAnswers was called.
+  void CloseIntake();
 
   // Requests that have no answer yet.
   [[nodiscard]] std::size_t CountOpen() const;
--- a/src/edge/loop_client.cc
+++ b/src/edge/loop_client.cc
@@ -1,7 +1,10 @@
 #include "edge/loop_client.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <charconv>
 #include <optional>
 #include <utility>
@@ -76,7 +79,13 @@
   void Open(const Address& to);
   void Begin(std::string text, std::string id, bool head, CallHandler handler);
   void Close();
+  // Closes with a reset: what the server has not read yet is of no use to it.
+  void Abort();
   void LosePool() { this->pool = nullptr; }
+  // False when the server has closed, or sent what nobody asked for, and the
+  // loop has not come to hear of it yet: a request sent now would be lost in a
+  // way that looks as if it may have run.
+  [[nodiscard]] bool Quiet();
   [[nodiscard]] bool Connected() const { return this->connected; }
 
   TimePoint idle_since;
@@ -333,6 +342,19 @@
   }
 }
 
+bool LoopConnection::Quiet() {
+  char byte = 0;
+  const ssize_t got =
+      ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void LoopConnection::Abort() {
+  boost::system::error_code ignored;  // the peer may have closed already
+  this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  this->Close();
+}
+
 LoopClient::~LoopClient() {
   const std::set<LoopConnection*> open = std::move(this->all);
   this->all.clear();
@@ -356,7 +378,7 @@
     const Duration rested = SteadyNow() - connection->idle_since;
     const auto& told = connection->keep_alive;
     const bool about_to_close = told && rested + kKeepAliveMargin > *told;
-    if (rested <= reuse_within && !about_to_close) {
+    if (rested <= reuse_within && !about_to_close && connection->Quiet()) {
       this->idle.pop_back();
       return connection;
     }
@@ -388,7 +410,7 @@
 
 void LoopClient::Cancel(LoopConnection* call) {
   this->counters.Add(CallEvent::kCancelled);
-  call->Close();
+  call->Abort();
 }
 
 bool LoopClient::MayHaveSent(const LoopConnection* call) {
--- /dev/null
+++ b/standins/mesh_upstream.h
@@ -0,0 +1,187 @@
+// A stand-in for an upstream as the platform starts it beside a node: serves
+// requests that name it, tells its state by heartbeats, drains and leaves. It
+// is no part of the product.
+#ifndef TEASELSPREAD_STANDINS_MESH_UPSTREAM_H_
+#define TEASELSPREAD_STANDINS_MESH_UPSTREAM_H_
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/beast/http.hpp>
+
+#include "standins/http_server.h"
+
+namespace standin {
+
+struct MeshUpstreamOptions {
+  std::string instance;
+  std::string service;
+  std::string version = "v1";
+  int slots = 4;
+  std::chrono::milliseconds work{5};
+  std::chrono::milliseconds heartbeat{100};
+};
+
+// One request that it ran.
+struct MeshRun {
+  std::string id;
+  std::string target;
+  std::string body;
+  std::string caller_service;
+  std::string deadline;
+};
+
+// Thread safe.
+class MeshUpstream {
+ public:
+  explicit MeshUpstream(MeshUpstreamOptions from)
+      : options(std::move(from)),
+        server("127.0.0.1",
+               0,
+               [this](const Request& request, Connection& connection) {
+                 this->Serve(request, connection);
+               }) {}
+
+  ~MeshUpstream() {
+    this->stopping = true;
+    if (this->beating.joinable())
+      this->beating.join();
+  }
+  MeshUpstream(const MeshUpstream&) = delete;
+  MeshUpstream& operator=(const MeshUpstream&) = delete;
+
+  [[nodiscard]] std::uint16_t Port() const { return this->server.Port(); }
+
+  // Sends heartbeats to this port from now on.
+  void BeatTo(std::uint16_t admin_port) {
+    this->beating = std::thread([this, admin_port] {
+      while (!this->stopping) {
+        if (!this->silent)
+          this->Beat(admin_port);
+        std::this_thread::sleep_for(this->options.heartbeat);
+      }
+    });
+  }
+
+  // One heartbeat or leave call now; true when it was acknowledged.
+  bool Beat(std::uint16_t admin_port) {
+    const std::string state = this->draining ? "draining" : "ready";
+    return this->Post(
+        admin_port, "heartbeat",
+        R"({"address":"127.0.0.1:1","born":5,"info":{"service":")" +
+            this->options.service + R"(","version":")" + this->options.version +
+            R"(","zone":"z","capacity":)" +
+            std::to_string(this->options.slots) + R"(},"status":{"state":")" +
+            state + R"(","seq":)" + std::to_string(++this->sequence) +
+            R"(,"warmupLeftMs":0}})");
+  }
+  bool Leave(std::uint16_t admin_port) {
+    return this->Post(admin_port, "leave", R"({"born":5})");
+  }
+
+  // As if the process had died: its port refuses connections.
+  void Close() { this->server.Close(); }
+  void Drain() { this->draining = true; }
+  void BeSilent() { this->silent = true; }
+  // Runs what comes and closes the connection without an answer.
+  void LoseAnswers(bool lose) { this->losing = lose; }
+  // Answers 500.
+  void Fail(bool fail) { this->failing = fail; }
+
+  [[nodiscard]] std::vector<MeshRun> Runs() {
+    const std::scoped_lock lock(this->gate);
+    return this->runs;
+  }
+  [[nodiscard]] int CountRuns(const std::string& id) {
+    const std::scoped_lock lock(this->gate);
+    int count = 0;
+    for (const MeshRun& run : this->runs)
+      count += run.id == id ? 1 : 0;
+    return count;
+  }
+  // Most requests that ran at a time.
+  [[nodiscard]] int MostAtOnce() const { return this->most; }
+
+ private:
+  void Serve(const Request& request, Connection& connection) {
+    const std::string id = HeaderOf(request, "X-Request-Id");
+    const std::string wanted = HeaderOf(request, "X-Expected-Instance");
+    if (!wanted.empty() && wanted != this->options.instance)
+      return connection.Send(this->NotRun(421));
+    if (id.empty())
+      return connection.Send(this->NotRun(400));
+    {
+      const std::scoped_lock lock(this->gate);
+      this->runs.push_back(
+          {id, std::string(request.target().data(), request.target().size()),
+           request.body(), HeaderOf(request, "X-Caller-Service"),
+           HeaderOf(request, "X-Deadline-Ms")});
+      this->most = std::max(this->most.load(), ++this->running);
+    }
+    std::this_thread::sleep_for(this->options.work);
+    --this->running;
+    if (this->losing) {
+      connection.open = false;
+      return connection.Break();
+    }
+    Response response =
+        TextAnswer(this->failing ? 500 : 200, this->options.instance);
+    response.set("X-Request-Id", id);
+    response.set("X-Response-Signature", "signed-" + id);
+    connection.Send(std::move(response));
+  }
+
+  Response NotRun(unsigned status) {
+    Response response = TextAnswer(status, "");
+    response.set("X-Not-Executed", "1");
+    response.set("X-Instance-Id", this->options.instance);
+    return response;
+  }
+
+  bool Post(std::uint16_t port,
+            const std::string& call,
+            const std::string& body) {
+    asio::io_context context;
+    Tcp::socket socket(context);
+    boost::system::error_code error;
+    socket.connect({asio::ip::make_address("127.0.0.1"), port}, error);
+    if (error)
+      return false;
+    Request request{http::verb::post,
+                    "/instances/" + this->options.instance + "/" + call, 11};
+    request.set(http::field::host, "admin");
+    request.body() = body;
+    request.prepare_payload();
+    http::write(socket, request, error);
+    boost::beast::flat_buffer buffer;
+    Response response;
+    if (!error)
+      http::read(socket, buffer, response, error);
+    return !error && response.result() == http::status::ok;
+  }
+
+  MeshUpstreamOptions options;
+  std::mutex gate;
+  std::vector<MeshRun> runs;
+  std::atomic<int> running{0};
+  std::atomic<int> most{0};
+  std::atomic<std::uint64_t> sequence{0};
+  std::atomic<bool> draining{false};
+  std::atomic<bool> silent{false};
+  std::atomic<bool> losing{false};
+  std::atomic<bool> failing{false};
+  std::atomic<bool> stopping{false};
+  Server server;
+  std::thread beating;
+};
+
+}  // namespace standin
+
+#endif  // TEASELSPREAD_STANDINS_MESH_UPSTREAM_H_
--- a/tests/contract/http_listener_test.cc
+++ b/tests/contract/http_listener_test.cc
@@ -170,7 +170,7 @@
     server.Do([&] { both = waiting.size() == 2; });
   server.Do([&] {
     server.listener.CloseAfterAnswers();
-    server.listener.CloseIdle();
+    server.listener.CloseIntake();
     Answer(*waiting[0], TextAnswer("first"));
     Answer(*waiting[1], TextAnswer("second"));
   });
@@ -181,6 +181,33 @@
   server.Do([&waiting] { waiting.clear(); });
 }
 
+// A caller sends its next request before each answer, so there is always one
+// under way. It kept a stopping process busy until it was killed with a request
+// half done; now the answers under way are its last.
+Test(http_listener, lets_go_of_a_caller_that_never_rests) {
+  std::vector<ExchangePtr> waiting;
+  Server server(
+      [&waiting](const ExchangePtr& exchange) { waiting.push_back(exchange); });
+  const RawSocket caller = RawSocket::ConnectTo(server.address.port);
+  caller.Send(GetText("/1"));
+  bool taken = false;
+  while (!taken)
+    server.Do([&] { taken = waiting.size() == 1; });
+  server.Do([&] {
+    server.listener.CloseAfterAnswers();
+    server.listener.CloseIntake();
+  });
+  caller.Send(GetText("/2"));
+  std::this_thread::sleep_for(Ms(50));
+  server.Do([&] {
+    cr_assert(waiting.size() == 1, "took another request");
+    Answer(*waiting[0], TextAnswer("first"));
+  });
+  const std::string got = caller.ReadToEnd();
+  cr_assert(got.find("Connection: close") != std::string::npos);
+  server.Do([&waiting] { waiting.clear(); });
+}
+
 // Headers that never end would hold a connection for ever.
 Test(http_listener, drops_a_caller_that_does_not_finish_its_headers) {
   SessionLimits limits;
--- /dev/null
+++ b/tests/process/edge_fleet.h
@@ -0,0 +1,186 @@
+// Some nodes with their upstreams and a store, all on loopback. Tests only.
+#ifndef TEASELSPREAD_TESTS_PROCESS_EDGE_FLEET_H_
+#define TEASELSPREAD_TESTS_PROCESS_EDGE_FLEET_H_
+
+#include <cstdio>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "process/harness.h"
+#include "standins/mesh_upstream.h"
+#include "standins/store_service.h"
+
+namespace teaselspread {
+
+// A port below those that the kernel gives out. Each test is a process of its
+// own and tests run side by side, so each takes from a range by its id, and
+// passes over what is in use.
+inline std::uint16_t NextPort() {
+  constexpr int kFirst = 10000;
+  constexpr int kRanges = 50;
+  constexpr int kRange = 100;
+  static int next = 0;
+  const int own = kFirst + (::getpid() % kRanges) * kRange;
+  while (true) {
+    const auto port = static_cast<std::uint16_t>(own + next++ % kRange);
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const int bound =
+        ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address);
+    ::close(fd);
+    if (bound == 0)
+      return port;
+  }
+}
+
+struct EdgePorts {
+  std::uint16_t outbound = NextPort();
+  std::uint16_t readiness = NextPort();
+  std::uint16_t admin = NextPort();
+  std::uint16_t metrics = NextPort();
+  std::uint16_t link = NextPort();
+};
+
+// One VM: an upstream and the node beside it, which can be started again.
+class EdgeVm {
+ public:
+  EdgeVm(const std::string& vm_name,
+         const std::string& data_center,
+         const standin::MeshUpstreamOptions& options,
+         std::uint16_t store_port)
+      : name(vm_name),
+        service(options.service),
+        upstream(*new standin::MeshUpstream(options)) {
+    this->settings = "/tmp/edge-" + std::to_string(::getpid()) + "-" + name;
+    const auto at = [](std::uint16_t port) {
+      return "127.0.0.1:" + std::to_string(port) + "\n";
+    };
+    std::ofstream file(this->settings);
+    file << "vm: " << name << "\ndata_center: " << data_center
+         << "\nservice: " << options.service
+         << "\noutbound: " << at(this->ports.outbound)
+         << "readiness: " << at(this->ports.readiness)
+         << "admin: " << at(this->ports.admin)
+         << "metrics: " << at(this->ports.metrics)
+         << "link: " << at(this->ports.link)
+         << "upstream: " << at(this->upstream.Port())
+         << "store: " << at(store_port) << "heartbeat: 100ms\n"
+         << "agreed: graceS=6\n";
+    file.close();
+    this->Start();
+    this->upstream.BeatTo(this->ports.admin);
+  }
+
+  void Start() {
+    this->program = std::make_unique<Program>(
+        "teaseledge", std::vector<std::string>{"--settings=" + this->settings});
+  }
+
+  [[nodiscard]] Address Outbound() const {
+    return {"127.0.0.1", this->ports.outbound};
+  }
+
+  [[nodiscard]] bool Ready() const {
+    return CallOnce({"127.0.0.1", this->ports.readiness}, "GET", "/ready")
+               .status == 200;
+  }
+
+  [[nodiscard]] std::string Metrics() const {
+    return CallOnce({"127.0.0.1", this->ports.metrics}, "GET", "/metrics").body;
+  }
+
+  std::string name;
+  std::string service;
+  EdgePorts ports;
+  // Never freed: the threads of its connections end with the process.
+  standin::MeshUpstream& upstream;
+  std::string settings;
+  std::unique_ptr<Program> program;
+};
+
+// The configuration `version` with a route of each kind. `extra` is one more
+// route's path, or "".
+inline std::string ConfigText(const std::string& version,
+                              const std::string& extra = "") {
+  const auto route = [](const std::string& name, const std::string& type,
+                        const std::string& path, const std::string& to) {
+    return R"({"name":")" + name + R"(","routeType":")" + type +
+           R"(","priority":1,"match":{"pathPrefix":")" + path +
+           R"("},"action":{"service":")" + to +
+           R"(","timeoutMs":2000,"maxAttempts":3}})";
+  };
+  std::string routes = route("r-view", "safe", "/view/", "desk") + "," +
+                       route("r-lodge", "unsafe", "/lodge/", "desk") + "," +
+                       route("r-load", "upload", "/load/", "works");
+  if (!extra.empty())
+    routes += "," + route("r-extra", "safe", extra, "works");
+  return R"({"version":")" + version +
+         R"(","limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,)"
+         R"("headerTimeoutMs":3000,"idleTimeoutMs":15000},)"
+         R"("listeners":[{"hostname":"127.0.0.1","policy":[)" +
+         routes + R"(]}],"clusters":[{"name":"desk"},{"name":"works"}]})";
+}
+
+inline HttpResponse Ask(const EdgeVm& vm,
+                        const std::string& method,
+                        const std::string& path,
+                        const std::string& id,
+                        const std::string& body = "") {
+  return CallOnce(vm.Outbound(), method, path, body,
+                  {{"X-Request-Id", id}, {"X-Deadline-Ms", "2000"}});
+}
+
+// Two upstreams of "desk" and one of "works", in two data centres.
+struct EdgeFleet {
+  // Never freed, like the upstreams.
+  standin::StoreService& store = *new standin::StoreService;
+  std::vector<std::unique_ptr<EdgeVm>> vms;
+
+  EdgeFleet() {
+    this->store.Put("keyed.op", "config", ConfigText("00000001"));
+    this->Add("a-1", "a", {"i-a1", "desk"});
+    this->Add("a-2", "a", {"i-a2", "works"});
+    this->Add("b-1", "b", {"i-b1", "desk"});
+  }
+
+  EdgeVm& Add(const std::string& name,
+              const std::string& data_center,
+              const standin::MeshUpstreamOptions& options) {
+    this->vms.push_back(std::make_unique<EdgeVm>(name, data_center, options,
+                                                 this->store.Port()));
+    return *this->vms.back();
+  }
+
+  [[nodiscard]] EdgeVm& At(std::size_t index) { return *this->vms.at(index); }
+
+  // True when every node serves both services; otherwise their logs are shown.
+  bool Settle() {
+    if (this->WaitServed())
+      return true;
+    for (const auto& vm : this->vms)
+      std::fprintf(stderr, "%s\n", vm->program->Output().c_str());
+    return false;
+  }
+
+ private:
+  bool WaitServed() {
+    return WaitUntil([this] {
+      for (const auto& vm : this->vms) {
+        if (!vm->Ready() ||
+            Ask(*vm, "GET", "/view/x", "settle").status != 200 ||
+            Ask(*vm, "POST", "/load/x", "settle", "body").status != 200)
+          return false;
+      }
+      return true;
+    });
+  }
+};
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_TESTS_PROCESS_EDGE_FLEET_H_
--- /dev/null
+++ b/tests/process/edge_test.cc
@@ -0,0 +1,295 @@
+#include "process/edge_fleet.h"
+
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace teaselspread {
+namespace {
+
+using Ms = std::chrono::milliseconds;
+using standin::StoreFault;
+
+// The id of every request is its own; "settle" is used by the fleet itself.
+std::string NextId() {
+  static std::atomic<int> next{0};
+  return "q-" + std::to_string(++next);
+}
+
+int RunsOf(EdgeFleet& fleet, const std::string& id) {
+  int runs = 0;
+  for (const auto& vm : fleet.vms)
+    runs += vm->upstream.CountRuns(id);
+  return runs;
+}
+
+Test(edge, serves_every_service_from_every_vm) {
+  EdgeFleet fleet;
+  cr_assert(fleet.Settle());
+  const std::string id = NextId();
+  const HttpResponse answer =
+      Ask(fleet.At(0), "POST", "/load/exhibit?page=2", id, "the body");
+  cr_assert(answer.status == 200);
+  cr_assert_str_eq(answer.body.c_str(), "i-a2");
+  const std::string signature(
+      FindHeader(answer.headers, "X-Response-Signature"));
+  cr_assert_str_eq(signature.c_str(), ("signed-" + id).c_str());
+  for (const standin::MeshRun& run : fleet.At(1).upstream.Runs()) {
+    if (run.id != id)
+      continue;
+    cr_assert_str_eq(run.target.c_str(), "/load/exhibit?page=2");
+    cr_assert_str_eq(run.body.c_str(), "the body");
+    cr_assert_str_eq(run.caller_service.c_str(), "desk");
+    cr_assert(std::stoi(run.deadline) <= 2000);
+  }
+  cr_assert(RunsOf(fleet, id) == 1);
+  cr_assert(Ask(fleet.At(0), "GET", "/nowhere/", NextId()).status == 404);
+}
+
+// Operators add a route while the nodes run. Each node has it within two
+// seconds and never loses it again.
+Test(edge, a_new_configuration_is_in_force_everywhere) {
+  EdgeFleet fleet;
+  cr_assert(fleet.Settle());
+  fleet.store.Put("keyed.op", "config", ConfigText("00000004", "/extra/"));
+  for (const auto& vm : fleet.vms) {
+    cr_assert(WaitUntil(
+        [&] { return Ask(*vm, "GET", "/extra/1", NextId()).status == 200; },
+        Ms(2000)));
+  }
+  // An older version is written after it; nobody goes back.
+  fleet.store.Put("keyed.op", "config", ConfigText("00000002"));
+  std::this_thread::sleep_for(Ms(300));
+  for (const auto& vm : fleet.vms)
+    cr_assert(Ask(*vm, "GET", "/extra/1", NextId()).status == 200);
+}
+
+// The store forgets its history while a change is made. A node that only
+// followed the stream would never hear of it.
+Test(edge, a_change_in_a_forgotten_stretch_is_read_all_the_same) {
+  EdgeFleet fleet;
+  cr_assert(fleet.Settle());
+  fleet.store.SetFault(StoreFault::kReset);
+  fleet.store.Put("keyed.op", "config", ConfigText("00000009", "/extra/"));
+  fleet.store.Forget("keyed.op");
+  fleet.store.SetFault(StoreFault::kNone);
+  cr_assert(WaitUntil([&] {
+    return Ask(fleet.At(2), "GET", "/extra/1", NextId()).status == 200;
+  }));
+}
+
+// A node is restarted while the store answers nobody. The others hold the
+// configuration and call it, so its callers are served again.
+Test(edge, a_node_that_starts_without_the_store_learns_from_the_others) {
+  EdgeFleet fleet;
+  cr_assert(fleet.Settle());
+  fleet.store.SetFault(StoreFault::kBusy);
+  fleet.At(0).program->Signal(SIGKILL);
+  (void)fleet.At(0).program->WaitExit();
+  fleet.At(0).Start();
+  cr_assert(WaitUntil([&] {
+    return fleet.At(0).Ready() &&
+           Ask(fleet.At(0), "POST", "/load/1", NextId(), "b").status == 200;
+  }));
+}
+
+// Before any configuration came a caller is told to come back: it would never
+// repeat a request after "no such route".
+Test(edge, without_a_configuration_callers_are_told_to_come_back) {
+  standin::StoreService& store = *new standin::StoreService;
+  EdgeVm vm("a-1", "a", {"i-a1", "desk"}, store.Port());
+  cr_assert(WaitUntil(
+      [&] { return Ask(vm, "GET", "/view/1", NextId()).status != 0; }));
+  const HttpResponse answer =
+      Ask(vm, "POST", "/view/1", NextId(), std::string(200000, 'x'));
+  cr_assert(answer.status == 503);
+  cr_assert(std::stod(std::string(FindHeader(answer.headers, "Retry-After"))) <
+            0.5);
+  cr_assert_not(vm.Ready());
+}
+
+// An upstream runs a request and its answer is lost. The caller's filing must
+// not be lodged twice, so it is not sent again; a read is.
+Test(edge, what_may_have_run_is_not_repeated) {
+  EdgeFleet fleet;
+  cr_assert(fleet.Settle());
+  fleet.At(0).upstream.LoseAnswers(true);
+  fleet.At(2).upstream.LoseAnswers(true);
+  const std::string lodge = NextId();
+  const int status = Ask(fleet.At(0), "POST", "/lodge/1", lodge, "b").status;
+  cr_assert(status == 502 || status == 504);
+  cr_assert(RunsOf(fleet, lodge) == 1);
+  fleet.At(2).upstream.LoseAnswers(false);
+  bool served = true;
+  for (int i = 0; i < 5; ++i)
+    served =
+        served && Ask(fleet.At(0), "GET", "/view/1", NextId()).status == 200;
+  cr_assert(served);
+}
+
+// An upstream says that it leaves and is told that this is known. From that
+// moment on nothing new may reach it; callers are served by the others.
+Test(edge, nothing_reaches_an_upstream_after_its_leave_was_acknowledged) {
+  EdgeFleet fleet;
+  cr_assert(fleet.Settle());
+  std::atomic<bool> stop{false};
+  std::atomic<int> failed{0};
+  std::thread load([&] {
+    while (!stop) {
+      if (Ask(fleet.At(1), "GET", "/view/1", NextId()).status != 200)
+        ++failed;
+    }
+  });
+  EdgeVm& leaving = fleet.At(0);
+  leaving.upstream.Drain();
+  cr_assert(leaving.upstream.Beat(leaving.ports.admin));
+  // What was sent before may still arrive.
+  std::this_thread::sleep_for(Ms(50));
+  const std::size_t before = leaving.upstream.Runs().size();
+  std::this_thread::sleep_for(Ms(500));
+  stop = true;
+  load.join();
+  cr_assert(leaving.upstream.Runs().size() == before);
+  cr_assert(failed == 0);
+}
+
+// An upstream ends without a word. Its port refuses connections, which proves
+// that nothing ran, so even a filing is placed elsewhere.
+Test(edge, a_dead_upstream_costs_nobody_an_answer) {
+  standin::StoreService& store = *new standin::StoreService;
+  store.Put("keyed.op", "config", ConfigText("00000001"));
+  EdgeVm alive("b-1", "b", {"i-b1", "desk"}, store.Port());
+  auto dead = std::make_unique<EdgeVm>(
+      "a-1", "a", standin::MeshUpstreamOptions{"i-a1", "desk"}, store.Port());
+  cr_assert(WaitUntil([&] {
+    return Ask(*dead, "GET", "/view/1", "settle").body == "i-a1" &&
+           Ask(alive, "GET", "/view/1", "settle").body == "i-b1";
+  }));
+  dead->upstream.BeSilent();
+  dead->upstream.Close();
+  for (int i = 0; i < 20; ++i) {
+    const HttpResponse answer = Ask(*dead, "POST", "/lodge/1", NextId(), "b");
+    cr_assert(answer.status == 200, "%d: %d %s\n%s", i, answer.status,
+              answer.body.c_str(), dead->program->Output().c_str());
+  }
+}
+
+// A node is stopped as planned while callers use it. Each request that it read
+// gets its answer, and the process ends by itself before it would be killed.
+Test(edge, a_planned_stop_cuts_no_request) {
+  EdgeFleet fleet;
+  cr_assert(fleet.Settle());
+  std::atomic<bool> stop{false};
+  std::atomic<int> cut{0};
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 4; ++i) {
+    callers.emplace_back([&] {
+      HttpClientPool pool(1);
+      while (!stop) {
+        HttpRequest request;
+        request.method = "POST";
+        request.target = "/lodge/1";
+        request.headers = {{"X-Request-Id", NextId()},
+                           {"X-Deadline-Ms", "2000"}};
+        CallOptions options;
+        options.timeout = Ms(3000);
+        const auto answer = pool.Send(fleet.At(0).Outbound(), request, options);
+        if (!answer) {
+          const ErrorKind kind = answer.error().kind;
+          cut += kind == ErrorKind::kConnectFailed ? 0 : 1;
+          std::this_thread::sleep_for(Ms(20));
+        }
+      }
+    });
+  }
+  std::this_thread::sleep_for(Ms(200));
+  fleet.At(0).program->Signal(SIGTERM);
+  cr_assert(WaitUntil([&] { return !fleet.At(0).Ready(); }, Ms(500)));
+  cr_assert(fleet.At(0).program->WaitExit(Ms(6000)) == 0);
+  stop = true;
+  for (std::thread& caller : callers)
+    caller.join();
+  // A request on a kept connection may cross its close; it was not read then.
+  cr_assert(cut <= 4, "%d requests were cut", cut.load());
+}
+
+// A version is moved in within some seconds, and the operator reads the end of
+// it in the store.
+Test(edge, a_good_move_is_done_and_told) {
+  EdgeFleet fleet;
+  standin::MeshUpstreamOptions fresh{"i-a3", "desk"};
+  fresh.version = "v2";
+  fleet.Add("a-3", "a", fresh);
+  cr_assert(fleet.Settle());
+  cr_assert(fleet.At(3).upstream.Runs().empty(), "v2 served before its order");
+  fleet.store.Put("keyed.op", "rollout/desk",
+                  R"({"service":"desk","to":"v2","durationS":5})");
+  std::atomic<bool> stop{false};
+  std::thread load([&] {
+    while (!stop)
+      (void)Ask(fleet.At(1), "GET", "/view/1", NextId());
+  });
+  const bool done = WaitUntil([&] {
+    return fleet.store.Get("keyed.status", "rollout/desk").find("complete") !=
+           std::string::npos;
+  });
+  stop = true;
+  load.join();
+  cr_assert(done);
+  cr_assert_str_eq(Ask(fleet.At(0), "GET", "/view/1", NextId()).body.c_str(),
+                   "i-a3");
+}
+
+// The new version fails. It is taken back, and from then on gets nothing.
+Test(edge, a_bad_move_is_taken_back_and_told) {
+  EdgeFleet fleet;
+  standin::MeshUpstreamOptions fresh{"i-a3", "desk"};
+  fresh.version = "v2";
+  EdgeVm& bad = fleet.Add("a-3", "a", fresh);
+  bad.upstream.Fail(true);
+  cr_assert(fleet.Settle());
+  fleet.store.Put("keyed.op", "rollout/desk",
+                  R"({"service":"desk","to":"v2","durationS":8})");
+  std::atomic<bool> stop{false};
+  std::thread load([&] {
+    while (!stop)
+      (void)Ask(fleet.At(1), "GET", "/view/1", NextId());
+  });
+  const bool told = WaitUntil([&] {
+    return fleet.store.Get("keyed.status", "rollout/desk")
+               .find("rolled_back") != std::string::npos;
+  });
+  std::this_thread::sleep_for(Ms(300));
+  const std::size_t before = bad.upstream.Runs().size();
+  std::this_thread::sleep_for(Ms(500));
+  stop = true;
+  load.join();
+  cr_assert(told);
+  cr_assert(bad.upstream.Runs().size() == before);
+}
+
+// On-call have an id and nothing else. One line of the entry's log names the
+// route, the node, the upstream and the outcome; counters stand beside it.
+Test(edge, a_request_can_be_found_in_the_log_and_in_the_counters) {
+  EdgeFleet fleet;
+  cr_assert(fleet.Settle());
+  const std::string id = NextId();
+  cr_assert(Ask(fleet.At(0), "GET", "/nowhere/1", id).status == 404);
+  cr_assert(WaitUntil([&] {
+    const std::string log = fleet.At(0).program->Output();
+    const std::size_t at = log.find("id=" + id);
+    return at != std::string::npos &&
+           log.find("reason=no-route", at) != std::string::npos;
+  }));
+  const std::string metrics = fleet.At(0).Metrics();
+  cr_assert(metrics.find("teaselspread_refused_total{reason=\"no-route\"}") !=
+            std::string::npos);
+  cr_assert(metrics.find("teaselspread_request_seconds_count") !=
+            std::string::npos);
+}
+
+}  // namespace
+}  // namespace teaselspread
