--- a/tests/process/edge_test.cc
+++ b/tests/process/edge_test.cc
@@ -166,6 +166,7 @@
       "a-1", "a", standin::MeshUpstreamOptions{"i-a1", "desk"}, store.Port());
   cr_assert(WaitUntil([&] {
     return Ask(*dead, "GET", "/view/1", "settle").body == "i-a1" &&
+           dead->program->Output().find("link-up") != std::string::npos &&
            Ask(alive, "GET", "/view/1", "settle").body == "i-b1";
   }));
   dead->upstream.BeSilent();
