Take an upstream that nobody has measured for the fastest

Cause: its run time was guessed as 100 ms, so beside faster ones a new upstream never got a request and was never measured (edge_test found it: upstreams of 5 ms). Test first: placement_test failed with the guess.

--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -32,6 +32,19 @@
   return Duration(static_cast<std::int64_t>(kilobytes * each));
 }
 
+// An upstream that nobody has measured is taken to be as fast as the fastest:
+// with a guess that is slower than the others it would never be measured.
+Duration FastestOf(const PlacementSettings& settings,
+                   std::span<const Candidate> candidates) {
+  Duration fastest{};
+  for (const Candidate& candidate : candidates) {
+    const Duration run = candidate.run_time;
+    if (run > Duration{0} && (fastest == Duration{0} || run < fastest))
+      fastest = run;
+  }
+  return fastest > Duration{0} ? fastest : settings.unknown_time;
+}
+
 }  // namespace
 
 Duration CostOf(const PlacementSettings& settings,
@@ -56,10 +69,12 @@
                   std::size_t request_bytes,
                   Rng& rng) {
   std::uniform_real_distribution<double> noise(1.0, 1.0 + settings.spread);
+  PlacementSettings guessed = settings;
+  guessed.unknown_time = FastestOf(settings, candidates);
   std::size_t best = candidates.size();
   double least = 0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
-    const Duration exact = CostOf(settings, candidates[i], request_bytes);
+    const Duration exact = CostOf(guessed, candidates[i], request_bytes);
     const double cost = static_cast<double>(exact.count()) * noise(rng);
     if (best < candidates.size() && cost >= least)
       continue;
--- a/tests/unit/placement_test.cc
+++ b/tests/unit/placement_test.cc
@@ -72,6 +72,16 @@
   cr_assert(chosen == 1);
 }
 
+// An upstream has just joined, and nobody knows how fast it is. The others
+// answer in 5 ms; guessed to be slower than that it never got a request.
+Test(placement, tries_one_that_was_never_measured) {
+  Candidate fast = MakeCandidate(Distance::kOwnDataCenter, 1);
+  fast.run_time = Ms(5);
+  Candidate fresh = MakeCandidate(Distance::kOwnVm, 0);
+  fresh.run_time = Duration{0};
+  cr_assert(PlaceOnce({fast, fresh}) == 1);
+}
+
 // A route is split 90 to 10. Over 300 requests each part has to be within a few
 // of its share; drawn at random it is off by more now and then.
 Test(weighted_turns, keeps_to_the_weights_in_every_stretch) {
