--- a/include/teaselspread/admission.h
+++ b/include/teaselspread/admission.h
@@ -32,6 +32,11 @@
   std::size_t body_memory_bytes = 256U << 20;
   // Suspects that may wait for their turn to run alone.
   int most_suspects_waiting = 4;
+  // How far past its aim a request may be expected to end and still wait, as a
+  // part of the time from its aim to its deadline. Under lasting overload a
+  // queue that is as long as deadlines allow makes every answer late; a short
+  // one gives as many answers, in time, and tells the rest at once.
+  double late_part = 0.0;
   // Least Retry-After; the estimated time to clear the queue is added.
   Duration retry_after = std::chrono::milliseconds(500);
 };
@@ -43,6 +48,8 @@
   std::string route;
   Priority priority = Priority::kNormal;
   TimePoint deadline;
+  // Until when an answer is worth most; the epoch when nobody said.
+  TimePoint aim;
   std::size_t body_bytes = 0;
   // May crash the upstream: runs only while nothing else does.
   bool suspect = false;
--- a/include/teaselspread/snapshot.h
+++ b/include/teaselspread/snapshot.h
@@ -58,6 +58,9 @@
   // Non-idempotent requests need an Idempotency-Key and run at most once.
   bool idempotent = true;
   Duration deadline = std::chrono::seconds(2);
+  // Time within which an answer is worth most to its caller; zero when the
+  // operators name none.
+  Duration aim{};
   std::size_t max_body_bytes = 1U << 20;
 };
 
--- a/src/admission/estimate.cc
+++ b/src/admission/estimate.cc
@@ -1,5 +1,7 @@
 #include "admission/estimate.h"
 
+#include <algorithm>
+
 namespace teaselspread {
 namespace {
 
@@ -41,4 +43,16 @@
   return arrival.deadline - ExpectedTime(gate, arrival.route);
 }
 
+TimePoint LatestStartToWait(const Gatekeeper& gate, const Arrival& arrival) {
+  const TimePoint latest = LatestStart(gate, arrival);
+  if (arrival.aim == TimePoint{} || arrival.aim >= arrival.deadline)
+    return latest;
+  const double late =
+      static_cast<double>((arrival.deadline - arrival.aim).count());
+  const Duration allowed(
+      static_cast<std::int64_t>(late * gate.settings.late_part));
+  return std::min(latest,
+                  arrival.aim + allowed - ExpectedTime(gate, arrival.route));
+}
+
 }  // namespace teaselspread
--- a/src/admission/estimate.h
+++ b/src/admission/estimate.h
@@ -23,6 +23,12 @@
 [[nodiscard]] TimePoint LatestStart(const Gatekeeper& gate,
                                     const Arrival& arrival);
 
+// The last moment at which a request that arrives now may be expected to start
+// and still be let in to wait: earlier than LatestStart where answers are worth
+// less after the aim. Not thread safe.
+[[nodiscard]] TimePoint LatestStartToWait(const Gatekeeper& gate,
+                                          const Arrival& arrival);
+
 }  // namespace teaselspread
 
 #endif  // TEASELSPREAD_ADMISSION_ESTIMATE_H_
--- a/src/base/clock.cc
+++ b/src/base/clock.cc
@@ -3,10 +3,10 @@
 namespace teaselspread {
 
 TimePoint SystemNow() {
-  static const ClockAnchor kAnchor = {
+  static const ClockAnchor anchor = {
       std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now()),
       SteadyNow()};
-  return AnchoredTime(kAnchor, SteadyNow());
+  return AnchoredTime(anchor, SteadyNow());
 }
 
 }  // namespace teaselspread
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -16,7 +16,6 @@
 namespace teaselspread {
 namespace {
 
-constexpr std::int64_t kMicrosPerMilli = 1000;
 // How often leases, settings and the stop are looked at.
 constexpr std::chrono::milliseconds kTickInterval{250};
 // Whoever sends callers here asks once a second and needs two answers in a row
--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -205,9 +205,9 @@
 }
 
 const std::string& Entry::InstanceOf(const std::string& node) const {
-  static const std::string kNone;
+  static const std::string none;
   const Peer* peer = this->links.Find(node);
-  return peer == nullptr ? kNone : peer->status.instance;
+  return peer == nullptr ? none : peer->status.instance;
 }
 
 RunFrame Entry::FrameOf(std::uint64_t id, const Pending& pending) {
@@ -220,6 +220,12 @@
   const Duration left = pending.deadline - SteadyNow();
   frame.deadline_ms = static_cast<std::uint32_t>(
       std::max<std::int64_t>(left.count() / kMicrosPerMilli, 1));
+  const bool has_aim = pending.route->aim > Duration{0};
+  const Duration to_aim =
+      pending.exchange->arrived + pending.route->aim - SteadyNow();
+  frame.aim_ms = has_aim ? static_cast<std::uint32_t>(std::max<std::int64_t>(
+                               to_aim.count() / kMicrosPerMilli, 0))
+                         : frame.deadline_ms;
   frame.request = pending.exchange->request;
   frame.request.hold = nullptr;
   RemoveHopHeaders(frame.request.headers);
--- a/src/edge/frames.h
+++ b/src/edge/frames.h
@@ -67,6 +67,8 @@
   // Sent to an upstream before: counts against the budget of retries.
   bool repeated = false;
   std::uint32_t deadline_ms = 0;
+  // Until an answer is worth less; 0 when it is already.
+  std::uint32_t aim_ms = 0;
   // The run must reach this process and no other.
   std::string instance;
   HttpRequest request;
--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -94,6 +94,7 @@
   arrival.route = frame.route;
   arrival.priority = PriorityOf(frame.priority);
   arrival.deadline = run.deadline;
+  arrival.aim = now + std::chrono::milliseconds(frame.aim_ms);
   arrival.body_bytes = frame.request.body.size();
   run.frame = std::move(frame);
   const bool wrong_instance =
--- a/src/edge/http_listener.cc
+++ b/src/edge/http_listener.cc
@@ -376,7 +376,7 @@
 }
 
 HttpListener::HttpListener(asio::io_context& io, ExchangeHandler handler)
-    : loop(io), acceptor(io), sweep(io), on_request(std::move(handler)) {}
+    : acceptor(io), sweep(io), on_request(std::move(handler)) {}
 
 HttpListener::~HttpListener() {
   const std::set<HttpSession*> open = std::move(this->sessions);
--- a/src/edge/http_listener.h
+++ b/src/edge/http_listener.h
@@ -106,7 +106,6 @@
   void Accept();
   void Sweep();
 
-  boost::asio::io_context& loop;
   boost::asio::ip::tcp::acceptor acceptor;
   boost::asio::steady_timer sweep;
   ExchangeHandler on_request;
--- a/src/edge/stream_watch.h
+++ b/src/edge/stream_watch.h
@@ -52,7 +52,6 @@
   void Later(Duration wait, std::function<void()> task);
   void Retry();
 
-  boost::asio::io_context& loop;
   const RecordStore& store;
   RecordStream stream;
   RecordHandler on_record;
--- a/src/edge/version_choice.cc
+++ b/src/edge/version_choice.cc
@@ -36,6 +36,15 @@
        {"age_ms", (SteadyNow() - trial.started).count() / kMicrosPerMilli}});
 }
 
+bool HaveMoved(const VersionTrial& trial,
+               const std::vector<std::string>& nodes) {
+  return std::all_of(nodes.begin(), nodes.end(),
+                     [&trial](const std::string& node) {
+                       const auto peer = trial.peers.find(node);
+                       return peer != trial.peers.end() && peer->second.moved;
+                     });
+}
+
 }  // namespace
 
 void VersionChoice::SetReady(const std::vector<ReadyUpstream>& all) {
@@ -180,12 +189,7 @@
         view.old_idle = view.old_idle && (fresh || version.load == 0);
       }
     }
-    view.all_moved =
-        ShareOf(trial, now) >= 1 &&
-        std::all_of(nodes.begin(), nodes.end(), [&](const std::string& node) {
-          const auto peer = trial.peers.find(node);
-          return peer != trial.peers.end() && peer->second.moved;
-        });
+    view.all_moved = ShareOf(trial, now) >= 1 && HaveMoved(trial, nodes);
     if (!StepTrial(trial, view, now))
       continue;
     trial.reported = false;
--- a/src/moves/version_trial.cc
+++ b/src/moves/version_trial.cc
@@ -209,13 +209,13 @@
   const double part = PartPassed(trial, now);
   const bool moved = trial.all_moved_since != TimePoint{} &&
                      now - trial.all_moved_since >= trial.settings.moved_for;
-  if (finding == TrialFinding::kBad)
+  const bool done = part >= trial.settings.done_from && moved &&
+                    view.old_idle && finding == TrialFinding::kCalm;
+  const bool too_late = part >= trial.settings.give_up_from;
+  if (finding == TrialFinding::kBad || (too_late && !done))
     trial.progress = MoveProgress::kTakenBack;
-  else if (part >= trial.settings.done_from && moved && view.old_idle &&
-           finding == TrialFinding::kCalm)
+  else if (done)
     trial.progress = MoveProgress::kDone;
-  else if (part >= trial.settings.give_up_from)
-    trial.progress = MoveProgress::kTakenBack;
   return trial.progress != MoveProgress::kRunning;
 }
 
--- a/standins/store_service.h
+++ b/standins/store_service.h
@@ -213,8 +213,13 @@
           coded.data(), value.data(), value.size()));
       if (!items.empty())
         items += ",";
-      items += R"({"key":")" + key + R"(","value":")" + coded +
-               R"(","offset":)" + std::to_string(offset) + "}";
+      items += R"({"key":")";
+      items += key;
+      items += R"(","value":")";
+      items += coded;
+      items += R"(","offset":)";
+      items += std::to_string(offset);
+      items += "}";
     }
     return TextAnswer(200, R"({"items":[)" + items +
                                R"(],"hasMore":false,"end":)" +
--- a/tests/process/edge_test.cc
+++ b/tests/process/edge_test.cc
@@ -36,7 +36,7 @@
   cr_assert_str_eq(answer.body.c_str(), "i-a2");
   const std::string signature(
       FindHeader(answer.headers, "X-Response-Signature"));
-  cr_assert_str_eq(signature.c_str(), ("signed-" + id).c_str());
+  cr_assert(signature == "signed-" + id);
   for (const standin::MeshRun& run : fleet.At(1).upstream.Runs()) {
     if (run.id != id)
       continue;
@@ -186,6 +186,7 @@
   std::atomic<bool> stop{false};
   std::atomic<int> cut{0};
   std::vector<std::thread> callers;
+  callers.reserve(4);
   for (int i = 0; i < 4; ++i) {
     callers.emplace_back([&] {
       HttpClientPool pool(1);
--- a/tests/unit/version_trial_test.cc
+++ b/tests/unit/version_trial_test.cc
@@ -49,6 +49,7 @@
   Rng rng(seed);
   std::multimap<TimePoint, TrialAnswer> due;
   std::vector<std::string> names;
+  names.reserve(2 * kUpstreams);
   for (int i = 0; i < 2 * kUpstreams; ++i)
     names.push_back("i-" + std::to_string(i));
   Run run;
@@ -83,8 +84,9 @@
         const double load = share * kUpstreams / static_cast<double>(in_use);
         outcome = fresh({upstream, route, passed, load}, rng);
       }
-      answer.instance =
-          names[static_cast<std::size_t>(upstream + (to_new ? kUpstreams : 0))];
+      const std::size_t place =
+          static_cast<std::size_t>(upstream) + (to_new ? kUpstreams : 0U);
+      answer.instance = names[place];
       answer.bad = outcome.bad;
       answer.took = outcome.took;
       due.emplace(now + outcome.took, answer);
