--- a/include/teaselspread/placement.h
+++ b/include/teaselspread/placement.h
@@ -24,7 +24,7 @@
   // What a kilobyte between data centres is worth in waiting time. Bytes
   // between data centres are paid for, so a short wait at home is cheaper; a
   // request that would be late at home still goes across.
-  Duration price_per_kilobyte = std::chrono::microseconds(1000);
+  Duration price_per_kilobyte = std::chrono::microseconds(4000);
   // Time of a run while no upstream was measured.
   Duration unknown_time = std::chrono::milliseconds(100);
   // How much slower an upstream runs with all slots taken than with none.
