Count single slow answers against a new version

An answer beyond that factor of the old mean is now bad by itself. Ruled out: lost notes (27 nodes heard), late judging (judged four times a second).

--- a/include/teaselspread/version_trial.h
+++ b/include/teaselspread/version_trial.h
@@ -12,6 +12,7 @@
 #define TEASELSPREAD_VERSION_TRIAL_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -75,7 +76,8 @@
   // Bad answers of it, and how much their share lies above the old version's.
   std::uint32_t least_bad = 3;
   double extra_bad = 0.15;
-  // Times the old version's mean, and milliseconds above it.
+  // Times the old version's mean on the route, and milliseconds above it:
+  // beyond both an answer counts as bad, and so does a mean of answers.
   double slowdown = 2.5;
   double slowdown_ms = 25;
   // Part of the new version's judged upstreams that must be bad.
@@ -118,9 +120,13 @@
   // Own answers, and the newest note of each other node.
   std::map<std::pair<std::string, std::string>, TrialCell> own;
   std::map<std::string, TrialNote> peers;
+  // The old version's mean by route, in milliseconds, as of the last step.
+  std::map<std::string, double, std::less<>> old_means;
 };
 
-// Counts one answer that this node got.
+// Counts one answer that this node got. One that is far slower than the old
+// version's answers on its route is bad too: a version that is slow to some of
+// its callers hides in a mean.
 void RecordTrial(VersionTrial& trial, const TrialAnswer& answer);
 
 // What this node tells the others.
--- a/src/moves/version_trial.cc
+++ b/src/moves/version_trial.cc
@@ -79,6 +79,25 @@
          old_mean * settings.slowdown + settings.slowdown_ms;
 }
 
+bool IsSlowAnswer(const VersionTrial& trial, const TrialAnswer& answer) {
+  const auto mean = trial.old_means.find(answer.route);
+  if (!answer.timed || mean == trial.old_means.end())
+    return false;
+  const double took_ms =
+      static_cast<double>(answer.took.count()) / kMicrosPerMilli;
+  const TrialSettings& settings = trial.settings;
+  return took_ms > mean->second * settings.slowdown + settings.slowdown_ms;
+}
+
+void LearnOldMeans(VersionTrial& trial) {
+  for (const auto& [name, route] : TableOf(trial)) {
+    if (route.old.timed >= trial.settings.least_runs) {
+      trial.old_means[std::string(name)] =
+          RatioOf(route.old.sum_ms, route.old.timed);
+    }
+  }
+}
+
 // Part of the order's time that has passed.
 double PartPassed(const VersionTrial& trial, TimePoint now) {
   const double whole = static_cast<double>(trial.order.duration.count());
@@ -118,7 +137,7 @@
     cell.fresh = answer.fresh;
   }
   ++cell.runs;
-  cell.bad += answer.bad ? 1 : 0;
+  cell.bad += answer.bad || IsSlowAnswer(trial, answer) ? 1 : 0;
   if (!answer.timed)
     return;
   ++cell.timed;
@@ -205,6 +224,7 @@
     trial.all_moved_since = TimePoint{};
   else if (trial.all_moved_since == TimePoint{})
     trial.all_moved_since = now;
+  LearnOldMeans(trial);
   const TrialFinding finding = JudgeTrial(trial);
   const double part = PartPassed(trial, now);
   const bool moved = trial.all_moved_since != TimePoint{} &&
--- a/tests/unit/version_trial_test.cc
+++ b/tests/unit/version_trial_test.cc
@@ -144,6 +144,20 @@
   }
 }
 
+// Half of its answers take four times as long. Their mean is no more than a
+// busy upstream may have; but the old version has hardly any such answer.
+Test(version_trial, slowness_of_some_answers_takes_it_back) {
+  for (std::uint64_t seed = 0; seed < 20; ++seed) {
+    CheckTakenBack(
+        Play(
+            [](const Question&, Rng& rng) {
+              return Outcome{false, Chance(0.4, rng) ? Ms(400) : Ms(100)};
+            },
+            Ms(16000), seed),
+        seed);
+  }
+}
+
 // Only one route fails, which has a quarter of the requests.
 Test(version_trial, failures_of_one_route_take_it_back) {
   for (std::uint64_t seed = 0; seed < 20; ++seed) {
