Doubt links early, ask the upstream at start, stop requests that crash upstreams

(3) a request that crashes upstreams was not stopped on this path: crashes are noticed by a look at the port after a broken connection, rows of suspects travel with the status, and after three without a clean run it is refused. Ruled out: running suspects alone as the old path does (each crash blames all that ran, and a gate would stand still for each of them).

--- a/include/teaselspread/edge.h
+++ b/include/teaselspread/edge.h
@@ -116,6 +116,10 @@
   std::string not_run;
   // On an answer: signature of the upstream over its body.
   std::string signature;
+  // On the answer to a health check: the process that gave it.
+  std::string instance;
+  // On answers: requests that run, that wait, and slots, with commas between.
+  std::string load;
 };
 
 // All that depends on the platform. Functions belong to the loop's thread.
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -23,6 +23,9 @@
 constexpr Duration kStopNotice = std::chrono::milliseconds(2300);
 // Before the process would be ended by force.
 constexpr Duration kStopReserve = std::chrono::milliseconds(700);
+// An upstream that has said nothing is asked for this long after the start; one
+// that starts later tells by itself.
+constexpr Duration kProbeTime = std::chrono::milliseconds(1000);
 // A peer that holds a newer configuration is asked for it, once in this time.
 constexpr Duration kConfigAskEvery = std::chrono::milliseconds(300);
 // Remote runs have numbers of their own at the gate.
@@ -72,6 +75,12 @@
   return nodes;
 }
 
+void TakeNotes(EdgeNode& node, const Peer& peer) {
+  node.versions.TakeNotes(peer.node, peer.status.moves);
+  if (!peer.status.suspects.empty())
+    node.gate.TakeSuspectNotes(peer.status.suspects);
+}
+
 void StepMoves(EdgeNode& node) {
   const std::vector<std::string> nodes = NodesInTouch(node);
   node.versions.Step(nodes);
@@ -157,7 +166,7 @@
   on.on_status = [&node](const std::string& name) {
     RefreshVersions(node);
     if (const Peer* peer = node.links.Find(name))
-      node.versions.TakeNotes(name, peer->status.moves);
+      TakeNotes(node, *peer);
     AskForNewer(node, name);
   };
   on.on_hello = [&node](const Hello& hello) { node.links.Add(hello); };
@@ -232,6 +241,15 @@
   return entry.st_mtim.tv_sec * kNanosPerSecond + entry.st_mtim.tv_nsec;
 }
 
+void ProbeUpstream(EdgeNode& node) {
+  const SnapshotPtr& held = node.entry.InForce();
+  if (!held || node.stopping)
+    return;
+  const auto service = held->services.find(node.settings.service);
+  if (service != held->services.end())
+    node.gate.Probe(service->second.health_path, node.settings.service);
+}
+
 void ReloadSettings(EdgeNode& node, const char* why) {
   node.settings_changed_ns = ChangedAt(node.settings_file);
   auto settings = LoadEdgeSettings(node.settings_file);
@@ -307,6 +325,8 @@
     if (error)
       return;
     node.gate.Tick();
+    if (SteadyNow() - node.started < kProbeTime)
+      ProbeUpstream(node);
     RefreshVersions(node);
     StepMoves(node);
     for (const auto& [name, peer] : node.links.Peers())
@@ -347,6 +367,10 @@
   if (auto listening = ListenAll(node); !listening)
     return listening;
   node.gate.SetAddress(node.settings.upstream);
+  const std::string& vm = node.settings.vm;
+  const auto life =
+      static_cast<std::uint64_t>(SystemNow().time_since_epoch().count());
+  node.gate.SetOrigin(XXH3_64bits_withSeed(vm.data(), vm.size(), life));
   node.gate.on_change = [&node] { TellStatus(node); };
   node.started = SteadyNow();
   node.settings_changed_ns = ChangedAt(node.settings_file);
@@ -411,6 +435,7 @@
   const SnapshotPtr& held = node.entry.InForce();
   status.held = held ? held->version : 0;
   status.moves = node.notes;
+  status.suspects = node.gate.SuspectNotes();
   node.links.SetStatus(status);
 }
 
@@ -442,6 +467,7 @@
        {"before", own},
        {"routes", (*snapshot)->routes.size()},
        {"bytes", record.value.size()}});
+  ProbeUpstream(node);
   TellStatus(node);
 }
 
--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -49,6 +49,10 @@
                          static_cast<double>(span.count()) / kMicrosPerSecond);
 }
 
+bool FitsVersion(const PickedVersion& picked, const std::string& version) {
+  return version.empty() ? picked.unknown_too : version == picked.version;
+}
+
 bool MayUse(const PickedVersion& picked, const std::string& instance) {
   return picked.only.empty() ||
          std::find(picked.only.begin(), picked.only.end(), instance) !=
@@ -152,7 +156,7 @@
   const auto fits = [&pending](const GateStatus& status) {
     return status.state == GateState::kReady &&
            status.service == pending.service &&
-           status.version == pending.version.version &&
+           FitsVersion(pending.version, status.version) &&
            MayUse(pending.version, status.instance);
   };
   const auto add = [&](std::string_view node, Distance distance,
@@ -166,16 +170,29 @@
     candidate.failure_share = this->FailureShare(std::string(node), now);
     candidates.push_back(candidate);
   };
+  const auto add_peer = [&](const std::string& name, const Peer& peer) {
+    const bool near = peer.data_center == this->settings.data_center;
+    const std::uint32_t told = peer.status.running + peer.status.waiting;
+    add(name, near ? Distance::kOwnDataCenter : Distance::kOtherDataCenter,
+        peer.status, std::max(told, peer.in_flight));
+  };
+  std::vector<const Peer*> doubtful;
   const GateStatus own = this->gate.Status();
   if (fits(own) && !tried(this->settings.vm))
     add(this->settings.vm, Distance::kOwnVm, own, own.running + own.waiting);
   for (const auto& [name, peer] : this->links.Peers()) {
     if (!peer.connected || !fits(peer.status) || tried(name))
       continue;
-    const bool near = peer.data_center == this->settings.data_center;
-    const std::uint32_t told = peer.status.running + peer.status.waiting;
-    add(name, near ? Distance::kOwnDataCenter : Distance::kOtherDataCenter,
-        peer.status, std::max(told, peer.in_flight));
+    if (Links::LinkInDoubt(peer, now)) {
+      doubtful.push_back(&peer);
+      continue;
+    }
+    add_peer(name, peer);
+  }
+  // With nothing else to try, a link in doubt is better than a refusal.
+  if (candidates.empty()) {
+    for (const Peer* peer : doubtful)
+      add_peer(peer->node, *peer);
   }
   return candidates;
 }
@@ -185,8 +202,10 @@
   if (found == this->open.end())
     return;
   Pending& pending = found->second;
-  if (pending.version.version.empty())
+  if (!pending.version_picked) {
     pending.version = this->versions.Pick(pending.service);
+    pending.version_picked = true;
+  }
   const auto candidates = this->CandidatesFor(pending);
   constexpr std::size_t kAnswerBytes = 3000;
   const std::size_t bytes = pending.exchange->request.body.size();
--- a/src/edge/entry.h
+++ b/src/edge/entry.h
@@ -37,6 +37,7 @@
   const RouteConfig* route = nullptr;
   std::string service;
   PickedVersion version;
+  bool version_picked = false;
   TimePoint deadline;
   std::unique_ptr<boost::asio::steady_timer> timer;
   // Where it is now; empty before the first attempt.
--- a/src/edge/frames.cc
+++ b/src/edge/frames.cc
@@ -28,10 +28,15 @@
   codec.Enum(value.progress, MoveProgress::kTakenBack);
 }
 template <class C>
+void Fields(C& codec, FieldsOf<C, SuspectNote> value) {
+  codec(value.fingerprint, value.origin, value.crashes, value.cleared,
+        value.left_minutes);
+}
+template <class C>
 void Fields(C& codec, FieldsOf<C, GateStatus> value) {
   codec(value.instance, value.service, value.version, value.slots);
   codec(value.running, value.waiting, value.mean_us, value.warm_up_ms);
-  codec(value.held, value.moves);
+  codec(value.held, value.moves, value.suspects);
   codec.Enum(value.state, GateState::kLost);
 }
 template <class C>
--- a/src/edge/frames.h
+++ b/src/edge/frames.h
@@ -22,6 +22,18 @@
 // Stable name for logs and metrics. Thread safe.
 [[nodiscard]] std::string_view NameOf(GateState state);
 
+// One row of the requests that may crash upstreams (suspects.h), as told to
+// other nodes: their clocks differ, so the time is what is left of it.
+struct SuspectNote {
+  std::uint64_t fingerprint = 0;
+  std::uint64_t origin = 0;
+  std::uint32_t crashes = 0;
+  std::uint32_t cleared = 0;
+  std::uint32_t left_minutes = 0;
+
+  bool operator==(const SuspectNote&) const = default;
+};
+
 // What a node tells of itself and of the upstream beside it.
 struct GateStatus {
   // Identity of the upstream's process, as it names itself.
@@ -40,6 +52,7 @@
   ConfigVersion held = 0;
   // What this node knows of moves.
   std::vector<TrialNote> moves;
+  std::vector<SuspectNote> suspects;
 
   bool operator==(const GateStatus&) const = default;
 };
--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -3,7 +3,10 @@
 #include <algorithm>
 #include <random>
 #include <utility>
+#include <vector>
 
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
 #include <xxhash.h>
 
 #include "base/clock.h"
@@ -25,6 +28,18 @@
 // at most, so half a second would mean "never" to many.
 constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(80);
 constexpr std::uint32_t kWarmUpStepMs = 500;
+// Connections of a crashed upstream break together, and the next one to it is
+// refused within this time.
+constexpr Duration kCrashSeenWithin = std::chrono::milliseconds(1000);
+// A connection that broke makes the node look whether the upstream is still
+// there, this often at most: each look costs the upstream a connection.
+constexpr Duration kCheckEvery = std::chrono::milliseconds(250);
+// Crashes after which a request is refused. A crash blames all that ran at the
+// upstream; those that are innocent run clean elsewhere and are cleared, so
+// three in a row without a clean run point at the request itself.
+constexpr std::uint32_t kMostCrashes = 3;
+// Rows told to other nodes at most.
+constexpr std::size_t kMostSuspectNotes = 64;
 constexpr int kHttpMisdirected = 421;
 constexpr int kHttpBadRequest = 400;
 constexpr std::int64_t kMicrosPerMilli = 1000;
@@ -59,6 +74,16 @@
   return static_cast<Priority>(std::min(rank, kLowest));
 }
 
+// What makes a request the same one when its caller sends it again.
+Fingerprint FingerprintOfRun(const HttpRequest& request,
+                             std::string_view caller_header) {
+  const std::string_view caller = FindHeader(request.headers, caller_header);
+  const std::uint64_t seed = XXH3_64bits(caller.data(), caller.size());
+  const std::uint64_t body =
+      XXH3_64bits_withSeed(request.body.data(), request.body.size(), seed);
+  return FingerprintOf(request.method, request.target, body);
+}
+
 ResultFrame RefusedFrame(std::uint64_t call, const Refusal& refusal) {
   ResultFrame result;
   result.call = call;
@@ -81,6 +106,7 @@
   this->lease.settings = lease_settings;
   this->keeper.settings.retry_after = kLeastRetryAfter;
   this->keeper.ready = false;
+  this->suspects.settings.most_crashes = kMostCrashes;
 }
 
 void Gate::Run(std::uint64_t id, RunFrame frame, ResultHandler done) {
@@ -97,6 +123,10 @@
   arrival.aim = now + std::chrono::milliseconds(frame.aim_ms);
   arrival.body_bytes = frame.request.body.size();
   run.frame = std::move(frame);
+  run.fingerprint =
+      FingerprintOfRun(run.frame.request, this->names.caller_service);
+  const bool crashes = teaselspread::StateOf(this->suspects, run.fingerprint,
+                                             now) == SuspectState::kRefused;
   const bool wrong_instance =
       !run.frame.instance.empty() && this->lease.current &&
       run.frame.instance != this->lease.current->instance;
@@ -108,6 +138,11 @@
     this->Refuse(id, {id, kind, kLeastRetryAfter});
     return;
   }
+  if (crashes) {
+    this->keeper.refusals.Add(ErrorKind::kCrashSuspect);
+    this->Refuse(id, {id, ErrorKind::kCrashSuspect, kLeastRetryAfter});
+    return;
+  }
   const Arrived arrived = Arrive(this->keeper, arrival, now, this->rng);
   if (arrived.evicted)
     this->Refuse(arrived.evicted->id, *arrived.evicted);
@@ -185,9 +220,12 @@
       frame.response = {};
     } else {
       counts = true;
+      this->NoteClean(run);
     }
   } else if (result.error == ErrorKind::kConnectFailed) {
     this->LoseUpstream("no-connection");
+  } else {
+    this->NoteBroken(run);
   }
   this->Finish(id, counts, frame);
 }
@@ -258,6 +296,45 @@
   this->Finish(id, false, {});
 }
 
+void Gate::Probe(const std::string& health_path, const std::string& service) {
+  if (this->lease.current || this->probing || health_path.empty())
+    return;
+  this->probing = true;
+  HttpRequest request;
+  request.target = health_path;
+  this->pool.Call(request, "", kReuseWithin,
+                  [this, service](const CallResult& result) {
+                    this->probing = false;
+                    if (result.answered && !this->lease.current)
+                      this->TakeProbe(service, result.response);
+                  });
+}
+
+// Version and start of the process stay unknown until its heartbeat, which
+// replaces this report whatever its number.
+void Gate::TakeProbe(const std::string& service, const HttpResponse& response) {
+  constexpr int kOk = 200;
+  constexpr std::size_t kLoadParts = 3;
+  const std::string_view instance =
+      FindHeader(response.headers, this->names.instance);
+  const std::vector<std::string> load = absl::StrSplit(
+      std::string(FindHeader(response.headers, this->names.load)), ',');
+  int slots = 0;
+  const bool knows_slots =
+      load.size() == kLoadParts && absl::SimpleAtoi(load.back(), &slots);
+  Log(LogLevel::kInfo, "gate", "upstream-probed",
+      {{"status", response.status},
+       {"instance", instance},
+       {"slots", knows_slots ? slots : 0}});
+  if (response.status != kOk || instance.empty() || !knows_slots || slots < 1)
+    return;
+  UpstreamReport report;
+  report.instance = std::string(instance);
+  report.service = service;
+  report.slots = slots;
+  (void)this->Report(report);
+}
+
 ReportVerdict Gate::Report(const UpstreamReport& report) {
   const ReportVerdict verdict = TakeReport(this->lease, report, SteadyNow());
   this->ApplyLease();
@@ -279,6 +356,7 @@
 }
 
 void Gate::LoseUpstream(const char* why) {
+  this->NoteCrash();
   OnUpstreamUnreachable(this->lease);
   Log(LogLevel::kWarning, "gate", "upstream-unreachable",
       {{"why", why},
@@ -286,7 +364,83 @@
   this->ApplyLease();
 }
 
+void Gate::NoteBroken(const GateRun& run) {
+  const TimePoint now = SteadyNow();
+  std::erase_if(this->broken, [now](const auto& each) {
+    return now - each.first > kCrashSeenWithin;
+  });
+  this->broken.emplace_back(now, run.fingerprint);
+  this->CheckAlive();
+}
+
+// With little traffic nobody would try to connect, and the crash would go
+// unnoticed until the next request runs into it.
+void Gate::CheckAlive() {
+  const TimePoint now = SteadyNow();
+  if (now - this->checked_at < kCheckEvery)
+    return;
+  this->checked_at = now;
+  this->pool.CheckListening([this](bool listening) {
+    if (!listening)
+      this->LoseUpstream("not-listening");
+  });
+}
+
+// The upstream is gone right after connections broke: it has crashed, and one
+// of the requests that it ran may be why. Its caller sends it again, and each
+// upstream that runs it would crash in turn.
+void Gate::NoteCrash() {
+  const TimePoint now = SteadyNow();
+  std::vector<Fingerprint> blamed;
+  for (const auto& [when, fingerprint] : this->broken) {
+    if (now - when <= kCrashSeenWithin)
+      blamed.push_back(fingerprint);
+  }
+  this->broken.clear();
+  if (blamed.empty())
+    return;
+  const auto rows = OnCrash(this->suspects, blamed, now);
+  Log(LogLevel::kWarning, "gate", "upstream-crashed",
+      {{"instance", this->lease.current ? this->lease.current->instance : ""},
+       {"requests_blamed", rows.size()}});
+  this->on_change();
+}
+
+void Gate::NoteClean(const GateRun& run) {
+  if (this->suspects.rows.empty())
+    return;
+  (void)OnCleanRun(this->suspects, run.fingerprint, SteadyNow());
+}
+
+std::vector<SuspectNote> Gate::SuspectNotes() const {
+  std::vector<SuspectNote> notes;
+  const TimePoint now = SteadyNow();
+  for (const auto& [fingerprint, rows] : this->suspects.rows) {
+    for (const SuspectRow& row : rows) {
+      if (row.expires <= now || notes.size() >= kMostSuspectNotes)
+        continue;
+      const auto left =
+          std::chrono::duration_cast<std::chrono::minutes>(row.expires - now);
+      notes.push_back({row.fingerprint, row.origin, row.crashes, row.cleared,
+                       static_cast<std::uint32_t>(left.count())});
+    }
+  }
+  return notes;
+}
+
+void Gate::TakeSuspectNotes(const std::vector<SuspectNote>& notes) {
+  const TimePoint now = SteadyNow();
+  std::vector<SuspectRow> rows;
+  rows.reserve(notes.size());
+  for (const SuspectNote& note : notes) {
+    rows.push_back({note.fingerprint, note.origin, note.crashes, note.cleared,
+                    now + std::chrono::minutes(note.left_minutes)});
+  }
+  (void)MergeSuspects(this->suspects, rows, now);
+}
+
 void Gate::Tick() {
+  ExpireSuspects(this->suspects, SteadyNow());
   this->ApplyLease();
   this->pool.Prune(kReuseWithin);
 }
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -10,6 +10,8 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -58,6 +60,11 @@
   // repeated goes on at the upstream.
   void Cancel(std::uint64_t id);
 
+  // Asks the upstream itself who it is, while no heartbeat came. A node that
+  // was restarted beside a working upstream would otherwise refuse its requests
+  // until the next heartbeat, for up to its whole interval.
+  void Probe(const std::string& health_path, const std::string& service);
+
   // A heartbeat; it is in force when this returns.
   [[nodiscard]] ReportVerdict Report(const UpstreamReport& report);
   // False when another process holds the lease.
@@ -66,6 +73,15 @@
   // The node itself stops: nothing new runs, what runs goes on.
   void LeaveNode();
 
+  // Rows that this node knows of requests that may crash upstreams, for the
+  // others, and rows that another node told.
+  [[nodiscard]] std::vector<SuspectNote> SuspectNotes() const;
+  void TakeSuspectNotes(const std::vector<SuspectNote>& notes);
+
+  // Tells the crashes of this node apart from those of others and of its own
+  // earlier life. Call once, before the first run.
+  void SetOrigin(std::uint64_t origin) { this->suspects.origin = origin; }
+
   // Applies what has lapsed; call it a few times a second.
   void Tick();
 
@@ -82,6 +98,11 @@
   UpstreamLease lease;
 
  private:
+  void NoteBroken(const GateRun& run);
+  void NoteCrash();
+  void CheckAlive();
+  void NoteClean(const GateRun& run);
+  void TakeProbe(const std::string& service, const HttpResponse& response);
   void Start(std::uint64_t id);
   void Finish(std::uint64_t id, bool counts, const ResultFrame& result);
   void OnCallEnd(std::uint64_t id, CallResult result);
@@ -99,7 +120,13 @@
   boost::asio::steady_timer expiry;
   TimePoint expiry_at;
   LeaseState applied = LeaseState::kNone;
+  SuspectTable suspects;
+  // Runs whose connection broke a moment ago: if the upstream turns out to be
+  // gone, one of them may have crashed it.
+  std::vector<std::pair<TimePoint, Fingerprint>> broken;
+  TimePoint checked_at;
   bool node_leaving = false;
+  bool probing = false;
   Rng rng;
 };
 
--- a/src/edge/link_health.h
+++ b/src/edge/link_health.h
@@ -18,6 +18,13 @@
 inline constexpr Duration kSpeakAfter = std::chrono::milliseconds(1500);
 inline constexpr Duration kCallerSilence = std::chrono::seconds(5);
 
+// A question that has been open for this long puts the link in doubt: new
+// requests go elsewhere. Lost packets are sent again after some 200 ms, so most
+// doubts pass; a data centre that is cut off would otherwise get requests until
+// its links are given up, and none of them can be sent again unless it may run
+// twice.
+inline constexpr Duration kDoubtAfter = std::chrono::milliseconds(150);
+
 struct LinkTimes {
   // When the last bytes came and went.
   TimePoint heard;
@@ -27,6 +34,11 @@
   TimePoint asked;
 };
 
+// Thread safe.
+[[nodiscard]] inline bool InDoubt(const LinkTimes& times, TimePoint now) {
+  return times.asked != TimePoint{} && now - times.asked > kDoubtAfter;
+}
+
 enum class LinkAction : std::uint8_t { kNone, kAsk, kGiveUp };
 
 // For the end that opened the link; `up` once the other end has answered.
--- a/src/edge/links.cc
+++ b/src/edge/links.cc
@@ -296,12 +296,17 @@
   }
 }
 
+bool Links::LinkInDoubt(const Peer& peer, TimePoint now) {
+  return peer.socket == nullptr || InDoubt(peer.socket->times, now);
+}
+
 void Links::SetStatus(const GateStatus& now) {
   if (now == this->status)
     return;
   const bool urgent = now.state != this->status.state ||
                       now.instance != this->status.instance ||
-                      now.held != this->status.held;
+                      now.held != this->status.held ||
+                      now.suspects != this->status.suspects;
   this->status = now;
   this->status_changed = true;
   if (!urgent)
--- a/src/edge/links.h
+++ b/src/edge/links.h
@@ -109,6 +109,8 @@
   [[nodiscard]] const std::map<std::string, Peer>& Peers() const {
     return this->peers;
   }
+  // Whether the link to a connected peer may have stopped working.
+  [[nodiscard]] static bool LinkInDoubt(const Peer& peer, TimePoint now);
   [[nodiscard]] Peer* Find(const std::string& node);
 
   Hello self;
--- a/src/edge/loop_client.cc
+++ b/src/edge/loop_client.cc
@@ -6,6 +6,7 @@
 #include <array>
 #include <cerrno>
 #include <charconv>
+#include <memory>
 #include <optional>
 #include <utility>
 
@@ -413,6 +414,16 @@
   call->Abort();
 }
 
+void LoopClient::CheckListening(std::function<void(bool)> done) {
+  auto socket = std::make_shared<tcp::socket>(this->loop);
+  const tcp::endpoint endpoint(asio::ip::make_address(this->address.host),
+                               this->address.port);
+  socket->async_connect(endpoint, [socket, done = std::move(done)](
+                                      boost::system::error_code error) {
+    done(error != asio::error::connection_refused);
+  });
+}
+
 bool LoopClient::MayHaveSent(const LoopConnection* call) {
   return call->Connected();
 }
--- a/src/edge/loop_client.h
+++ b/src/edge/loop_client.h
@@ -75,6 +75,10 @@
   // `done` was not called yet.
   void Cancel(LoopConnection* call);
 
+  // Whether anybody listens at the address: opens a connection and closes it.
+  // `done` is called later, with false only if the connection was refused.
+  void CheckListening(std::function<void(bool)> done);
+
   // Whether bytes of the call's request may have reached the server.
   [[nodiscard]] static bool MayHaveSent(const LoopConnection* call);
 
--- a/src/edge/version_choice.cc
+++ b/src/edge/version_choice.cc
@@ -69,7 +69,7 @@
   std::string best;
   std::uint32_t most = 0;
   for (const auto& [name, version] : versions) {
-    if (name == but || version.slots <= most)
+    if (name.empty() || name == but || version.slots <= most)
       continue;
     best = name;
     most = version.slots;
@@ -108,8 +108,10 @@
   if (found == this->ready.end())
     return {};
   const auto trial = this->trials.find(service);
-  if (trial == this->trials.end())
-    return {MostReady(found->second, ""), {}};
+  if (trial == this->trials.end()) {
+    const std::string known = MostReady(found->second, "");
+    return {known.empty() ? "" : known, {}, true};
+  }
   return this->PickInTrial(trial->second, found->second);
 }
 
--- a/src/edge/version_choice.h
+++ b/src/edge/version_choice.h
@@ -36,6 +36,8 @@
   std::string version;
   // Processes that may get the request; empty means any of the version.
   std::vector<std::string> only;
+  // Upstreams whose version is not known yet may get it too.
+  bool unknown_too = false;
 };
 
 // Not thread safe.
--- a/standins/mesh_upstream.h
+++ b/standins/mesh_upstream.h
@@ -88,6 +88,12 @@
 
   // As if the process had died: its port refuses connections.
   void Close() { this->server.Close(); }
+  // Dies as soon as a request for this target comes.
+  void CrashOn(const std::string& target) {
+    const std::scoped_lock lock(this->gate);
+    this->crash_target = target;
+  }
+  [[nodiscard]] bool Crashed() const { return this->crashed; }
   void Drain() { this->draining = true; }
   void BeSilent() { this->silent = true; }
   // Runs what comes and closes the connection without an answer.
@@ -111,12 +117,20 @@
 
  private:
   void Serve(const Request& request, Connection& connection) {
+    if (PathOf(request) == "/health")
+      return connection.Send(this->Health());
     const std::string id = HeaderOf(request, "X-Request-Id");
     const std::string wanted = HeaderOf(request, "X-Expected-Instance");
     if (!wanted.empty() && wanted != this->options.instance)
       return connection.Send(this->NotRun(421));
     if (id.empty())
       return connection.Send(this->NotRun(400));
+    if (this->IsCrash(request)) {
+      this->silent = true;
+      this->crashed = true;
+      this->server.Close();
+      return;
+    }
     {
       const std::scoped_lock lock(this->gate);
       this->runs.push_back(
@@ -138,6 +152,20 @@
     connection.Send(std::move(response));
   }
 
+  bool IsCrash(const Request& request) {
+    const std::scoped_lock lock(this->gate);
+    const std::string target(request.target().data(), request.target().size());
+    return !this->crash_target.empty() && target == this->crash_target;
+  }
+
+  Response Health() {
+    Response response = TextAnswer(this->draining ? 503 : 200, "");
+    response.set("X-Instance-Id", this->options.instance);
+    response.set("X-Server-Load", std::to_string(this->running) + ",0," +
+                                      std::to_string(this->options.slots));
+    return response;
+  }
+
   Response NotRun(unsigned status) {
     Response response = TextAnswer(status, "");
     response.set("X-Not-Executed", "1");
@@ -173,6 +201,8 @@
   std::atomic<int> running{0};
   std::atomic<int> most{0};
   std::atomic<std::uint64_t> sequence{0};
+  std::string crash_target;
+  std::atomic<bool> crashed{false};
   std::atomic<bool> draining{false};
   std::atomic<bool> silent{false};
   std::atomic<bool> losing{false};
--- a/tests/process/edge_fleet.h
+++ b/tests/process/edge_fleet.h
@@ -69,7 +69,7 @@
          << "metrics: " << at(this->ports.metrics)
          << "link: " << at(this->ports.link)
          << "upstream: " << at(this->upstream.Port())
-         << "store: " << at(store_port) << "heartbeat: 100ms\n"
+         << "store: " << at(store_port) << "heartbeat: 1500ms\n"
          << "agreed: graceS=6\n";
     file.close();
     this->Start();
@@ -123,7 +123,9 @@
          R"(","limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,)"
          R"("headerTimeoutMs":3000,"idleTimeoutMs":15000},)"
          R"("listeners":[{"hostname":"127.0.0.1","policy":[)" +
-         routes + R"(]}],"clusters":[{"name":"desk"},{"name":"works"}]})";
+         routes +
+         R"(]}],"clusters":[{"name":"desk","healthPath":"/health"},)"
+         R"({"name":"works","healthPath":"/health"}]})";
 }
 
 inline HttpResponse Ask(const EdgeVm& vm,
--- a/tests/process/edge_test.cc
+++ b/tests/process/edge_test.cc
@@ -96,6 +96,22 @@
   }));
 }
 
+// A node is restarted while its upstream goes on working, and the upstream's
+// next heartbeat is still to come. The upstream is asked instead, so callers do
+// not wait for it.
+Test(edge, a_restarted_node_serves_before_the_next_heartbeat) {
+  EdgeFleet fleet;
+  cr_assert(fleet.Settle());
+  for (const auto& vm : fleet.vms) {
+    vm->upstream.BeSilent();
+    vm->program->Signal(SIGKILL);
+    (void)vm->program->WaitExit();
+  }
+  for (const auto& vm : fleet.vms)
+    vm->Start();
+  cr_assert(fleet.Settle());
+}
+
 // Before any configuration came a caller is told to come back: it would never
 // repeat a request after "no such route".
 Test(edge, without_a_configuration_callers_are_told_to_come_back) {
@@ -178,6 +194,32 @@
   }
 }
 
+// One request crashes every upstream that begins to run it, and its caller
+// sends it again and again. After three crashes it is refused, and the
+// upstreams that are left go on serving the others.
+Test(edge, a_request_that_crashes_upstreams_is_stopped) {
+  EdgeFleet fleet;
+  for (int i = 0; i < 3; ++i) {
+    const std::string number = std::to_string(i);
+    fleet.Add("c-" + number, "c", {"i-c" + number, "desk"});
+  }
+  cr_assert(fleet.Settle());
+  for (const auto& vm : fleet.vms)
+    vm->upstream.CrashOn("/view/poison");
+  for (int i = 0; i < 12; ++i) {
+    (void)Ask(fleet.At(1), "GET", "/view/poison", NextId());
+    std::this_thread::sleep_for(Ms(300));
+  }
+  int alive = 0;
+  for (const auto& vm : fleet.vms)
+    alive += vm->service == "desk" && !vm->upstream.Crashed() ? 1 : 0;
+  cr_assert(alive >= 2, "%d of 5 are left", alive);
+  cr_assert(Ask(fleet.At(1), "GET", "/view/1", NextId()).status == 200);
+  const HttpResponse refused =
+      Ask(fleet.At(1), "GET", "/view/poison", NextId());
+  cr_assert(refused.status == 503);
+}
+
 // A node is stopped as planned while callers use it. Each request that it read
 // gets its answer, and the process ends by itself before it would be killed.
 Test(edge, a_planned_stop_cuts_no_request) {
--- a/tests/unit/link_health_test.cc
+++ b/tests/unit/link_health_test.cc
@@ -55,5 +55,15 @@
   cr_assert(CheckOpened(times, true, kStart + Ms(701)) == LinkAction::kGiveUp);
 }
 
+// A data centre is cut off. Until its links are given up, requests would still
+// be placed there, and those that may not run twice end as "outcome unknown".
+Test(link_health, an_open_question_soon_puts_a_link_in_doubt) {
+  LinkTimes times{kStart, kStart, kStart};
+  cr_assert_not(InDoubt(times, kStart + Ms(150)));
+  cr_assert(InDoubt(times, kStart + Ms(151)));
+  times.asked = TimePoint{};
+  cr_assert_not(InDoubt(times, kStart + Ms(9000)));
+}
+
 }  // namespace
 }  // namespace teaselspread
--- a/tests/unit/version_trial_test.cc
+++ b/tests/unit/version_trial_test.cc
@@ -49,7 +49,7 @@
   Rng rng(seed);
   std::multimap<TimePoint, TrialAnswer> due;
   std::vector<std::string> names;
-  names.reserve(2 * kUpstreams);
+  names.reserve(std::size_t{2} * kUpstreams);
   for (int i = 0; i < 2 * kUpstreams; ++i)
     names.push_back("i-" + std::to_string(i));
   Run run;
