--- a/tests/process/edge_test.cc
+++ b/tests/process/edge_test.cc
@@ -315,6 +315,96 @@
   cr_assert(bad.upstream.Runs().size() == before);
 }
 
+// Asks for "desk" at one node until it goes.
+class Load {
+ public:
+  explicit Load(EdgeVm& vm)
+      : thread([this, &vm] {
+          while (!this->stop)
+            (void)Ask(vm, "GET", "/view/1", NextId());
+        }) {}
+  ~Load() {
+    this->stop = true;
+    this->thread.join();
+  }
+  Load(const Load&) = delete;
+  Load& operator=(const Load&) = delete;
+
+ private:
+  std::atomic<bool> stop{false};
+  std::thread thread;
+};
+
+std::string ReportIn(EdgeFleet& fleet) {
+  return fleet.store.Get("keyed.status", "rollout/desk");
+}
+
+bool WaitTold(EdgeFleet& fleet, const std::string& state) {
+  return WaitUntil(
+      [&] { return ReportIn(fleet).find(state) != std::string::npos; });
+}
+
+EdgeVm& AddBadVersion(EdgeFleet& fleet) {
+  standin::MeshUpstreamOptions fresh{"i-a3", "desk"};
+  fresh.version = "v2";
+  EdgeVm& bad = fleet.Add("a-3", "a", fresh);
+  bad.upstream.Fail(true);
+  return bad;
+}
+
+constexpr const char* kOrder = R"({"service":"desk","to":"v2","durationS":8})";
+
+// The store is away at the moment of the verdict. Nobody may wait for it: the
+// version gets nothing more, and the report follows when the store is back.
+Test(edge, a_verdict_does_not_wait_for_the_store) {
+  EdgeFleet fleet;
+  EdgeVm& bad = AddBadVersion(fleet);
+  cr_assert(fleet.Settle());
+  fleet.store.Put("keyed.op", "rollout/desk", kOrder);
+  cr_assert(WaitTold(fleet, "running"));
+  const Load load(fleet.At(1));
+  fleet.store.SetFault(StoreFault::kReset);
+  cr_assert(WaitUntil([&] {
+    return fleet.At(1).program->Output().find("progress=taken-back") !=
+           std::string::npos;
+  }));
+  std::this_thread::sleep_for(Ms(300));
+  const std::size_t before = bad.upstream.Runs().size();
+  std::this_thread::sleep_for(Ms(300));
+  cr_assert(bad.upstream.Runs().size() == before);
+  fleet.store.SetFault(StoreFault::kNone);
+  cr_assert(WaitTold(fleet, "rolled_back"));
+}
+
+// The store does what it is asked and its answers are lost. What stands there
+// in the end is the verdict, once, whoever wrote it.
+Test(edge, a_report_whose_answer_is_lost_stands) {
+  EdgeFleet fleet;
+  (void)AddBadVersion(fleet);
+  cr_assert(fleet.Settle());
+  fleet.store.Put("keyed.op", "rollout/desk", kOrder);
+  cr_assert(WaitTold(fleet, "running"));
+  const Load load(fleet.At(1));
+  fleet.store.SetFault(StoreFault::kLosing);
+  cr_assert(WaitTold(fleet, "rolled_back"));
+  fleet.store.SetFault(StoreFault::kNone);
+  std::this_thread::sleep_for(Ms(1000));
+  cr_assert(ReportIn(fleet).find("rolled_back") != std::string::npos);
+}
+
+// The node that reports a move dies before the verdict. Another takes its
+// place.
+Test(edge, another_node_reports_when_the_first_is_gone) {
+  EdgeFleet fleet;
+  (void)AddBadVersion(fleet);
+  cr_assert(fleet.Settle());
+  fleet.store.Put("keyed.op", "rollout/desk", kOrder);
+  cr_assert(WaitTold(fleet, "running"));
+  fleet.At(0).program->Signal(SIGKILL);
+  const Load load(fleet.At(1));
+  cr_assert(WaitTold(fleet, "rolled_back"));
+}
+
 // On-call have an id and nothing else. One line of the entry's log names the
 // route, the node, the upstream and the outcome; counters stand beside it.
 Test(edge, a_request_can_be_found_in_the_log_and_in_the_counters) {
