Count what was sent since a gate told its load

Cause: between two tellings a node's own requests to a gate were not in its figure for that gate, so it sent several to the same one.

--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -174,7 +174,7 @@
   };
   const auto add_peer = [&](const std::string& name, const Peer& peer) {
     const bool near = peer.data_center == this->settings.data_center;
-    const std::uint32_t told = peer.status.running + peer.status.waiting;
+    const std::uint32_t told = peer.status.running + peer.status.waiting + peer.sent_since;
     add(name, near ? Distance::kOwnDataCenter : Distance::kOtherDataCenter,
         peer.status, std::max(told, peer.in_flight));
   };
