Placement knows the size of answers by route

Cause: every answer was taken for 3 KB, so answers of 400 bytes stayed at home for a wait and those of 5 KB went across too easily.

--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -31,6 +31,11 @@
 // tried again.
 constexpr double kFailureFadeSeconds = 3.0;
 constexpr double kNewestShare = 0.15;
+// Bytes of an answer on a route that gave none yet, and of the headers of both
+// ways. The newest answer counts for a tenth.
+constexpr double kUnknownAnswerBytes = 3000;
+constexpr std::size_t kHeaderBytes = 500;
+constexpr double kNewestAnswer = 0.1;
 constexpr int kFirstServerError = 500;
 constexpr double kMicrosPerSecond = 1e6;
 
@@ -174,7 +179,8 @@
   };
   const auto add_peer = [&](const std::string& name, const Peer& peer) {
     const bool near = peer.data_center == this->settings.data_center;
-    const std::uint32_t told = peer.status.running + peer.status.waiting + peer.sent_since;
+    const std::uint32_t told =
+        peer.status.running + peer.status.waiting + peer.sent_since;
     add(name, near ? Distance::kOwnDataCenter : Distance::kOtherDataCenter,
         peer.status, std::max(told, peer.in_flight));
   };
@@ -209,10 +215,8 @@
     pending.version_picked = true;
   }
   const auto candidates = this->CandidatesFor(pending);
-  constexpr std::size_t kAnswerBytes = 3000;
-  const std::size_t bytes = pending.exchange->request.body.size();
   const std::size_t chosen =
-      Place(this->placement, candidates, bytes + kAnswerBytes, this->rng);
+      Place(this->placement, candidates, BytesOf(pending), this->rng);
   if (chosen == candidates.size()) {
     if (pending.has_answer) {
       this->GiveAnswer(id, std::move(pending.answer));
@@ -225,6 +229,14 @@
   this->SendTo(id, pending, candidates[chosen]);
 }
 
+std::size_t Entry::BytesOf(const Pending& pending) const {
+  const auto known = this->answer_bytes.find(pending.route->name);
+  const double answer =
+      known == this->answer_bytes.end() ? kUnknownAnswerBytes : known->second;
+  return pending.exchange->request.body.size() + kHeaderBytes +
+         static_cast<std::size_t>(answer);
+}
+
 const std::string& Entry::InstanceOf(const std::string& node) const {
   static const std::string none;
   const Peer* peer = this->links.Find(node);
@@ -445,6 +457,10 @@
   const auto found = this->open.find(id);
   Pending& pending = found->second;
   ++this->counters.answered;
+  const auto bytes = static_cast<double>(response.body.size());
+  double& mean =
+      this->answer_bytes.try_emplace(pending.route->name, bytes).first->second;
+  mean += kNewestAnswer * (bytes - mean);
   Count(this->latency_by_route[pending.route->name],
         SteadyNow() - pending.exchange->arrived);
   RemoveHopHeaders(response.headers);
--- a/src/edge/entry.h
+++ b/src/edge/entry.h
@@ -134,6 +134,8 @@
   // What an attempt at the pending node's upstream tells of its version.
   void Tell(const Pending& pending, bool bad, Duration took);
   void Learn(const std::string& node, bool failed);
+  // Bytes that a request and its answer put on the way to another gate.
+  [[nodiscard]] std::size_t BytesOf(const Pending& pending) const;
   [[nodiscard]] double FailureShare(const std::string& node, TimePoint now);
   [[nodiscard]] RetryBudget& BudgetOf(const std::string& service);
   void LogDecision(const Pending& pending,
@@ -151,6 +153,8 @@
   std::unordered_map<std::uint64_t, Pending> open;
   std::uint64_t next_id = 1;
   std::map<std::string, WeightedTurns> turns;
+  // Moving average of the bytes of an answer, by route.
+  std::map<std::string, double> answer_bytes;
   std::map<std::string, NodeRecord> records;
   std::map<std::string, RetryBudget> budgets;
   PlacementSettings placement;
