--- a/include/teaselspread/version_trial.h
+++ b/include/teaselspread/version_trial.h
@@ -51,6 +51,8 @@
   // Time since the order was first read, as far as the node knows; 0 once the
   // move has ended.
   std::uint32_t age_ms = 0;
+  // Tells one life of the node from the next.
+  std::uint64_t life = 0;
   std::vector<TrialCell> cells;
 
   bool operator==(const TrialNote&) const = default;
@@ -80,6 +82,10 @@
   // beyond both an answer counts as bad, and so does a mean of answers.
   double slowdown = 2.5;
   double slowdown_ms = 25;
+  // So many bad answers of the new version together, a larger part than the old
+  // version's by this much, take it back whatever single upstreams show.
+  std::uint32_t most_bad = 25;
+  double extra_bad_together = 0.05;
   // Part of the new version's judged upstreams that must be bad.
   double bad_part = 0.6;
   // Upstreams that get the new version's first requests. Few of them are loaded
@@ -120,6 +126,12 @@
   // Own answers, and the newest note of each other node.
   std::map<std::pair<std::string, std::string>, TrialCell> own;
   std::map<std::string, TrialNote> peers;
+  // What nodes told before they were restarted. Their new life begins to count
+  // at nothing, and in a rolling restart all that was seen of a bad version
+  // would be forgotten, node by node.
+  std::vector<TrialCell> earlier;
+  // This node's own life.
+  std::uint64_t life = 0;
   // The old version's mean by route, in milliseconds, as of the last step.
   std::map<std::string, double, std::less<>> old_means;
 };
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -370,6 +370,7 @@
   const std::string& vm = node.settings.vm;
   const auto life =
       static_cast<std::uint64_t>(SystemNow().time_since_epoch().count());
+  node.versions.SetLife(life);
   node.gate.SetOrigin(XXH3_64bits_withSeed(vm.data(), vm.size(), life));
   node.gate.on_change = [&node] { TellStatus(node); };
   node.started = SteadyNow();
--- a/src/edge/version_choice.cc
+++ b/src/edge/version_choice.cc
@@ -122,6 +122,7 @@
   VersionTrial trial;
   trial.order = order;
   trial.started = SteadyNow();
+  trial.life = this->life;
   if (const auto known = this->reports.find(order.service);
       known != this->reports.end() && known->second.to == order.to) {
     trial.progress = known->second.progress;
--- a/src/edge/version_choice.h
+++ b/src/edge/version_choice.h
@@ -43,6 +43,9 @@
 // Not thread safe.
 class VersionChoice {
  public:
+  // Tells this life of the node from others. Call once, before the first order.
+  void SetLife(std::uint64_t own) { this->life = own; }
+
   // What is ready now.
   void SetReady(const std::vector<ReadyUpstream>& ready);
 
@@ -87,6 +90,7 @@
   std::map<std::string, VersionTrial> trials;
   // Turns between the old and the new version, by service.
   std::map<std::string, WeightedTurns> turns;
+  std::uint64_t life = 0;
   // What the store said before an order was read.
   std::map<std::string, MoveReport> reports;
 };
--- a/src/moves/version_trial.cc
+++ b/src/moves/version_trial.cc
@@ -30,6 +30,13 @@
   sums.sum_ms += cell.sum_ms;
 }
 
+void Add(Sums& sums, const Sums& more) {
+  sums.runs += more.runs;
+  sums.bad += more.bad;
+  sums.timed += more.timed;
+  sums.sum_ms += more.sum_ms;
+}
+
 struct RouteSums {
   Sums old;
   // By upstream of the new version.
@@ -54,6 +61,8 @@
     for (const TrialCell& cell : note.cells)
       AddCell(table, cell);
   }
+  for (const TrialCell& cell : trial.earlier)
+    AddCell(table, cell);
   return table;
 }
 
@@ -151,6 +160,7 @@
   note.to = trial.order.to;
   note.progress = trial.progress;
   note.reported = trial.reported;
+  note.life = trial.life;
   note.moved = ShareOf(trial, now) >= 1;
   if (trial.progress != MoveProgress::kRunning)
     return note;
@@ -165,7 +175,12 @@
               const std::string& node,
               const TrialNote& note,
               TimePoint now) {
-  trial.peers[node] = note;
+  TrialNote& known = trial.peers[node];
+  if (known.life != note.life) {
+    trial.earlier.insert(trial.earlier.end(), known.cells.begin(),
+                         known.cells.end());
+  }
+  known = note;
   trial.started =
       std::min(trial.started, now - std::chrono::milliseconds(note.age_ms));
   trial.reported =
@@ -208,8 +223,19 @@
 
 TrialFinding JudgeTrial(const VersionTrial& trial) {
   TrialFinding worst = TrialFinding::kCalm;
-  for (const auto& [name, route] : TableOf(trial))
+  Sums fresh;
+  Sums old;
+  for (const auto& [name, route] : TableOf(trial)) {
     worst = std::max(worst, FindingOn(trial.settings, route));
+    Add(old, route.old);
+    for (const auto& [instance, sums] : route.fresh)
+      Add(fresh, sums);
+  }
+  const TrialSettings& settings = trial.settings;
+  const double extra =
+      RatioOf(fresh.bad, fresh.runs) - RatioOf(old.bad, old.runs);
+  if (fresh.bad >= settings.most_bad && extra > settings.extra_bad_together)
+    return TrialFinding::kBad;
   return worst;
 }
 
--- a/tests/contract/platform_test.cc
+++ b/tests/contract/platform_test.cc
@@ -218,7 +218,8 @@
 
 Test(platform, the_agreed_bounds_are_read) {
   EdgeSettings settings;
-  settings.agreed = "graceS=4,retryBudgetRatio=0.3,budgetSlack=11,new=7,odd";
+  settings.agreed =
+      R"("graceS=4","retryBudgetRatio=0.3", budgetSlack=11,new=7,odd)";
   ApplyAgreed(settings);
   cr_assert(settings.stop_grace == std::chrono::seconds(4));
   cr_assert(settings.retry_share == 0.3);
--- a/tests/unit/version_trial_test.cc
+++ b/tests/unit/version_trial_test.cc
@@ -228,6 +228,26 @@
   cr_assert(trial.progress == MoveProgress::kTakenBack);
 }
 
+// All nodes are restarted in turn while a move runs, and each forgets what it
+// saw. The others keep what it told, or a bad version would never be found out.
+Test(version_trial, what_a_node_told_outlives_its_restart) {
+  VersionTrial trial;
+  trial.order = {"registry-desk", "v2", Ms(16000)};
+  trial.started = kStart;
+  for (std::uint64_t life = 1; life <= 6; ++life) {
+    TrialNote note;
+    note.service = "registry-desk";
+    note.to = "v2";
+    note.life = life;
+    note.cells.push_back({"i-1", "read", true, 10, 5, 0, 0});
+    TakeNote(trial, "bole-2", note, kStart);
+  }
+  cr_assert(JudgeTrial(trial) == TrialFinding::kBad);
+  trial.earlier.clear();
+  trial.settings.least_bad = 100;
+  cr_assert(JudgeTrial(trial) == TrialFinding::kCalm);
+}
+
 // A node starts in the middle of a move. Counted from its own start the move
 // would miss its time, because it is done only when all nodes have moved.
 Test(version_trial, a_late_node_joins_at_the_stage_of_the_others) {
