--- a/include/teaselspread/edge.h
+++ b/include/teaselspread/edge.h
@@ -49,15 +49,10 @@
   Duration heartbeat = std::chrono::milliseconds(1500);
   // Time from the request to stop until the process is ended by force.
   Duration stop_grace = std::chrono::seconds(6);
-  // Most repeats to upstreams, over all nodes, in any window: a share of the
-  // requests of the service, and a number that is always allowed.
+  // Most repeats to upstreams, over all nodes: a share of the requests of the
+  // service, and a number that is always allowed.
   double retry_share = 0.2;
   double retry_slack = 50;
-  Duration retry_window = std::chrono::seconds(10);
-  // Most requests that a bad new version may get: a share of those of its
-  // service, and a number that is always allowed.
-  double exposure_share = 0.1;
-  double exposure_slack = 50;
   // Bounds agreed with the platform, in its own words; the adapter reads them.
   std::string agreed;
   LogLevel log_level = LogLevel::kInfo;
--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -163,8 +163,8 @@
   const auto fits = [&pending](const GateStatus& status) {
     return status.state == GateState::kReady &&
            status.service == pending.service &&
-           FitsVersion(pending.version, status.version) &&
-           MayUse(pending.version, status.instance);
+           FitsVersion(pending.picked, status.version) &&
+           MayUse(pending.picked, status.instance);
   };
   const auto add = [&](std::string_view node, Distance distance,
                        const GateStatus& status, std::uint32_t load) {
@@ -210,9 +210,9 @@
   if (found == this->open.end())
     return;
   Pending& pending = found->second;
-  if (!pending.version_picked) {
-    pending.version = this->versions.Pick(pending.service);
-    pending.version_picked = true;
+  if (!pending.has_picked) {
+    pending.picked = this->versions.Pick(pending.service);
+    pending.has_picked = true;
   }
   const auto candidates = this->CandidatesFor(pending);
   const std::size_t chosen =
@@ -255,7 +255,6 @@
       pending.nested ? Priority::kInternal : pending.route->priority;
   frame.priority = static_cast<std::uint8_t>(priority);
   frame.idempotent = pending.route->idempotent;
-  frame.repeated = pending.attempts > 0;
   const Duration left = pending.deadline - SteadyNow();
   frame.deadline_ms = static_cast<std::uint32_t>(
       std::max<std::int64_t>(left.count() / kMicrosPerMilli, 1));
@@ -394,7 +393,7 @@
   failed.attempts_made = pending.attempts;
   // While a move runs, a repeat goes where most requests go: the answer that
   // failed may be the new version's fault.
-  pending.version = this->versions.Pick(pending.service);
+  pending.picked = this->versions.Pick(pending.service);
   failed.other_upstream = !this->CandidatesFor(pending).empty();
   failed.deadline = pending.deadline;
   failed.attempt_time = kLeastTime;
@@ -520,7 +519,7 @@
   answer.bad = bad;
   answer.timed = seen.warm_up_ms == 0;
   answer.took = took;
-  this->versions.OnAnswer(pending.service, pending.version.version, answer);
+  this->versions.OnAnswer(pending.service, pending.picked.version, answer);
 }
 
 void Entry::Learn(const std::string& node, bool failed) {
@@ -558,7 +557,7 @@
        {"route", pending.route->name},
        {"config", pending.snapshot->version},
        {"to", pending.service},
-       {"version", pending.version.version},
+       {"version", pending.picked.version},
        {"node", pending.node},
        {"instance", seen.instance},
        {"load", seen.running + seen.waiting},
--- a/src/edge/entry.h
+++ b/src/edge/entry.h
@@ -36,8 +36,8 @@
   SnapshotPtr snapshot;
   const RouteConfig* route = nullptr;
   std::string service;
-  PickedVersion version;
-  bool version_picked = false;
+  PickedVersion picked;
+  bool has_picked = false;
   // A call that the upstream of this VM makes while it runs another request.
   bool nested = false;
   TimePoint deadline;
--- a/src/edge/frames.cc
+++ b/src/edge/frames.cc
@@ -50,7 +50,7 @@
 template <class C>
 void Fields(C& codec, FieldsOf<C, RunFrame> value) {
   codec(value.call, value.route, value.priority, value.idempotent);
-  codec(value.repeated, value.deadline_ms, value.aim_ms, value.instance);
+  codec(value.deadline_ms, value.aim_ms, value.instance);
   codec(value.request.method, value.request.target, value.request.headers);
   codec(value.request.body);
 }
--- a/src/edge/frames.h
+++ b/src/edge/frames.h
@@ -77,8 +77,6 @@
   std::string route;
   std::uint8_t priority = 0;
   bool idempotent = false;
-  // Sent to an upstream before: counts against the budget of retries.
-  bool repeated = false;
   std::uint32_t deadline_ms = 0;
   // Until an answer is worth less; 0 when it is already.
   std::uint32_t aim_ms = 0;
--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -40,6 +40,8 @@
 constexpr std::uint32_t kMostCrashes = 3;
 // Rows told to other nodes at most.
 constexpr std::size_t kMostSuspectNotes = 64;
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
 constexpr int kHttpMisdirected = 421;
 constexpr int kHttpBadRequest = 400;
 constexpr std::int64_t kMicrosPerMilli = 1000;
@@ -207,6 +209,11 @@
     const bool says_not_run =
         !FindHeader(result.response.headers, this->names.not_run).empty();
     const bool wrong_process = status == kHttpMisdirected;
+    // A success that the upstream did not sign cannot be told from one that
+    // something on the way has made up.
+    const bool unsigned_success =
+        status >= kFirstSuccess && status < kFirstRedirect &&
+        FindHeader(result.response.headers, this->names.signature).empty();
     frame.response = std::move(result.response);
     if (wrong_process) {
       this->LoseUpstream("another-process-answered");
@@ -219,6 +226,11 @@
       frame.execution = Execution::kNotRun;
       frame.retry_after_ms = MillisOf(kLeastRetryAfter);
       frame.response = {};
+    } else if (unsigned_success) {
+      frame.answered = false;
+      frame.error = ErrorKind::kWrongAnswer;
+      frame.execution = Execution::kUnknown;
+      frame.response = {};
     } else {
       counts = true;
       this->NoteClean(run);
--- a/src/edge/links.cc
+++ b/src/edge/links.cc
@@ -29,10 +29,8 @@
 
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(LinkEvent::kCount)>
-    kNames = {"opened",        "accepted",        "connect-failed",
-              "lost",          "silent",          "malformed",
-              "frames-sent",   "frames-received", "bytes-sent",
-              "bytes-received"};
+    kNames = {"opened", "accepted",        "connect-failed", "lost",
+              "silent", "frames-received", "bytes-sent",     "bytes-received"};
 
 tcp::endpoint EndpointOf(const Address& address) {
   return {asio::ip::make_address(address.host), address.port};
--- a/src/edge/links.h
+++ b/src/edge/links.h
@@ -34,8 +34,6 @@
   kConnectFailed,
   kLost,
   kSilent,
-  kMalformed,
-  kFramesSent,
   kFramesReceived,
   kBytesSent,
   kBytesReceived,
--- a/standins/mesh_upstream.h
+++ b/standins/mesh_upstream.h
@@ -100,6 +100,7 @@
   void LoseAnswers(bool lose) { this->losing = lose; }
   // How long each request runs from now on.
   void SetWork(std::chrono::milliseconds work) { this->work = work; }
+  void SignAnswers(bool sign) { this->signing = sign; }
   // Answers 500.
   void Fail(bool fail) { this->failing = fail; }
 
@@ -150,7 +151,8 @@
     Response response =
         TextAnswer(this->failing ? 500 : 200, this->options.instance);
     response.set("X-Request-Id", id);
-    response.set("X-Response-Signature", "signed-" + id);
+    if (this->signing)
+      response.set("X-Response-Signature", "signed-" + id);
     connection.Send(std::move(response));
   }
 
@@ -210,6 +212,7 @@
   std::atomic<bool> silent{false};
   std::atomic<bool> losing{false};
   std::atomic<bool> failing{false};
+  std::atomic<bool> signing{true};
   std::atomic<bool> stopping{false};
   Server server;
   std::thread beating;
--- a/tests/process/edge_test.cc
+++ b/tests/process/edge_test.cc
@@ -146,6 +146,18 @@
   cr_assert(served);
 }
 
+// An upstream answers 200 without its signature. Whatever that body is, it must
+// not reach a caller as a success.
+Test(edge, a_success_without_a_signature_is_none) {
+  standin::StoreService& store = *new standin::StoreService;
+  store.Put("keyed.op", "config", ConfigText("00000001"));
+  EdgeVm vm("a-1", "a", {"i-a1", "desk"}, store.Port());
+  cr_assert(WaitUntil(
+      [&] { return Ask(vm, "GET", "/view/1", "settle").status == 200; }));
+  vm.upstream.SignAnswers(false);
+  cr_assert(Ask(vm, "GET", "/view/1", NextId()).status == 502);
+}
+
 // An upstream says that it leaves and is told that this is known. From that
 // moment on nothing new may reach it; callers are served by the others.
 Test(edge, nothing_reaches_an_upstream_after_its_leave_was_acknowledged) {
