Refuse nodes without an address; one piece for listening, one state of an upstream

Found on reading the change: a hello whose host is no IP number made the first attempt to connect there throw, and the process ended with all its requests. Test first: the node of the commit before exits, this one goes on. Ruled out: records of the store (their addresses are checked when read).

--- a/include/teaselspread/version_trial.h
+++ b/include/teaselspread/version_trial.h
@@ -153,10 +153,11 @@
 // Share of the service's requests that the new version gets now, 0..1.
 [[nodiscard]] double ShareOf(const VersionTrial& trial, TimePoint now);
 
-// Upstreams of the new version that may get requests, out of `ready`.
-[[nodiscard]] std::size_t UpstreamsInUse(const VersionTrial& trial,
+// Upstreams of the new version that may get requests at `share`, out of
+// `ready`.
+[[nodiscard]] std::size_t UpstreamsInUse(const TrialSettings& settings,
                                          std::size_t ready,
-                                         TimePoint now);
+                                         double share);
 
 // What the answers of all nodes show.
 enum class TrialFinding : std::uint8_t { kCalm, kSuspect, kBad };
@@ -165,7 +166,6 @@
 // What the node knows beside the answers.
 struct TrialView {
   bool new_ready = false;
-  bool old_ready = false;
   // Nothing runs or waits at an upstream of an old version.
   bool old_idle = false;
   // Every node in touch tells that it has moved.
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -30,7 +30,6 @@
 constexpr Duration kConfigAskEvery = std::chrono::milliseconds(300);
 // Remote runs have numbers of their own at the gate.
 constexpr std::uint64_t kRemoteRunBit = std::uint64_t{1} << 63U;
-constexpr std::string_view kConfigKey = "config";
 
 EntrySettings EntrySettingsOf(const EdgeSettings& settings) {
   return {settings.vm, settings.data_center, settings.service,
@@ -50,7 +49,7 @@
 }
 
 void AddReady(const GateStatus& status, std::vector<ReadyUpstream>& ready) {
-  if (status.state != GateState::kReady)
+  if (status.state != LeaseState::kReady)
     return;
   ready.push_back({status.service, status.version, status.instance,
                    status.slots, status.running + status.waiting});
@@ -172,11 +171,12 @@
   on.on_hello = [&node](const Hello& hello) { node.links.Add(hello); };
   on.on_config_ask = [&node] {
     const SnapshotPtr& held = node.entry.InForce();
-    return ConfigFrame{held ? held->version : 0, node.config_record};
+    const StoredRecord& record = node.config_record;
+    return ConfigFrame{held ? held->version : 0, record.key, record.value};
   };
   on.on_config = [&node](const ConfigFrame& frame) {
     if (!frame.record.empty())
-      TakeOrder(node, {std::string(kConfigKey), frame.record});
+      TakeOrder(node, {frame.key, frame.record});
   };
   return on;
 }
@@ -461,7 +461,7 @@
   const LimitsConfig& limits = (*snapshot)->limits;
   node.outbound.limits = {limits.max_header_bytes, limits.max_body_bytes,
                           limits.header_timeout, limits.idle_timeout};
-  node.config_record = record.value;
+  node.config_record = record;
   node.entry.SetSnapshot(*snapshot);
   Log(LogLevel::kInfo, "config", "in-force",
       {{"version", (*snapshot)->version},
--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -55,11 +55,10 @@
   std::map<std::uint64_t, RemoteRun> remote_runs;
   std::uint64_t next_remote_run = 0;
   // The record from which the configuration in force was made.
-  std::string config_record;
+  StoredRecord config_record;
   // Told to the others with the status; refreshed with each tick.
   std::vector<TrialNote> notes;
   bool intake_closed = false;
-  bool registered = false;
   bool stopping = false;
   TimePoint stop_at;
   TimePoint started;
--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -161,7 +161,7 @@
            pending.tried.end();
   };
   const auto fits = [&pending](const GateStatus& status) {
-    return status.state == GateState::kReady &&
+    return status.state == LeaseState::kReady &&
            status.service == pending.service &&
            FitsVersion(pending.picked, status.version) &&
            MayUse(pending.picked, status.instance);
--- a/src/edge/frames.cc
+++ b/src/edge/frames.cc
@@ -37,7 +37,7 @@
   codec(value.instance, value.service, value.version, value.slots);
   codec(value.running, value.waiting, value.mean_us, value.warm_up_ms);
   codec(value.held, value.moves, value.suspects);
-  codec.Enum(value.state, GateState::kLost);
+  codec.Enum(value.state, LeaseState::kLost);
 }
 template <class C>
 void Fields(C& codec, FieldsOf<C, Hello> value) {
@@ -79,15 +79,13 @@
 void Fields(C& /*codec*/, FieldsOf<C, ConfigAsk> /*value*/) {}
 template <class C>
 void Fields(C& codec, FieldsOf<C, ConfigFrame> value) {
-  codec(value.version, value.record);
+  codec(value.version, value.key, value.record);
 }
 
 namespace {
 
 namespace io = boost::iostreams;
 
-constexpr std::array<std::string_view, 4> kGateNames = {"none", "ready",
-                                                        "leaving", "lost"};
 constexpr unsigned kBitsPerByte = 8;
 
 template <std::size_t kIndex = 0>
@@ -107,10 +105,6 @@
 
 }  // namespace
 
-std::string_view NameOf(GateState state) {
-  return kGateNames.at(static_cast<std::size_t>(state));
-}
-
 std::string EncodeLinkFrame(const LinkFrame& frame) {
   std::ostringstream stream;
   constexpr std::array<char, kFrameLengthBytes> kNoLength{};
--- a/src/edge/frames.h
+++ b/src/edge/frames.h
@@ -12,16 +12,11 @@
 #include "teaselspread/error.h"
 #include "teaselspread/http.h"
 #include "teaselspread/types.h"
+#include "teaselspread/upstream_lease.h"
 #include "teaselspread/version_trial.h"
 
 namespace teaselspread {
 
-// Whether a node's upstream may get requests.
-enum class GateState : std::uint8_t { kNone, kReady, kLeaving, kLost };
-
-// Stable name for logs and metrics. Thread safe.
-[[nodiscard]] std::string_view NameOf(GateState state);
-
 // One row of the requests that may crash upstreams (suspects.h), as told to
 // other nodes: their clocks differ, so the time is what is left of it.
 struct SuspectNote {
@@ -40,7 +35,7 @@
   std::string instance;
   std::string service;
   std::string version;
-  GateState state = GateState::kNone;
+  LeaseState state = LeaseState::kNone;
   std::uint32_t slots = 0;
   // Requests at the upstream and waiting at its node.
   std::uint32_t running = 0;
@@ -118,6 +113,7 @@
 // A configuration as the store holds it.
 struct ConfigFrame {
   ConfigVersion version = 0;
+  std::string key;
   std::string record;
 };
 
--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -56,20 +56,6 @@
                                        : ErrorKind::kNotReady;
 }
 
-GateState GateStateOf(LeaseState state) {
-  switch (state) {
-    case LeaseState::kReady:
-      return GateState::kReady;
-    case LeaseState::kLeaving:
-      return GateState::kLeaving;
-    case LeaseState::kLost:
-      return GateState::kLost;
-    case LeaseState::kNone:
-      break;
-  }
-  return GateState::kNone;
-}
-
 Priority PriorityOf(std::uint8_t rank) {
   constexpr std::uint8_t kLowest =
       static_cast<std::uint8_t>(Priority::kBackground);
@@ -517,9 +503,9 @@
     status.warm_up_ms =
         MillisOf(this->lease.warm_at - now) / kWarmUpStepMs * kWarmUpStepMs;
   }
-  status.state = GateStateOf(StateOf(this->lease, now));
-  if (this->node_leaving && status.state == GateState::kReady)
-    status.state = GateState::kLeaving;
+  status.state = StateOf(this->lease, now);
+  if (this->node_leaving && status.state == LeaseState::kReady)
+    status.state = LeaseState::kLeaving;
   status.running = static_cast<std::uint32_t>(this->keeper.running);
   status.waiting = static_cast<std::uint32_t>(this->keeper.queue.size());
   status.mean_us = static_cast<std::uint32_t>(this->keeper.all_routes.mean_us);
--- a/src/edge/http_listener.cc
+++ b/src/edge/http_listener.cc
@@ -13,9 +13,9 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include "base/clock.h"
+#include "edge/endpoint.h"
 #include "edge/http_text.h"
 #include "http/beast_convert.h"
-#include "teaselspread/settings.h"
 
 namespace teaselspread {
 namespace {
@@ -389,25 +389,12 @@
 }
 
 Result<Address> HttpListener::Listen(const Address& address) {
-  constexpr int kBacklog = 512;
-  boost::system::error_code error;
-  const auto ip = asio::ip::make_address(address.host, error);
-  if (error)
-    return Fail(ErrorKind::kSettings, "no IP number: " + address.host);
-  const tcp::endpoint endpoint(ip, address.port);
-  this->acceptor.open(endpoint.protocol(), error);
-  if (!error)
-    this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  if (!error)
-    this->acceptor.bind(endpoint, error);
-  if (!error)
-    this->acceptor.listen(kBacklog, error);
-  if (error)
-    return Fail(ErrorKind::kSettings, "cannot listen on " + ToString(address) +
-                                          ": " + error.message());
+  auto bound = ListenOn(this->acceptor, address);
+  if (!bound)
+    return bound;
   this->Accept();
   this->Sweep();
-  return Address{address.host, this->acceptor.local_endpoint().port()};
+  return bound;
 }
 
 void HttpListener::Accept() {
--- a/src/edge/links.cc
+++ b/src/edge/links.cc
@@ -8,6 +8,7 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 
 #include "base/clock.h"
+#include "edge/endpoint.h"
 #include "edge/frame_socket.h"
 #include "edge/link_health.h"
 #include "teaselspread/logging.h"
@@ -32,10 +33,6 @@
     kNames = {"opened", "accepted",        "connect-failed", "lost",
               "silent", "frames-received", "bytes-sent",     "bytes-received"};
 
-tcp::endpoint EndpointOf(const Address& address) {
-  return {asio::ip::make_address(address.host), address.port};
-}
-
 template <class Handler>
 void WithSelf(const std::shared_ptr<bool>& alive, Handler handler) {
   if (*alive)
@@ -70,22 +67,13 @@
 }
 
 Result<Address> Links::Listen(const Address& address) {
-  boost::system::error_code error;
-  const tcp::endpoint endpoint = EndpointOf(address);
-  this->acceptor.open(endpoint.protocol(), error);
-  if (!error)
-    this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  if (!error)
-    this->acceptor.bind(endpoint, error);
-  if (!error)
-    this->acceptor.listen(asio::socket_base::max_listen_connections, error);
-  if (error)
-    return Fail(ErrorKind::kSettings, "cannot listen on " + ToString(address) +
-                                          ": " + error.message());
-  this->self.link = {address.host, this->acceptor.local_endpoint().port()};
+  auto bound = ListenOn(this->acceptor, address);
+  if (!bound)
+    return bound;
+  this->self.link = *bound;
   this->Accept();
   this->Tick();
-  return this->self.link;
+  return bound;
 }
 
 namespace {
@@ -144,6 +132,13 @@
 void Links::Add(const Hello& node) {
   if (node.node == this->self.node)
     return;
+  // The address comes from another process. One that is no IP number has no
+  // endpoint; every attempt to connect would fail on it.
+  if (const auto endpoint = TcpEndpointOf(node.link); !endpoint) {
+    Log(LogLevel::kWarning, "links", "node-refused",
+        {{"node", node.node}, {"message", endpoint.error().message}});
+    return;
+  }
   const auto [found, added] = this->peers.try_emplace(node.node);
   Peer& peer = found->second;
   peer.node = node.node;
@@ -195,7 +190,7 @@
   socket->times.asked = SteadyNow();
   peer.socket = socket;
   peer.connected = false;
-  socket->Connect(EndpointOf(peer.link),
+  socket->Connect(*TcpEndpointOf(peer.link),
                   [this, lives = this->alive, socket, name = peer.node] {
                     if (!*lives)
                       return;
--- a/src/edge/roster.cc
+++ b/src/edge/roster.cc
@@ -102,7 +102,6 @@
                                 Later(node, kRetryAfter, Register);
                                 return;
                               }
-                              node.registered = true;
                               Log(LogLevel::kInfo, "roster", "registered",
                                   {{"link", ToString(node.links.self.link)}});
                               Later(node, kFirstReadAfter, ReadRoster);
--- a/src/edge/stream_watch.h
+++ b/src/edge/stream_watch.h
@@ -36,11 +36,6 @@
 
   void Start() { this->ReadNewest(""); }
 
-  // Whether the last call succeeded.
-  [[nodiscard]] bool InTouch() const { return this->in_touch; }
-  // Whether everything that the stream held at some moment was read.
-  [[nodiscard]] bool Complete() const { return this->complete; }
-
   CounterTable<StoreOutcome> outcomes;
 
  private:
--- a/src/edge/version_choice.cc
+++ b/src/edge/version_choice.cc
@@ -97,7 +97,7 @@
   if (NextTurn(this->turns[trial.order.service], weights) != 0)
     return {old, {}};
   const std::size_t count =
-      UpstreamsInUse(trial, fresh->second.instances.size(), now);
+      UpstreamsInUse(trial.settings, fresh->second.instances.size(), share);
   PickedVersion picked{to, fresh->second.instances};
   picked.only.resize(count);
   return picked;
@@ -188,7 +188,6 @@
       for (const auto& [name, version] : found->second) {
         const bool fresh = name == trial.order.to;
         view.new_ready = view.new_ready || fresh;
-        view.old_ready = view.old_ready || !fresh;
         view.old_idle = view.old_idle && (fresh || version.load == 0);
       }
     }
--- a/src/moves/version_trial.cc
+++ b/src/moves/version_trial.cc
@@ -211,13 +211,12 @@
   return 1;
 }
 
-std::size_t UpstreamsInUse(const VersionTrial& trial,
+std::size_t UpstreamsInUse(const TrialSettings& settings,
                            std::size_t ready,
-                           TimePoint now) {
-  const double share = ShareOf(trial, now);
+                           double share) {
   const auto needed =
       static_cast<std::size_t>(std::ceil(share * static_cast<double>(ready)));
-  const std::size_t least = trial.settings.first_upstreams;
+  const std::size_t least = settings.first_upstreams;
   return std::min(ready, std::max(needed, least));
 }
 
--- a/tests/process/edge_test.cc
+++ b/tests/process/edge_test.cc
@@ -1,3 +1,5 @@
+#include "contract/raw_socket.h"
+#include "edge/frames.h"
 #include "process/edge_fleet.h"
 
 #include <criterion/criterion.h>
@@ -459,6 +461,19 @@
             static_cast<int>(after));
 }
 
+// Another process introduces itself with an address that is none. Taken as it
+// is, the first attempt to connect there ended this node and all its requests.
+Test(edge, a_node_without_an_address_harms_nobody) {
+  EdgeFleet fleet;
+  cr_assert(fleet.Settle());
+  const RawSocket stranger = RawSocket::ConnectTo(fleet.At(0).ports.link);
+  stranger.Send(EncodeLinkFrame(Hello{"x-1", "x", {"nowhere", 80}}));
+  stranger.Send("\xff\xff\xff\xff not a frame");
+  (void)stranger.ReadToEnd();
+  cr_assert_not(fleet.At(0).program->Exited());
+  cr_assert(Ask(fleet.At(0), "GET", "/view/1", NextId()).status == 200);
+}
+
 // On-call have an id and nothing else. One line of the entry's log names the
 // route, the node, the upstream and the outcome; counters stand beside it.
 Test(edge, a_request_can_be_found_in_the_log_and_in_the_counters) {
--- a/tests/unit/version_trial_test.cc
+++ b/tests/unit/version_trial_test.cc
@@ -63,11 +63,12 @@
     const bool ended = trial.progress != MoveProgress::kRunning;
     if (!ended && passed % Ms(100) == Ms(0)) {
       const bool moved = ShareOf(trial, now) >= 1;
-      if (StepTrial(trial, {true, !moved, moved, moved}, now))
+      if (StepTrial(trial, {true, moved, moved}, now))
         run.ended = passed;
     }
     const double share = ShareOf(trial, now);
-    const std::size_t in_use = UpstreamsInUse(trial, kUpstreams, now);
+    const std::size_t in_use =
+        UpstreamsInUse(trial.settings, kUpstreams, share);
     for (int i = 0; i < per_tick; ++i) {
       ++run.total;
       const bool to_new = std::uniform_real_distribution<>(0, 1)(rng) < share;
@@ -254,7 +255,7 @@
   VersionTrial trial;
   trial.order = {"registry-desk", "v2", Ms(10000)};
   trial.started = kStart;
-  (void)StepTrial(trial, {true, true, false, false}, kStart);
+  (void)StepTrial(trial, {true, false, false}, kStart);
   TrialNote note;
   note.service = "registry-desk";
   note.to = "v2";
@@ -269,7 +270,7 @@
   trial.order = {"registry-desk", "v2", Ms(10000)};
   trial.started = kStart;
   for (Ms passed{0}; passed < Ms(9000); passed += Ms(100))
-    cr_assert_not(StepTrial(trial, {true, true, false, true}, kStart + passed));
+    cr_assert_not(StepTrial(trial, {true, false, true}, kStart + passed));
 }
 
 }  // namespace
