Log how a configuration travels, and why a link ended

Logs had no line for an ask, an answer, its bytes or its time, so copies that queue behind each other could not be told from a slow store or reader. Now each ask, hand-out, arrival and page has one, and link-lost says why.

--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -156,6 +156,8 @@
   if (wait || now - node.config_asked < kConfigAskEvery)
     return;
   node.config_asked = now;
+  Log(LogLevel::kInfo, "config", "asked",
+      {{"node", peer}, {"held", own}, {"theirs", from->status.held}});
   node.links.AskConfig(peer);
 }
 
@@ -195,12 +197,25 @@
     AskForNewer(node, name);
   };
   on.on_hello = [&node](const Hello& hello) { node.links.Add(hello); };
-  on.on_config_ask = [&node] {
+  on.on_config_ask = [&node](const std::string& peer) {
     const SnapshotPtr& held = node.entry.InForce();
     const StoredRecord& record = node.config_record;
+    Log(LogLevel::kInfo, "config", "handed-out",
+        {{"node", peer},
+         {"version", held ? held->version : 0},
+         {"bytes", record.value.size()}});
     return ConfigFrame{held ? held->version : 0, record.key, record.value};
   };
-  on.on_config = [&node](const ConfigFrame& frame) {
+  on.on_config = [&node](const std::string& peer, const ConfigFrame& frame) {
+    const SnapshotPtr& held = node.entry.InForce();
+    Log(LogLevel::kInfo, "config", "received",
+        {{"node", peer},
+         {"version", frame.version},
+         {"held", held ? held->version : 0},
+         {"bytes", frame.record.size()},
+         {"after_ask_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                              SteadyNow() - node.config_asked)
+                              .count()}});
     if (!frame.record.empty())
       TakeOrder(node, {frame.key, frame.record});
   };
--- a/src/edge/frame_socket.cc
+++ b/src/edge/frame_socket.cc
@@ -95,6 +95,7 @@
           self->Fail();
           return;
         }
+        self->in_write.clear();
         self->handlers.on_sent(bytes);
         self->Flush();
       });
--- a/src/edge/frame_socket.h
+++ b/src/edge/frame_socket.h
@@ -48,6 +48,10 @@
   void Close();
 
   [[nodiscard]] bool Closed() const { return this->closed; }
+  // Bytes that the kernel has not taken yet.
+  [[nodiscard]] std::size_t Unsent() const {
+    return this->output.size() + this->in_write.size();
+  }
 
   // The node at the other end; empty on a socket that has not said hello.
   std::string node;
--- a/src/edge/links.cc
+++ b/src/edge/links.cc
@@ -71,6 +71,12 @@
   return kNames.at(static_cast<std::size_t>(event));
 }
 
+std::string_view NameOf(LinkEnd end) {
+  static constexpr std::array<std::string_view, 3> kEndNames = {
+      "closed", "silent", "moved"};
+  return kEndNames.at(static_cast<std::size_t>(end));
+}
+
 Links::Links(asio::io_context& io, LinkHandlers on)
     : loop(io),
       handlers(std::move(on)),
@@ -137,28 +143,29 @@
 }  // namespace
 
 void Links::Accept() {
-  this->acceptor.async_accept(
-      [this, lives = this->alive](boost::system::error_code error,
+  this->acceptor.async_accept([this, lives = this->alive](
+                                  boost::system::error_code error,
                                   tcp::socket socket) {
-        if (!*lives || error == asio::error::operation_aborted)
-          return;
-        if (!error) {
-          auto* caller = new FrameSocket(
-              std::move(socket),
-              HandlersOf(
-                  *this, this->alive,
-                  [this](FrameSocket* from, LinkFrame frame) {
-                    this->OnFrame(from, std::move(frame));
-                  },
-                  [this](FrameSocket* closed) { this->OnClosed(closed); }));
-          intrusive_ptr_add_ref(caller);
-          this->callers.insert(caller);
-          this->counters.Add(LinkEvent::kAccepted);
-          caller->Start();
-          caller->Send(Status{kAllStatusParts, this->told});
-        }
-        this->Accept();
-      });
+    if (!*lives || error == asio::error::operation_aborted)
+      return;
+    if (!error) {
+      auto* caller = new FrameSocket(
+          std::move(socket), HandlersOf(
+                                 *this, this->alive,
+                                 [this](FrameSocket* from, LinkFrame frame) {
+                                   this->OnFrame(from, std::move(frame));
+                                 },
+                                 [this](FrameSocket* closed) {
+                                   this->OnClosed(closed, LinkEnd::kClosed);
+                                 }));
+      intrusive_ptr_add_ref(caller);
+      this->callers.insert(caller);
+      this->counters.Add(LinkEvent::kAccepted);
+      caller->Start();
+      caller->Send(Status{kAllStatusParts, this->told});
+    }
+    this->Accept();
+  });
 }
 
 void Links::Add(const Hello& node) {
@@ -182,7 +189,7 @@
   if (moved && peer.socket != nullptr) {
     const SocketPtr old(peer.socket);
     old->Close();
-    this->OnClosed(old.get());
+    this->OnClosed(old.get(), LinkEnd::kMoved);
     return;
   }
   // A node that was away and is back has just told so. Its callers are refused
@@ -219,13 +226,14 @@
 
 void Links::Connect(Peer& peer) {
   auto* socket = new FrameSocket(
-      tcp::socket(this->loop),
-      HandlersOf(
-          *this, this->alive,
-          [this](FrameSocket* from, LinkFrame frame) {
-            this->OnFrame(from, std::move(frame));
-          },
-          [this](FrameSocket* closed) { this->OnClosed(closed); }));
+      tcp::socket(this->loop), HandlersOf(
+                                   *this, this->alive,
+                                   [this](FrameSocket* from, LinkFrame frame) {
+                                     this->OnFrame(from, std::move(frame));
+                                   },
+                                   [this](FrameSocket* closed) {
+                                     this->OnClosed(closed, LinkEnd::kClosed);
+                                   }));
   intrusive_ptr_add_ref(socket);
   socket->node = peer.node;
   socket->opened_here = true;
@@ -261,7 +269,7 @@
   });
 }
 
-void Links::OnClosed(FrameSocket* socket) {
+void Links::OnClosed(FrameSocket* socket, LinkEnd end) {
   const SocketPtr keep(socket);
   if (this->callers.erase(socket) > 0) {
     intrusive_ptr_release(socket);
@@ -280,7 +288,10 @@
                                    : LinkEvent::kConnectFailed);
   const std::string name = peer->node;
   if (was_connected) {
-    Log(LogLevel::kWarning, "links", "link-lost", {{"node", name}});
+    Log(LogLevel::kWarning, "links", "link-lost",
+        {{"node", name},
+         {"reason", NameOf(end)},
+         {"unsent", socket->Unsent()}});
     this->handlers.on_lost(name);
   }
   this->Retry(name);
@@ -319,7 +330,7 @@
   } else if (const auto* load = std::get_if<LoadFrame>(&frame)) {
     TakeLoad(*peer, *load);
   } else if (auto* config = std::get_if<ConfigFrame>(&frame)) {
-    this->handlers.on_config(std::move(*config));
+    this->handlers.on_config(name, std::move(*config));
   }
 }
 
@@ -335,7 +346,7 @@
     from->far = hello->data_center != this->self.data_center;
     this->handlers.on_hello(*hello);
   } else if (std::holds_alternative<ConfigAsk>(frame)) {
-    from->Send(this->handlers.on_config_ask());
+    from->Send(this->handlers.on_config_ask(from->node));
   }
 }
 
@@ -433,7 +444,7 @@
   for (const SocketPtr& socket : silent) {
     this->counters.Add(LinkEvent::kSilent);
     socket->Close();
-    this->OnClosed(socket.get());
+    this->OnClosed(socket.get(), LinkEnd::kSilent);
   }
 }
 
--- a/src/edge/links.h
+++ b/src/edge/links.h
@@ -43,6 +43,19 @@
 // Stable name of a counter. Thread safe.
 [[nodiscard]] std::string_view NameOf(LinkEvent event);
 
+// Why a link ended.
+enum class LinkEnd : std::uint8_t {
+  // The other end closed or reset it, or the connection failed.
+  kClosed,
+  // A question had no answer in time.
+  kSilent,
+  // The node takes links elsewhere now.
+  kMoved,
+};
+
+// Stable name for logs. Thread safe.
+[[nodiscard]] std::string_view NameOf(LinkEnd end);
+
 class FrameSocket;
 
 // What this node knows of another one.
@@ -76,8 +89,8 @@
   std::function<void(const std::string& node, bool upstream_changed)> on_status;
   // Another node introduced itself.
   std::function<void(const Hello&)> on_hello;
-  std::function<ConfigFrame()> on_config_ask;
-  std::function<void(ConfigFrame)> on_config;
+  std::function<ConfigFrame(const std::string& node)> on_config_ask;
+  std::function<void(const std::string& node, ConfigFrame)> on_config;
 };
 
 // Not thread safe.
@@ -129,7 +142,7 @@
   void Connect(Peer& peer);
   void Retry(const std::string& node);
   void OnFrame(FrameSocket* from, LinkFrame frame);
-  void OnClosed(FrameSocket* socket);
+  void OnClosed(FrameSocket* socket, LinkEnd end);
   void TakeServerFrame(const std::string& node, LinkFrame frame);
   void TakeCallerFrame(FrameSocket* from, LinkFrame frame);
   void TellAll();
--- a/src/edge/stream_watch.cc
+++ b/src/edge/stream_watch.cc
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <utility>
 
+#include "base/clock.h"
 #include "teaselspread/logging.h"
 
 namespace teaselspread {
@@ -80,6 +81,7 @@
   ++this->round;
   this->overdue = false;
   this->busy = false;
+  this->attempts = 0;
   this->timer.cancel();
 }
 
@@ -90,6 +92,8 @@
                             ? ReadWaitOf(this->role)
                             : Duration{0};
   this->busy = true;
+  if (this->attempts++ == 0)
+    this->round_began = SteadyNow();
   this->Later(wait + kOverdueAfter, [this] { this->OnOverdue(); });
   const auto done = [this, lives = this->alive,
                      asked = this->round](const RecordPage& page) {
@@ -114,6 +118,15 @@
 
 void StreamWatch::OnPage(const RecordPage& page) {
   this->outcomes.Add(page.outcome);
+  if (!page.records.empty()) {
+    Log(LogLevel::kInfo, "store", "page",
+        {{"stream", NameOf(this->stream)},
+         {"records", page.records.size()},
+         {"attempts", this->attempts},
+         {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                         SteadyNow() - this->round_began)
+                         .count()}});
+  }
   if (page.outcome == StoreOutcome::kOk) {
     this->NextRound();
     Reset(this->backoff);
--- a/src/edge/stream_watch.h
+++ b/src/edge/stream_watch.h
@@ -70,6 +70,8 @@
   ReaderRole role = ReaderRole::kFirst;
   // Attempts of one round ask the same question; the first answer ends it.
   std::uint64_t round = 0;
+  int attempts = 0;
+  TimePoint round_began;
   // An attempt of this round has had no answer in time.
   bool overdue = false;
   // A question is open, or will be asked soon.
