--- a/standins/http_server.h
+++ b/standins/http_server.h
@@ -95,6 +95,25 @@
       this->open = false;
   }
 
+  // Sends the whole answer at this many bytes a second.
+  void SendAtPace(Response response, std::size_t bytes_per_second) {
+    constexpr std::size_t kSlicesPerSecond = 20;
+    response.prepare_payload();
+    std::ostringstream text;
+    text << response;
+    const std::string bytes = text.str();
+    const std::size_t slice = bytes_per_second / kSlicesPerSecond + 1;
+    boost::system::error_code error;
+    for (std::size_t at = 0; at < bytes.size() && !error; at += slice) {
+      const std::size_t length = std::min(slice, bytes.size() - at);
+      asio::write(this->socket, asio::buffer(bytes.data() + at, length), error);
+      std::this_thread::sleep_for(
+          std::chrono::milliseconds(1000 / kSlicesPerSecond));
+    }
+    if (error || !response.keep_alive())
+      this->open = false;
+  }
+
   // Sends only `share` (0..1) of the body that Content-Length promises.
   void SendCut(Response response, double share) {
     response.prepare_payload();
--- a/standins/store_service.h
+++ b/standins/store_service.h
@@ -88,9 +88,21 @@
     from.entries.clear();
   }
 
+  // Answers to reads of this topic come at so many bytes a second from now on.
+  void SetPace(const std::string& topic, std::size_t bytes_per_second) {
+    const std::scoped_lock lock(this->gate);
+    this->paces[topic] = bytes_per_second;
+  }
+
   // Calls so far.
   [[nodiscard]] int Calls() const { return this->calls; }
 
+  // Calls of one path for one topic so far.
+  [[nodiscard]] int CallsOf(const std::string& path, const std::string& topic) {
+    const std::scoped_lock lock(this->gate);
+    return this->calls_of[path + " " + topic];
+  }
+
  private:
   static constexpr unsigned kBits = 8;
   static constexpr std::size_t kOffsetBytes = 8;
@@ -124,6 +136,7 @@
   void Handle(const Request& request, Connection& connection) {
     ++this->calls;
     const std::string path = PathOf(request);
+    const std::size_t pace = this->Count(path, TextOf(request, "topic"));
     switch (this->fault) {
       case StoreFault::kBusy:
         return connection.Send(TextAnswer(503, ""));
@@ -148,13 +161,25 @@
       const Response page = this->Read(request, connection);
       if (this->fault == StoreFault::kSilent)
         return connection.WaitForPeer();
+      if (pace > 0)
+        return connection.SendAtPace(page, pace);
       return connection.Send(page);
     }
+    if (path == "/log-newest" && pace > 0)
+      return connection.SendAtPace(this->Newest(request), pace);
     if (path == "/log-newest")
       return connection.Send(this->Newest(request));
     connection.Send(TextAnswer(404, ""));
   }
 
+  // The pace of the topic's answers, 0 without one.
+  std::size_t Count(const std::string& path, const std::string& topic) {
+    const std::scoped_lock lock(this->gate);
+    ++this->calls_of[path + " " + topic];
+    const auto found = this->paces.find(topic);
+    return found == this->paces.end() ? 0 : found->second;
+  }
+
   Response TakeAppend(const Request& request) {
     const std::scoped_lock lock(this->gate);
     const std::string topic = TextOf(request, "topic");
@@ -234,6 +259,8 @@
   std::mutex gate;
   std::condition_variable changed;
   std::map<std::string, StoreTopic> topics;
+  std::map<std::string, std::size_t> paces;
+  std::map<std::string, int> calls_of;
   std::atomic<StoreFault> fault{StoreFault::kNone};
   std::atomic<int> calls{0};
   Server server;
--- /dev/null
+++ b/tests/process/slow_copies_test.cc
@@ -0,0 +1,133 @@
+#include "contract/raw_socket.h"
+#include "edge/frames.h"
+#include "process/edge_fleet.h"
+
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <string>
+
+namespace teaselspread {
+namespace {
+
+using Ms = std::chrono::milliseconds;
+
+constexpr Ms kSlicePause{50};
+constexpr int kSlices = 40;
+
+// A node that holds the configuration `version` and sends it over a line so
+// narrow that one copy takes two seconds.
+class NarrowPeer {
+ public:
+  NarrowPeer(std::string name, ConfigVersion holds, std::string text)
+      : node(std::move(name)),
+        version(holds),
+        record(std::move(text)),
+        peer([this](const RawSocket& socket, int) { this->Serve(socket); }) {}
+
+  [[nodiscard]] int Asks() const { return this->asks; }
+  [[nodiscard]] int Pings() const { return this->pings; }
+  [[nodiscard]] std::string Record() const {
+    return "a " + ToString(this->peer.At());
+  }
+
+ private:
+  void Serve(const RawSocket& socket) {
+    std::string bytes;
+    while (!this->peer.Stopping()) {
+      bytes += socket.ReadUntil(
+          [](const std::string& some) { return !some.empty(); }, Ms(20));
+      while (this->TakeFrame(socket, bytes)) {
+      }
+      if (this->peer.Stopping() || !this->StillThere(socket))
+        return;
+    }
+  }
+
+  [[nodiscard]] bool StillThere(const RawSocket& socket) const {
+    pollfd entry{socket.Fd(), POLLRDHUP, 0};
+    return ::poll(&entry, 1, 0) == 0 || (entry.revents & POLLRDHUP) == 0;
+  }
+
+  bool TakeFrame(const RawSocket& socket, std::string& bytes) {
+    if (bytes.size() < kFrameLengthBytes)
+      return false;
+    std::size_t length = 0;
+    for (std::size_t i = 0; i < kFrameLengthBytes; ++i)
+      length = length << 8U | static_cast<unsigned char>(bytes[i]);
+    if (bytes.size() < kFrameLengthBytes + length)
+      return false;
+    const auto frame = DecodeLinkFrame(
+        std::string_view(bytes).substr(kFrameLengthBytes, length));
+    bytes.erase(0, kFrameLengthBytes + length);
+    if (!frame)
+      return true;
+    if (std::holds_alternative<Hello>(*frame)) {
+      GateStatus status;
+      status.held = this->version;
+      socket.Send(EncodeLinkFrame(Status{kAllStatusParts, status}));
+    } else if (const auto* ping = std::get_if<PingFrame>(&*frame)) {
+      socket.Send(EncodeLinkFrame(PongFrame{ping->sequence}));
+      ++this->pings;
+    } else if (std::holds_alternative<ConfigAsk>(*frame)) {
+      if (this->asks++ == 0)
+        this->SendSlowly(socket);
+    }
+    return true;
+  }
+
+  void SendSlowly(const RawSocket& socket) const {
+    const std::string copy =
+        EncodeLinkFrame(ConfigFrame{this->version, "config", this->record});
+    const std::size_t slice = copy.size() / kSlices + 1;
+    for (std::size_t at = 0; at < copy.size(); at += slice) {
+      if (!socket.Send(copy.substr(at, slice)))
+        return;
+      std::this_thread::sleep_for(kSlicePause);
+    }
+  }
+
+  std::string node;
+  ConfigVersion version;
+  std::string record;
+  std::atomic<int> asks{0};
+  std::atomic<int> pings{0};
+  ScriptedPeer peer;
+};
+
+bool Holds(const EdgeVm& vm, const std::string& version) {
+  return vm.Metrics().find("teaselspread_config_version " + version + "\n") !=
+         std::string::npos;
+}
+
+// Guards against copies of one configuration that pile up at the node that
+// asks: the next is asked for while the last is on its way over a narrow line.
+Test(slow_copies, a_copy_under_way_is_not_asked_for_again) {
+  NarrowPeer peer("a-0", 2, ConfigText("00000002"));
+  auto& store = *new standin::StoreService;
+  store.Put("keyed.op", "config", ConfigText("00000001"));
+  store.Put("keyed.nodes", "a-0", peer.Record());
+  const EdgeVm vm("a-1", "a", {"i-a1", "desk"}, store.Port());
+  cr_assert(WaitUntil([&] { return Holds(vm, "2"); }));
+  // What was sent before a ping has been read when the ping is answered.
+  const int before = peer.Pings();
+  cr_assert(WaitUntil([&] { return peer.Pings() > before; }));
+  cr_assert(peer.Asks() == 1, "asked %d times", peer.Asks());
+}
+
+// Guards against reads that are given up and sent again while their answer
+// comes over a narrow line: each of them makes the others later.
+Test(slow_copies, an_answer_of_the_store_under_way_is_not_asked_for_again) {
+  auto& store = *new standin::StoreService;
+  constexpr int kBytesPerSecond = 200'000;
+  const std::string long_path = "/" + std::string(350'000, 'x') + "/";
+  store.Put("keyed.op", "config", ConfigText("00000001", long_path));
+  store.SetPace("keyed.op", kBytesPerSecond);
+  const EdgeVm vm("a-1", "a", {"i-a1", "desk"}, store.Port());
+  cr_assert(WaitUntil([&] { return Holds(vm, "1"); }));
+  const int reads = store.CallsOf("/log-newest", "keyed.op");
+  cr_assert(reads == 1, "read %d times", reads);
+}
+
+}  // namespace
+}  // namespace teaselspread
