Fetch one copy of a configuration at a time, packed, and hand out a few at a time

What callers saw: CONFIG, requests handled by a configuration older than one acknowledged over 2.5 s before; and timeouts, since the same lines carry requests. Cause: a node asked again every 300 ms whoever told a newer version, whether an answer was on its way or not. A copy of 600 KB fills a line of 10 Mbit/s for 0.5 s, so the second was asked for before the first was there, and from then on each made all others late: a congestion collapse by repeats. Links on which a ping's answer waited behind copies were given up, and what they carried began anew. Change: who is asked, and when, is a pure decision (config_fetch): one answer is owed at a time, until it comes, its link is lost, or the node says that it is busy. A node has at most 512 KB of copies under way; who has one hands it on. A copy is packed by zstd against the record that the asker holds, told by its digest, and checked by the digest of the result; a copy that can't be read is asked for whole. One route more is some hundred bytes, 1,400 more some 20 KB, all of 830 KB some 66 KB. Why it works: repeats no longer depend on a guess of how long a copy takes, and bytes follow what has changed. The test builds its copy by PackCopy now; its check is unchanged.

--- /dev/null
+++ b/src/edge/config_fetch.h
@@ -0,0 +1,87 @@
+// Whom a node asks for a configuration that is newer than its own, and when.
+//
+// One copy is asked for at a time. A copy that is under way over a narrow line
+// is not lost, and a second one would make both late.
+//
+// Pure: the caller passes time and chance in. Not thread safe.
+#ifndef TEASELSPREAD_SRC_EDGE_CONFIG_FETCH_H_
+#define TEASELSPREAD_SRC_EDGE_CONFIG_FETCH_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "teaselspread/backoff.h"
+#include "teaselspread/types.h"
+
+namespace teaselspread {
+
+// A node in touch, and what it tells.
+struct ConfigHolder {
+  std::string_view node;
+  ConfigVersion held = 0;
+  // Of the own data centre.
+  bool near = false;
+};
+
+struct FetchState {
+  // The node that owes an answer; empty when none does.
+  std::string asked;
+  TimePoint asked_at;
+  // When somebody was first seen to hold a newer one; the epoch while nobody
+  // does.
+  TimePoint newer_seen;
+  // Until when nodes that had too many copies under way are left alone.
+  std::map<std::string, TimePoint, std::less<>> busy_until;
+};
+
+// The node to ask now, which then owes an answer; none when this node has to
+// wait, or nobody holds more than `held`. `reads`: this node reads the
+// operators' stream and may expect to have it from there.
+[[nodiscard]] std::optional<std::string> NextToAsk(
+    FetchState& state,
+    std::span<const ConfigHolder> holders,
+    ConfigVersion held,
+    bool reads,
+    TimePoint now,
+    Rng& rng);
+
+// `node` answered. Other nodes may be asked from now on.
+void OnFetchAnswer(FetchState& state, const std::string& node);
+
+// `node` has too many copies under way.
+void OnFetchBusy(FetchState& state, const std::string& node, TimePoint now);
+
+// The link to `node` is gone, and with it the answer.
+void OnFetchLost(FetchState& state, const std::string& node);
+
+// Copies that a node has handed out and that may still be on their way.
+//
+// All of them share one line. Some at a time get through it sooner than all at
+// once, and whoever has one can hand it on.
+struct CopiesUnderWay {
+  struct Copy {
+    std::size_t bytes = 0;
+    ConfigVersion version = 0;
+    TimePoint since;
+  };
+  std::map<std::string, Copy> to;
+};
+
+// Whether a copy of `bytes` may be handed out now.
+[[nodiscard]] bool MayHandOut(const CopiesUnderWay& copies, std::size_t bytes);
+
+// `node` tells that it holds `held`.
+void OnHeld(CopiesUnderWay& copies,
+            const std::string& node,
+            ConfigVersion held);
+
+// Forgets copies that must have come or been lost by now.
+void ForgetOldCopies(CopiesUnderWay& copies, TimePoint now);
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_SRC_EDGE_CONFIG_FETCH_H_
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <csignal>
 #include <memory>
+#include <random>
 #include <utility>
 
 #include <xxhash.h>
@@ -26,13 +27,6 @@
 // An upstream that has said nothing is asked for this long after the start; one
 // that starts later tells by itself.
 constexpr Duration kProbeTime = std::chrono::milliseconds(1000);
-// A peer that holds a newer configuration is asked for it, once in this time.
-constexpr Duration kConfigAskEvery = std::chrono::milliseconds(300);
-// The readers of the own data centre usually have it sooner, and bytes from the
-// store cost less than those between data centres. Nodes of others are asked
-// when it has not come this long after one was seen to hold it; a configuration
-// has to be in force two seconds after its acknowledgement.
-constexpr Duration kReadersFirst = std::chrono::milliseconds(800);
 // Remote runs have numbers of their own at the gate.
 constexpr std::uint64_t kRemoteRunBit = std::uint64_t{1} << 63U;
 
@@ -139,28 +133,6 @@
   }
 }
 
-void AskForNewer(EdgeNode& node, const std::string& peer) {
-  const Peer* from = node.links.Find(peer);
-  const SnapshotPtr& held = node.entry.InForce();
-  const ConfigVersion own = held ? held->version : 0;
-  const TimePoint now = SteadyNow();
-  if (from == nullptr || from->status.held <= own)
-    return;
-  if (node.newer_seen == TimePoint{})
-    node.newer_seen = now;
-  // A reader in touch has it within its own time of gathering.
-  const bool reads =
-      node.orders.Role() != ReaderRole::kTold && node.orders.InTouch();
-  const bool near = from->data_center == node.settings.data_center;
-  const bool wait = (reads || !near) && now - node.newer_seen < kReadersFirst;
-  if (wait || now - node.config_asked < kConfigAskEvery)
-    return;
-  node.config_asked = now;
-  Log(LogLevel::kInfo, "config", "asked",
-      {{"node", peer}, {"held", own}, {"theirs", from->status.held}});
-  node.links.AskConfig(peer);
-}
-
 void ChooseReaderRole(EdgeNode& node) {
   std::vector<ReaderPeer> near;
   for (const auto& [name, peer] : node.links.Peers()) {
@@ -188,36 +160,25 @@
     ForgetShortage(node.entry.shortage, name);
     node.entry.OnLost(name);
     ChooseReaderRole(node);
+    OnPeerLost(node, name);
   };
   on.on_status = [&node](const std::string& name, bool upstream_changed) {
     if (upstream_changed)
       RefreshVersions(node);
-    if (const Peer* peer = node.links.Find(name))
+    if (const Peer* peer = node.links.Find(name)) {
       TakeNotes(node, *peer);
-    AskForNewer(node, name);
+      OnPeerHolds(node, name, peer->status.held);
+    }
   };
   on.on_hello = [&node](const Hello& hello) { node.links.Add(hello); };
-  on.on_config_ask = [&node](const std::string& peer) {
-    const SnapshotPtr& held = node.entry.InForce();
-    const StoredRecord& record = node.config_record;
-    Log(LogLevel::kInfo, "config", "handed-out",
-        {{"node", peer},
-         {"version", held ? held->version : 0},
-         {"bytes", record.value.size()}});
-    return ConfigFrame{held ? held->version : 0, record.key, record.value};
+  on.on_config_ask = [&node](const std::string& peer, std::uint64_t digest) {
+    return AnswerAsk(node, peer, digest);
+  };
+  on.on_config_busy = [&node](const std::string& peer) {
+    TakeBusy(node, peer);
   };
-  on.on_config = [&node](const std::string& peer, const ConfigFrame& frame) {
-    const SnapshotPtr& held = node.entry.InForce();
-    Log(LogLevel::kInfo, "config", "received",
-        {{"node", peer},
-         {"version", frame.version},
-         {"held", held ? held->version : 0},
-         {"bytes", frame.record.size()},
-         {"after_ask_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                              SteadyNow() - node.config_asked)
-                              .count()}});
-    if (!frame.record.empty())
-      TakeOrder(node, {frame.key, frame.record});
+  on.on_config = [&node](const std::string& peer, const ConfigFrame& copy) {
+    TakeCopy(node, peer, copy);
   };
   return on;
 }
@@ -371,8 +332,7 @@
     RefreshVersions(node);
     ChooseReaderRole(node);
     StepMoves(node);
-    for (const auto& [name, peer] : node.links.Peers())
-      AskForNewer(node, name);
+    FetchNewer(node);
     if (ChangedAt(node.settings_file) != node.settings_changed_ns)
       ReloadSettings(node, "file");
     if (node.stopping && StepStop(node, SteadyNow())) {
@@ -472,7 +432,8 @@
           [this](const ExchangePtr& exchange) { OnMetrics(*this, exchange); }),
       signals(this->loop, SIGTERM, SIGINT, SIGHUP),
       tick(this->loop),
-      roster_timer(this->loop) {
+      roster_timer(this->loop),
+      rng(std::random_device{}()) {
   this->adapter.apply_agreed(this->settings);
   this->gate.SetWaiting(from.waiting);
   this->links.self.node = from.vm;
@@ -512,8 +473,8 @@
   const LimitsConfig& limits = (*snapshot)->limits;
   node.outbound.limits = {limits.max_header_bytes, limits.max_body_bytes,
                           limits.header_timeout, limits.idle_timeout};
-  node.config_record = record;
-  node.newer_seen = TimePoint{};
+  node.exchange.archive.Add((*snapshot)->version, record);
+  node.exchange.fetch.newer_seen = TimePoint{};
   node.entry.SetSnapshot(*snapshot);
   Log(LogLevel::kInfo, "config", "in-force",
       {{"version", (*snapshot)->version},
--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -10,6 +10,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "edge/config_exchange.h"
 #include "edge/entry.h"
 #include "edge/gate.h"
 #include "edge/http_listener.h"
@@ -54,8 +55,7 @@
   // Runs that other nodes asked for, by their number at the gate.
   std::map<std::uint64_t, RemoteRun> remote_runs;
   std::uint64_t next_remote_run = 0;
-  // The record from which the configuration in force was made.
-  StoredRecord config_record;
+  ConfigExchange exchange;
   // Told to the others with the status; refreshed with each tick.
   std::vector<TrialNote> notes;
   bool intake_closed = false;
@@ -63,12 +63,8 @@
   TimePoint stop_at;
   TimePoint started;
   std::int64_t settings_changed_ns = 0;
-  // When a peer was asked for its configuration.
-  TimePoint config_asked;
-  // When a peer was first seen to hold a newer one than this node; the epoch
-  // while none does.
-  TimePoint newer_seen;
   CounterTable<ReportVerdict> heartbeats;
+  Rng rng;
 };
 
 // All counters and histograms as text for the metrics address.
--- a/src/edge/frames.cc
+++ b/src/edge/frames.cc
@@ -103,10 +103,15 @@
   codec(value.sequence);
 }
 template <class C>
-void Fields(C& /*codec*/, FieldsOf<C, ConfigAsk> /*value*/) {}
+void Fields(C& codec, FieldsOf<C, ConfigAsk> value) {
+  codec(value.digest);
+}
+template <class C>
+void Fields(C& /*codec*/, FieldsOf<C, ConfigBusy> /*value*/) {}
 template <class C>
 void Fields(C& codec, FieldsOf<C, ConfigFrame> value) {
-  codec(value.version, value.key, value.record);
+  codec(value.version, value.key, value.base, value.digest, value.bytes);
+  codec(value.packed);
 }
 
 namespace {
@@ -187,8 +192,8 @@
 std::string_view NameOf(FrameKind kind) {
   static constexpr std::array<std::string_view,
                               static_cast<std::size_t>(FrameKind::kCount)>
-      kNames = {"hello", "status", "run",        "result", "cancel",
-                "ping",  "pong",   "config-ask", "config", "load"};
+      kNames = {"hello", "status",     "run",    "result", "cancel",     "ping",
+                "pong",  "config-ask", "config", "load",   "config-busy"};
   return kNames.at(static_cast<std::size_t>(kind));
 }
 
--- a/src/edge/frames.h
+++ b/src/edge/frames.h
@@ -156,15 +156,26 @@
 };
 
 // Asks for the configuration that the receiver holds.
-struct ConfigAsk {};
+struct ConfigAsk {
+  // Digest of the record that the sender holds; 0 for none.
+  std::uint64_t digest = 0;
+};
 
-// A configuration as the store holds it.
+// The record of a configuration, packed as config_copy.h tells.
 struct ConfigFrame {
   ConfigVersion version = 0;
   std::string key;
-  std::string record;
+  // Digests of the record against which it is packed, 0 for none, and of the
+  // record itself; and the latter's length.
+  std::uint64_t base = 0;
+  std::uint64_t digest = 0;
+  std::uint32_t bytes = 0;
+  std::string packed;
 };
 
+// Instead of a ConfigFrame: ask another node, or this one again later.
+struct ConfigBusy {};
+
 using LinkFrame = std::variant<Hello,
                                Status,
                                RunFrame,
@@ -174,7 +185,8 @@
                                PongFrame,
                                ConfigAsk,
                                ConfigFrame,
-                               LoadFrame>;
+                               LoadFrame,
+                               ConfigBusy>;
 
 // The alternatives of LinkFrame, in its order.
 enum class FrameKind : std::uint8_t {
@@ -188,6 +200,7 @@
   kConfigAsk,
   kConfig,
   kLoad,
+  kConfigBusy,
   kCount,
 };
 
--- a/src/edge/links.cc
+++ b/src/edge/links.cc
@@ -331,6 +331,8 @@
     TakeLoad(*peer, *load);
   } else if (auto* config = std::get_if<ConfigFrame>(&frame)) {
     this->handlers.on_config(name, std::move(*config));
+  } else if (std::holds_alternative<ConfigBusy>(frame)) {
+    this->handlers.on_config_busy(name);
   }
 }
 
@@ -345,8 +347,8 @@
     from->node = hello->node;
     from->far = hello->data_center != this->self.data_center;
     this->handlers.on_hello(*hello);
-  } else if (std::holds_alternative<ConfigAsk>(frame)) {
-    from->Send(this->handlers.on_config_ask(from->node));
+  } else if (const auto* ask = std::get_if<ConfigAsk>(&frame)) {
+    from->Send(this->handlers.on_config_ask(from->node, ask->digest));
   }
 }
 
@@ -413,10 +415,12 @@
   peer->socket->Send(CancelFrame{call});
 }
 
-void Links::AskConfig(const std::string& node) {
+void Links::AskConfig(const std::string& node, std::uint64_t digest) {
   Peer* peer = this->Find(node);
-  if (peer != nullptr && peer->connected)
-    peer->socket->Send(ConfigAsk{});
+  if (peer == nullptr || !peer->connected)
+    return;
+  peer->socket->Send(ConfigAsk{digest});
+  this->Ask(*peer);
 }
 
 void Links::SendResult(FrameSocket* to, const ResultFrame& result) {
--- a/src/edge/links.h
+++ b/src/edge/links.h
@@ -89,7 +89,10 @@
   std::function<void(const std::string& node, bool upstream_changed)> on_status;
   // Another node introduced itself.
   std::function<void(const Hello&)> on_hello;
-  std::function<ConfigFrame(const std::string& node)> on_config_ask;
+  // Gives the answer to a node that holds the record with this digest.
+  std::function<LinkFrame(const std::string& node, std::uint64_t digest)>
+      on_config_ask;
+  std::function<void(const std::string& node)> on_config_busy;
   std::function<void(const std::string& node, ConfigFrame)> on_config;
 };
 
@@ -116,7 +119,8 @@
   // under way.
   bool Run(const std::string& node, const RunFrame& frame);
   void Cancel(const std::string& node, std::uint64_t call);
-  void AskConfig(const std::string& node);
+  // `digest`: of the configuration that is held; 0 asks for a whole one.
+  void AskConfig(const std::string& node, std::uint64_t digest);
   // To a caller that sent RunFrame; one that is gone is ignored.
   void SendResult(FrameSocket* to, const ResultFrame& result);
 
--- a/src/edge/metrics.cc
+++ b/src/edge/metrics.cc
@@ -77,6 +77,7 @@
   AppendTable(text, "link_bytes_near_total", "frame", node.links.sent_near);
   AppendTable(text, "link_bytes_far_total", "frame", node.links.sent_far);
   AppendTable(text, "heartbeats_total", "verdict", node.heartbeats);
+  AppendTable(text, "config_copies_total", "event", node.exchange.counters);
   AppendTable(text, "store_reads_total", "outcome", node.orders.outcomes);
   AppendValue(text, "log_lines_dropped_total", "", "", node.log.Dropped());
   const GateStatus gate = node.gate.Status();
--- a/tests/process/slow_copies_test.cc
+++ b/tests/process/slow_copies_test.cc
@@ -1,4 +1,5 @@
 #include "contract/raw_socket.h"
+#include "edge/config_copy.h"
 #include "edge/frames.h"
 #include "process/edge_fleet.h"
 
@@ -78,7 +79,7 @@
 
   void SendSlowly(const RawSocket& socket) const {
     const std::string copy =
-        EncodeLinkFrame(ConfigFrame{this->version, "config", this->record});
+        EncodeLinkFrame(*PackCopy(this->version, {"config", this->record}, ""));
     const std::size_t slice = copy.size() / kSlices + 1;
     for (std::size_t at = 0; at < copy.size(); at += slice) {
       if (!socket.Send(copy.substr(at, slice)))
