Wait for an answer of the store while its bytes come

What callers saw: VMs that had just started served nothing or an older configuration for ten seconds and more. Cause: the same class as the copies between nodes: a read was sent again 700 ms after it was due, and a call was cut after 1.5 s, however much of its answer had come. The newest of 830 KB is 1.1 MB on the wire, 0.9 s of an idle line of 10 Mbit/s; with anything beside it no read ever ended, and each began anew. A store that falls silent is noticed as soon as before.

--- a/include/teaselspread/record_store.h
+++ b/include/teaselspread/record_store.h
@@ -76,6 +76,9 @@
                      const std::string& after,
                      std::function<void(RecordPage)> done)>
       read_newest;
+  // When bytes of an answer to a read of `stream` came last; the epoch before
+  // the first. An answer that comes slowly is not lost. May be empty.
+  std::function<TimePoint(RecordStream stream)> heard;
   // Adds a record; with `expected_end` only if the stream ends there.
   std::function<void(RecordStream stream,
                      const StoredRecord& record,
--- a/src/edge/loop_client.cc
+++ b/src/edge/loop_client.cc
@@ -78,7 +78,11 @@
       : pool(&owner), socket(io), connect_timer(io) {}
 
   void Open(const Address& to);
-  void Begin(std::string text, std::string id, bool head, CallHandler handler);
+  void Begin(std::string text,
+             std::string id,
+             bool head,
+             CallHandler handler,
+             std::function<void()> on_bytes);
   void Close();
   // Closes with a reset: what the server has not read yet is of no use to it.
   void Abort();
@@ -114,6 +118,7 @@
   std::string output;
   std::string request_id;
   CallHandler done;
+  std::function<void()> on_answer_bytes;
   bool head_only = false;
   bool connected = false;
   bool reading = false;
@@ -153,11 +158,13 @@
 void LoopConnection::Begin(std::string text,
                            std::string id,
                            bool head,
-                           CallHandler handler) {
+                           CallHandler handler,
+                           std::function<void()> on_bytes) {
   this->output = std::move(text);
   this->request_id = std::move(id);
   this->head_only = head;
   this->done = std::move(handler);
+  this->on_answer_bytes = std::move(on_bytes);
   this->busy = true;
   this->NewParser();
   if (this->connected)
@@ -202,6 +209,8 @@
           return;
         }
         self->buffer.commit(bytes);
+        if (self->busy && self->on_answer_bytes)
+          self->on_answer_bytes();
         self->Parse();
         self->Read();
       });
@@ -292,6 +301,7 @@
   result.response.body = std::move(message.body());
   this->busy = false;
   this->idle_since = SteadyNow();
+  this->on_answer_bytes = nullptr;
   const CallHandler handler = std::exchange(this->done, nullptr);
   const Self keep(this);
   this->MaybeRest();
@@ -333,6 +343,7 @@
     return;
   this->closed = true;
   this->done = nullptr;
+  this->on_answer_bytes = nullptr;
   this->connect_timer.cancel();
   boost::system::error_code ignored;  // the peer may have closed already
   this->socket.close(ignored);
@@ -391,7 +402,8 @@
 LoopConnection* LoopClient::Call(const HttpRequest& request,
                                  std::string request_id,
                                  Duration reuse_within,
-                                 CallHandler done) {
+                                 CallHandler done,
+                                 std::function<void()> on_bytes) {
   std::string text = TextOf(request, ToString(this->address));
   const bool head = request.method == "HEAD";
   LoopConnection* connection = this->TakeIdle(reuse_within);
@@ -403,7 +415,7 @@
     this->all.insert(connection);
   }
   connection->Begin(std::move(text), std::move(request_id), head,
-                    std::move(done));
+                    std::move(done), std::move(on_bytes));
   if (fresh)
     connection->Open(this->address);
   return connection;
--- a/src/edge/loop_client.h
+++ b/src/edge/loop_client.h
@@ -65,11 +65,12 @@
   // inside this function. `request_id` is what the answer has to echo; empty
   // for a server that echoes nothing. A connection that was idle for longer
   // than `reuse_within` is not used. The handle stays valid until `done` was
-  // called.
+  // called. `on_bytes` is called whenever bytes of the answer come.
   LoopConnection* Call(const HttpRequest& request,
                        std::string request_id,
                        Duration reuse_within,
-                       CallHandler done);
+                       CallHandler done,
+                       std::function<void()> on_bytes = nullptr);
 
   // Closes the connection of a call; `done` is not called. Precondition:
   // `done` was not called yet.
--- a/src/edge/stream_watch.cc
+++ b/src/edge/stream_watch.cc
@@ -1,6 +1,7 @@
 #include "edge/stream_watch.h"
 
 #include <map>
+#include <optional>
 #include <random>
 #include <string_view>
 #include <utility>
@@ -15,8 +16,9 @@
 // together instead of with a call each, and with one decoding of the last of
 // them. A quarter of the time in which a change has to be in force.
 constexpr Duration kGatherTime = std::chrono::milliseconds(500);
-// A read that is this late is asked again on another connection, and again as
-// often: a store that fell silent gives no sign of its return on the old one.
+// A read that is this late, and of whose answer nothing comes, is asked again
+// on another connection, and again as often: a store that fell silent gives no
+// sign of its return on the old one.
 // The late one still counts if it comes.
 constexpr Duration kOverdueAfter = std::chrono::milliseconds(700);
 constexpr Duration kRetryBase = std::chrono::milliseconds(100);
@@ -106,7 +108,22 @@
     this->store.read_newest(this->stream, this->after, done);
 }
 
+// Bytes of the answer still come: asked again they would share the line with
+// another copy of themselves.
+std::optional<Duration> StreamWatch::UntilSilent() const {
+  if (!this->store.heard)
+    return std::nullopt;
+  const Duration silent = SteadyNow() - this->store.heard(this->stream);
+  if (silent >= kOverdueAfter)
+    return std::nullopt;
+  return kOverdueAfter - silent;
+}
+
 void StreamWatch::OnOverdue() {
+  if (const auto wait = this->UntilSilent()) {
+    this->Later(*wait, [this] { this->OnOverdue(); });
+    return;
+  }
   this->overdue = true;
   this->TellTouch(false, StoreOutcome::kUnknown);
   if (this->complete && !this->Follows()) {
--- a/src/edge/stream_watch.h
+++ b/src/edge/stream_watch.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -55,6 +56,8 @@
   void Attempt();
   void NextRound();
   void OnOverdue();
+  // None when nothing of an answer has come for long.
+  [[nodiscard]] std::optional<Duration> UntilSilent() const;
   void OnPage(const RecordPage& page);
   void OnFailure(StoreOutcome outcome);
   void OnNewest(const RecordPage& page);
