Nodes with wide lines read the store for their data centre

What callers saw: after the VMs with wide lines had left, the rest of their data centre had a configuration 3 to 15 s late. Cause: the two first by name read, whatever their line; a reader takes in each change whole and hands it on. Change: a node tells in its hello what its line carries (setting line_mbit, from the platform's limits), and the widest read, the first by name among equals. Unknown counts as narrowest. Narrow ones read when no wide one reaches the store. Test: order_readers::those_with_wide_lines_read (the rule took no line before, so it failed by its very form), a_narrow_line_is_better_than_none. The calls of the older tests of RoleOf name the same nodes in a new type.

--- a/include/teaselspread/edge.h
+++ b/include/teaselspread/edge.h
@@ -47,6 +47,9 @@
   Address upstream;
   // The platform's store.
   Address store;
+  // What the VM's line carries, in Mbit/s; 0 when that is not known. Nodes with
+  // wide lines read the store for the others of their data centre.
+  double line_mbit = 0;
   // Interval of the upstream's heartbeats.
   Duration heartbeat = std::chrono::milliseconds(1500);
   // Time from the request to stop until the process is ended by force.
--- a/include/teaselspread/order_readers.h
+++ b/include/teaselspread/order_readers.h
@@ -34,12 +34,15 @@
   std::string_view node;
   // Its last call to the store failed, or it is about to stop.
   bool store_lost = false;
+  // What its line carries, in Mbit/s; 0 when that is not known.
+  std::uint32_t line_mbit = 0;
 };
 
-// The two first by name of those that may reach the store read. A node that
-// lost the store is not counted by the others, and goes on trying while it
-// would be a reader itself.
-[[nodiscard]] ReaderRole RoleOf(std::string_view self,
+// Of those that may reach the store the two with the widest lines read, the
+// first by name among equals: a reader takes in each change whole and hands it
+// on. A node that lost the store is not counted by the others, and goes on
+// trying while it would be a reader itself. Thread safe.
+[[nodiscard]] ReaderRole RoleOf(const ReaderPeer& self,
                                 std::span<const ReaderPeer> peers);
 
 // How long a read of a reader waits for news. A store or a connection that
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -137,9 +137,10 @@
   std::vector<ReaderPeer> near;
   for (const auto& [name, peer] : node.links.Peers()) {
     if (peer.connected && peer.data_center == node.settings.data_center)
-      near.push_back({name, peer.status.store_lost});
+      near.push_back({name, peer.status.store_lost, peer.line_mbit});
   }
-  node.orders.SetRole(RoleOf(node.settings.vm, near));
+  const ReaderPeer self{node.settings.vm, false, node.links.self.line_mbit};
+  node.orders.SetRole(RoleOf(self, near));
 }
 
 LinkHandlers LinkHandlersOf(EdgeNode& node) {
@@ -438,6 +439,7 @@
   this->gate.SetWaiting(from.waiting);
   this->links.self.node = from.vm;
   this->links.self.data_center = from.data_center;
+  this->links.self.line_mbit = static_cast<std::uint32_t>(from.line_mbit);
 }
 
 void TellStatus(EdgeNode& node) {
--- a/src/edge/edge_settings.cc
+++ b/src/edge/edge_settings.cc
@@ -10,6 +10,8 @@
 // In seconds.
 constexpr double kLeastHeartbeat = 0.05;
 constexpr double kMostHeartbeat = 60;
+// In Mbit/s.
+constexpr double kMostLine = 1e6;
 // Of weights and exponents; 0 switches off what a weight stands for.
 constexpr double kMostWeight = 100;
 
@@ -42,6 +44,7 @@
           AddressKey("link", kRequired, settings.link),
           AddressKey("upstream", kRequired, settings.upstream),
           AddressKey("store", kRequired, settings.store),
+          NumberKey("line_mbit", 0, kMostLine, settings.line_mbit),
           DurationKey("heartbeat", kLeastHeartbeat, kMostHeartbeat,
                       settings.heartbeat),
           MapKey("placement", kOptional, KeysOf(settings.placement)),
--- a/src/edge/frames.cc
+++ b/src/edge/frames.cc
@@ -52,7 +52,7 @@
 }
 template <class C>
 void Fields(C& codec, FieldsOf<C, Hello> value) {
-  codec(value.node, value.data_center, value.link);
+  codec(value.node, value.data_center, value.link, value.line_mbit);
 }
 template <class C>
 void Fields(C& codec, FieldsOf<C, Status> value) {
--- a/src/edge/frames.h
+++ b/src/edge/frames.h
@@ -71,6 +71,8 @@
   std::string data_center;
   // Where this node takes links.
   Address link;
+  // What the VM's line carries, in Mbit/s; 0 when that is not known.
+  std::uint32_t line_mbit = 0;
 };
 
 // Parts of a status that change for different reasons, as bits. Notes of a move
--- a/src/edge/links.cc
+++ b/src/edge/links.cc
@@ -182,6 +182,9 @@
   Peer& peer = found->second;
   peer.node = node.node;
   peer.data_center = node.data_center;
+  // Unknown to whoever read of the node in the store.
+  if (node.line_mbit > 0)
+    peer.line_mbit = node.line_mbit;
   peer.backoff.base = kRetryBase;
   peer.backoff.cap = kRetryCap;
   const bool moved = !added && peer.link != node.link;
--- a/src/edge/links.h
+++ b/src/edge/links.h
@@ -63,6 +63,7 @@
   std::string node;
   std::string data_center;
   Address link;
+  std::uint32_t line_mbit = 0;
   // The link that this node opened; null while there is none.
   FrameSocket* socket = nullptr;
   bool connected = false;
--- a/src/store/order_readers.cc
+++ b/src/store/order_readers.cc
@@ -19,10 +19,15 @@
   return kNames.at(static_cast<std::size_t>(role));
 }
 
-ReaderRole RoleOf(std::string_view self, std::span<const ReaderPeer> peers) {
+ReaderRole RoleOf(const ReaderPeer& self, std::span<const ReaderPeer> peers) {
+  const auto goes_before = [&self](const ReaderPeer& peer) {
+    if (peer.line_mbit != self.line_mbit)
+      return peer.line_mbit > self.line_mbit;
+    return peer.node < self.node;
+  };
   const auto before =
-      std::count_if(peers.begin(), peers.end(), [self](const ReaderPeer& peer) {
-        return !peer.store_lost && peer.node < self;
+      std::count_if(peers.begin(), peers.end(), [&](const ReaderPeer& peer) {
+        return !peer.store_lost && goes_before(peer);
       });
   if (before == 0)
     return ReaderRole::kFirst;
--- a/tests/unit/order_readers_test.cc
+++ b/tests/unit/order_readers_test.cc
@@ -23,7 +23,7 @@
       if (name != self)
         peers.push_back({name, is_lost(name)});
     }
-    const bool reads = RoleOf(self, peers) != ReaderRole::kTold;
+    const bool reads = RoleOf({self}, peers) != ReaderRole::kTold;
     readers += reads && !is_lost(self) ? 1 : 0;
   }
   return readers;
@@ -44,10 +44,29 @@
 
 // With the store away from everybody somebody has to notice its return.
 Test(order_readers, one_that_lost_the_store_goes_on_trying) {
-  cr_assert(RoleOf("a", std::vector<ReaderPeer>{{"b", true}, {"c", true}}) ==
+  cr_assert(RoleOf({"a"}, std::vector<ReaderPeer>{{"b", true}, {"c", true}}) ==
             ReaderRole::kFirst);
 }
 
+// Guards against a data centre that gets its configuration late since the first
+// by name has a narrow line: it reads every change whole and hands it on.
+Test(order_readers, those_with_wide_lines_read) {
+  const std::vector<ReaderPeer> peers = {
+      {"b", false, 10}, {"c", false, 200}, {"d", false, 200}, {"e", false, 0}};
+  cr_assert(RoleOf({"a", false, 10}, peers) == ReaderRole::kTold);
+  cr_assert(RoleOf({"a", false, 200}, peers) == ReaderRole::kFirst);
+  cr_assert(RoleOf({"f", false, 1000}, peers) == ReaderRole::kFirst);
+  cr_assert(RoleOf({"cc", false, 200}, peers) == ReaderRole::kSecond);
+  cr_assert(RoleOf({"a", false, 0}, peers) == ReaderRole::kTold);
+}
+
+// With the wide ones cut off from the store a narrow one has to read.
+Test(order_readers, a_narrow_line_is_better_than_none) {
+  const std::vector<ReaderPeer> peers = {
+      {"b", false, 10}, {"c", true, 200}, {"d", true, 200}};
+  cr_assert(RoleOf({"a", false, 10}, peers) == ReaderRole::kFirst);
+}
+
 Test(order_readers, the_first_asks_again_before_the_second) {
   cr_assert(ReadWaitOf(ReaderRole::kFirst) < ReadWaitOf(ReaderRole::kSecond));
 }
