Repeat a failed request where the version is known, not only where it is not

Callers saw: 502 after one attempt for a request that may be repeated, though another upstream of its service was ready, linked and idle. It holds from a node's start until its upstream's next heartbeat, up to 1.5 s: after a restart of one node of a small service, or of all.

Cause: a node that was started again knows its upstream by a probe, which does not tell the version. Where the slots of unknown version are as many as those of the best known one, Pick chose the unknown ones, and FitsVersion let nobody else have the request, its second attempt included. Evidence: of 16 failed runs of edge_test, what_may_have_run_is_not_repeated, all 16 have retry=refused-no-other other_versions=1 version="" at the failed view, and wherever the other node's lines were written it tells version=v1 (10 of 10). Ruled out by the same line: the retry budget (refused-budget), a lost link or one in doubt (it would be no other version), the deadline.

Change: a choice has a first and a spare part. The known version is spare while most are unknown, and the old one is spare for a request that was chosen for the few new upstreams of a move, until the node has moved: there the same fault gave a 502 beside ready old upstreams. Nothing chosen for the old version ever goes to the new one, since repeats would exceed its share. Candidates are ranked: first before spare, sound links before doubted ones. A trial now counts an answer for the version that gave it, not for the one that was chosen. A change of version alone is logged as well.

New edge::a_read_is_repeated_where_the_version_is_known needs no load: it failed 10 of 10 before and passed 20 of 20 after.

--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <random>
 #include <set>
 #include <string_view>
@@ -41,14 +42,12 @@
   return std::chrono::milliseconds(std::min(millis, kMostMillis));
 }
 
-bool FitsVersion(const PickedVersion& picked, const std::string& version) {
-  return version.empty() ? picked.unknown_too : version == picked.version;
-}
-
-bool MayUse(const PickedVersion& picked, const std::string& instance) {
-  return picked.only.empty() ||
-         std::find(picked.only.begin(), picked.only.end(), instance) !=
-             picked.only.end();
+// Which candidates are looked at first. With nothing else to try, a version
+// that is not the first choice is better than a refusal, and so is a link in
+// doubt.
+int RankOf(VersionFit fit, bool in_doubt) {
+  const int spare = fit == VersionFit::kSpare ? 1 : 0;
+  return spare + (in_doubt ? 2 : 0);
 }
 
 }  // namespace
@@ -180,20 +179,9 @@
 
 std::vector<Candidate> Entry::CandidatesFor(Pending& pending) {
   std::vector<Candidate> candidates;
+  int best = std::numeric_limits<int>::max();
   const TimePoint now = SteadyNow();
-  const auto tried = [&pending](std::string_view node) {
-    return std::find(pending.tried.begin(), pending.tried.end(), node) !=
-           pending.tried.end();
-  };
   pending.other_versions = 0;
-  const auto fits = [&pending](const GateStatus& status) {
-    if (status.state != LeaseState::kReady || status.service != pending.service)
-      return false;
-    const bool right_version = FitsVersion(pending.picked, status.version) &&
-                               MayUse(pending.picked, status.instance);
-    pending.other_versions += right_version ? 0 : 1;
-    return right_version;
-  };
   const auto add = [&](std::string_view node, Distance distance,
                        const GateStatus& status, std::uint32_t load) {
     Candidate candidate;
@@ -208,30 +196,36 @@
     candidate.failure_share = this->FailureShare(std::string(node), now);
     candidates.push_back(candidate);
   };
-  const auto add_peer = [&](const std::string& name, const Peer& peer) {
-    const bool near = peer.data_center == this->settings.data_center;
-    const std::uint32_t told =
-        peer.status.running + peer.status.waiting + peer.sent_since;
-    add(name, near ? Distance::kOwnDataCenter : Distance::kOtherDataCenter,
-        peer.status, std::max(told, peer.in_flight));
+  // Keeps those of the best rank only.
+  const auto fits = [&](std::string_view node, const GateStatus& status,
+                        bool in_doubt) {
+    if (status.state != LeaseState::kReady || status.service != pending.service)
+      return false;
+    const VersionFit fit =
+        FitOf(pending.picked, status.version, status.instance);
+    pending.other_versions += fit == VersionFit::kNone ? 1 : 0;
+    const bool tried = std::find(pending.tried.begin(), pending.tried.end(),
+                                 node) != pending.tried.end();
+    const int rank = RankOf(fit, in_doubt);
+    if (fit == VersionFit::kNone || tried || rank > best)
+      return false;
+    if (rank < best)
+      candidates.clear();
+    best = rank;
+    return true;
   };
-  std::vector<const Peer*> doubtful;
   const GateStatus own = this->gate.Status();
-  if (fits(own) && !tried(this->settings.vm))
+  if (fits(this->settings.vm, own, false))
     add(this->settings.vm, Distance::kOwnVm, own, own.running + own.waiting);
   for (const auto& [name, peer] : this->links.Peers()) {
-    if (!peer.connected || !fits(peer.status) || tried(name))
-      continue;
-    if (Links::LinkInDoubt(peer, now)) {
-      doubtful.push_back(&peer);
+    if (!peer.connected ||
+        !fits(name, peer.status, Links::LinkInDoubt(peer, now)))
       continue;
-    }
-    add_peer(name, peer);
-  }
-  // With nothing else to try, a link in doubt is better than a refusal.
-  if (candidates.empty()) {
-    for (const Peer* peer : doubtful)
-      add_peer(peer->node, *peer);
+    const bool near = peer.data_center == this->settings.data_center;
+    const std::uint32_t told =
+        peer.status.running + peer.status.waiting + peer.sent_since;
+    add(name, near ? Distance::kOwnDataCenter : Distance::kOtherDataCenter,
+        peer.status, std::max(told, peer.in_flight));
   }
   return candidates;
 }
@@ -290,6 +284,16 @@
   return peer == nullptr ? none : peer->status.instance;
 }
 
+const std::string& Entry::VersionOf(const Candidate& chosen) const {
+  static const std::string unknown;
+  if (chosen.distance == Distance::kOwnVm) {
+    const auto& own = this->gate.lease.current;
+    return own ? own->version : unknown;
+  }
+  const Peer* peer = this->links.Find(std::string(chosen.node));
+  return peer == nullptr ? unknown : peer->status.version;
+}
+
 RunFrame Entry::FrameOf(std::uint64_t id, const Pending& pending) {
   RunFrame frame;
   frame.call = id;
@@ -323,6 +327,7 @@
                    Pending& pending,
                    const Candidate& chosen) {
   pending.node = std::string(chosen.node);
+  pending.version = this->VersionOf(chosen);
   pending.at_own_gate = chosen.distance == Distance::kOwnVm;
   pending.under_way = true;
   pending.sent = SteadyNow();
--- a/src/edge/entry.h
+++ b/src/edge/entry.h
@@ -53,6 +53,8 @@
   std::unique_ptr<boost::asio::steady_timer> timer;
   // Where it is now; empty before the first attempt.
   std::string node;
+  // Version of the upstream there, as it was known when the request was sent.
+  std::string version;
   bool at_own_gate = false;
   bool under_way = false;
   TimePoint sent;
@@ -157,6 +159,7 @@
   [[nodiscard]] std::vector<Candidate> CandidatesFor(Pending& pending);
   [[nodiscard]] RunFrame FrameOf(std::uint64_t id, const Pending& pending);
   [[nodiscard]] const std::string& InstanceOf(const std::string& node) const;
+  [[nodiscard]] const std::string& VersionOf(const Candidate& chosen) const;
   // What an attempt at the pending node's upstream tells of its version.
   void Tell(const Pending& pending, bool bad, Duration took);
   void Learn(const std::string& node, bool failed);
--- a/src/edge/entry_answers.cc
+++ b/src/edge/entry_answers.cc
@@ -121,7 +121,7 @@
   answer.bad = bad;
   answer.timed = seen.warm_up_ms == 0;
   answer.took = took;
-  this->versions.OnAnswer(pending.service, pending.picked.version, answer);
+  this->versions.OnAnswer(pending.service, pending.version, answer);
 }
 
 void Entry::Learn(const std::string& node, bool failed) {
@@ -159,7 +159,8 @@
        {"route", pending.route->name},
        {"config", pending.snapshot->version},
        {"to", pending.service},
-       {"version", pending.picked.version},
+       {"version", pending.version},
+       {"picked", pending.picked.version},
        {"node", pending.node},
        {"instance", seen.instance},
        {"load", seen.running + seen.waiting},
--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -465,17 +465,21 @@
   const LeaseState state = StateOf(this->lease, now);
   const bool ready = state == LeaseState::kReady;
   const int slots = this->lease.current ? this->lease.current->slots : 1;
-  if (state == this->applied && slots == this->keeper.settings.slots)
+  const std::string version =
+      this->lease.current ? this->lease.current->version : "";
+  if (state == this->applied && slots == this->keeper.settings.slots &&
+      version == this->applied_version)
     return;
   Log(LogLevel::kInfo, "gate", "upstream-state",
       {{"from", NameOf(this->applied)},
        {"to", NameOf(state)},
        {"slots", slots},
        {"instance", this->lease.current ? this->lease.current->instance : ""},
-       {"version", this->lease.current ? this->lease.current->version : ""},
+       {"version", version},
        {"sequence", this->lease.current ? this->lease.current->sequence : 0},
        {"age_ms", MillisOf(now - this->lease.renewed)}});
   this->applied = state;
+  this->applied_version = version;
   this->Apply(SetUpstream(this->keeper, slots, ready, now, this->rng));
   this->on_change();
 }
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -139,6 +139,7 @@
   boost::asio::steady_timer expiry;
   TimePoint expiry_at;
   LeaseState applied = LeaseState::kNone;
+  std::string applied_version;
   SuspectTable suspects;
   // Runs whose connection broke a moment ago: if the upstream turns out to be
   // gone, one of them may have crashed it.
--- a/src/edge/version_choice.cc
+++ b/src/edge/version_choice.cc
@@ -47,6 +47,21 @@
 
 }  // namespace
 
+VersionFit FitOf(const PickedVersion& picked,
+                 std::string_view version,
+                 std::string_view instance) {
+  if (version.empty() && picked.unknown_too)
+    return VersionFit::kFirst;
+  if (version.empty())
+    return picked.unknown_spare ? VersionFit::kSpare : VersionFit::kNone;
+  const bool chosen =
+      picked.only.empty() || std::find(picked.only.begin(), picked.only.end(),
+                                       instance) != picked.only.end();
+  if (version == picked.version && chosen)
+    return VersionFit::kFirst;
+  return version == picked.spare ? VersionFit::kSpare : VersionFit::kNone;
+}
+
 void VersionChoice::SetReady(const std::vector<ReadyUpstream>& all) {
   this->ready.clear();
   for (const ReadyUpstream& upstream : all) {
@@ -77,6 +92,27 @@
   return best;
 }
 
+bool VersionChoice::MostlyUnknown(const Versions& versions,
+                                  std::string_view version) {
+  const auto unknown = versions.find("");
+  const auto known = versions.find(version);
+  return unknown != versions.end() && known != versions.end() &&
+         unknown->second.slots >= known->second.slots;
+}
+
+// After a restart the first heartbeats may be those of a version that nobody
+// ordered yet, and the others are the ones that serve.
+PickedVersion VersionChoice::PickWithoutOrder(const Versions& versions) {
+  const std::string known = MostReady(versions, "");
+  PickedVersion picked;
+  picked.unknown_too = true;
+  if (!known.empty() && MostlyUnknown(versions, known))
+    picked.spare = known;
+  else
+    picked.version = known;
+  return picked;
+}
+
 PickedVersion VersionChoice::PickInTrial(VersionTrial& trial,
                                          const Versions& versions) {
   const TimePoint now = SteadyNow();
@@ -85,21 +121,29 @@
   const auto fresh = versions.find(to);
   const bool has_fresh = fresh != versions.end();
   const bool taken_back = trial.progress == MoveProgress::kTakenBack;
-  if (!has_fresh || taken_back)
-    return {old, {}};
+  PickedVersion picked;
+  if (!has_fresh || taken_back) {
+    picked.version = old;
+    return picked;
+  }
+  picked.version = to;
   if (old.empty() || trial.progress == MoveProgress::kDone)
-    return {to, {}};
+    return picked;
   const double share = ShareOf(trial, now);
   const auto weight =
       static_cast<std::uint32_t>(std::lround(share * kWeightScale));
   const std::array<std::uint32_t, 2> weights = {
       weight, static_cast<std::uint32_t>(kWeightScale) - weight};
-  if (NextTurn(this->turns[trial.order.service], weights) != 0)
-    return {old, {}};
-  const std::size_t count =
-      UpstreamsInUse(trial, fresh->second.instances.size(), share);
-  PickedVersion picked{to, fresh->second.instances};
-  picked.only.resize(count);
+  if (NextTurn(this->turns[trial.order.service], weights) != 0) {
+    picked.version = old;
+    return picked;
+  }
+  picked.only = fresh->second.instances;
+  picked.only.resize(
+      UpstreamsInUse(trial, fresh->second.instances.size(), share));
+  // A node that has moved sends nothing to the old version any more.
+  if (share < 1)
+    picked.spare = old;
   return picked;
 }
 
@@ -108,17 +152,9 @@
   if (found == this->ready.end())
     return {};
   const auto trial = this->trials.find(service);
-  if (trial == this->trials.end()) {
-    const std::string known = MostReady(found->second, "");
-    const auto unknown = found->second.find("");
-    // After a restart the first heartbeats may be those of a version that
-    // nobody ordered yet, and the others are the ones that serve.
-    const bool unknown_first =
-        unknown != found->second.end() && !known.empty() &&
-        unknown->second.slots >= found->second.at(known).slots;
-    return {unknown_first ? "" : known, {}, true};
-  }
-  return this->PickInTrial(trial->second, found->second);
+  return trial == this->trials.end()
+             ? PickWithoutOrder(found->second)
+             : this->PickInTrial(trial->second, found->second);
 }
 
 void VersionChoice::TakeOrder(const MoveOrder& order) {
@@ -208,7 +244,8 @@
                              std::string_view version,
                              const TrialAnswer& answer) {
   const auto found = this->trials.find(std::string(service));
-  if (found == this->trials.end() ||
+  // An answer of an unknown version speaks for none.
+  if (version.empty() || found == this->trials.end() ||
       found->second.progress != MoveProgress::kRunning)
     return;
   TrialAnswer counted = answer;
--- a/src/edge/version_choice.h
+++ b/src/edge/version_choice.h
@@ -32,14 +32,26 @@
 
 // What `Pick` chose.
 struct PickedVersion {
-  // Empty when nothing is ready.
+  // Empty when no known version is chosen.
   std::string version;
   // Processes that may get the request; empty means any of the version.
   std::vector<std::string> only;
   // Upstreams whose version is not known yet may get it too.
   bool unknown_too = false;
+  // When all of the above are used up: a version that may get the request,
+  // empty means none, and whether upstreams of unknown version may.
+  std::string spare;
+  bool unknown_spare = false;
 };
 
+// How well an upstream fits what was chosen.
+enum class VersionFit : std::uint8_t { kFirst, kSpare, kNone };
+
+// Thread safe.
+[[nodiscard]] VersionFit FitOf(const PickedVersion& picked,
+                               std::string_view version,
+                               std::string_view instance);
+
 // Not thread safe.
 class VersionChoice {
  public:
@@ -87,6 +99,10 @@
   [[nodiscard]] bool TellsNewOrder(const TrialNote& note) const;
   [[nodiscard]] static std::string MostReady(const Versions& versions,
                                              std::string_view but);
+  // Whether the slots of unknown version are as many as those of `version`.
+  [[nodiscard]] static bool MostlyUnknown(const Versions& versions,
+                                          std::string_view version);
+  [[nodiscard]] static PickedVersion PickWithoutOrder(const Versions& versions);
   [[nodiscard]] PickedVersion PickInTrial(VersionTrial& trial,
                                           const Versions& versions);
 
--- a/tests/process/edge_fleet.h
+++ b/tests/process/edge_fleet.h
@@ -81,6 +81,13 @@
         "teaseledge", std::vector<std::string>{"--settings=" + this->settings});
   }
 
+  // Kills the node and starts it again.
+  void Restart() {
+    this->program->Signal(SIGKILL);
+    (void)this->program->WaitExit();
+    this->Start();
+  }
+
   [[nodiscard]] Address Outbound() const {
     return {"127.0.0.1", this->ports.outbound};
   }
--- a/tests/process/edge_test.cc
+++ b/tests/process/edge_test.cc
@@ -134,9 +134,7 @@
   EdgeFleet fleet;
   cr_assert(fleet.Settle());
   fleet.store.SetFault(StoreFault::kBusy);
-  fleet.At(0).program->Signal(SIGKILL);
-  (void)fleet.At(0).program->WaitExit();
-  fleet.At(0).Start();
+  fleet.At(0).Restart();
   cr_assert(WaitUntil([&] {
     return fleet.At(0).Ready() &&
            Ask(fleet.At(0), "POST", "/load/1", NextId(), "b").status == 200;
@@ -223,6 +221,25 @@
   cr_assert(served, "%s", fleet.LogsWith(view).c_str());
 }
 
+// A restarted node does not know its upstream's version until the next
+// heartbeat. A read whose answer is lost there goes to the upstream of known
+// version instead of failing beside it.
+Test(edge, a_read_is_repeated_where_the_version_is_known) {
+  EdgeFleet fleet;
+  cr_assert(fleet.Settle());
+  cr_assert(WaitUntil([&] {
+    return fleet.At(2).Metrics().find("heartbeats_total") != std::string::npos;
+  }));
+  fleet.At(0).upstream.BeSilent();
+  fleet.At(0).Restart();
+  cr_assert(fleet.Settle());
+  fleet.At(0).upstream.LoseAnswers(true);
+  const std::string view = NextId();
+  const bool served = Ask(fleet.At(0), "GET", "/view/1", view).status == 200;
+  cr_assert(served, "%s", fleet.LogsWith(view).c_str());
+  cr_assert(fleet.At(0).upstream.CountRuns(view) == 1);
+}
+
 // An upstream answers 200 without its signature. Whatever that body is, it must
 // not reach a caller as a success.
 Test(edge, a_success_without_a_signature_is_none) {
--- a/tests/unit/version_choice_test.cc
+++ b/tests/unit/version_choice_test.cc
@@ -2,6 +2,9 @@
 
 #include <criterion/criterion.h>
 
+#include <chrono>
+#include <thread>
+
 namespace teaselspread {
 namespace {
 
@@ -61,6 +64,37 @@
   cr_assert(versions.Pick(kDesk).version == "v1");
 }
 
+// A request that failed where versions are unknown is sent to the known one:
+// refused, its caller would get an error beside an idle upstream.
+Test(version_choice, a_known_version_is_spare_while_most_are_unknown) {
+  VersionChoice versions;
+  versions.SetReady({{kDesk, "", "i-1", 4, 0}, {kDesk, "v1", "i-2", 4, 0}});
+  const PickedVersion picked = versions.Pick(kDesk);
+  cr_assert(FitOf(picked, "", "i-1") == VersionFit::kFirst);
+  cr_assert(FitOf(picked, "v1", "i-2") == VersionFit::kSpare);
+}
+
+// A request that fails at the few upstreams which a new version may use is sent
+// to the old one. One that fails at the old one never goes to the new one:
+// repeats would exceed its share.
+Test(version_choice, the_old_version_is_spare_in_a_move) {
+  VersionChoice versions;
+  ReadOrder(versions, "v2");
+  versions.SetReady({{kDesk, "v1", "i-1", 4, 0}, {kDesk, "v2", "i-2", 4, 0}});
+  versions.Step({});
+  std::this_thread::sleep_for(std::chrono::milliseconds(250));
+  int fresh = 0;
+  for (int i = 0; i < 200; ++i) {
+    const PickedVersion picked = versions.Pick(kDesk);
+    const bool to_new = FitOf(picked, "v2", "i-2") == VersionFit::kFirst;
+    fresh += to_new ? 1 : 0;
+    cr_assert(FitOf(picked, "v1", "i-1") ==
+              (to_new ? VersionFit::kSpare : VersionFit::kFirst));
+    cr_assert(to_new || FitOf(picked, "v2", "i-2") == VersionFit::kNone);
+  }
+  cr_assert(fresh > 0);
+}
+
 // Nodes lag behind each other: one still tells of the move before.
 Test(version_choice, an_older_move_does_not_come_back) {
   VersionChoice versions;
