Let upstreams of unknown version serve after a move has ended

Callers saw: 503 for a whole service, at every node, from the moment at which all nodes were restarted until the next heartbeats of its upstreams, up to 1.5 s, whenever an order to move the service stands in the store, however old. Orders are kept there for good, so that is each service that was ever moved.

Cause: PickInTrial, which is asked wherever an order is known, never let an upstream of unknown version have a request; without an order it may. In the middle of a move the new version's heartbeat, when it came first, had all requests besides.

Change: after a move that is done, unknown ones count with the new version while they are many, and are spare otherwise. While a move runs, and after one was taken back, they serve only while no old version is known; in a running move they are spare besides. After one was taken back they are no spare: one of them may be that version.

Tests that failed before: edge::restarted_nodes_serve_after_a_move_has_ended (no request served for 10 s, the upstreams being silent), and version_choice::unknown_versions_serve_after_a_move, ::unknown_versions_serve_alone_after_one_was_taken_back, ::a_new_version_known_first_in_a_move_does_not_get_all. All pass; the process test five times in a row.

--- a/src/edge/version_choice.cc
+++ b/src/edge/version_choice.cc
@@ -120,14 +120,27 @@
   const std::string old = MostReady(versions, to);
   const auto fresh = versions.find(to);
   const bool has_fresh = fresh != versions.end();
-  const bool taken_back = trial.progress == MoveProgress::kTakenBack;
+  const bool done = trial.progress == MoveProgress::kDone;
+  if (done && !has_fresh)
+    return PickWithoutOrder(versions);
   PickedVersion picked;
-  if (!has_fresh || taken_back) {
+  if (done) {
+    picked.version = to;
+    picked.unknown_too = MostlyUnknown(versions, to);
+    picked.unknown_spare = true;
+    return picked;
+  }
+  // What serves may be among the unknown ones: the new version gets no more
+  // than its share, and nothing after it was taken back.
+  const bool taken_back = trial.progress == MoveProgress::kTakenBack;
+  picked.unknown_too = old.empty();
+  picked.unknown_spare = !taken_back;
+  if (!has_fresh || taken_back || (old.empty() && versions.contains(""))) {
     picked.version = old;
     return picked;
   }
   picked.version = to;
-  if (old.empty() || trial.progress == MoveProgress::kDone)
+  if (old.empty())
     return picked;
   const double share = ShareOf(trial, now);
   const auto weight =
@@ -144,6 +157,8 @@
   // A node that has moved sends nothing to the old version any more.
   if (share < 1)
     picked.spare = old;
+  else
+    picked.unknown_spare = false;
   return picked;
 }
 
--- a/tests/process/edge_test.cc
+++ b/tests/process/edge_test.cc
@@ -240,6 +240,24 @@
   cr_assert(fleet.At(0).upstream.CountRuns(view) == 1);
 }
 
+// All nodes restart between two heartbeats of their upstreams, some time after
+// a move ended. Nobody knows a version, and all the same callers are served.
+Test(edge, restarted_nodes_serve_after_a_move_has_ended) {
+  for (const std::string end : {"complete", "rolled_back"}) {
+    EdgeFleet fleet;
+    cr_assert(fleet.Settle());
+    fleet.store.Put("keyed.op", "rollout/desk",
+                    R"({"service":"desk","to":"v2","durationS":5})");
+    fleet.store.Put("keyed.status", "rollout/desk",
+                    R"({"service":"desk","to":"v2","state":")" + end + R"("})");
+    for (const auto& vm : fleet.vms) {
+      vm->upstream.BeSilent();
+      vm->Restart();
+    }
+    cr_assert(fleet.Settle(), "%s", end.c_str());
+  }
+}
+
 // An upstream answers 200 without its signature. Whatever that body is, it must
 // not reach a caller as a success.
 Test(edge, a_success_without_a_signature_is_none) {
--- a/tests/unit/version_choice_test.cc
+++ b/tests/unit/version_choice_test.cc
@@ -74,6 +74,50 @@
   cr_assert(FitOf(picked, "v1", "i-2") == VersionFit::kSpare);
 }
 
+// Every node restarts after a move was done and knows no version until the next
+// heartbeats: its callers were refused that long.
+Test(version_choice, unknown_versions_serve_after_a_move) {
+  VersionChoice versions;
+  ReadOrder(versions, "v2");
+  versions.TakeReport({kDesk, "v2", MoveProgress::kDone});
+  versions.SetReady({{kDesk, "", "i-1", 4, 0}});
+  cr_assert(FitOf(versions.Pick(kDesk), "", "i-1") == VersionFit::kFirst);
+  versions.SetReady({{kDesk, "", "i-1", 4, 0}, {kDesk, "v2", "i-2", 4, 0}});
+  const PickedVersion picked = versions.Pick(kDesk);
+  cr_assert(FitOf(picked, "v2", "i-2") == VersionFit::kFirst);
+  cr_assert(FitOf(picked, "", "i-1") == VersionFit::kFirst);
+}
+
+// The same after a version was taken back. It must get nothing, and what is
+// unknown may be that version: it serves only while nothing else does.
+Test(version_choice, unknown_versions_serve_alone_after_one_was_taken_back) {
+  VersionChoice versions;
+  ReadOrder(versions, "v2");
+  versions.TakeReport({kDesk, "v2", MoveProgress::kTakenBack});
+  versions.SetReady({{kDesk, "", "i-1", 4, 0}, {kDesk, "v2", "i-2", 4, 0}});
+  PickedVersion picked = versions.Pick(kDesk);
+  cr_assert(FitOf(picked, "", "i-1") == VersionFit::kFirst);
+  cr_assert(FitOf(picked, "v2", "i-2") == VersionFit::kNone);
+  versions.SetReady({{kDesk, "", "i-1", 4, 0},
+                     {kDesk, "v1", "i-3", 4, 0},
+                     {kDesk, "v2", "i-2", 4, 0}});
+  picked = versions.Pick(kDesk);
+  cr_assert(FitOf(picked, "v1", "i-3") == VersionFit::kFirst);
+  cr_assert(FitOf(picked, "", "i-1") == VersionFit::kNone);
+  cr_assert(FitOf(picked, "v2", "i-2") == VersionFit::kNone);
+}
+
+// Nodes restart in the middle of a move, and the new version's heartbeat comes
+// first: it would get every request.
+Test(version_choice, a_new_version_known_first_in_a_move_does_not_get_all) {
+  VersionChoice versions;
+  ReadOrder(versions, "v2");
+  versions.SetReady({{kDesk, "", "i-1", 4, 0}, {kDesk, "v2", "i-2", 4, 0}});
+  const PickedVersion picked = versions.Pick(kDesk);
+  cr_assert(FitOf(picked, "", "i-1") == VersionFit::kFirst);
+  cr_assert(FitOf(picked, "v2", "i-2") == VersionFit::kNone);
+}
+
 // A request that fails at the few upstreams which a new version may use is sent
 // to the old one. One that fails at the old one never goes to the new one:
 // repeats would exceed its share.
