Tests take ports that no other test has taken

edge_test failed in Settle in 1 of 320 runs, 8 copies at a time, twice: "cannot listen on 127.0.0.1:11116: Address already in use". Test processes chose ports from 50 ranges by process id and looked whether a port was free, so two could choose the same one before either used it. A fault of the harness; nothing that callers see.

It replaces two ways of choosing (NextPort, FreeAddress' own) and a third that nobody called (FreePort).

--- a/tests/process/edge_fleet.h
+++ b/tests/process/edge_fleet.h
@@ -9,41 +9,18 @@
 #include <vector>
 
 #include "process/harness.h"
+#include "process/ports.h"
 #include "standins/mesh_upstream.h"
 #include "standins/store_service.h"
 
 namespace teaselspread {
 
-// A port below those that the kernel gives out. Each test is a process of its
-// own and tests run side by side, so each takes from a range by its id, and
-// passes over what is in use.
-inline std::uint16_t NextPort() {
-  constexpr int kFirst = 10000;
-  constexpr int kRanges = 50;
-  constexpr int kRange = 100;
-  static int next = 0;
-  const int own = kFirst + (::getpid() % kRanges) * kRange;
-  while (true) {
-    const auto port = static_cast<std::uint16_t>(own + next++ % kRange);
-    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    const int bound =
-        ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address);
-    ::close(fd);
-    if (bound == 0)
-      return port;
-  }
-}
-
 struct EdgePorts {
-  std::uint16_t outbound = NextPort();
-  std::uint16_t readiness = NextPort();
-  std::uint16_t admin = NextPort();
-  std::uint16_t metrics = NextPort();
-  std::uint16_t link = NextPort();
+  std::uint16_t outbound = ClaimPort();
+  std::uint16_t readiness = ClaimPort();
+  std::uint16_t admin = ClaimPort();
+  std::uint16_t metrics = ClaimPort();
+  std::uint16_t link = ClaimPort();
 };
 
 // One VM: an upstream and the node beside it, which can be started again.
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -16,6 +16,7 @@
 #include <yaml-cpp/yaml.h>
 
 #include "process/harness.h"
+#include "process/ports.h"
 
 namespace teaselspread {
 
@@ -43,33 +44,8 @@
   return address.host + ":" + std::to_string(address.port);
 }
 
-// Whether nothing is bound to the port.
-inline bool IsFree(std::uint16_t port, int type) {
-  const int fd = ::socket(AF_INET, type, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(port);
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  const bool free =
-      ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
-  ::close(fd);
-  return free;
-}
-
-// An address whose port is free for TCP and UDP. Below the range from which the
-// system gives ports to outgoing connections: such a connection could take the
-// port of a node that is being restarted.
 inline Address FreeAddress() {
-  constexpr int kFirst = 10000;
-  constexpr int kPorts = 20000;
-  constexpr int kStride = 211;
-  static int next = static_cast<int>(::getpid()) * kStride;
-  while (true) {
-    const int offset = (next++ % kPorts + kPorts) % kPorts;
-    const auto port = static_cast<std::uint16_t>(kFirst + offset);
-    if (IsFree(port, SOCK_STREAM) && IsFree(port, SOCK_DGRAM))
-      return {"127.0.0.1", port};
-  }
+  return {"127.0.0.1", ClaimPort()};
 }
 
 class Fleet {
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -42,21 +42,6 @@
   return true;
 }
 
-// A port on which nothing listened a moment ago, for programs whose port must
-// be known before they start. `type` is SOCK_STREAM or SOCK_DGRAM.
-inline std::uint16_t FreePort(int type = SOCK_STREAM) {
-  const int fd = ::socket(AF_INET, type, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t length = sizeof address;
-  auto* general = reinterpret_cast<sockaddr*>(&address);
-  (void)::bind(fd, general, length);
-  ::getsockname(fd, general, &length);
-  ::close(fd);
-  return ntohs(address.sin_port);
-}
-
 // One child process with captured output. Thread safe.
 class Program {
  public:
