Programs of a test end with it, also when it fails

A failed assertion leaves a test without destructors, and the nodes that it had started stayed: 48 teaseledge processes after 17 failed runs. They held ports and processors of the tests after them, so one failure could bring the next.

The thread that reads a program's output starts it now, and the kernel kills the program when that thread ends (PR_SET_PDEATHSIG). It ends with the program's output or with the process, so a thread that merely starts a program may end. harness::programs_end_with_the_test_that_started_them failed before (the program still answered 10 s later), passes now.

--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -7,7 +7,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <signal.h>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -16,6 +16,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <future>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -42,30 +43,46 @@
   return true;
 }
 
+// Starts a program whose output goes to `output`; -1 when it can't be started.
+// The program is killed when the calling thread ends, so that it never outlives
+// its test: a failed assertion runs no destructor.
+inline pid_t StartChild(std::vector<std::string>& words, int output) {
+  std::vector<char*> argv;
+  argv.reserve(words.size() + 1);
+  for (std::string& word : words)
+    argv.push_back(word.data());
+  argv.push_back(nullptr);
+  const pid_t parent = ::getpid();
+  const pid_t child = ::fork();
+  if (child != 0)
+    return child;
+  constexpr int kNotStarted = 127;
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+  const bool orphan = ::getppid() != parent;
+  if (!orphan && ::dup2(output, STDOUT_FILENO) >= 0 &&
+      ::dup2(output, STDERR_FILENO) >= 0)
+    ::execv(argv[0], argv.data());
+  ::_exit(kNotStarted);
+}
+
 // One child process with captured output. Thread safe.
 class Program {
  public:
   // Starts BINARY_DIR/`name`.
   Program(const std::string& name, const std::vector<std::string>& arguments) {
-    int ends[2] = {-1, -1};
-    (void)::pipe2(ends, O_CLOEXEC);
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
-    posix_spawn_file_actions_adddup2(&actions, ends[1], STDERR_FILENO);
     std::vector<std::string> words = {std::string(BINARY_DIR) + "/" + name};
     words.insert(words.end(), arguments.begin(), arguments.end());
-    std::vector<char*> argv;
-    argv.reserve(words.size() + 1);
-    for (std::string& word : words)
-      argv.push_back(word.data());
-    argv.push_back(nullptr);
-    if (::posix_spawn(&this->pid, argv[0], &actions, nullptr, argv.data(),
-                      environ) != 0)
-      this->pid = -1;
-    posix_spawn_file_actions_destroy(&actions);
-    ::close(ends[1]);
-    this->reader = std::thread([this, fd = ends[0]] { this->Collect(fd); });
+    std::promise<pid_t> started;
+    std::future<pid_t> child = started.get_future();
+    this->reader = std::thread([this, words = std::move(words),
+                                started = std::move(started)]() mutable {
+      int ends[2] = {-1, -1};
+      (void)::pipe2(ends, O_CLOEXEC);
+      started.set_value(StartChild(words, ends[1]));
+      ::close(ends[1]);
+      this->Collect(ends[0]);
+    });
+    this->pid = child.get();
   }
 
   ~Program() {
--- a/tests/process/harness_test.cc
+++ b/tests/process/harness_test.cc
@@ -32,6 +32,31 @@
   return port;
 }
 
+// A test fails and its process ends without a destructor. The programs that it
+// started must not stay: they would hold ports and processors of other tests.
+Test(harness, programs_end_with_the_test_that_started_them) {
+  const std::uint16_t port = PortFromDyingProcess([] {
+    auto* log = new Program("log_standin", {"--port=0"});
+    return log->PortAfter();
+  });
+  cr_assert(port != 0);
+  cr_assert(WaitUntil([port] {
+    return CallOnce({"127.0.0.1", port}, "GET", "/").body == "connect-failed";
+  }));
+}
+
+// A program is started by a thread that ends; the program stays.
+Test(harness, programs_stay_when_the_thread_that_started_them_ends) {
+  std::unique_ptr<Program> log;
+  std::thread starting([&] {
+    log = std::make_unique<Program>("log_standin",
+                                    std::vector<std::string>{"--port=0"});
+  });
+  starting.join();
+  cr_assert(log->PortAfter() != 0);
+  cr_assert_not(log->Exited());
+}
+
 // Two tests run side by side and each takes a port before its program listens.
 // With the same port for both, one program cannot start.
 Test(harness, a_port_is_taken_by_one_test_at_a_time) {
