Wait for a stream and for a pulled configuration while their bytes come

What would be seen: on a narrow line a configuration that takes longer than 1 s is asked for once a second, and the copies share the line; one that takes longer than 5 s never arrives.

Change: the limit of a stream starts anew with its bytes, at both ends; bytes of a stream from the host that was asked move the end of the wait for a pull on.

Tests that failed before: spread::an_answer_on_its_way_is_waited_for (asked 6 times in 6 s, now once, and again when the bytes stop), frame_transport::a_slow_stream_is_taken_whole and ::a_stream_that_is_read_slowly_is_sent_whole (both never whole). A stream that falls silent is still given up: ::a_silent_stream_is_given_up.

--- a/include/teaselspread/spread.h
+++ b/include/teaselspread/spread.h
@@ -263,6 +263,11 @@
                                           TimePoint now,
                                           Rng& rng);
 
+// Bytes of a stream that is not whole yet came from the IP number `host`. An
+// answer of which bytes come is waited for: asked for again, it would share a
+// narrow line with its own repeats, and all of them would come later.
+void HearStream(SpreadState& state, std::string_view host, TimePoint now);
+
 // A read of the log by a reader: the accepted updates found, in order (a
 // checkpoint is a full one). `reached_end`: nothing was left to read at
 // `read_started`, which is the local time before the read was sent.
--- a/src/node/frame_transport.cc
+++ b/src/node/frame_transport.cc
@@ -4,7 +4,6 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
 
 #include <algorithm>
 #include <memory>
@@ -26,8 +25,9 @@
         "stream-timed-out", "stream-too-long",   "stream-refused-too-many",
         "bytes-sent",       "bytes-received"};
 
-// A stream that has gone silent must not hold its buffer for ever.
-constexpr std::chrono::seconds kStreamTimeLimit{5};
+// A stream that has gone silent must not hold its buffer for ever. One whose
+// bytes come is waited for: broken off, all of them would have to come again.
+constexpr std::chrono::seconds kStreamSilenceLimit{5};
 constexpr std::size_t kMaxStreamBytes = 16U << 20;
 constexpr std::size_t kFirstStreamBuffer = 16U << 10;
 constexpr int kMaxStreamsIn = 32;
@@ -48,29 +48,42 @@
   return kEventNames.at(static_cast<std::size_t>(event));
 }
 
+// Calls `on_silent` unless it is moved on or ended for kStreamSilenceLimit.
+class SilenceTimer {
+ public:
+  explicit SilenceTimer(asio::io_context& io) : timer(io) {}
+
+  template <class Handler>
+  void MoveOn(Handler on_silent) {
+    this->timer.expires_after(kStreamSilenceLimit);
+    this->timer.async_wait([on_silent = std::move(on_silent)](ErrorCode error) {
+      if (!error)
+        on_silent();
+    });
+  }
+  void End() { this->timer.cancel(); }
+
+ private:
+  asio::steady_timer timer;
+};
+
 struct FrameTransport::Incoming : std::enable_shared_from_this<Incoming> {
   Incoming(FrameTransport& owner, tcp::socket accepted)
-      : transport(owner),
-        socket(std::move(accepted)),
-        timer(owner.io, kStreamTimeLimit) {
+      : transport(owner), socket(std::move(accepted)), silence(owner.io) {
     ++this->transport.streams_in;
+    ErrorCode ignored;  // no host is known then
+    this->host = this->socket.remote_endpoint(ignored).address().to_string();
   }
   ~Incoming() { --this->transport.streams_in; }
   Incoming(const Incoming&) = delete;
   Incoming& operator=(const Incoming&) = delete;
 
-  void Start() {
-    this->timer.async_wait([self = this->shared_from_this()](ErrorCode error) {
-      if (error)
-        return;
+  void Read() {
+    this->silence.MoveOn([self = this->shared_from_this()] {
       self->transport.counters.Add(TransportEvent::kStreamTimedOut);
       ErrorCode ignored;
       self->socket.close(ignored);
     });
-    this->Read();
-  }
-
-  void Read() {
     this->frame.resize(std::min(
         kMaxStreamBytes + 1, std::max(kFirstStreamBuffer, this->filled * 2)));
     this->socket.async_read_some(
@@ -85,14 +98,15 @@
   void Continue(ErrorCode error) {
     if (this->filled > kMaxStreamBytes) {
       this->transport.counters.Add(TransportEvent::kStreamTooLong);
-      this->timer.cancel();
+      this->silence.End();
       return;
     }
     if (!error) {
+      this->transport.on_stream_bytes(this->host);
       this->Read();
       return;
     }
-    this->timer.cancel();
+    this->silence.End();
     // Anything but a clean end is a broken stream: its frame is not whole.
     if (error != asio::error::eof)
       return;
@@ -104,7 +118,8 @@
 
   FrameTransport& transport;
   tcp::socket socket;
-  asio::steady_timer timer;
+  SilenceTimer silence;
+  std::string host;
   std::string frame;
   std::size_t filled = 0;
 };
@@ -113,34 +128,43 @@
   Outgoing(FrameTransport& owner, std::string bytes)
       : transport(owner),
         socket(owner.io),
-        timer(owner.io, kStreamTimeLimit),
+        silence(owner.io),
         frame(std::move(bytes)) {}
 
   void Start(const tcp::endpoint& to) {
-    this->timer.async_wait([self = this->shared_from_this()](ErrorCode error) {
-      if (error)
-        return;
-      self->transport.counters.Add(TransportEvent::kStreamTimedOut);
-      ErrorCode ignored;
-      self->socket.close(ignored);
-    });
+    this->MoveOn();
     this->socket.async_connect(
         to, [self = this->shared_from_this()](ErrorCode error) {
           if (error) {
             self->transport.counters.Add(TransportEvent::kStreamConnectFailed);
-            self->timer.cancel();
+            self->silence.End();
             return;
           }
           self->Write();
         });
   }
 
+  void MoveOn() {
+    this->silence.MoveOn([self = this->shared_from_this()] {
+      self->transport.counters.Add(TransportEvent::kStreamTimedOut);
+      ErrorCode ignored;
+      self->socket.close(ignored);
+    });
+  }
+
   void Write() {
-    asio::async_write(
-        this->socket, asio::buffer(this->frame),
+    this->MoveOn();
+    this->socket.async_write_some(
+        asio::buffer(this->frame.data() + this->written,
+                     this->frame.size() - this->written),
         [self = this->shared_from_this()](ErrorCode error, std::size_t bytes) {
-          self->timer.cancel();
+          self->written += bytes;
           self->transport.counters.Add(TransportEvent::kBytesSent, bytes);
+          if (!error && self->written < self->frame.size()) {
+            self->Write();
+            return;
+          }
+          self->silence.End();
           if (error)
             return;
           self->transport.counters.Add(TransportEvent::kStreamSent);
@@ -151,8 +175,9 @@
 
   FrameTransport& transport;
   tcp::socket socket;
-  asio::steady_timer timer;
+  SilenceTimer silence;
   std::string frame;
+  std::size_t written = 0;
 };
 
 FrameTransport::FrameTransport(asio::io_context& loop,
@@ -254,7 +279,7 @@
     if (error || this->streams_in >= kMaxStreamsIn)
       this->counters.Add(TransportEvent::kStreamRefusedTooMany);
     else
-      std::make_shared<Incoming>(*this, std::move(socket))->Start();
+      std::make_shared<Incoming>(*this, std::move(socket))->Read();
     this->AcceptStream();
   });
 }
--- a/src/node/frame_transport.h
+++ b/src/node/frame_transport.h
@@ -52,6 +52,11 @@
 
   FrameTransport(boost::asio::io_context& io, FrameHandler handler);
 
+  // Called with the sender's IP number whenever bytes of a stream that is not
+  // whole yet have come.
+  std::function<void(const std::string& host)> on_stream_bytes =
+      [](const std::string&) {};
+
   // Binds UDP and TCP to `address`; a port of 0 takes a free one for both.
   // Errors: kSettings when the address cannot be bound.
   [[nodiscard]] Result<Address> Listen(const Address& address);
@@ -60,7 +65,8 @@
   void SendDatagram(const Address& to, std::string_view frame);
   void SendStream(const Address& to, std::string frame);
 
-  // Closes the listening sockets. Streams under way end by their time limit.
+  // Closes the listening sockets. Streams under way end when they are whole or
+  // silent.
   void Close();
 
   // Thread safe.
--- a/src/node/messages.h
+++ b/src/node/messages.h
@@ -41,6 +41,12 @@
   Message message;
 };
 
+// From transport: bytes of a stream that is not whole yet came from this IP
+// number.
+struct StreamBytesCame {
+  std::string host;
+};
+
 // From membership: an entry as it is now.
 struct MemberChanged {
   Member member;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -118,6 +118,10 @@
   node.kernel.Register<SendFrame>(
       kTransportService,
       [&node](const SendFrame& frame) { Send(node, frame.send); });
+  node.transport.on_stream_bytes = [&node](const std::string& host) {
+    node.kernel.Post(kSpreadService, StreamBytesCame{host});
+    Advance(node);
+  };
   StartLogService(node.kernel, node.log, node.io, [&node] { Advance(node); });
   StartConfigService(node.kernel, node.config);
   StartMembershipService(node.kernel, node.membership);
--- a/src/node/spread_service.cc
+++ b/src/node/spread_service.cc
@@ -95,6 +95,11 @@
     Perform(kernel, service,
             ReceiveSpread(state, frame.message, kernel.Now(), rng));
   });
+  kernel.Register<StreamBytesCame>(kSpreadService,
+                                   [&](const StreamBytesCame& came) {
+                                     HearStream(state, came.host, kernel.Now());
+                                     SetWake(kernel, service);
+                                   });
   kernel.Register<IncarnationChanged>(
       kSpreadService, [&](const IncarnationChanged& changed) {
         SetIncarnation(state, changed.incarnation);
--- a/src/spread/pull.cc
+++ b/src/spread/pull.cc
@@ -140,3 +140,12 @@
 }
 
 }  // namespace teaselspread::spread
+
+namespace teaselspread {
+
+void HearStream(SpreadState& state, std::string_view host, TimePoint now) {
+  if (state.pull && state.pull->sent && state.pull->target.host == host)
+    state.pull->due = now + state.settings.pull_timeout;
+}
+
+}  // namespace teaselspread
--- a/tests/unit/spread_test.cc
+++ b/tests/unit/spread_test.cc
@@ -313,6 +313,39 @@
   cr_assert(std::holds_alternative<PullReply>(later.sends.at(0).message));
 }
 
+// A snapshot needs seconds over a narrow line. The node waits while its bytes
+// come: asked of another peer each second, all copies would come later. When
+// they stop coming it asks another.
+Test(spread, an_answer_on_its_way_is_waited_for) {
+  Rng rng(1);
+  Member self;
+  self.id = "vm-0";
+  self.data_center = "bole";
+  TimePoint now{seconds(1000)};
+  SpreadState state = MakeSpread({}, self, now);
+  Member peer = self;
+  peer.id = "vm-1";
+  peer.control = {"10.0.0.1", 7000};
+  peer.incarnation = 1U << kRevisionBits;
+  peer.held = 5;
+  (void)ObserveMember(state, peer, now, rng);
+  (void)ObserveVersion(state, {peer.id, peer.incarnation, peer.control, 5, {}},
+                       now, rng);
+  int asked = 0;
+  const auto run_until = [&](TimePoint end, bool bytes_come) {
+    for (; now < end; now += std::chrono::milliseconds(50)) {
+      if (bytes_come)
+        HearStream(state, "10.0.0.1", now);
+      for (const SendMessage& send : TickSpread(state, now, rng).sends)
+        asked += std::holds_alternative<PullRequest>(send.message) ? 1 : 0;
+    }
+  };
+  run_until(now + seconds(6), true);
+  cr_assert(asked == 1, "asked %d times", asked);
+  run_until(now + seconds(3), false);
+  cr_assert(asked >= 2);
+}
+
 // Deltas arrive that do not fit what the node holds. They must not be tried
 // again and again: the node asks for a whole snapshot instead.
 Test(spread, updates_that_do_not_apply_are_replaced_by_a_snapshot) {
