Keep a link that waits for its first status when the other end says hello

It also ended links that the other end had taken already and whose first status was still on its way. Both ends do so: over lines on which bytes queue for more than 100 ms each way (10 Mbit/s behind one upload of 125 KB), two nodes that start together end each other's link with their hellos, time after time, and have none between them.

What callers would see: 503 no-upstream, or work sent elsewhere, while the line is full.

Change: only an attempt that the other end has not taken is given up, which is what the rule is for: one sent while that VM was without power.

--- a/src/edge/frame_socket.h
+++ b/src/edge/frame_socket.h
@@ -48,6 +48,8 @@
   void Close();
 
   [[nodiscard]] bool Closed() const { return this->closed; }
+  // Whether the other end has taken the connection.
+  [[nodiscard]] bool Connected() const { return this->connected; }
   // Bytes that the kernel has not taken yet.
   [[nodiscard]] std::size_t Unsent() const {
     return this->output.size() + this->in_write.size();
--- a/src/edge/links.cc
+++ b/src/edge/links.cc
@@ -180,8 +180,9 @@
   }
   // A node that was away and is back has just told so. Its callers are refused
   // until this end reaches it, so the wait between attempts ends here, and an
-  // attempt that was sent while it was away is not waited for.
-  if (peer.socket != nullptr && !peer.connected &&
+  // attempt that was sent while it was away is not waited for. One that it has
+  // taken since only waits for its first status.
+  if (peer.socket != nullptr && !peer.socket->Connected() &&
       SteadyNow() - peer.socket->times.asked > kAttemptDoubted) {
     peer.socket->Close();
     intrusive_ptr_release(std::exchange(peer.socket, nullptr));
