--- a/tests/process/edge_test.cc
+++ b/tests/process/edge_test.cc
@@ -210,7 +210,8 @@
   const int status = Ask(fleet.At(0), "POST", "/lodge/1", lodge, "b").status;
   cr_assert(status == 502 || status == 504, "status %d\n%s", status,
             fleet.LogsWith(lodge).c_str());
-  cr_assert(RunsOf(fleet, lodge) == 1);
+  cr_assert(RunsOf(fleet, lodge) == 1, "%d runs\n%s", RunsOf(fleet, lodge),
+            fleet.LogsWith(lodge).c_str());
   fleet.At(2).upstream.LoseAnswers(false);
   bool served = true;
   std::string view;
