Choose by share in one function, and do not give all to one unknown upstream

Unknown ones now go first only while they are as many, as without an order. PickInTrial is split by the state of the move. version_choice::a_single_unknown_upstream_does_not_get_all_in_a_move.

--- a/src/edge/version_choice.cc
+++ b/src/edge/version_choice.cc
@@ -113,52 +113,69 @@
   return picked;
 }
 
-PickedVersion VersionChoice::PickInTrial(VersionTrial& trial,
-                                         const Versions& versions) {
-  const TimePoint now = SteadyNow();
-  const std::string& to = trial.order.to;
-  const std::string old = MostReady(versions, to);
-  const auto fresh = versions.find(to);
-  const bool has_fresh = fresh != versions.end();
-  const bool done = trial.progress == MoveProgress::kDone;
-  if (done && !has_fresh)
+PickedVersion VersionChoice::PickAfterMove(const std::string& to,
+                                           const Versions& versions) {
+  if (!versions.contains(to))
     return PickWithoutOrder(versions);
   PickedVersion picked;
-  if (done) {
-    picked.version = to;
-    picked.unknown_too = MostlyUnknown(versions, to);
-    picked.unknown_spare = true;
-    return picked;
-  }
-  // What serves may be among the unknown ones: the new version gets no more
-  // than its share, and nothing after it was taken back.
+  picked.version = to;
+  picked.unknown_too = MostlyUnknown(versions, to);
+  picked.unknown_spare = true;
+  return picked;
+}
+
+// What serves may be among the unknown ones: the new version gets no more than
+// its share, and nothing after it was taken back.
+PickedVersion VersionChoice::PickWithoutOld(const VersionTrial& trial,
+                                            const Versions& versions) {
+  const std::string& to = trial.order.to;
   const bool taken_back = trial.progress == MoveProgress::kTakenBack;
-  picked.unknown_too = old.empty();
+  PickedVersion picked;
+  picked.unknown_too =
+      taken_back || !versions.contains(to) || MostlyUnknown(versions, to);
   picked.unknown_spare = !taken_back;
-  if (!has_fresh || taken_back || (old.empty() && versions.contains(""))) {
-    picked.version = old;
-    return picked;
-  }
-  picked.version = to;
-  if (old.empty())
-    return picked;
-  const double share = ShareOf(trial, now);
+  if (!picked.unknown_too)
+    picked.version = to;
+  return picked;
+}
+
+PickedVersion VersionChoice::PickByShare(const VersionTrial& trial,
+                                         const std::string& old,
+                                         const Version& fresh) {
+  const double share = ShareOf(trial, SteadyNow());
   const auto weight =
       static_cast<std::uint32_t>(std::lround(share * kWeightScale));
   const std::array<std::uint32_t, 2> weights = {
       weight, static_cast<std::uint32_t>(kWeightScale) - weight};
+  PickedVersion picked;
+  // A node that has moved sends nothing to the old version any more.
+  picked.unknown_spare = share < 1;
   if (NextTurn(this->turns[trial.order.service], weights) != 0) {
     picked.version = old;
     return picked;
   }
-  picked.only = fresh->second.instances;
-  picked.only.resize(
-      UpstreamsInUse(trial, fresh->second.instances.size(), share));
-  // A node that has moved sends nothing to the old version any more.
+  picked.version = trial.order.to;
+  picked.only = fresh.instances;
+  picked.only.resize(UpstreamsInUse(trial, fresh.instances.size(), share));
   if (share < 1)
     picked.spare = old;
-  else
-    picked.unknown_spare = false;
+  return picked;
+}
+
+PickedVersion VersionChoice::PickInTrial(const VersionTrial& trial,
+                                         const Versions& versions) {
+  const std::string& to = trial.order.to;
+  if (trial.progress == MoveProgress::kDone)
+    return PickAfterMove(to, versions);
+  const std::string old = MostReady(versions, to);
+  if (old.empty())
+    return PickWithoutOld(trial, versions);
+  const auto fresh = versions.find(to);
+  if (fresh != versions.end() && trial.progress == MoveProgress::kRunning)
+    return this->PickByShare(trial, old, fresh->second);
+  PickedVersion picked;
+  picked.version = old;
+  picked.unknown_spare = trial.progress == MoveProgress::kRunning;
   return picked;
 }
 
--- a/src/edge/version_choice.h
+++ b/src/edge/version_choice.h
@@ -103,7 +103,15 @@
   [[nodiscard]] static bool MostlyUnknown(const Versions& versions,
                                           std::string_view version);
   [[nodiscard]] static PickedVersion PickWithoutOrder(const Versions& versions);
-  [[nodiscard]] PickedVersion PickInTrial(VersionTrial& trial,
+  [[nodiscard]] static PickedVersion PickAfterMove(const std::string& to,
+                                                   const Versions& versions);
+  // While no old version is known to be ready.
+  [[nodiscard]] static PickedVersion PickWithoutOld(const VersionTrial& trial,
+                                                    const Versions& versions);
+  [[nodiscard]] PickedVersion PickByShare(const VersionTrial& trial,
+                                          const std::string& old,
+                                          const Version& fresh);
+  [[nodiscard]] PickedVersion PickInTrial(const VersionTrial& trial,
                                           const Versions& versions);
 
   std::map<std::string, Versions, std::less<>> ready;
--- a/tests/unit/version_choice_test.cc
+++ b/tests/unit/version_choice_test.cc
@@ -118,6 +118,19 @@
   cr_assert(FitOf(picked, "v2", "i-2") == VersionFit::kNone);
 }
 
+// The old version has nothing ready in the middle of a move, and one node has
+// just restarted: its upstream would get every request alone.
+Test(version_choice, a_single_unknown_upstream_does_not_get_all_in_a_move) {
+  VersionChoice versions;
+  ReadOrder(versions, "v2");
+  versions.SetReady({{kDesk, "", "i-1", 4, 0},
+                     {kDesk, "v2", "i-2", 4, 0},
+                     {kDesk, "v2", "i-3", 4, 0}});
+  const PickedVersion picked = versions.Pick(kDesk);
+  cr_assert(FitOf(picked, "v2", "i-2") == VersionFit::kFirst);
+  cr_assert(FitOf(picked, "", "i-1") == VersionFit::kSpare);
+}
+
 // A request that fails at the few upstreams which a new version may use is sent
 // to the old one. One that fails at the old one never goes to the new one:
 // repeats would exceed its share.
