A fleet of a test is settled when each node knows its upstream

Settle was content when each node serves both services, which b-1 does through a-1. It now waits, too, until each node knows its own upstream and has opened its links, so every test that settles begins from the fleet that it names.

--- a/tests/process/edge_fleet.h
+++ b/tests/process/edge_fleet.h
@@ -3,6 +3,7 @@
 #define TEASELSPREAD_TESTS_PROCESS_EDGE_FLEET_H_
 
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <memory>
 #include <string>
@@ -78,6 +79,15 @@
     return CallOnce({"127.0.0.1", this->ports.metrics}, "GET", "/metrics").body;
   }
 
+  // The value that follows `name` and a blank on the metrics page, 0 for none.
+  [[nodiscard]] std::size_t Metric(const std::string& name) const {
+    const std::string page = "\n" + this->Metrics();
+    const std::size_t at = page.find("\n" + name + " ");
+    if (at == std::string::npos)
+      return 0;
+    return std::strtoul(page.c_str() + at + name.size() + 2, nullptr, 10);
+  }
+
   std::string name;
   std::string service;
   EdgePorts ports;
@@ -144,7 +154,9 @@
 
   [[nodiscard]] EdgeVm& At(std::size_t index) { return *this->vms.at(index); }
 
-  // True when every node serves both services; otherwise their logs are shown.
+  // True when every node serves both services, knows its own upstream and has
+  // opened its links; otherwise their logs are shown. A node serves before that
+  // through the others.
   bool Settle() {
     if (this->WaitServed())
       return true;
@@ -158,6 +170,8 @@
     WaitUntil(
         [&] { return this->Logs().find("id=" + id) != std::string::npos; },
         std::chrono::seconds(2));
+    // The others write theirs as late.
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
     return this->Logs();
   }
 
@@ -172,7 +186,9 @@
   bool WaitServed() {
     return WaitUntil([this] {
       for (const auto& vm : this->vms) {
-        if (!vm->Ready() ||
+        if (!vm->Ready() || vm->Metric("teaselspread_gate_slots") == 0 ||
+            vm->Metric(R"(teaselspread_links_total{event="opened"})") + 1 <
+                this->vms.size() ||
             Ask(*vm, "GET", "/view/x", "settle").status != 200 ||
             Ask(*vm, "POST", "/load/x", "settle", "body").status != 200)
           return false;
