--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -51,8 +51,13 @@
   return response;
 }
 
-EdgeAdapter WithCountedCalls(EdgeAdapter adapter,
-                             CounterTable<StoreCall>& counters) {
+// Also applies the agreed bounds to `settings`, before other members read them.
+EdgeAdapter MakeAdapter(const AdapterFactory& make_adapter,
+                        boost::asio::io_context& loop,
+                        EdgeSettings& settings,
+                        CounterTable<StoreCall>& counters) {
+  EdgeAdapter adapter = make_adapter(loop, settings);
+  adapter.apply_agreed(settings);
   adapter.store = CountCalls(std::move(adapter.store), counters);
   return adapter;
 }
@@ -444,13 +449,15 @@
                    const AdapterFactory& make_adapter)
     : settings(edge_settings),
       loop(1),
-      adapter(WithCountedCalls(make_adapter(this->loop, this->settings),
-                               this->store_calls)),
+      adapter(MakeAdapter(make_adapter,
+                          this->loop,
+                          this->settings,
+                          this->store_calls)),
       log(this->loop),
-      gate(this->loop, this->adapter.headers, LeaseSettingsOf(edge_settings)),
+      gate(this->loop, this->adapter.headers, LeaseSettingsOf(this->settings)),
       links(this->loop, LinkHandlersOf(*this)),
       entry(this->loop,
-            EntrySettingsOf(edge_settings),
+            EntrySettingsOf(this->settings),
             this->adapter.headers,
             this->gate,
             this->links,
@@ -477,7 +484,6 @@
       tick_timer(this->loop),
       roster_timer(this->loop),
       rng(std::random_device{}()) {
-  this->adapter.apply_agreed(this->settings);
   this->gate.SetWaitingSettings(edge_settings.waiting);
   this->links.self.node = edge_settings.vm;
   this->links.self.data_center = edge_settings.data_center;
--- a/tests/contract/platform_test.cc
+++ b/tests/contract/platform_test.cc
@@ -228,5 +228,18 @@
   cr_assert(settings.retry_slack == 11);
 }
 
+// The settings template renders the bounds as a JSON object. Taken for a list,
+// none of them would be found and the defaults would stay.
+Test(platform, agreed_bounds_in_an_object_are_read) {
+  EdgeSettings settings;
+  settings.agreed =
+      R"({"graceS":4,"retryBudgetRatio":0.3,"budgetSlack":11,)"
+      R"("new":7,"odd":"x"})";
+  ApplyAgreedBounds(settings);
+  cr_assert(settings.stop_grace == std::chrono::seconds(4));
+  cr_assert(settings.retry_ratio == 0.3);
+  cr_assert(settings.retry_slack == 11);
+}
+
 }  // namespace
 }  // namespace teaselspread::platform
