Pace of slow upstreams: gates start no more than they bear

Cause: an upstream is slow for some seconds after its start and bears a known rate of requests (given with each service); well above it, it crashes and comes back slow. Ruled out: that the load alone does it (two thirds of the warm capacity).

Change: `start_pace`, a pure limit on starts in any span up to a second, at the gate, through which all requests to an upstream go. The queue starts what the limit admits (Advance, NextAdvance), the expected wait and Retry-After follow from it, and what would wait too long is refused on arrival. The rate comes from the configuration, the excess from the agreed bounds. What is not known is taken for slow: no heartbeat yet (the health check tells it, if it can), a heartbeat that may be from before a crash. Entries count the slots that the rate can fill.

--- a/benchmark/goodput_bench.cc
+++ b/benchmark/goodput_bench.cc
@@ -328,13 +328,13 @@
   }
 
   void SetTimer(std::size_t gate) {
-    const auto next = NextExpiry(*this->gates[gate]);
+    const auto next = NextAdvance(*this->gates[gate], this->events.now);
     if (!next || this->timers[gate] == *next)
       return;
     this->timers[gate] = *next;
     this->events.At(*next + Duration(1), [this, gate] {
       this->Apply(gate,
-                  Expire(*this->gates[gate], this->events.now, this->rng));
+                  Advance(*this->gates[gate], this->events.now, this->rng));
     });
   }
 
--- a/include/teaselspread/admission.h
+++ b/include/teaselspread/admission.h
@@ -23,6 +23,7 @@
 #include "teaselspread/counters.h"
 #include "teaselspread/error.h"
 #include "teaselspread/snapshot.h"
+#include "teaselspread/start_pace.h"
 #include "teaselspread/types.h"
 #include "teaselspread/upstream_model.h"
 #include "teaselspread/waiting_settings.h"
@@ -114,6 +115,8 @@
       suspect_queue;
   ServiceTimes service_times;
   ServiceTime overall_service_time;
+  // Limits the starts while the upstream is slow after its start.
+  StartPace pace;
   int running = 0;
   int open_connections = 0;
   std::size_t body_bytes = 0;
@@ -158,19 +161,21 @@
 // Removes a queued request whose caller disconnected. Not thread safe.
 void CancelWaiting(Gatekeeper& gate, std::uint64_t id);
 
-// Refuses queued requests that can no longer meet their deadline
-// (kQueueTimeout). Not thread safe.
-[[nodiscard]] GateActions Expire(Gatekeeper& gate, TimePoint now, Rng& rng);
+// Starts queued requests that the pace admits by now, and refuses those that
+// can no longer meet their deadline (kQueueTimeout). Not thread safe.
+[[nodiscard]] GateActions Advance(Gatekeeper& gate, TimePoint now, Rng& rng);
 
-// Time of the next expiry of a queued request, if any. Not thread safe.
-[[nodiscard]] std::optional<TimePoint> NextExpiry(const Gatekeeper& gate);
+// When Advance has something to do next, if no request arrives or ends before.
+// Not thread safe.
+[[nodiscard]] std::optional<TimePoint> NextAdvance(const Gatekeeper& gate,
+                                                   TimePoint now);
 
 // The upstream or the node is leaving: refuses all queued and all later
 // requests (kLeaving); running requests continue. Not thread safe.
 [[nodiscard]] GateActions Leave(Gatekeeper& gate, TimePoint now, Rng& rng);
 
 // Sets the number of slots: an announcement was renewed, or it expired and
-// `ready` is false. Not thread safe.
+// `ready` is false. Also to be called when `pace` was changed. Not thread safe.
 [[nodiscard]] GateActions SetUpstream(Gatekeeper& gate,
                                       int slots,
                                       bool ready,
@@ -181,9 +186,9 @@
 // safe.
 [[nodiscard]] int LoadOf(const Gatekeeper& gate);
 
-// Expected time to run all queued requests one after the other. Not thread
-// safe.
-[[nodiscard]] Duration QueuedTime(const Gatekeeper& gate);
+// Expected time to run all queued requests one after the other; more if the
+// pace starts them later than that. Not thread safe.
+[[nodiscard]] Duration QueuedTime(const Gatekeeper& gate, TimePoint now);
 
 // Drops the service times of all routes not in `routes`. Not thread safe.
 void RetainServiceTimes(Gatekeeper& gate,
--- a/include/teaselspread/edge.h
+++ b/include/teaselspread/edge.h
@@ -59,6 +59,9 @@
   // service's requests, plus a number that is always allowed.
   double retry_ratio = 0.2;
   double retry_slack = 50;
+  // Requests that an upstream may get in one second while it is slow after its
+  // start, relative to the rate that the configuration gives for its service.
+  double slow_start_excess = 1.5;
   // How an upstream is chosen for a request. `crossing_cost` should reflect the
   // network: near 0 where traffic between data centres is free.
   PlacementSettings placement;
@@ -127,6 +130,9 @@
   // On responses: running requests, waiting requests and slots, separated by
   // commas.
   std::string load;
+  // On the response to a health check: milliseconds for which the process stays
+  // slow after its start.
+  std::string warm_up_left;
 };
 
 // Everything that depends on the platform. The functions are called on the
--- a/include/teaselspread/placement.h
+++ b/include/teaselspread/placement.h
@@ -84,6 +84,8 @@
   // Remaining time in which it is slow after its start. While it is not
   // measured, its run time is then assumed to be that of the slowest candidate.
   Duration warm_up_left{};
+  // Requests a second that its gate starts; 0 if only the slots limit them.
+  double starts_per_second = 0;
 };
 
 // Cost of one candidate as a fraction of the value of the response: the
--- a/include/teaselspread/snapshot.h
+++ b/include/teaselspread/snapshot.h
@@ -34,6 +34,9 @@
   int connections = 128;
   // Time over which a cold upstream's traffic share ramps up to its full share.
   Duration warm_up = std::chrono::seconds(5);
+  // Requests a second that an upstream bears while it is slow after its start;
+  // 0 if that is not limited.
+  double slow_start_per_second = 0;
 };
 
 // One service of a route that is split between services.
--- a/include/teaselspread/teaselspread.h
+++ b/include/teaselspread/teaselspread.h
@@ -33,6 +33,7 @@
 #include "teaselspread/shortage.h"
 #include "teaselspread/snapshot.h"
 #include "teaselspread/spread.h"
+#include "teaselspread/start_pace.h"
 #include "teaselspread/suspects.h"
 #include "teaselspread/time_spent.h"
 #include "teaselspread/types.h"
--- a/include/teaselspread/upstream_lease.h
+++ b/include/teaselspread/upstream_lease.h
@@ -28,8 +28,9 @@
   // Wall-clock time in milliseconds at which the process started; distinguishes
   // processes of the same identity. 0 when not given.
   std::int64_t born_ms = 0;
-  // Remaining time for which the process is slow after its start.
-  Duration warm_up_remaining{};
+  // Remaining time for which the process is slow after its start; none if it
+  // did not say.
+  std::optional<Duration> warm_up_remaining;
 };
 
 enum class HeartbeatResult : std::uint8_t {
@@ -77,8 +78,9 @@
   TimePoint renewed_at;
   // Its address refused a connection; a newer heartbeat resets this.
   bool refused_connection = false;
-  // When the process stops being slow after its start.
-  TimePoint warm_at;
+  // When the process stops being slow after its start; none while that is not
+  // known.
+  std::optional<TimePoint> warm_at;
 };
 
 // Processes one heartbeat. A late one of an earlier process at the same address
@@ -103,6 +105,14 @@
 
 [[nodiscard]] LeaseState StateOf(const UpstreamLease& lease, TimePoint now);
 
+// The process may have become slow again: it may have restarted under its name,
+// or was out of service. It counts as slow until its next heartbeat.
+void ForgetWarmUp(UpstreamLease& lease);
+
+// Until when the process counts as slow after its start. While that is not
+// known, it is the time at which the next heartbeat is due at the latest.
+[[nodiscard]] TimePoint SlowUntil(const UpstreamLease& lease, TimePoint now);
+
 // When the lease expires if not renewed; the epoch when none is held.
 [[nodiscard]] TimePoint ExpiryOf(const UpstreamLease& lease);
 
--- a/src/admission/estimate.cc
+++ b/src/admission/estimate.cc
@@ -35,18 +35,27 @@
   return Duration(static_cast<std::int64_t>(time.mean_us));
 }
 
-Duration ExpectedWait(const Gatekeeper& gate, Duration ahead) {
+// A request that waits for the pace alone finds a free slot when it may start.
+Duration ExpectedWait(const Gatekeeper& gate,
+                      const QueueAhead& ahead,
+                      TimePoint now) {
+  const Duration paced = StartBehind(gate.pace, ahead.requests, now) - now;
+  if (IsPaced(gate.pace, now) && gate.running < gate.settings.slots)
+    return paced;
   const int slots = gate.settings.slots > 0 ? gate.settings.slots : 1;
-  const double work_us =
-      static_cast<double>(ahead.count()) + gate.overall_service_time.mean_us;
-  return Duration(static_cast<std::int64_t>(work_us / slots));
+  const double work_us = static_cast<double>(ahead.run_time.count()) +
+                         gate.overall_service_time.mean_us;
+  const Duration for_slots(static_cast<std::int64_t>(work_us / slots));
+  return std::max(for_slots, paced);
 }
 
-Duration QueuedTime(const Gatekeeper& gate) {
+Duration QueuedTime(const Gatekeeper& gate, TimePoint now) {
   Duration sum{};
   for (const HeldRequest& waiting : gate.queue)
     sum += ExpectedServiceTime(gate, waiting.arrival.route);
-  return sum;
+  // Readers divide it by the slots.
+  const Duration paced = StartBehind(gate.pace, gate.queue.size(), now) - now;
+  return std::max(sum, paced * gate.settings.slots);
 }
 
 void RetainServiceTimes(Gatekeeper& gate,
--- a/src/admission/estimate.h
+++ b/src/admission/estimate.h
@@ -14,9 +14,17 @@
                        const std::string& route,
                        Duration run_time);
 
-// Expected time until a slot is free for a request behind queued ones whose run
-// times add up to `ahead`. Not thread safe.
-[[nodiscard]] Duration ExpectedWait(const Gatekeeper& gate, Duration ahead);
+// The queued requests that run before another one.
+struct QueueAhead {
+  std::size_t requests = 0;
+  // Sum of their expected run times.
+  Duration run_time{};
+};
+
+// Expected time until a request behind `ahead` may start. Not thread safe.
+[[nodiscard]] Duration ExpectedWait(const Gatekeeper& gate,
+                                    const QueueAhead& ahead,
+                                    TimePoint now);
 
 // Latest start at which the request is expected to meet its deadline. Not
 // thread safe.
--- a/src/admission/gatekeeper.cc
+++ b/src/admission/gatekeeper.cc
@@ -20,15 +20,25 @@
   return has_aim ? std::min(arrival.aim, arrival.deadline) : arrival.deadline;
 }
 
+QueueAhead WholeQueue(const Gatekeeper& gate) {
+  QueueAhead all;
+  for (const HeldRequest& waiting : gate.queue) {
+    ++all.requests;
+    all.run_time += ExpectedServiceTime(gate, waiting.arrival.route);
+  }
+  return all;
+}
+
 // Retry-After covers the time to drain the queue, so that retries fit into it.
 // It has jitter, since callers that retry all at once would not fit.
 Refusal MakeRefusal(Gatekeeper& gate,
                     std::uint64_t id,
                     ErrorKind kind,
+                    TimePoint now,
                     Rng& rng) {
   gate.refusals.Add(kind);
   const Duration base =
-      gate.settings.retry_after + ExpectedWait(gate, QueuedTime(gate));
+      gate.settings.retry_after + ExpectedWait(gate, WholeQueue(gate), now);
   return {id, kind, JitteredRetryAfter(base, rng)};
 }
 
@@ -44,15 +54,17 @@
                      Queue& queue,
                      HeldRequest& held,
                      ErrorKind kind,
+                     TimePoint now,
                      Rng& rng) {
   const std::uint64_t id = held.arrival.id;
   queue.erase(queue.iterator_to(held));
   RemoveRequest(gate, id);
-  return MakeRefusal(gate, id, kind, rng);
+  return MakeRefusal(gate, id, kind, now, rng);
 }
 
-void StartRun(Gatekeeper& gate, HeldRequest& held) {
+void StartRun(Gatekeeper& gate, HeldRequest& held, TimePoint now) {
   held.running = true;
+  RecordStart(gate.pace, now);
   ++gate.running;
   gate.running_alone = held.arrival.suspect;
 }
@@ -74,12 +86,17 @@
          gate.suspect_queue.empty() && gate.ready;
 }
 
-Duration QueuedTimeAhead(const Gatekeeper& gate, const HeldRequest& held) {
-  Duration ahead{};
+bool MayStart(const Gatekeeper& gate, TimePoint now) {
+  return HasFreeSlot(gate) && NextStart(gate.pace, now) <= now;
+}
+
+QueueAhead AheadOf(const Gatekeeper& gate, const HeldRequest& held) {
+  QueueAhead ahead;
   for (const HeldRequest& waiting : gate.queue) {
     if (!RunsBefore{}(waiting, held))
       break;
-    ahead += ExpectedServiceTime(gate, waiting.arrival.route);
+    ++ahead.requests;
+    ahead.run_time += ExpectedServiceTime(gate, waiting.arrival.route);
   }
   return ahead;
 }
@@ -106,14 +123,19 @@
 ArrivalResult Refuse(Gatekeeper& gate,
                      std::uint64_t id,
                      ErrorKind kind,
+                     TimePoint now,
                      Rng& rng) {
-  return {Admission::kRefused, MakeRefusal(gate, id, kind, rng), std::nullopt};
+  return {Admission::kRefused, MakeRefusal(gate, id, kind, now, rng),
+          std::nullopt};
 }
 
-ArrivalResult AdmitSuspect(Gatekeeper& gate, const Arrival& arrival) {
+ArrivalResult AdmitSuspect(Gatekeeper& gate,
+                           const Arrival& arrival,
+                           TimePoint now) {
   HeldRequest& held = AddRequest(gate, arrival);
-  if (gate.running == 0 && gate.suspect_queue.empty()) {
-    StartRun(gate, held);
+  if (gate.running == 0 && gate.suspect_queue.empty() &&
+      NextStart(gate.pace, now) <= now) {
+    StartRun(gate, held, now);
     return {Admission::kRun, std::nullopt, std::nullopt};
   }
   gate.suspect_queue.insert(held);
@@ -127,17 +149,17 @@
   HeldRequest candidate;
   candidate.arrival = arrival;
   candidate.order = gate.next_order;
-  const Duration wait = ExpectedWait(gate, QueuedTimeAhead(gate, candidate));
+  const Duration wait = ExpectedWait(gate, AheadOf(gate, candidate), now);
   if (now + wait > LatestAdmissibleStart(gate, arrival, now))
-    return Refuse(gate, arrival.id, ErrorKind::kDeadlineTooShort, rng);
+    return Refuse(gate, arrival.id, ErrorKind::kDeadlineTooShort, now, rng);
   ArrivalResult arrived{Admission::kQueued, std::nullopt, std::nullopt};
   const auto limit = static_cast<std::size_t>(gate.settings.queue_limit);
   if (gate.queue.size() >= limit) {
     if (gate.queue.empty() || !RunsBefore{}(candidate, *gate.queue.rbegin()) ||
         candidate.arrival.priority == gate.queue.rbegin()->arrival.priority)
-      return Refuse(gate, arrival.id, ErrorKind::kQueueFull, rng);
+      return Refuse(gate, arrival.id, ErrorKind::kQueueFull, now, rng);
     arrived.evicted = RefuseQueued(gate, gate.queue, *gate.queue.rbegin(),
-                                   ErrorKind::kQueueFull, rng);
+                                   ErrorKind::kQueueFull, now, rng);
   }
   gate.queue.insert(AddRequest(gate, arrival));
   return arrived;
@@ -152,15 +174,15 @@
     HeldRequest& held = *next++;
     if (LatestStart(gate, held.arrival) < now) {
       actions.refused.push_back(
-          RefuseQueued(gate, queue, held, ErrorKind::kQueueTimeout, rng));
+          RefuseQueued(gate, queue, held, ErrorKind::kQueueTimeout, now, rng));
     }
   }
 }
 
-void StartSuspect(Gatekeeper& gate, GateActions& actions) {
+void StartSuspect(Gatekeeper& gate, TimePoint now, GateActions& actions) {
   HeldRequest& held = *gate.suspect_queue.begin();
   gate.suspect_queue.erase(gate.suspect_queue.begin());
-  StartRun(gate, held);
+  StartRun(gate, held, now);
   actions.run.push_back(held.arrival.id);
 }
 
@@ -170,24 +192,26 @@
                  GateActions& actions) {
   ExpireQueue(gate, gate.suspect_queue, now, rng, actions);
   ExpireQueue(gate, gate.queue, now, rng, actions);
-  if (!gate.suspect_queue.empty() && gate.running == 0 && gate.ready)
-    StartSuspect(gate, actions);
-  while (HasFreeSlot(gate) && !gate.queue.empty()) {
+  if (!gate.suspect_queue.empty() && gate.running == 0 && gate.ready &&
+      NextStart(gate.pace, now) <= now)
+    StartSuspect(gate, now, actions);
+  while (MayStart(gate, now) && !gate.queue.empty()) {
     HeldRequest& held = *gate.queue.begin();
     gate.queue.erase(gate.queue.begin());
-    StartRun(gate, held);
+    StartRun(gate, held, now);
     actions.run.push_back(held.arrival.id);
   }
 }
 
 void RefuseAllQueued(Gatekeeper& gate,
                      ErrorKind kind,
+                     TimePoint now,
                      Rng& rng,
                      GateActions& actions) {
   for (Queue* queue : {&gate.queue, &gate.suspect_queue}) {
     while (!queue->empty())
       actions.refused.push_back(
-          RefuseQueued(gate, *queue, *queue->begin(), kind, rng));
+          RefuseQueued(gate, *queue, *queue->begin(), kind, now, rng));
   }
 }
 
@@ -227,11 +251,11 @@
                      TimePoint now,
                      Rng& rng) {
   if (const auto kind = ImmediateRefusal(gate, arrival, now))
-    return Refuse(gate, arrival.id, *kind, rng);
+    return Refuse(gate, arrival.id, *kind, now, rng);
   if (arrival.suspect)
-    return AdmitSuspect(gate, arrival);
-  if (HasFreeSlot(gate) && gate.queue.empty()) {
-    StartRun(gate, AddRequest(gate, arrival));
+    return AdmitSuspect(gate, arrival, now);
+  if (MayStart(gate, now) && gate.queue.empty()) {
+    StartRun(gate, AddRequest(gate, arrival), now);
     return {Admission::kRun, std::nullopt, std::nullopt};
   }
   return Enqueue(gate, arrival, now, rng);
@@ -267,14 +291,18 @@
   RemoveRequest(gate, id);
 }
 
-GateActions Expire(Gatekeeper& gate, TimePoint now, Rng& rng) {
+GateActions Advance(Gatekeeper& gate, TimePoint now, Rng& rng) {
   GateActions actions;
   StartQueued(gate, now, rng, actions);
   return actions;
 }
 
-std::optional<TimePoint> NextExpiry(const Gatekeeper& gate) {
+std::optional<TimePoint> NextAdvance(const Gatekeeper& gate, TimePoint now) {
   std::optional<TimePoint> next;
+  const bool suspect_may_start =
+      gate.running == 0 && gate.ready && !gate.suspect_queue.empty();
+  if (suspect_may_start || (HasFreeSlot(gate) && !gate.queue.empty()))
+    next = NextStart(gate.pace, now);
   for (const Queue* queue : {&gate.queue, &gate.suspect_queue}) {
     for (const HeldRequest& held : *queue) {
       const TimePoint latest = LatestStart(gate, held.arrival);
@@ -284,10 +312,10 @@
   return next;
 }
 
-GateActions Leave(Gatekeeper& gate, TimePoint /*now*/, Rng& rng) {
+GateActions Leave(Gatekeeper& gate, TimePoint now, Rng& rng) {
   GateActions actions;
   gate.leaving = true;
-  RefuseAllQueued(gate, ErrorKind::kLeaving, rng, actions);
+  RefuseAllQueued(gate, ErrorKind::kLeaving, now, rng, actions);
   return actions;
 }
 
@@ -300,7 +328,7 @@
   gate.settings.slots = slots;
   gate.ready = ready;
   if (!ready)
-    RefuseAllQueued(gate, ErrorKind::kNotReady, rng, actions);
+    RefuseAllQueued(gate, ErrorKind::kNotReady, now, rng, actions);
   StartQueued(gate, now, rng, actions);
   return actions;
 }
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -297,6 +297,20 @@
     node.gate.Probe(service->second.health_path, node.settings.service);
 }
 
+// The upstream's service, as the configuration names it, says how many requests
+// it bears while it is slow after its start.
+void UpdateStartPace(EdgeNode& node) {
+  const SnapshotPtr& held = node.entry.CurrentSnapshot();
+  if (!held)
+    return;
+  const auto service = held->services.find(node.settings.service);
+  if (service == held->services.end())
+    return;
+  const double per_second = service->second.slow_start_per_second;
+  const double excess = std::max(node.settings.slow_start_excess - 1, 0.0);
+  node.gate.SetStartPace({per_second, std::max(per_second * excess, 1.0)});
+}
+
 void ReloadSettings(EdgeNode& node, const char* why) {
   node.settings_modified_ns = ModifiedAtNanos(node.settings_file);
   auto settings = LoadEdgeSettings(node.settings_file);
@@ -311,6 +325,7 @@
   node.settings.upstream = settings->upstream;
   node.entry.SetService(settings->service);
   node.gate.SetUpstreamAddress(settings->upstream);
+  UpdateStartPace(node);
   Log(LogLevel::kInfo, "node", "reloaded",
       {{"why", why}, {"service", settings->service}});
 }
@@ -530,6 +545,7 @@
   node.config_exchange.archive.Add((*snapshot)->version, record);
   node.config_exchange.fetch.newer_seen_at = TimePoint{};
   node.entry.SetSnapshot(*snapshot);
+  UpdateStartPace(node);
   Log(LogLevel::kInfo, "config", "in-force",
       {{"version", (*snapshot)->version},
        {"before", own},
--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -187,6 +187,10 @@
   int best = std::numeric_limits<int>::max();
   const TimePoint now = SteadyNow();
   pending.other_versions = 0;
+  const auto config = pending.snapshot->services.find(pending.service);
+  const double slow_start = config == pending.snapshot->services.end()
+                                ? 0
+                                : config->second.slow_start_per_second;
   const auto add = [&](std::string_view node, Distance distance,
                        const GateStatus& status, std::uint32_t load) {
     Candidate candidate;
@@ -201,6 +205,7 @@
     candidate.queued_time = std::chrono::milliseconds(status.queued_ms);
     candidate.failure_ratio = this->FailureRatio(std::string(node), now);
     candidate.warm_up_left = std::chrono::milliseconds(status.warm_up_ms);
+    candidate.starts_per_second = status.warm_up_ms > 0 ? slow_start : 0;
     candidates.push_back(candidate);
   };
   // Whether the node may be added; clears candidates of a worse rank.
--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -316,6 +316,15 @@
                   });
 }
 
+std::optional<Duration> Gate::WarmUpLeft(const HttpResponse& response) const {
+  std::int64_t millis = 0;
+  const std::string text(
+      FindHeader(response.headers, this->names.warm_up_left));
+  if (!absl::SimpleAtoi(text, &millis) || millis < 0)
+    return std::nullopt;
+  return std::chrono::milliseconds(millis);
+}
+
 // The version and start time of the process stay unknown until its heartbeat,
 // which replaces this one whatever its sequence number.
 void Gate::OnProbeResponse(const std::string& service,
@@ -332,13 +341,15 @@
   Log(LogLevel::kInfo, "gate", "upstream-probed",
       {{"status", response.status},
        {"instance", instance},
-       {"slots", knows_slots ? slots : 0}});
+       {"slots", knows_slots ? slots : 0},
+       {"warm_up_ms", FindHeader(response.headers, this->names.warm_up_left)}});
   if (response.status != kOk || instance.empty() || !knows_slots || slots < 1)
     return;
   UpstreamHeartbeat heartbeat;
   heartbeat.instance = std::string(instance);
   heartbeat.service = service;
   heartbeat.slots = slots;
+  heartbeat.warm_up_remaining = this->WarmUpLeft(response);
   (void)this->OnHeartbeat(heartbeat);
 }
 
@@ -457,6 +468,11 @@
   this->reported_mean_ms = all.front().mean_ms;
 }
 
+void Gate::SetStartPace(const StartPaceSettings& pace) {
+  this->gatekeeper.pace.settings = pace;
+  this->ScheduleExpiry();
+}
+
 void Gate::Tick() {
   if (this->gatekeeper.overall_service_time.mean_us > 0)
     this->RefreshReportedTimes();
@@ -469,6 +485,7 @@
 // acknowledged can be relied on.
 void Gate::ApplyLease() {
   const TimePoint now = SteadyNow();
+  this->gatekeeper.pace.slow_until = SlowUntil(this->lease, now);
   const LeaseState state = StateOf(this->lease, now);
   const bool ready = state == LeaseState::kReady;
   const int slots = this->lease.current ? this->lease.current->slots : 1;
@@ -484,6 +501,7 @@
        {"slots", slots},
        {"instance", this->lease.current ? this->lease.current->instance : ""},
        {"version", version},
+       {"slow_ms", MillisOf(this->gatekeeper.pace.slow_until - now)},
        {"sequence", this->lease.current ? this->lease.current->sequence : 0},
        {"age_ms", MillisOf(now - this->lease.renewed_at)}});
   this->applied_state = state;
@@ -492,10 +510,11 @@
   this->on_status_change();
 }
 
-// A waiting request is refused as soon as it can no longer meet its deadline,
-// not when the deadline has passed: its caller can still use the time.
+// A waiting request starts as soon as the pace admits it, and is refused as
+// soon as it can no longer meet its deadline, not when the deadline has passed:
+// its caller can still use the time.
 void Gate::ScheduleExpiry() {
-  const auto next = NextExpiry(this->gatekeeper);
+  const auto next = NextAdvance(this->gatekeeper, SteadyNow());
   if (!next || *next == this->expiry_at)
     return;
   this->expiry_at = *next;
@@ -505,7 +524,7 @@
     if (error)
       return;
     this->expiry_at = TimePoint{};
-    this->Apply(Expire(this->gatekeeper, SteadyNow(), this->rng));
+    this->Apply(Advance(this->gatekeeper, SteadyNow(), this->rng));
   });
 }
 
@@ -527,15 +546,16 @@
     status.version = this->lease.current->version;
     status.slots = static_cast<std::uint32_t>(this->lease.current->slots);
     // Rounded to steps, since each change is sent to every node.
+    const std::uint32_t left = MillisOf(SlowUntil(this->lease, now) - now);
     status.warm_up_ms =
-        MillisOf(this->lease.warm_at - now) / kWarmUpStepMs * kWarmUpStepMs;
+        (left + kWarmUpStepMs - 1) / kWarmUpStepMs * kWarmUpStepMs;
   }
   status.state = StateOf(this->lease, now);
   if (this->node_leaving && status.state == LeaseState::kReady)
     status.state = LeaseState::kLeaving;
   status.running = static_cast<std::uint32_t>(this->gatekeeper.running);
   status.waiting = static_cast<std::uint32_t>(this->gatekeeper.queue.size());
-  status.queued_ms = MillisOf(QueuedTime(this->gatekeeper));
+  status.queued_ms = MillisOf(QueuedTime(this->gatekeeper, now));
   status.route_times = this->reported_times;
   status.mean_ms = this->reported_mean_ms;
   return status;
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -57,6 +58,9 @@
   void SetWaitingSettings(const WaitingSettings& waiting) {
     this->gatekeeper.settings.waiting = waiting;
   }
+  // Limits the starts while the upstream is slow after its start. Also sets it
+  // anew when the service or its configuration changes.
+  void SetStartPace(const StartPaceSettings& pace);
   void SetUpstreamAddress(const Address& upstream) {
     this->pool.SetAddress(upstream);
   }
@@ -130,6 +134,8 @@
   void RecordCrash();
   void CheckUpstreamListening();
   void RecordCleanRun(const GateRun& run);
+  [[nodiscard]] std::optional<Duration> WarmUpLeft(
+      const HttpResponse& response) const;
   void OnProbeResponse(const std::string& service,
                        const HttpResponse& response);
   void Start(std::uint64_t id);
--- a/src/node/gate.cc
+++ b/src/node/gate.cc
@@ -43,12 +43,12 @@
     // Each waiter wakes the whole queue's expiry, so one that is given up on is
     // answered at that moment, not when the next slot comes free.
     const TimePoint now = SystemNow();
-    const TimePoint wake =
-        std::min(NextExpiry(service.gatekeeper).value_or(now + kLongestWait),
-                 now + kLongestWait);
+    const TimePoint wake = std::min(
+        NextAdvance(service.gatekeeper, now).value_or(now + kLongestWait),
+        now + kLongestWait);
     waiter.changed.wait_until(lock, wake);
     if (!waiter.may_run && !waiter.refusal)
-      Apply(service, Expire(service.gatekeeper, SystemNow(), service.rng));
+      Apply(service, Advance(service.gatekeeper, SystemNow(), service.rng));
   }
   service.waiters.erase(id);
   return waiter.refusal;
--- a/src/node/requests_service.cc
+++ b/src/node/requests_service.cc
@@ -98,7 +98,7 @@
   const std::scoped_lock lock(service.gate);
   CheckLease(service, kernel.Now());
   ExpireSuspects(service.suspects, kernel.Now());
-  Apply(service, Expire(service.gatekeeper, kernel.Now(), service.rng));
+  Apply(service, Advance(service.gatekeeper, kernel.Now(), service.rng));
   TakeLeft(kernel, service);
 }
 
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -13,6 +13,7 @@
 // the same upstream as the best one. With this many candidates compared for
 // each request, it gets at most that many out of all upstreams' shares.
 constexpr std::size_t kDrawnCandidates = 8;
+constexpr double kMicrosPerSecond = 1e6;
 
 Duration RoundTripOf(const PlacementSettings& settings, Distance distance) {
   switch (distance) {
@@ -89,11 +90,23 @@
   return drawn;
 }
 
-// Expected time until a slot is free for the request, in microseconds.
+// Requests that run at a time where the starts are limited: as many as start
+// within one run. Without it, the free slots would attract more requests than
+// the gate starts.
+double UsableSlots(const Candidate& candidate, double run_us) {
+  const double slots = std::max<std::uint32_t>(candidate.slots, 1);
+  if (candidate.starts_per_second <= 0)
+    return slots;
+  const double starts_in_a_run =
+      candidate.starts_per_second * run_us / kMicrosPerSecond;
+  return std::clamp(starts_in_a_run, 1.0, slots);
+}
+
+// Expected time until the request may start, in microseconds.
 double ExpectedWaitUs(const Candidate& candidate,
                       const PlacedRequest& request,
                       double run_us) {
-  const double slots = std::max<std::uint32_t>(candidate.slots, 1);
+  const double slots = UsableSlots(candidate, run_us);
   const double ahead = candidate.load + 1.0 - slots;
   if (ahead <= 0)
     return 0;
@@ -101,6 +114,10 @@
       candidate.mean_run_time > Duration{0}
           ? static_cast<double>(candidate.mean_run_time.count())
           : run_us;
+  if (candidate.starts_per_second > 0) {
+    const double gap_us = kMicrosPerSecond / candidate.starts_per_second;
+    return request.skips_queue ? gap_us : ahead * gap_us;
+  }
   if (request.skips_queue)
     return mean_us / slots;
   // For waiting requests that the gate has not reported, only the number is
@@ -119,7 +136,7 @@
                            ? candidate.run_time
                            : settings.default_run_time;
   const auto run_us = static_cast<double>(run.count());
-  const double slots = std::max<std::uint32_t>(candidate.slots, 1);
+  const double slots = UsableSlots(candidate, run_us);
   const double wait_us = ExpectedWaitUs(candidate, request, run_us);
   const double busy_fraction = std::min(1.0, candidate.load / slots);
   const double round_trip_us =
--- a/src/upstream/upstream_lease.cc
+++ b/src/upstream/upstream_lease.cc
@@ -63,6 +63,10 @@
                                TimePoint now) {
   if (!heartbeat.leaving && HasLeft(lease, heartbeat, now))
     return HeartbeatResult::kAlreadyLeaving;
+  // A heartbeat that was sent before its process crashed may arrive after it. A
+  // process that has restarted under that name is slow.
+  const bool may_be_late = lease.refused_connection && lease.current &&
+                           SameProcess(heartbeat, *lease.current);
   if (lease.current) {
     const UpstreamHeartbeat& held = *lease.current;
     if (IsOlderProcess(heartbeat, held))
@@ -82,7 +86,9 @@
   lease.current = heartbeat;
   lease.renewed_at = now;
   lease.refused_connection = false;
-  lease.warm_at = now + heartbeat.warm_up_remaining;
+  lease.warm_at.reset();
+  if (heartbeat.warm_up_remaining && !may_be_late)
+    lease.warm_at = now + *heartbeat.warm_up_remaining;
   return HeartbeatResult::kAccepted;
 }
 
@@ -121,6 +127,14 @@
   return LeaseState::kReady;
 }
 
+void ForgetWarmUp(UpstreamLease& lease) {
+  lease.warm_at.reset();
+}
+
+TimePoint SlowUntil(const UpstreamLease& lease, TimePoint now) {
+  return lease.warm_at.value_or(now + lease.settings.heartbeat_interval);
+}
+
 TimePoint ExpiryOf(const UpstreamLease& lease) {
   if (!lease.current)
     return TimePoint{};
--- a/standins/mesh_upstream.h
+++ b/standins/mesh_upstream.h
@@ -4,6 +4,7 @@
 #ifndef TEASELSPREAD_STANDINS_MESH_UPSTREAM_H_
 #define TEASELSPREAD_STANDINS_MESH_UPSTREAM_H_
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <cstdint>
@@ -27,6 +28,8 @@
   int slots = 4;
   std::chrono::milliseconds work{5};
   std::chrono::milliseconds heartbeat{100};
+  // How long it is slow after its start.
+  std::chrono::milliseconds warm_up{0};
 };
 
 // One request that it ran.
@@ -36,6 +39,7 @@
   std::string body;
   std::string caller_service;
   std::string deadline;
+  std::chrono::steady_clock::time_point arrived;
 };
 
 // Thread safe.
@@ -80,7 +84,8 @@
             R"(","zone":"z","capacity":)" +
             std::to_string(this->options.slots) + R"(},"status":{"state":")" +
             state + R"(","seq":)" + std::to_string(++this->sequence) +
-            R"(,"warmupLeftMs":0}})");
+            R"(,"warmupLeftMs":)" + std::to_string(this->WarmUpLeftMs()) +
+            "}}");
   }
   bool Leave(std::uint16_t admin_port) {
     return this->Post(admin_port, "leave", R"({"born":5})");
@@ -101,6 +106,10 @@
   // How long each request runs from now on.
   void SetWork(std::chrono::milliseconds work) { this->work = work; }
   void SignAnswers(bool sign) { this->signing = sign; }
+  // As after a start: slow for this long from now on.
+  void BecomeSlow(std::chrono::milliseconds for_ms) {
+    this->slow_until = std::chrono::steady_clock::now() + for_ms;
+  }
   // Answers 500.
   void Fail(bool fail) { this->failing = fail; }
 
@@ -139,7 +148,8 @@
       this->runs.push_back(
           {id, std::string(request.target().data(), request.target().size()),
            request.body(), HeaderOf(request, "X-Caller-Service"),
-           HeaderOf(request, "X-Deadline-Ms")});
+           HeaderOf(request, "X-Deadline-Ms"),
+           std::chrono::steady_clock::now()});
       this->most = std::max(this->most.load(), ++this->running);
     }
     std::this_thread::sleep_for(this->work.load());
@@ -165,11 +175,18 @@
   Response Health() {
     Response response = TextAnswer(this->draining ? 503 : 200, "");
     response.set("X-Instance-Id", this->options.instance);
+    response.set("X-Warmup-Ms", std::to_string(this->WarmUpLeftMs()));
     response.set("X-Server-Load", std::to_string(this->running) + ",0," +
                                       std::to_string(this->options.slots));
     return response;
   }
 
+  [[nodiscard]] std::int64_t WarmUpLeftMs() const {
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        this->slow_until.load() - std::chrono::steady_clock::now());
+    return std::max<std::int64_t>(left.count(), 0);
+  }
+
   Response NotRun(unsigned status) {
     Response response = TextAnswer(status, "");
     response.set("X-Not-Executed", "1");
@@ -200,6 +217,8 @@
   }
 
   MeshUpstreamOptions options;
+  std::atomic<std::chrono::steady_clock::time_point> slow_until{
+      std::chrono::steady_clock::now() + this->options.warm_up};
   std::mutex gate;
   std::vector<MeshRun> runs;
   std::atomic<int> running{0};
--- a/tests/contract/platform_test.cc
+++ b/tests/contract/platform_test.cc
@@ -27,8 +27,9 @@
        "match": {"pathPrefix": "/load/"}, "action": {"service": "works"}},
       {"name": "r-bad", "match": 7, "action": "nothing"}]},
     {"policy": []}, 5],
-  "clusters": [{"name": "desk", "healthPath": "/health", "maxConnections": 130},
-               {"name": 4}]})";
+  "clusters": [{"name": "desk", "healthPath": "/health", "maxConnections": 130,
+                "warmupS": 3.5, "warmupPerS": 11.0},
+               {"name": "works"}, {"name": 4}]})";
 
 SnapshotPtr DecodeSnapshot(const std::string& text) {
   const auto order = DecodeOrder({"config", text});
@@ -53,7 +54,11 @@
   cr_assert_not(snapshot->routes[2].idempotent);
   cr_assert(snapshot->limits.max_body_bytes == 70000);
   cr_assert(snapshot->limits.idle_timeout == std::chrono::seconds(12));
-  cr_assert(snapshot->services.at("desk").connections == 130);
+  const ServiceConfig& desk = snapshot->services.at("desk");
+  cr_assert(desk.connections == 130);
+  cr_assert(desk.warm_up == std::chrono::milliseconds(3500));
+  cr_assert(desk.slow_start_per_second == 11);
+  cr_assert(snapshot->services.at("works").slow_start_per_second == 0);
 }
 
 // Guards against records of other writers, or of a later release, that stop the
@@ -116,6 +121,17 @@
   cr_assert(report.warm_up_remaining == std::chrono::milliseconds(250));
 }
 
+// Taken for warm, an upstream that does not say how long it is slow would get
+// more than it bears.
+Test(platform, a_heartbeat_may_not_say_how_long_it_is_slow) {
+  const auto call = DecodeUpstreamCall(
+      MakePost("/instances/i-7/heartbeat",
+               R"({"info":{"service":"desk","version":"v1","capacity":14},
+                   "status":{"state":"ready","seq":4}})"));
+  cr_assert_not(
+      std::get<UpstreamHeartbeat>(*call).warm_up_remaining.has_value());
+}
+
 Test(platform, a_leave_call_needs_no_body) {
   const auto without_body =
       DecodeUpstreamCall(MakePost("/instances/i-7/leave", ""));
@@ -233,12 +249,13 @@
 Test(platform, agreed_bounds_in_an_object_are_read) {
   EdgeSettings settings;
   settings.agreed =
-      R"({"graceS":4,"retryBudgetRatio":0.3,"budgetSlack":11,)"
+      R"({"graceS":4,"retryBudgetRatio":0.3,"budgetSlack":11,"coldOver":1.75,)"
       R"("new":7,"odd":"x"})";
   ApplyAgreedBounds(settings);
   cr_assert(settings.stop_grace == std::chrono::seconds(4));
   cr_assert(settings.retry_ratio == 0.3);
   cr_assert(settings.retry_slack == 11);
+  cr_assert(settings.slow_start_excess == 1.75);
 }
 
 }  // namespace
--- a/tests/unit/admission_test.cc
+++ b/tests/unit/admission_test.cc
@@ -75,12 +75,12 @@
     cr_assert(arrive("read", Ms(2000)) == Admission::kRun);
   for (int i = 0; i < 4; ++i)
     cr_assert(arrive("lookup", Ms(200)) == Admission::kQueued);
-  cr_assert(QueuedTime(gate) == Ms(40));
+  cr_assert(QueuedTime(gate, kStart) == Ms(40));
   // 10 ms for those ahead and 25 ms until a slot is free, of 90 / 2 ms.
   cr_assert(arrive("lookup", Ms(200)) == Admission::kQueued);
   // Behind a queued read it would start too late.
   (void)arrive("read", Ms(150));
-  cr_assert(QueuedTime(gate) > Ms(40));
+  cr_assert(QueuedTime(gate, kStart) > Ms(40));
 }
 
 // Callers that retry after a refusal have little time left. Ordered by deadline
@@ -159,13 +159,13 @@
   Rng rng(1);
   (void)Arrive(gate, MakeArrival(1), kStart, rng);
   (void)Arrive(gate, MakeArrival(2, Priority::kNormal, Ms(500)), kStart, rng);
-  const TimePoint expiry = *NextExpiry(gate);
+  const TimePoint expiry = *NextAdvance(gate, kStart);
   cr_assert(expiry == kStart + Ms(400));
-  cr_assert(Expire(gate, expiry, rng).refused.empty());
-  const GateActions actions = Expire(gate, expiry + Ms(1), rng);
+  cr_assert(Advance(gate, expiry, rng).refused.empty());
+  const GateActions actions = Advance(gate, expiry + Ms(1), rng);
   cr_assert(actions.refused.size() == 1);
   cr_assert(actions.refused.front().kind == ErrorKind::kQueueTimeout);
-  cr_assert(!NextExpiry(gate).has_value());
+  cr_assert(!NextAdvance(gate, kStart).has_value());
 }
 
 // Hundreds of callers are refused at the same time. With the same Retry-After
--- a/tests/unit/upstream_lease_test.cc
+++ b/tests/unit/upstream_lease_test.cc
@@ -172,5 +172,35 @@
   cr_assert(StateOf(lease, kStart + Ms(2)) == LeaseState::kReady);
 }
 
+// An upstream that does not say how long it is slow may be so. Taken for warm,
+// it would get more than it bears.
+Test(upstream_lease, an_upstream_counts_as_slow_until_it_says_otherwise) {
+  UpstreamLease lease;
+  (void)ApplyHeartbeat(lease, MakeHeartbeat("i-1", 5000, 1), kStart);
+  cr_assert(SlowUntil(lease, kStart) > kStart);
+  UpstreamHeartbeat next = MakeHeartbeat("i-1", 5000, 2);
+  next.warm_up_remaining = Ms(400);
+  (void)ApplyHeartbeat(lease, next, kStart);
+  cr_assert(SlowUntil(lease, kStart) == kStart + Ms(400));
+  ForgetWarmUp(lease);
+  cr_assert(SlowUntil(lease, kStart + Ms(800)) > kStart + Ms(800));
+}
+
+// An upstream crashes and restarts under its name. A heartbeat that it sent
+// before arrives now and says that it is warm.
+Test(upstream_lease, a_heartbeat_from_before_a_crash_does_not_make_it_warm) {
+  UpstreamLease lease;
+  UpstreamHeartbeat heartbeat = MakeHeartbeat("i-1", 5000, 7);
+  heartbeat.warm_up_remaining = Duration{0};
+  (void)ApplyHeartbeat(lease, heartbeat, kStart);
+  OnUpstreamUnreachable(lease);
+  heartbeat.sequence = 8;
+  (void)ApplyHeartbeat(lease, heartbeat, kStart + Ms(100));
+  cr_assert(SlowUntil(lease, kStart + Ms(100)) > kStart + Ms(100));
+  heartbeat.sequence = 9;
+  (void)ApplyHeartbeat(lease, heartbeat, kStart + Ms(1600));
+  cr_assert(SlowUntil(lease, kStart + Ms(1600)) <= kStart + Ms(1600));
+}
+
 }  // namespace
 }  // namespace teaselspread
