Evacuations of a data centre: gates refuse at once, callers choose elsewhere

Operators can order that nothing more is sent to the upstreams of a data centre until they take the order back.

Change: the order is decoded in platform/ with the revision of its record. `evacuation` keeps the newest order of each data centre, whatever the order in which they arrive. The gate of an evacuated data centre reports its upstream as leaving, refuses what waits and what comes, and lets running requests complete; entries choose elsewhere after one network trip. Nodes that read the order in the store pass it on to all others, and every node tells a new link what it knows, so that a node without the store learns of it. A node that starts runs nothing until it knows the orders: from a complete read of the store, or from the node that sent it its configuration and that has told the others on the same link before. A key that is missing from a complete read was taken back. Afterwards the upstream counts as slow until its next heartbeat.

Nothing waits for an acknowledgement here: the store's response is it.

--- a/include/teaselspread/edge.h
+++ b/include/teaselspread/edge.h
@@ -12,6 +12,7 @@
 #include <variant>
 
 #include "teaselspread/error.h"
+#include "teaselspread/evacuation.h"
 #include "teaselspread/http.h"
 #include "teaselspread/placement.h"
 #include "teaselspread/record_store.h"
@@ -89,7 +90,8 @@
 
 // A decoded record of the operators' stream; `monostate` for a record on which
 // nodes do not act.
-using Order = std::variant<std::monostate, SnapshotPtr, MoveOrder>;
+using Order =
+    std::variant<std::monostate, SnapshotPtr, MoveOrder, EvacuationOrder>;
 
 enum class MoveProgress : std::uint8_t { kRunning, kDone, kRolledBack };
 
--- a/include/teaselspread/record_store.h
+++ b/include/teaselspread/record_store.h
@@ -46,6 +46,8 @@
   std::string key;
   // Empty: the key was removed.
   std::string value;
+  // Increases with each record of the stream; 0 if not given.
+  std::uint64_t revision = 0;
 };
 
 struct RecordPage {
--- a/include/teaselspread/teaselspread.h
+++ b/include/teaselspread/teaselspread.h
@@ -12,6 +12,7 @@
 #include "teaselspread/connections.h"
 #include "teaselspread/counters.h"
 #include "teaselspread/error.h"
+#include "teaselspread/evacuation.h"
 #include "teaselspread/evidence.h"
 #include "teaselspread/http.h"
 #include "teaselspread/http_client.h"
--- a/src/edge/config_exchange.cc
+++ b/src/edge/config_exchange.cc
@@ -69,7 +69,10 @@
   ExpireCopies(exchange.in_flight, now);
   // A node that requests again has lost the copy that was sent to it.
   exchange.in_flight.by_node.erase(from);
-  auto copy = exchange.archive.CopyFor(digest);
+  // The receiver takes it that the sender has told it all other orders.
+  auto copy = node.gate.OrdersKnown()
+                  ? exchange.archive.CopyFor(digest)
+                  : Fail(ErrorKind::kNotReady, "orders not read yet");
   if (!copy || !MaySendCopy(exchange.in_flight, copy->packed.size())) {
     exchange.counters.Add(CopyEvent::kTooManyInFlight);
     Log(LogLevel::kInfo, "config", "not-handed-out",
@@ -117,6 +120,9 @@
   }
   exchange.counters.Add(CopyEvent::kApplied);
   ApplyOrder(node, *record);
+  // The node that sent it knows the other orders, too, and has told them on
+  // the same link before.
+  node.gate.SetOrdersKnown();
 }
 
 void OnConfigBusy(EdgeNode& node, const std::string& from) {
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -12,6 +12,7 @@
 
 #include "base/clock.h"
 #include "edge/frame_socket.h"
+#include "edge/order_copy.h"
 #include "edge/traffic_log.h"
 #include "teaselspread/logging.h"
 #include "teaselspread/move_evaluators.h"
@@ -212,7 +213,10 @@
       OnPeerVersion(node, name, peer->status.held_version);
     }
   };
-  on.on_hello = [&node](const Hello& hello) { node.links.Add(hello); };
+  on.on_hello = [&node](const Hello& hello) {
+    node.links.Add(hello);
+    SendEvacuations(node, hello.node);
+  };
   on.on_config_request = [&node](const std::string& peer,
                                  std::uint64_t digest) {
     return RespondToConfigRequest(node, peer, digest);
@@ -221,7 +225,10 @@
     OnConfigBusy(node, peer);
   };
   on.on_config = [&node](const std::string& peer, const ConfigFrame& copy) {
-    OnConfigCopy(node, peer, copy);
+    if (const auto order = UnpackEvacuation(copy))
+      ApplyEvacuationOrder(node, *order, OrderSource::kPeer);
+    else
+      OnConfigCopy(node, peer, copy);
   };
   return on;
 }
@@ -403,6 +410,23 @@
   });
 }
 
+void OnOrdersRead(EdgeNode& node,
+                  const std::set<std::string, std::less<>>& keys,
+                  std::uint64_t revision) {
+  std::set<std::string, std::less<>> evacuated;
+  for (const std::string& key : keys) {
+    const auto order = node.adapter.decode_order({key, "", revision});
+    if (!order)
+      continue;
+    if (const auto* evacuation = std::get_if<EvacuationOrder>(&*order))
+      evacuated.insert(evacuation->data_center);
+  }
+  for (const EvacuationOrder& order :
+       MissingEvacuations(node.evacuations, evacuated, revision))
+    ApplyEvacuationOrder(node, order, OrderSource::kStore);
+  node.gate.SetOrdersKnown();
+}
+
 Result<void> Listen(HttpListener& listener, const Address& address) {
   const auto bound = listener.Listen(address);
   if (!bound)
@@ -499,6 +523,9 @@
       tick_timer(this->loop),
       roster_timer(this->loop),
       rng(std::random_device{}()) {
+  this->orders.OnNewestRead(
+      [this](const std::set<std::string, std::less<>>& keys,
+             std::uint64_t revision) { OnOrdersRead(*this, keys, revision); });
   this->gate.SetWaitingSettings(edge_settings.waiting);
   this->links.self.node = edge_settings.vm;
   this->links.self.data_center = edge_settings.data_center;
@@ -532,6 +559,8 @@
     node.versions.OnOrder(*move);
     StepMoves(node);
   }
+  if (const auto* evacuation = std::get_if<EvacuationOrder>(&*order))
+    ApplyEvacuationOrder(node, *evacuation, OrderSource::kStore);
   const auto* snapshot = std::get_if<SnapshotPtr>(&*order);
   if (snapshot == nullptr)
     return;
@@ -555,6 +584,27 @@
   SendStatus(node);
 }
 
+void ApplyEvacuationOrder(EdgeNode& node,
+                          const EvacuationOrder& order,
+                          OrderSource source) {
+  if (!ApplyEvacuation(node.evacuations, order))
+    return;
+  Log(LogLevel::kInfo, "orders", "evacuation",
+      {{"data_center", order.data_center},
+       {"active", order.active ? 1 : 0},
+       {"revision", order.revision},
+       {"source", source == OrderSource::kStore ? "store" : "peer"}});
+  node.gate.SetEvacuated(
+      IsEvacuated(node.evacuations, node.settings.data_center));
+  if (source == OrderSource::kStore)
+    node.links.SendToCallers(PackEvacuation(order));
+}
+
+void SendEvacuations(EdgeNode& node, const std::string& to) {
+  for (const EvacuationOrder& order : OrdersOf(node.evacuations))
+    node.links.SendToCaller(to, PackEvacuation(order));
+}
+
 Result<void> RunEdge(const std::string& settings_file,
                      const AdapterFactory& make_adapter) {
   const auto settings = LoadEdgeSettings(settings_file);
--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -22,6 +22,7 @@
 #include "edge/version_choice.h"
 #include "teaselspread/counters.h"
 #include "teaselspread/edge.h"
+#include "teaselspread/evacuation.h"
 
 namespace teaselspread {
 
@@ -59,6 +60,7 @@
   std::map<std::uint64_t, RemoteRun> remote_runs;
   std::uint64_t last_remote_run = 0;
   ConfigExchange config_exchange;
+  EvacuationTable evacuations;
   // Sent to the other nodes with the status; refreshed at each tick.
   std::vector<TrialStatus> trial_statuses;
   std::vector<TrialStatus> trial_summaries;
@@ -82,6 +84,18 @@
 // configuration that is not newer than the one in force is ignored.
 void ApplyOrder(EdgeNode& node, const StoredRecord& record);
 
+// Where an order was read.
+enum class OrderSource : std::uint8_t { kStore, kPeer };
+
+// Applies an order to evacuate a data centre or to take that back. If it comes
+// from the store, it is passed on to the other nodes.
+void ApplyEvacuationOrder(EdgeNode& node,
+                          const EvacuationOrder& order,
+                          OrderSource source);
+
+// Passes on what is known of evacuations to a node that has opened a link.
+void SendEvacuations(EdgeNode& node, const std::string& to);
+
 // Sends the current status to every node, if it changed.
 void SendStatus(EdgeNode& node);
 
--- a/src/edge/frames.h
+++ b/src/edge/frames.h
@@ -166,7 +166,8 @@
   std::uint64_t digest = 0;
 };
 
-// The record of a configuration, packed as described in config_copy.h.
+// The record of a configuration, packed as described in config_copy.h, or of
+// another order, as described in order_copy.h.
 struct ConfigFrame {
   ConfigVersion version = 0;
   std::string key;
--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -120,7 +120,7 @@
   const bool wrong_instance =
       !run.frame.instance.empty() && this->lease.current &&
       run.frame.instance != this->lease.current->instance;
-  const LeaseState state = StateOf(this->lease, now);
+  const LeaseState state = this->ServiceState(now);
   this->runs.emplace(id, std::move(run));
   if (wrong_instance || state != LeaseState::kReady) {
     const ErrorKind kind =
@@ -369,6 +369,33 @@
   return known;
 }
 
+LeaseState Gate::ServiceState(TimePoint now) const {
+  const LeaseState state = StateOf(this->lease, now);
+  if (state != LeaseState::kReady)
+    return state;
+  if (!this->orders_known)
+    return LeaseState::kNone;
+  return this->evacuated ? LeaseState::kLeaving : LeaseState::kReady;
+}
+
+// Requests that wait are refused at once, so that their entries send them
+// elsewhere while there is time; running ones complete.
+void Gate::SetEvacuated(bool now_evacuated) {
+  if (now_evacuated == this->evacuated)
+    return;
+  this->evacuated = now_evacuated;
+  ForgetWarmUp(this->lease);
+  this->ApplyLease();
+  this->on_status_change();
+}
+
+void Gate::SetOrdersKnown() {
+  if (std::exchange(this->orders_known, true))
+    return;
+  this->ApplyLease();
+  this->on_status_change();
+}
+
 void Gate::LeaveNode() {
   this->node_leaving = true;
   this->Apply(Leave(this->gatekeeper, SteadyNow(), this->rng));
@@ -486,7 +513,7 @@
 void Gate::ApplyLease() {
   const TimePoint now = SteadyNow();
   this->gatekeeper.pace.slow_until = SlowUntil(this->lease, now);
-  const LeaseState state = StateOf(this->lease, now);
+  const LeaseState state = this->ServiceState(now);
   const bool ready = state == LeaseState::kReady;
   const int slots = this->lease.current ? this->lease.current->slots : 1;
   const std::string version =
@@ -550,7 +577,7 @@
     status.warm_up_ms =
         (left + kWarmUpStepMs - 1) / kWarmUpStepMs * kWarmUpStepMs;
   }
-  status.state = StateOf(this->lease, now);
+  status.state = this->ServiceState(now);
   if (this->node_leaving && status.state == LeaseState::kReady)
     status.state = LeaseState::kLeaving;
   status.running = static_cast<std::uint32_t>(this->gatekeeper.running);
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -83,6 +83,14 @@
   // False when the process does not hold the lease.
   bool OnUpstreamLeaving(const LeaveCall& call);
 
+  // The operators take the upstream out of service, or put it back. It then
+  // counts as slow after its start until a heartbeat says otherwise.
+  void SetEvacuated(bool evacuated);
+
+  // Until the operators' orders are known, nothing is run: the upstream may be
+  // out of service.
+  void SetOrdersKnown();
+
   // The node itself stops: waiting and new requests are refused, running ones
   // continue.
   void LeaveNode();
@@ -115,6 +123,7 @@
   }
 
   [[nodiscard]] GateStatus Status() const;
+  [[nodiscard]] bool OrdersKnown() const { return this->orders_known; }
   [[nodiscard]] std::size_t CountRunning() const {
     return static_cast<std::size_t>(this->gatekeeper.running);
   }
@@ -144,6 +153,8 @@
   void OnDeadline(std::uint64_t id);
   void Refuse(std::uint64_t id, const Refusal& refusal);
   void Apply(const GateActions& actions);
+  // State of the upstream, also considering the operators' orders.
+  [[nodiscard]] LeaseState ServiceState(TimePoint now) const;
   void MarkUpstreamLost(const char* why);
   void ApplyLease();
   void ScheduleExpiry();
@@ -167,6 +178,8 @@
   std::vector<RouteTime> reported_times;
   std::uint32_t reported_mean_ms = 0;
   bool node_leaving = false;
+  bool evacuated = false;
+  bool orders_known = false;
   bool probing = false;
   Rng rng;
 };
--- a/src/edge/links.cc
+++ b/src/edge/links.cc
@@ -461,6 +461,19 @@
     due_since = SteadyNow();
 }
 
+void Links::SendToCallers(const LinkFrame& frame) {
+  const std::string bytes = EncodeLinkFrame(frame);
+  for (FrameSocket* caller : this->callers)
+    caller->SendEncoded(KindOf(frame), bytes);
+}
+
+void Links::SendToCaller(const std::string& node, const LinkFrame& frame) {
+  for (FrameSocket* caller : this->callers) {
+    if (caller->node == node)
+      caller->Send(frame);
+  }
+}
+
 void Links::SendResult(FrameSocket* to, const ResultFrame& result) {
   if (this->callers.contains(to))
     to->Send(result);
--- a/src/edge/links.h
+++ b/src/edge/links.h
@@ -144,6 +144,9 @@
   void Cancel(const std::string& node, std::uint64_t call);
   // `digest`: of the configuration that is held; 0 requests a full copy.
   void RequestConfig(const std::string& node, std::uint64_t digest);
+  // Sends to all nodes that have a link to this one, or to one of them.
+  void SendToCallers(const LinkFrame& frame);
+  void SendToCaller(const std::string& node, const LinkFrame& frame);
   // Sends to a caller that sent RunFrame; does nothing if it has disconnected.
   void SendResult(FrameSocket* to, const ResultFrame& result);
 
--- a/src/edge/stream_watch.cc
+++ b/src/edge/stream_watch.cc
@@ -167,6 +167,7 @@
   this->SetReachable(true, page.outcome);
   this->newest_read = false;
   this->after_key.clear();
+  this->newest_keys.clear();
   this->next_offset = 0;
   this->Attempt();
 }
@@ -185,8 +186,10 @@
 }
 
 void StreamWatch::OnNewest(const RecordPage& page) {
-  for (const StoredRecord& record : page.records)
+  for (const StoredRecord& record : page.records) {
+    this->newest_keys.insert(record.key);
     this->on_record(record);
+  }
   // The pages are not one consistent snapshot: records that changed meanwhile
   // are read again, from the end offset of the first page.
   if (this->next_offset == 0 || page.next_offset < this->next_offset)
@@ -198,6 +201,9 @@
   }
   this->after_key.clear();
   this->newest_read = true;
+  const auto keys = std::exchange(this->newest_keys, {});
+  if (this->on_newest_read)
+    this->on_newest_read(keys, this->next_offset);
   if (this->ReadsStream())
     this->Attempt();
 }
--- a/src/edge/stream_watch.h
+++ b/src/edge/stream_watch.h
@@ -9,7 +9,9 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -27,6 +29,11 @@
 class StreamWatch {
  public:
   using RecordHandler = std::function<void(const StoredRecord&)>;
+  // `keys`: of the newest records, all of which were delivered. A key that is
+  // not among them was removed before `revision`.
+  using NewestHandler =
+      std::function<void(const std::set<std::string, std::less<>>& keys,
+                         std::uint64_t revision)>;
 
   // Precondition: `record_store` outlives the watch.
   StreamWatch(boost::asio::io_context& io,
@@ -37,6 +44,12 @@
   StreamWatch& operator=(const StreamWatch&) = delete;
   ~StreamWatch() { *this->alive = false; }
 
+  // `handler` is called each time that the newest records were read to the end.
+  // Call it before Start.
+  void OnNewestRead(NewestHandler handler) {
+    this->on_newest_read = std::move(handler);
+  }
+
   // Reads the newest records, whatever the role, and follows the stream if the
   // role says so. Call it once.
   void Start() { this->Attempt(); }
@@ -84,6 +97,8 @@
   bool newest_read = false;
   // Last key of the pages read so far, while they are not complete.
   std::string after_key;
+  std::set<std::string, std::less<>> newest_keys;
+  NewestHandler on_newest_read;
   std::uint64_t next_offset = 0;
   bool store_reachable = false;
   bool reachability_logged = false;
--- a/tests/contract/platform_test.cc
+++ b/tests/contract/platform_test.cc
@@ -86,6 +86,32 @@
   cr_assert(move.duration == std::chrono::milliseconds(12500));
 }
 
+// Read as no order, an evacuation or its end would never take effect.
+Test(platform, an_evacuation_and_its_end_are_decoded) {
+  for (const char* value : {"{}", "?", ""}) {
+    const auto order = DecodeOrder({"evacuate/bole", value, 41});
+    const auto& evacuation = std::get<EvacuationOrder>(*order);
+    cr_assert_str_eq(evacuation.data_center.c_str(), "bole");
+    cr_assert_eq(evacuation.active, !std::string(value).empty());
+    cr_assert_eq(evacuation.revision, 41U);
+  }
+}
+
+// The two ways to read a record must give it the same revision.
+Test(platform, revisions_of_records_follow_from_their_offsets) {
+  const StoredRecord record{"evacuate/bole", "{}"};
+  const std::string page =
+      std::string(16, '\0') + EncodeRecord(record) + EncodeRecord(record);
+  HttpResponse response;
+  response.status = 200;
+  response.body = page;
+  const RecordPage read = DecodeRead(response, 7);
+  cr_assert_eq(read.records.at(1).revision, 9U);
+  response.body =
+      R"({"items":[{"key":"a","value":"b25l","offset":8}],"end":9})";
+  cr_assert_eq(DecodeNewest(response).records.at(0).revision, 9U);
+}
+
 Test(platform, a_report_round_trips) {
   for (const MoveProgress progress :
        {MoveProgress::kRunning, MoveProgress::kDone,
