Deadlines: the final response reaches the caller before it gives up

Cause: the entry waited for an upstream's response until 80 ms after the caller's deadline. Ruled out: lost responses on the line; the first such request was answered by its upstream 14 ms after it came.

Change: the entry responds 10 ms before the caller gives up, and gives the upstream 15 ms less than that, so that its own 504 at its deadline still comes first. A route's time-out is kept to as before. Costs the responses that would have come in the last 10 ms.

--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -16,9 +16,13 @@
 namespace {
 
 constexpr std::int64_t kMicrosPerMilli = 1000;
-// Time after the deadline during which the upstream's own response is still
-// awaited, since it says more than an error from this node.
-constexpr Duration kResponseGrace = std::chrono::milliseconds(80);
+// The final response goes out this long before the caller gives up. At that
+// moment the caller closes the connection, and every request that it has sent
+// behind this one on the connection is lost with it.
+constexpr Duration kCallerReserve = std::chrono::milliseconds(10);
+// The upstream gets this much less time than the entry has: its own response at
+// its deadline says more than an error from this node and has to arrive first.
+constexpr Duration kUpstreamReserve = std::chrono::milliseconds(15);
 // Refusals by gates after which the request is refused to its caller: each one
 // costs a network round trip and shows that the service is full.
 constexpr int kMaxRefusals = 3;
@@ -113,7 +117,7 @@
   }
   this->SetTimes(pending);
   pending.timer = std::make_unique<boost::asio::steady_timer>(this->loop);
-  pending.timer->expires_after(pending.deadline - SteadyNow() + kResponseGrace);
+  pending.timer->expires_after(pending.deadline - SteadyNow());
   pending.timer->async_wait([this, id](boost::system::error_code error) {
     if (!error)
       this->OnDeadline(id);
@@ -136,8 +140,10 @@
   Duration allowed = route.deadline;
   const auto requested =
       ParseDeadline(FindHeader(headers, this->names.deadline));
-  if (requested)
-    allowed = std::min(allowed, *requested);
+  if (requested) {
+    const Duration reserve = std::min(kCallerReserve, *requested / 2);
+    allowed = std::min(allowed, *requested - reserve);
+  }
   pending.deadline = pending.exchange->received_at + allowed;
   if (!requested || pending.nested)
     return;
@@ -319,7 +325,7 @@
       pending.nested ? Priority::kInternal : pending.route->priority;
   frame.priority = static_cast<std::uint8_t>(priority);
   frame.idempotent = pending.route->idempotent;
-  const Duration left = pending.deadline - SteadyNow();
+  const Duration left = pending.deadline - SteadyNow() - kUpstreamReserve;
   frame.deadline_ms = static_cast<std::uint32_t>(
       std::max<std::int64_t>(left.count() / kMicrosPerMilli, 1));
   frame.aim_ms = frame.deadline_ms;
--- a/standins/mesh_upstream.h
+++ b/standins/mesh_upstream.h
@@ -98,6 +98,11 @@
     const std::scoped_lock lock(this->gate);
     this->crash_target = target;
   }
+  // Never answers requests for this target.
+  void HangOn(const std::string& target) {
+    const std::scoped_lock lock(this->gate);
+    this->hang_target = target;
+  }
   [[nodiscard]] bool Crashed() const { return this->crashed; }
   void Drain() { this->draining = true; }
   void BeSilent() { this->silent = true; }
@@ -152,6 +157,11 @@
            std::chrono::steady_clock::now()});
       this->most = std::max(this->most.load(), ++this->running);
     }
+    if (this->Hangs(request)) {
+      connection.WaitForPeer();
+      --this->running;
+      return;
+    }
     std::this_thread::sleep_for(this->work.load());
     --this->running;
     if (this->losing) {
@@ -172,6 +182,12 @@
     return !this->crash_target.empty() && target == this->crash_target;
   }
 
+  bool Hangs(const Request& request) {
+    const std::scoped_lock lock(this->gate);
+    const std::string target(request.target().data(), request.target().size());
+    return !this->hang_target.empty() && target == this->hang_target;
+  }
+
   Response Health() {
     Response response = TextAnswer(this->draining ? 503 : 200, "");
     response.set("X-Instance-Id", this->options.instance);
@@ -226,6 +242,7 @@
   std::atomic<std::uint64_t> sequence{0};
   std::atomic<std::chrono::milliseconds> work{this->options.work};
   std::string crash_target;
+  std::string hang_target;
   std::atomic<bool> crashed{false};
   std::atomic<bool> draining{false};
   std::atomic<bool> silent{false};
