Shortage: requests are shed no longer than the shortage lasts

Cause: the counts of refused requests decayed in 1.5 s. After all upstreams had come back from a power loss and were warm, 694, 553 and 347 requests in three half seconds were still shed as dependency-full while the called service had room; the log lines of the entries show it. Change: 600 ms.

Test: shortage::little_is_shed_a_second_after_a_shortage_has_ended fails with 1.5 s.

--- a/include/teaselspread/shortage.h
+++ b/include/teaselspread/shortage.h
@@ -47,8 +47,9 @@
 
 struct ShortageSettings {
   // Time constant of the counts' exponential decay: long enough for some tens
-  // of requests of all nodes, short enough to react to a shortage of seconds.
-  Duration decay_time = std::chrono::milliseconds(1500);
+  // of requests of all nodes. After a shortage requests are shed for about as
+  // long, though there is room for them.
+  Duration decay_time = std::chrono::milliseconds(600);
   // Minimum number of requests for their refused fraction to be used.
   double min_requests = 10;
   // Ratio of the fraction to shed to the refused fraction. Above 1, so that the
--- a/tests/unit/shortage_test.cc
+++ b/tests/unit/shortage_test.cc
@@ -77,6 +77,22 @@
   cr_assert(ShedFraction(table, kStart + std::chrono::seconds(4)) == 0);
 }
 
+// A service was short of capacity for some seconds and has room again. Requests
+// that call it would be shed for seconds more, though it could serve their
+// calls.
+Test(shortage, little_is_shed_a_second_after_a_shortage_has_ended) {
+  ShortageTable table;
+  RecordCall(table, kView, kWorks);
+  const TimePoint over = kStart + std::chrono::seconds(3);
+  TimePoint now = kStart;
+  for (; now < over; now += Ms(20))
+    RecordRequests(table, 1, 1, now);
+  cr_assert_gt(ShedFraction(table, now), 0.5);
+  for (; now < over + std::chrono::seconds(1); now += Ms(20))
+    RecordRequests(table, 0, 2, now);
+  cr_assert_lt(ShedFraction(table, now), 0.15, "%f", ShedFraction(table, now));
+}
+
 // A few requests are too small a sample for their refused fraction to count.
 Test(shortage, a_few_refusals_shed_nothing) {
   ShortageTable table;
