Pace of slow upstreams: use what is agreed, evenly

With the second, a gate starts a request every 61 instead of 91 ms, so fewer wait too long and are refused. The rest of the slack is for requests that take unequally long to the upstream.

--- a/include/teaselspread/edge.h
+++ b/include/teaselspread/edge.h
@@ -60,9 +60,11 @@
   // service's requests, plus a number that is always allowed.
   double retry_ratio = 0.2;
   double retry_slack = 50;
-  // Requests that an upstream may get in one second while it is slow after its
-  // start, relative to the rate that the configuration gives for its service.
+  // Bound on the requests that an upstream may get in one second while it is
+  // slow after its start: a factor on the rate that the configuration gives for
+  // its service, and a number that is always allowed.
   double slow_start_excess = 1.5;
+  double slow_start_slack = 4;
   // How an upstream is chosen for a request. `crossing_cost` should reflect the
   // network: near 0 where traffic between data centres is free.
   PlacementSettings placement;
--- a/include/teaselspread/start_pace.h
+++ b/include/teaselspread/start_pace.h
@@ -18,8 +18,8 @@
 struct StartPaceSettings {
   // Requests a second that a slow upstream bears; 0 if it is not limited.
   double per_second = 0;
-  // Requests that may start beyond `per_second` in any one second, so that two
-  // that come together need not wait for each other.
+  // Requests that may start beyond that rate at once, so that those that come
+  // together need not wait for each other.
   double burst = 1;
 };
 
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -32,6 +32,9 @@
 constexpr Duration kProbeWindow = std::chrono::milliseconds(1000);
 // Time until a new evaluator of moves has the counters of all nodes.
 constexpr Duration kEvaluatorSettling = std::chrono::seconds(1);
+// Fraction of the slack on requests to a slow upstream that its gate uses. The
+// rest is for requests that take unequally long from the gate to the upstream.
+constexpr double kUsedSlack = 0.5;
 // Marks ids of remote runs at the gate, apart from those of the entry.
 constexpr std::uint64_t kRemoteRunBit = std::uint64_t{1} << 63U;
 
@@ -313,9 +316,9 @@
   const auto service = held->services.find(node.settings.service);
   if (service == held->services.end())
     return;
-  const double per_second = service->second.slow_start_per_second;
-  const double excess = std::max(node.settings.slow_start_excess - 1, 0.0);
-  node.gate.SetStartPace({per_second, std::max(per_second * excess, 1.0)});
+  node.gate.SetStartPace({service->second.slow_start_per_second *
+                              std::max(node.settings.slow_start_excess, 1.0),
+                          node.settings.slow_start_slack * kUsedSlack});
 }
 
 void ReloadSettings(EdgeNode& node, const char* why) {
