--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -518,7 +518,8 @@
   const int slots = this->lease.current ? this->lease.current->slots : 1;
   const std::string version =
       this->lease.current ? this->lease.current->version : "";
-  if (state == this->applied_state &&
+  const bool slow = IsPaced(this->gatekeeper.pace, now);
+  if (state == this->applied_state && slow == this->applied_slow &&
       slots == this->gatekeeper.settings.slots &&
       version == this->applied_version)
     return;
@@ -528,11 +529,12 @@
        {"slots", slots},
        {"instance", this->lease.current ? this->lease.current->instance : ""},
        {"version", version},
-       {"slow_ms", MillisOf(this->gatekeeper.pace.slow_until - now)},
+       {"slow_ms", slow ? MillisOf(this->gatekeeper.pace.slow_until - now) : 0},
        {"sequence", this->lease.current ? this->lease.current->sequence : 0},
        {"age_ms", MillisOf(now - this->lease.renewed_at)}});
   this->applied_state = state;
   this->applied_version = version;
+  this->applied_slow = slow;
   this->Apply(SetUpstream(this->gatekeeper, slots, ready, now, this->rng));
   this->on_status_change();
 }
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -123,6 +123,7 @@
   }
 
   [[nodiscard]] GateStatus Status() const;
+  [[nodiscard]] bool IsEvacuated() const { return this->evacuated; }
   [[nodiscard]] bool OrdersKnown() const { return this->orders_known; }
   [[nodiscard]] std::size_t CountRunning() const {
     return static_cast<std::size_t>(this->gatekeeper.running);
@@ -167,6 +168,7 @@
   TimePoint expiry_at;
   LeaseState applied_state = LeaseState::kNone;
   std::string applied_version;
+  bool applied_slow = false;
   SuspectTable suspects;
   // Runs whose connection broke recently: if the upstream turns out to be gone,
   // one of them may have crashed it.
--- a/src/edge/metrics.cc
+++ b/src/edge/metrics.cc
@@ -90,6 +90,8 @@
   AppendValue(text, "gate_running", "", "", gate.running);
   AppendValue(text, "gate_waiting", "", "", gate.waiting);
   AppendValue(text, "gate_slots", "", "", gate.slots);
+  AppendValue(text, "gate_slow_start_ms", "", "", gate.warm_up_ms);
+  AppendValue(text, "gate_evacuated", "", "", node.gate.IsEvacuated() ? 1 : 0);
   for (const auto& [route, histogram] : node.entry.latency_by_route)
     AppendHistogram(text, route, histogram);
   return text;
--- a/tests/process/evacuation_order_test.cc
+++ b/tests/process/evacuation_order_test.cc
@@ -47,6 +47,7 @@
   TwoDataCenters both;
   cr_assert(both.fleet.WaitUntilReady());
   cr_assert(both.Evacuate(), "%s", both.fleet.Logs().c_str());
+  cr_assert_eq(both.evacuated.Metric("teaselspread_gate_evacuated"), 1U);
   const std::size_t before = both.evacuated.upstream.Runs().size();
   for (int i = 0; i < 20; ++i) {
     cr_assert_str_eq(View(both.evacuated).body.c_str(), "i-b1");
--- a/tests/process/slow_upstream_test.cc
+++ b/tests/process/slow_upstream_test.cc
@@ -75,6 +75,7 @@
     return SendRequest(beside, "GET", "/view/1", "settle").status == 200 &&
            SendRequest(other, "GET", "/view/1", "settle").status == 200;
   }));
+  cr_assert_gt(beside.Metric("teaselspread_gate_slow_start_ms"), 0U);
   Press({&beside, &other}, std::chrono::seconds(3));
   const auto runs = beside.upstream.Runs();
   cr_assert_leq(MostInASecond(runs), kMostInASecond, "%zu",
