Evacuations: a store that fails between two pages keeps no node out of service

After two seconds it serves: by then other nodes have told it of evacuations on the links that they opened.

--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -32,6 +32,10 @@
 constexpr Duration kProbeWindow = std::chrono::milliseconds(1000);
 // Time until a new evaluator of moves has the counters of all nodes.
 constexpr Duration kEvaluatorSettling = std::chrono::seconds(1);
+// A node that holds a configuration serves after this time although it has not
+// read all other orders: the store may fail between two pages and stay away.
+// Other nodes have told it of evacuations by then, on links that they opened.
+constexpr Duration kOrdersGrace = std::chrono::seconds(2);
 // Fraction of the slack on requests to a slow upstream that its gate uses. The
 // rest is for requests that take unequally long from the gate to the upstream.
 constexpr double kUsedSlack = 0.5;
@@ -390,6 +394,15 @@
   });
 }
 
+void ServeWithoutOrdersIfDue(EdgeNode& node) {
+  if (node.gate.OrdersKnown() || node.first_config_at == TimePoint{} ||
+      SteadyNow() - node.first_config_at < kOrdersGrace)
+    return;
+  Log(LogLevel::kWarning, "orders", "serving-without-all-orders",
+      {{"evacuations_known", node.evacuations.by_data_center.size()}});
+  node.gate.SetOrdersKnown();
+}
+
 void Tick(EdgeNode& node) {
   node.tick_timer.expires_after(kTickInterval);
   node.tick_timer.async_wait([&node](boost::system::error_code error) {
@@ -402,6 +415,7 @@
     ChooseReaderRole(node);
     StepMoves(node);
     FetchNewerConfig(node);
+    ServeWithoutOrdersIfDue(node);
     LogTrafficIfDue(node, SteadyNow());
     if (ModifiedAtNanos(node.settings_file) != node.settings_modified_ns)
       ReloadSettings(node, "file");
@@ -574,6 +588,8 @@
   const LimitsConfig& limits = (*snapshot)->limits;
   node.outbound.limits = {limits.max_header_bytes, limits.max_body_bytes,
                           limits.header_timeout, limits.idle_timeout};
+  if (node.first_config_at == TimePoint{})
+    node.first_config_at = SteadyNow();
   node.config_exchange.archive.Add((*snapshot)->version, record);
   node.config_exchange.fetch.newer_seen_at = TimePoint{};
   node.entry.SetSnapshot(*snapshot);
--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -61,6 +61,8 @@
   std::uint64_t last_remote_run = 0;
   ConfigExchange config_exchange;
   EvacuationTable evacuations;
+  // When the first configuration was applied; the epoch before.
+  TimePoint first_config_at;
   // Sent to the other nodes with the status; refreshed at each tick.
   std::vector<TrialStatus> trial_statuses;
   std::vector<TrialStatus> trial_summaries;
--- a/standins/store_service.h
+++ b/standins/store_service.h
@@ -88,6 +88,10 @@
     from.entries.clear();
   }
 
+  // From now on the newest records come one to a page, and reads of all pages
+  // but the first are rejected.
+  void FailLaterPages() { this->later_pages_fail = true; }
+
   // Answers to reads of this topic come at so many bytes a second from now on.
   void SetPace(const std::string& topic, std::size_t bytes_per_second) {
     const std::scoped_lock lock(this->gate);
@@ -165,6 +169,9 @@
         return connection.SendAtPace(page, pace);
       return connection.Send(page);
     }
+    if (path == "/log-newest" && this->later_pages_fail &&
+        !TextOf(request, "after").empty())
+      return connection.Send(TextAnswer(503, ""));
     if (path == "/log-newest" && pace > 0)
       return connection.SendAtPace(this->Newest(request), pace);
     if (path == "/log-newest")
@@ -235,7 +242,12 @@
     const std::scoped_lock lock(this->gate);
     const StoreTopic& topic = this->topics[TextOf(request, "topic")];
     std::string items;
+    bool has_more = false;
     for (const auto& [key, newest] : topic.newest) {
+      if (this->later_pages_fail && !items.empty()) {
+        has_more = true;
+        break;
+      }
       const auto& [value, offset] = newest;
       std::string coded(
           boost::beast::detail::base64::encoded_size(value.size()), '\0');
@@ -251,8 +263,8 @@
       items += std::to_string(offset);
       items += "}";
     }
-    return TextAnswer(200, R"({"items":[)" + items +
-                               R"(],"hasMore":false,"end":)" +
+    return TextAnswer(200, R"({"items":[)" + items + R"(],"hasMore":)" +
+                               (has_more ? "true" : "false") + R"(,"end":)" +
                                std::to_string(topic.End()) + "}");
   }
 
@@ -262,6 +274,7 @@
   std::map<std::string, std::size_t> paces;
   std::map<std::string, int> calls_of;
   std::atomic<StoreFault> fault{StoreFault::kNone};
+  std::atomic<bool> later_pages_fail{false};
   std::atomic<int> calls{0};
   Server server;
 };
--- a/tests/process/evacuation_order_test.cc
+++ b/tests/process/evacuation_order_test.cc
@@ -96,6 +96,20 @@
                both.evacuated.node->Output().c_str());
 }
 
+// The store fails after it has sent the first of several pages of orders, which
+// holds the configuration. Without the rest, the nodes must not stay out of
+// service for as long as the outage lasts.
+Test(evacuation_order, a_store_that_fails_between_two_pages_keeps_no_node_out) {
+  standin::StoreService& store = *new standin::StoreService;
+  store.Put(kOrders, "config", ConfigText("00000001"));
+  store.Put(kOrders, "rollout/other",
+            R"({"service":"other","to":"v2","durationS":9})");
+  store.FailLaterPages();
+  EdgeVm vm("a-1", "a", {"i-a1", "desk"}, store.Port());
+  cr_assert(WaitUntil([&] { return View(vm).status == 200; }), "%s",
+            vm.node->Output().c_str());
+}
+
 // The order is taken back while a node cannot reach the store, and the store
 // has forgotten that change when it can.
 Test(evacuation_order, the_end_of_an_evacuation_is_found_after_an_outage) {
