--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -58,8 +58,8 @@
   void SetWaitingSettings(const WaitingSettings& waiting) {
     this->gatekeeper.settings.waiting = waiting;
   }
-  // Limits the starts while the upstream is slow after its start. Also sets it
-  // anew when the service or its configuration changes.
+  // Limits the starts while the upstream is slow after its start. To be called
+  // again when the service or its configuration changes.
   void SetStartPace(const StartPaceSettings& pace);
   void SetUpstreamAddress(const Address& upstream) {
     this->pool.SetAddress(upstream);
