Admission: one function sums the queued requests ahead of another

The pace had added two loops over the queue beside the one of QueuedTime, each with the same sums: of all queued requests, and of those ahead of one. QueuedAhead serves all three. No change of behaviour: admission, start_pace, overload, slow_start_collapse and slow_upstream tests pass unchanged.

--- a/src/admission/estimate.cc
+++ b/src/admission/estimate.cc
@@ -35,6 +35,17 @@
   return Duration(static_cast<std::int64_t>(time.mean_us));
 }
 
+QueueAhead QueuedAhead(const Gatekeeper& gate, const HeldRequest* held) {
+  QueueAhead ahead;
+  for (const HeldRequest& waiting : gate.queue) {
+    if (held != nullptr && !RunsBefore{}(waiting, *held))
+      break;
+    ++ahead.requests;
+    ahead.run_time += ExpectedServiceTime(gate, waiting.arrival.route);
+  }
+  return ahead;
+}
+
 // A request that waits for the pace alone finds a free slot when it may start.
 Duration ExpectedWait(const Gatekeeper& gate,
                       const QueueAhead& ahead,
@@ -50,12 +61,10 @@
 }
 
 Duration QueuedTime(const Gatekeeper& gate, TimePoint now) {
-  Duration sum{};
-  for (const HeldRequest& waiting : gate.queue)
-    sum += ExpectedServiceTime(gate, waiting.arrival.route);
+  const QueueAhead all = QueuedAhead(gate, nullptr);
   // Readers divide it by the slots.
-  const Duration paced = StartBehind(gate.pace, gate.queue.size(), now) - now;
-  return std::max(sum, paced * gate.settings.slots);
+  const Duration paced = StartBehind(gate.pace, all.requests, now) - now;
+  return std::max(all.run_time, paced * gate.settings.slots);
 }
 
 void RetainServiceTimes(Gatekeeper& gate,
--- a/src/admission/estimate.h
+++ b/src/admission/estimate.h
@@ -21,6 +21,10 @@
   Duration run_time{};
 };
 
+// Those that run before `held`; all of them if that is null. Not thread safe.
+[[nodiscard]] QueueAhead QueuedAhead(const Gatekeeper& gate,
+                                     const HeldRequest* held);
+
 // Expected time until a request behind `ahead` may start. Not thread safe.
 [[nodiscard]] Duration ExpectedWait(const Gatekeeper& gate,
                                     const QueueAhead& ahead,
--- a/src/admission/gatekeeper.cc
+++ b/src/admission/gatekeeper.cc
@@ -20,15 +20,6 @@
   return has_aim ? std::min(arrival.aim, arrival.deadline) : arrival.deadline;
 }
 
-QueueAhead WholeQueue(const Gatekeeper& gate) {
-  QueueAhead all;
-  for (const HeldRequest& waiting : gate.queue) {
-    ++all.requests;
-    all.run_time += ExpectedServiceTime(gate, waiting.arrival.route);
-  }
-  return all;
-}
-
 // Retry-After covers the time to drain the queue, so that retries fit into it.
 // It has jitter, since callers that retry all at once would not fit.
 Refusal MakeRefusal(Gatekeeper& gate,
@@ -37,8 +28,8 @@
                     TimePoint now,
                     Rng& rng) {
   gate.refusals.Add(kind);
-  const Duration base =
-      gate.settings.retry_after + ExpectedWait(gate, WholeQueue(gate), now);
+  const Duration base = gate.settings.retry_after +
+                        ExpectedWait(gate, QueuedAhead(gate, nullptr), now);
   return {id, kind, JitteredRetryAfter(base, rng)};
 }
 
@@ -90,17 +81,6 @@
   return HasFreeSlot(gate) && NextStart(gate.pace, now) <= now;
 }
 
-QueueAhead AheadOf(const Gatekeeper& gate, const HeldRequest& held) {
-  QueueAhead ahead;
-  for (const HeldRequest& waiting : gate.queue) {
-    if (!RunsBefore{}(waiting, held))
-      break;
-    ++ahead.requests;
-    ahead.run_time += ExpectedServiceTime(gate, waiting.arrival.route);
-  }
-  return ahead;
-}
-
 std::optional<ErrorKind> ImmediateRefusal(const Gatekeeper& gate,
                                           const Arrival& arrival,
                                           TimePoint now) {
@@ -149,7 +129,7 @@
   HeldRequest candidate;
   candidate.arrival = arrival;
   candidate.order = gate.next_order;
-  const Duration wait = ExpectedWait(gate, AheadOf(gate, candidate), now);
+  const Duration wait = ExpectedWait(gate, QueuedAhead(gate, &candidate), now);
   if (now + wait > LatestAdmissibleStart(gate, arrival, now))
     return Refuse(gate, arrival.id, ErrorKind::kDeadlineTooShort, now, rng);
   ArrivalResult arrived{Admission::kQueued, std::nullopt, std::nullopt};
