--- a/src/edge/order_copy.cc
+++ b/src/edge/order_copy.cc
@@ -26,9 +26,7 @@
 }
 
 std::optional<EvacuationOrder> UnpackEvacuation(const ConfigFrame& frame) {
-  const std::string_view key = frame.key;
-  if (frame.version != kNoConfig ||
-      key.substr(0, kEvacuationPrefix.size()) != kEvacuationPrefix)
+  if (frame.version != kNoConfig || !frame.key.starts_with(kEvacuationPrefix))
     return std::nullopt;
   return EvacuationOrder{frame.key.substr(kEvacuationPrefix.size()),
                          frame.packed == kActive, frame.digest};
