Crashing requests: evidence in a module of its own, with log lines and counters

No change of logic. What callers saw: one request ended upstream after upstream although three crashes are the limit. From the logs of the incident it could not be told whether rows about it were lost on the way, were cleared by a response, or were never counted: they name neither the requests that a crash is counted against nor what ends a suspicion.

The stand-in of an upstream can start again after a crash, and crash only after it has worked for a while (with a 504 if the deadline comes first).

--- a/include/teaselspread/suspects.h
+++ b/include/teaselspread/suspects.h
@@ -5,6 +5,7 @@
 #ifndef TEASELSPREAD_SUSPECTS_H_
 #define TEASELSPREAD_SUSPECTS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <span>
 #include <string_view>
@@ -56,6 +57,7 @@
   // Number of crashes not cleared by a clean run from which a request is
   // refused.
   std::uint32_t crash_limit = 2;
+  std::size_t max_reported_rows = 64;
 };
 
 struct SuspectTable {
@@ -71,6 +73,16 @@
                                    Fingerprint fingerprint,
                                    TimePoint now);
 
+// Crashes of the request that no clean run has cleared, over all origins. Not
+// thread safe.
+[[nodiscard]] std::uint32_t CrashesOf(const SuspectTable& table,
+                                      Fingerprint fingerprint,
+                                      TimePoint now);
+
+// At most `max_reported_rows` rows for other nodes. Not thread safe.
+[[nodiscard]] std::vector<SuspectRow> RowsToReport(const SuspectTable& table,
+                                                   TimePoint now);
+
 // Counts a crash of the upstream while `in_flight` ran there. Returns the rows
 // to send to other nodes. Not thread safe.
 std::vector<SuspectRow> OnCrash(SuspectTable& table,
--- /dev/null
+++ b/src/edge/crash_evidence.cc
@@ -0,0 +1,163 @@
+#include "edge/crash_evidence.h"
+
+#include <array>
+#include <chrono>
+#include <string>
+
+#include <absl/strings/str_format.h>
+
+#include "base/clock.h"
+#include "teaselspread/logging.h"
+
+namespace teaselspread {
+namespace {
+
+// When an upstream crashes, its connections break together, and the next
+// connection to it is refused within this time.
+constexpr Duration kCrashWindow = std::chrono::milliseconds(1000);
+// Crashes after which a request is refused. A crash counts against every
+// request that ran at the upstream. Those that did not cause it complete
+// elsewhere and are cleared, so three crashes without a completed run in
+// between point at the request itself.
+constexpr std::uint32_t kMaxCrashes = 3;
+// Every upstream that crashes blames all requests that ran there, so only those
+// blamed more than once are worth a log line each.
+constexpr std::uint32_t kMinLoggedCrashes = 2;
+constexpr int kFirstServerError = 500;
+
+constexpr std::array<std::string_view,
+                     static_cast<std::size_t>(CrashSign::kCount)>
+    kSignNames = {"not-listening", "no-connection", "another-process-answered"};
+constexpr std::array<std::string_view,
+                     static_cast<std::size_t>(SuspectEvent::kCount)>
+    kEventNames = {"blamed", "received", "cleared", "refused"};
+
+void LogSuspect(std::string_view event,
+                Fingerprint fingerprint,
+                std::uint32_t crashes,
+                std::string_view node,
+                std::string_view request_id,
+                int status) {
+  Log(LogLevel::kInfo, "suspects", event,
+      {{"fingerprint", absl::StrFormat("%016x", fingerprint)},
+       {"crashes", crashes},
+       {"node", node},
+       {"id", request_id},
+       {"status", status}});
+}
+
+}  // namespace
+
+std::string_view NameOf(CrashSign sign) {
+  return kSignNames.at(static_cast<std::size_t>(sign));
+}
+
+std::string_view NameOf(SuspectEvent event) {
+  return kEventNames.at(static_cast<std::size_t>(event));
+}
+
+CrashEvidence::CrashEvidence() {
+  this->table.settings.crash_limit = kMaxCrashes;
+}
+
+bool CrashEvidence::Refuses(Fingerprint fingerprint,
+                            std::string_view request_id) {
+  const TimePoint now = SteadyNow();
+  if (StateOf(this->table, fingerprint, now) != SuspectState::kRefused)
+    return false;
+  this->events.Add(SuspectEvent::kRefused);
+  LogSuspect("refused", fingerprint, CrashesOf(this->table, fingerprint, now),
+             "", request_id, 0);
+  return true;
+}
+
+void CrashEvidence::OnBrokenRun(Fingerprint fingerprint) {
+  const TimePoint now = SteadyNow();
+  std::erase_if(this->broken_runs, [now](const auto& each) {
+    return now - each.first > kCrashWindow;
+  });
+  this->broken_runs.emplace_back(now, fingerprint);
+}
+
+bool CrashEvidence::OnUpstreamGone(CrashSign sign, std::string_view instance) {
+  const TimePoint now = SteadyNow();
+  std::vector<Fingerprint> blamed_runs;
+  for (const auto& [when, fingerprint] : this->broken_runs) {
+    if (now - when <= kCrashWindow)
+      blamed_runs.push_back(fingerprint);
+  }
+  this->broken_runs.clear();
+  if (blamed_runs.empty())
+    return false;
+  const auto rows = OnCrash(this->table, blamed_runs, now);
+  this->crashes.Add(sign);
+  this->events.Add(SuspectEvent::kBlamed, rows.size());
+  Log(LogLevel::kWarning, "gate", "upstream-crashed",
+      {{"instance", instance},
+       {"sign", NameOf(sign)},
+       {"requests_blamed", rows.size()},
+       {"rows", this->CountRows()}});
+  for (const SuspectRow& row : rows) {
+    const auto crashed = CrashesOf(this->table, row.fingerprint, now);
+    if (crashed >= kMinLoggedCrashes)
+      LogSuspect("blamed", row.fingerprint, crashed, "", "", 0);
+  }
+  return true;
+}
+
+void CrashEvidence::OnResponse(Fingerprint fingerprint,
+                               std::string_view request_id,
+                               int status) {
+  if (this->table.rows.empty())
+    return;
+  const TimePoint now = SteadyNow();
+  const auto crashed = CrashesOf(this->table, fingerprint, now);
+  const auto rows = OnCleanRun(this->table, fingerprint, now);
+  if (rows.empty())
+    return;
+  this->events.Add(SuspectEvent::kCleared);
+  if (crashed >= kMinLoggedCrashes || status >= kFirstServerError)
+    LogSuspect("cleared", fingerprint, crashed, "", request_id, status);
+}
+
+std::vector<SuspectNote> CrashEvidence::Notes() const {
+  std::vector<SuspectNote> notes;
+  const TimePoint now = SteadyNow();
+  for (const SuspectRow& row : RowsToReport(this->table, now)) {
+    const auto left =
+        std::chrono::duration_cast<std::chrono::minutes>(row.expires - now);
+    notes.push_back({row.fingerprint, row.origin, row.crashes, row.cleared,
+                     static_cast<std::uint32_t>(left.count())});
+  }
+  return notes;
+}
+
+void CrashEvidence::Merge(std::string_view node,
+                          const std::vector<SuspectNote>& notes) {
+  const TimePoint now = SteadyNow();
+  std::vector<SuspectRow> rows;
+  rows.reserve(notes.size());
+  for (const SuspectNote& note : notes) {
+    rows.push_back({note.fingerprint, note.origin, note.crashes, note.cleared,
+                    now + std::chrono::minutes(note.remaining_minutes)});
+  }
+  for (const SuspectRow& row : MergeSuspects(this->table, rows, now)) {
+    this->events.Add(SuspectEvent::kReceived);
+    const auto crashed = CrashesOf(this->table, row.fingerprint, now);
+    if (crashed >= kMinLoggedCrashes)
+      LogSuspect("received", row.fingerprint, crashed, node, "", 0);
+  }
+}
+
+void CrashEvidence::Tick() {
+  ExpireSuspects(this->table, SteadyNow());
+}
+
+std::size_t CrashEvidence::CountRows() const {
+  std::size_t rows = 0;
+  for (const auto& [fingerprint, of_request] : this->table.rows)
+    rows += of_request.size();
+  return rows;
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/src/edge/crash_evidence.h
@@ -0,0 +1,95 @@
+// Which requests may have crashed upstreams: counts the crashes of the upstream
+// beside this node against the requests that ran there, and keeps the counts
+// that other nodes report.
+//
+// Everything here belongs to the thread that runs the loop.
+#ifndef TEASELSPREAD_SRC_EDGE_CRASH_EVIDENCE_H_
+#define TEASELSPREAD_SRC_EDGE_CRASH_EVIDENCE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "edge/frames.h"
+#include "teaselspread/counters.h"
+#include "teaselspread/suspects.h"
+
+namespace teaselspread {
+
+// How it was noticed that the upstream's process is gone.
+enum class CrashSign : std::uint8_t {
+  kNotListening,
+  kNoConnection,
+  kAnotherProcess,
+  kCount,
+};
+
+enum class SuspectEvent : std::uint8_t {
+  // A request that ran when the upstream crashed.
+  kBlamed,
+  // A row of another node changed the table.
+  kReceived,
+  // A response ended the suspicion.
+  kCleared,
+  // It was not sent to the upstream.
+  kRefused,
+  kCount,
+};
+
+// Stable names for logs and metrics. Thread safe.
+[[nodiscard]] std::string_view NameOf(CrashSign sign);
+[[nodiscard]] std::string_view NameOf(SuspectEvent event);
+
+// Not thread safe.
+class CrashEvidence {
+ public:
+  CrashEvidence();
+
+  // Sets the id that distinguishes crashes counted by this process from those
+  // of other nodes and of earlier processes of this node. Call once, before the
+  // first run.
+  void SetOrigin(std::uint64_t origin) { this->table.origin = origin; }
+
+  // Whether the request must not run, since it has crashed too many upstreams.
+  [[nodiscard]] bool Refuses(Fingerprint fingerprint,
+                             std::string_view request_id);
+
+  // The connection broke on which the request ran. If the upstream turns out to
+  // be gone, the request may have crashed it.
+  void OnBrokenRun(Fingerprint fingerprint);
+
+  // The upstream's process `instance` is gone. It has crashed if connections
+  // broke right before, and each request that ran on them is blamed: its caller
+  // would retry it, and it would crash one upstream after the other. True if
+  // requests were blamed.
+  bool OnUpstreamGone(CrashSign sign, std::string_view instance);
+
+  // The upstream responded with `status` to the request.
+  void OnResponse(Fingerprint fingerprint,
+                  std::string_view request_id,
+                  int status);
+
+  // Rows to report to other nodes.
+  [[nodiscard]] std::vector<SuspectNote> Notes() const;
+  // Merges rows that `node` reported.
+  void Merge(std::string_view node, const std::vector<SuspectNote>& notes);
+
+  // Drops rows that have expired. Call it a few times a second.
+  void Tick();
+
+  [[nodiscard]] std::size_t CountRows() const;
+
+  CounterTable<CrashSign> crashes;
+  CounterTable<SuspectEvent> events;
+
+ private:
+  SuspectTable table;
+  // Runs whose connection broke recently.
+  std::vector<std::pair<TimePoint, Fingerprint>> broken_runs;
+};
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_SRC_EDGE_CRASH_EVIDENCE_H_
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -102,8 +102,8 @@
   const Status received{parts, {}};
   if (Has(received, StatusPart::kMoves))
     node.versions.OnPeerStatuses(peer.node, peer.status.trial_statuses);
-  if (Has(received, StatusPart::kSuspects) && !peer.status.suspects.empty())
-    node.gate.MergeSuspectNotes(peer.status.suspects);
+  if (Has(received, StatusPart::kSuspects))
+    node.gate.crash_evidence.Merge(peer.node, peer.status.suspects);
   if (Has(received, StatusPart::kDemand)) {
     ReplacePeerShortage(node.entry.shortage, peer.node, peer.status.shortages,
                         peer.status.calls);
@@ -474,7 +474,8 @@
   const auto incarnation =
       static_cast<std::uint64_t>(SystemNow().time_since_epoch().count());
   node.versions.SetIncarnation(incarnation);
-  node.gate.SetOrigin(XXH3_64bits_withSeed(vm.data(), vm.size(), incarnation));
+  node.gate.crash_evidence.SetOrigin(
+      XXH3_64bits_withSeed(vm.data(), vm.size(), incarnation));
   // The change may have revealed the upstream's version. Until VersionChoice
   // knows it too, the upstream fits no request.
   node.gate.on_status_change = [&node] {
@@ -557,7 +558,7 @@
   status.store_unavailable = node.stopping || !node.orders.StoreReachable();
   status.trial_statuses = node.trial_statuses;
   status.trial_summaries = node.trial_summaries;
-  status.suspects = node.gate.SuspectNotes();
+  status.suspects = node.gate.crash_evidence.Notes();
   status.shortages = ShortageReportsOf(node.entry.shortage, SteadyNow());
   status.calls = CallReportsOf(node.entry.shortage);
   node.links.SetStatus(status);
--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -29,19 +29,9 @@
 // remaining time, so after half a second many would not retry at all.
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(80);
 constexpr std::uint32_t kWarmUpStepMs = 500;
-// When an upstream crashes, its connections break together, and the next
-// connection to it is refused within this time.
-constexpr Duration kCrashWindow = std::chrono::milliseconds(1000);
 // After a broken connection the node checks whether the upstream still listens,
 // at most once in this interval: each check costs the upstream a connection.
 constexpr Duration kMinCheckInterval = std::chrono::milliseconds(250);
-// Crashes after which a request is refused. A crash counts against every
-// request that ran at the upstream. Those that did not cause it complete
-// elsewhere and are cleared, so three crashes without a completed run in
-// between point at the request itself.
-constexpr std::uint32_t kMaxCrashes = 3;
-// Maximum number of suspect rows in a status.
-constexpr std::size_t kMaxSuspectNotes = 64;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 constexpr int kHttpMisdirected = 421;
@@ -96,7 +86,6 @@
   this->lease.settings = lease_settings;
   this->gatekeeper.settings.retry_after = kMinRetryAfter;
   this->gatekeeper.ready = false;
-  this->suspects.settings.crash_limit = kMaxCrashes;
 }
 
 void Gate::Run(std::uint64_t id, RunFrame frame, ResultHandler done) {
@@ -115,20 +104,20 @@
   run.frame = std::move(frame);
   run.fingerprint =
       FingerprintOfRun(run.frame.request, this->names.caller_service);
-  const bool is_suspect = teaselspread::StateOf(this->suspects, run.fingerprint,
-                                                now) == SuspectState::kRefused;
   const bool wrong_instance =
       !run.frame.instance.empty() && this->lease.current &&
       run.frame.instance != this->lease.current->instance;
   const LeaseState state = this->ServiceState(now);
-  this->runs.emplace(id, std::move(run));
+  GateRun& held = this->runs.emplace(id, std::move(run)).first->second;
   if (wrong_instance || state != LeaseState::kReady) {
     const ErrorKind kind =
         wrong_instance ? ErrorKind::kNotReady : RefusalOf(state);
     this->Refuse(id, {id, kind, kMinRetryAfter});
     return;
   }
-  if (is_suspect) {
+  if (this->crash_evidence.Refuses(
+          held.fingerprint,
+          FindHeader(held.frame.request.headers, kHeaderRequestId))) {
     this->gatekeeper.refusals.Add(ErrorKind::kCrashSuspect);
     this->Refuse(id, {id, ErrorKind::kCrashSuspect, kMinRetryAfter});
     return;
@@ -206,7 +195,7 @@
         FindHeader(result.response.headers, this->names.signature).empty();
     frame.response = std::move(result.response);
     if (wrong_process) {
-      this->MarkUpstreamLost("another-process-answered");
+      this->MarkUpstreamLost(CrashSign::kAnotherProcess);
     } else {
       OnUpstreamResponse(this->lease, now);
     }
@@ -223,12 +212,15 @@
       frame.response = {};
     } else {
       counts = true;
-      this->RecordCleanRun(run);
+      this->crash_evidence.OnResponse(
+          run.fingerprint,
+          FindHeader(run.frame.request.headers, kHeaderRequestId), status);
     }
   } else if (result.error == ErrorKind::kConnectFailed) {
-    this->MarkUpstreamLost("no-connection");
+    this->MarkUpstreamLost(CrashSign::kNoConnection);
   } else {
-    this->RecordBrokenConnection(run);
+    this->crash_evidence.OnBrokenRun(run.fingerprint);
+    this->CheckUpstreamListening();
   }
   this->Finish(id, counts, frame);
 }
@@ -402,24 +394,17 @@
   this->on_status_change();
 }
 
-void Gate::MarkUpstreamLost(const char* why) {
-  this->RecordCrash();
+void Gate::MarkUpstreamLost(CrashSign sign) {
+  const std::string instance =
+      this->lease.current ? this->lease.current->instance : "";
+  if (this->crash_evidence.OnUpstreamGone(sign, instance))
+    this->on_status_change();
   OnUpstreamUnreachable(this->lease);
   Log(LogLevel::kWarning, "gate", "upstream-unreachable",
-      {{"why", why},
-       {"instance", this->lease.current ? this->lease.current->instance : ""}});
+      {{"why", NameOf(sign)}, {"instance", instance}});
   this->ApplyLease();
 }
 
-void Gate::RecordBrokenConnection(const GateRun& run) {
-  const TimePoint now = SteadyNow();
-  std::erase_if(this->broken_runs, [now](const auto& each) {
-    return now - each.first > kCrashWindow;
-  });
-  this->broken_runs.emplace_back(now, run.fingerprint);
-  this->CheckUpstreamListening();
-}
-
 // Without this check a crash under light traffic would go unnoticed until the
 // next request fails to connect.
 void Gate::CheckUpstreamListening() {
@@ -429,63 +414,10 @@
   this->checked_at = now;
   this->pool.CheckListening([this](bool listening) {
     if (!listening)
-      this->MarkUpstreamLost("not-listening");
+      this->MarkUpstreamLost(CrashSign::kNotListening);
   });
 }
 
-// The upstream is gone right after connections broke, so it has crashed, and
-// one of the requests that it ran may be the cause. Its caller would retry it,
-// and it would crash one upstream after the other.
-void Gate::RecordCrash() {
-  const TimePoint now = SteadyNow();
-  std::vector<Fingerprint> blamed_runs;
-  for (const auto& [when, fingerprint] : this->broken_runs) {
-    if (now - when <= kCrashWindow)
-      blamed_runs.push_back(fingerprint);
-  }
-  this->broken_runs.clear();
-  if (blamed_runs.empty())
-    return;
-  const auto rows = OnCrash(this->suspects, blamed_runs, now);
-  Log(LogLevel::kWarning, "gate", "upstream-crashed",
-      {{"instance", this->lease.current ? this->lease.current->instance : ""},
-       {"requests_blamed", rows.size()}});
-  this->on_status_change();
-}
-
-void Gate::RecordCleanRun(const GateRun& run) {
-  if (this->suspects.rows.empty())
-    return;
-  (void)OnCleanRun(this->suspects, run.fingerprint, SteadyNow());
-}
-
-std::vector<SuspectNote> Gate::SuspectNotes() const {
-  std::vector<SuspectNote> notes;
-  const TimePoint now = SteadyNow();
-  for (const auto& [fingerprint, rows] : this->suspects.rows) {
-    for (const SuspectRow& row : rows) {
-      if (row.expires <= now || notes.size() >= kMaxSuspectNotes)
-        continue;
-      const auto left =
-          std::chrono::duration_cast<std::chrono::minutes>(row.expires - now);
-      notes.push_back({row.fingerprint, row.origin, row.crashes, row.cleared,
-                       static_cast<std::uint32_t>(left.count())});
-    }
-  }
-  return notes;
-}
-
-void Gate::MergeSuspectNotes(const std::vector<SuspectNote>& notes) {
-  const TimePoint now = SteadyNow();
-  std::vector<SuspectRow> rows;
-  rows.reserve(notes.size());
-  for (const SuspectNote& note : notes) {
-    rows.push_back({note.fingerprint, note.origin, note.crashes, note.cleared,
-                    now + std::chrono::minutes(note.remaining_minutes)});
-  }
-  (void)MergeSuspects(this->suspects, rows, now);
-}
-
 void Gate::RefreshReportedTimes() {
   UpdateReportedTimes(this->reported_times, this->gatekeeper.service_times);
   std::vector<RouteTime> all;
@@ -503,7 +435,7 @@
 void Gate::Tick() {
   if (this->gatekeeper.overall_service_time.mean_us > 0)
     this->RefreshReportedTimes();
-  ExpireSuspects(this->suspects, SteadyNow());
+  this->crash_evidence.Tick();
   this->ApplyLease();
   this->pool.Prune(kMaxIdleForReuse);
 }
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -15,18 +15,17 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "edge/crash_evidence.h"
 #include "edge/frames.h"
 #include "edge/loop_client.h"
 #include "teaselspread/admission.h"
 #include "teaselspread/counters.h"
 #include "teaselspread/edge.h"
-#include "teaselspread/suspects.h"
 #include "teaselspread/upstream_lease.h"
 
 namespace teaselspread {
@@ -95,17 +94,6 @@
   // continue.
   void LeaveNode();
 
-  // This node's rows about requests that may crash upstreams, to be sent to
-  // other nodes.
-  [[nodiscard]] std::vector<SuspectNote> SuspectNotes() const;
-  // Merges rows that another node sent.
-  void MergeSuspectNotes(const std::vector<SuspectNote>& notes);
-
-  // Sets the id that distinguishes crashes counted by this process from those
-  // of other nodes and of earlier processes of this node. Call once, before the
-  // first run.
-  void SetOrigin(std::uint64_t origin) { this->suspects.origin = origin; }
-
   // Applies leases and suspects that have expired, refreshes the reported times
   // and closes idle connections. Call it a few times a second.
   void Tick();
@@ -137,13 +125,11 @@
 
   LoopClient pool;
   UpstreamLease lease;
+  CrashEvidence crash_evidence;
 
  private:
   void RefreshReportedTimes();
-  void RecordBrokenConnection(const GateRun& run);
-  void RecordCrash();
   void CheckUpstreamListening();
-  void RecordCleanRun(const GateRun& run);
   [[nodiscard]] std::optional<Duration> WarmUpLeft(
       const HttpResponse& response) const;
   void OnProbeResponse(const std::string& service,
@@ -156,7 +142,7 @@
   void Apply(const GateActions& actions);
   // State of the upstream, also considering the operators' orders.
   [[nodiscard]] LeaseState ServiceState(TimePoint now) const;
-  void MarkUpstreamLost(const char* why);
+  void MarkUpstreamLost(CrashSign sign);
   void ApplyLease();
   void ScheduleExpiry();
 
@@ -169,10 +155,6 @@
   LeaseState applied_state = LeaseState::kNone;
   std::string applied_version;
   bool applied_slow = false;
-  SuspectTable suspects;
-  // Runs whose connection broke recently: if the upstream turns out to be gone,
-  // one of them may have crashed it.
-  std::vector<std::pair<TimePoint, Fingerprint>> broken_runs;
   // Routes of the requests at the upstream, by X-Request-Id.
   std::map<std::string, std::string, std::less<>> running_routes;
   TimePoint checked_at;
--- a/src/suspects/suspects.cc
+++ b/src/suspects/suspects.cc
@@ -47,16 +47,35 @@
 SuspectState StateOf(const SuspectTable& table,
                      Fingerprint fingerprint,
                      TimePoint now) {
+  const std::uint32_t crashes = CrashesOf(table, fingerprint, now);
+  if (crashes == 0)
+    return SuspectState::kClear;
+  return crashes >= table.settings.crash_limit ? SuspectState::kRefused
+                                               : SuspectState::kAlone;
+}
+
+std::uint32_t CrashesOf(const SuspectTable& table,
+                        Fingerprint fingerprint,
+                        TimePoint now) {
   const auto found = table.rows.find(fingerprint);
   if (found == table.rows.end())
-    return SuspectState::kClear;
-  std::uint32_t uncleared = 0;
+    return 0;
+  std::uint32_t crashes = 0;
   for (const SuspectRow& row : found->second)
-    uncleared += UnclearedCrashes(row, now);
-  if (uncleared == 0)
-    return SuspectState::kClear;
-  return uncleared >= table.settings.crash_limit ? SuspectState::kRefused
-                                                 : SuspectState::kAlone;
+    crashes += UnclearedCrashes(row, now);
+  return crashes;
+}
+
+std::vector<SuspectRow> RowsToReport(const SuspectTable& table, TimePoint now) {
+  std::vector<SuspectRow> reported;
+  for (const auto& [fingerprint, rows] : table.rows) {
+    for (const SuspectRow& row : rows) {
+      if (row.expires > now &&
+          reported.size() < table.settings.max_reported_rows)
+        reported.push_back(row);
+    }
+  }
+  return reported;
 }
 
 std::vector<SuspectRow> OnCrash(SuspectTable& table,
--- a/standins/http_server.h
+++ b/standins/http_server.h
@@ -174,8 +174,7 @@
     const std::scoped_lock lock(this->gate);
     if (this->acceptor)
       return;
-    this->acceptor =
-        std::make_shared<Tcp::acceptor>(this->context, this->endpoint, true);
+    this->acceptor = this->Listen();
     this->endpoint = this->acceptor->local_endpoint();
     std::thread([this, listening = this->acceptor] {
       this->Accept(listening);
--- a/standins/mesh_upstream.h
+++ b/standins/mesh_upstream.h
@@ -79,8 +79,9 @@
     const std::string state = this->draining ? "draining" : "ready";
     return this->Post(
         admin_port, "heartbeat",
-        R"({"address":"127.0.0.1:1","born":5,"info":{"service":")" +
-            this->options.service + R"(","version":")" + this->options.version +
+        R"({"address":"127.0.0.1:1","born":)" + std::to_string(this->born) +
+            R"(,"info":{"service":")" + this->options.service +
+            R"(","version":")" + this->options.version +
             R"(","zone":"z","capacity":)" +
             std::to_string(this->options.slots) + R"(},"status":{"state":")" +
             state + R"(","seq":)" + std::to_string(++this->sequence) +
@@ -88,15 +89,23 @@
             "}}");
   }
   bool Leave(std::uint16_t admin_port) {
-    return this->Post(admin_port, "leave", R"({"born":5})");
+    return this->Post(admin_port, "leave",
+                      R"({"born":)" + std::to_string(this->born) + "}");
   }
 
   // As if the process had died: its port refuses connections.
   void Close() { this->server.Close(); }
-  // Dies as soon as a request for this target comes.
-  void CrashOn(const std::string& target) {
+  // Dies when it has worked on a request for this target for `work`; with a
+  // deadline before that it answers 504 then.
+  void CrashOn(const std::string& target,
+               std::chrono::milliseconds work_before = {}) {
     const std::scoped_lock lock(this->gate);
     this->crash_target = target;
+    this->crash_work = work_before;
+  }
+  // From now on a new process starts this long after each crash.
+  void StartAgainAfter(std::chrono::milliseconds pause) {
+    this->start_again_after = pause;
   }
   // Never answers requests for this target.
   void HangOn(const std::string& target) {
@@ -104,6 +113,7 @@
     this->hang_target = target;
   }
   [[nodiscard]] bool Crashed() const { return this->crashed; }
+  [[nodiscard]] int CountCrashes() const { return this->crashes; }
   void Drain() { this->draining = true; }
   void BeSilent() { this->silent = true; }
   // Runs what comes and closes the connection without an answer.
@@ -138,16 +148,10 @@
       return connection.Send(this->Health());
     const std::string id = HeaderOf(request, "X-Request-Id");
     const std::string wanted = HeaderOf(request, "X-Expected-Instance");
-    if (!wanted.empty() && wanted != this->options.instance)
+    if (!wanted.empty() && wanted != this->Instance())
       return connection.Send(this->NotRun(421));
     if (id.empty())
       return connection.Send(this->NotRun(400));
-    if (this->IsCrash(request)) {
-      this->silent = true;
-      this->crashed = true;
-      this->server.Close();
-      return;
-    }
     {
       const std::scoped_lock lock(this->gate);
       this->runs.push_back(
@@ -157,6 +161,11 @@
            std::chrono::steady_clock::now()});
       this->most = std::max(this->most.load(), ++this->running);
     }
+    if (this->IsCrash(request)) {
+      this->CrashOrTimeOut(request, connection);
+      --this->running;
+      return;
+    }
     if (this->Hangs(request)) {
       connection.WaitForPeer();
       --this->running;
@@ -168,8 +177,7 @@
       connection.open = false;
       return connection.Break();
     }
-    Response response =
-        TextAnswer(this->failing ? 500 : 200, this->options.instance);
+    Response response = TextAnswer(this->failing ? 500 : 200, this->Instance());
     response.set("X-Request-Id", id);
     if (this->signing)
       response.set("X-Response-Signature", "signed-" + id);
@@ -182,6 +190,51 @@
     return !this->crash_target.empty() && target == this->crash_target;
   }
 
+  void CrashOrTimeOut(const Request& request, Connection& connection) {
+    const std::string header = HeaderOf(request, "X-Deadline-Ms");
+    const std::chrono::milliseconds left(header.empty() ? 0
+                                                        : std::stoi(header));
+    std::chrono::milliseconds needed{};
+    {
+      const std::scoped_lock lock(this->gate);
+      needed = this->crash_work;
+    }
+    std::this_thread::sleep_for(std::min(left, needed));
+    if (left >= needed)
+      return this->Crash();
+    Response response = TextAnswer(504, "deadline");
+    response.set("X-Request-Id", HeaderOf(request, "X-Request-Id"));
+    response.set("X-Response-Signature", "signed");
+    connection.Send(std::move(response));
+  }
+
+  void Crash() {
+    if (this->crashed.exchange(true))
+      return;
+    this->silent = true;
+    ++this->crashes;
+    this->server.Close();
+    const auto pause = this->start_again_after.load();
+    if (pause == std::chrono::milliseconds{})
+      return;
+    // Detached: an upstream that crashes is never freed (see EdgeVm).
+    std::thread([this, pause] {
+      std::this_thread::sleep_for(pause);
+      ++this->born;
+      this->sequence = 0;
+      this->server.Open();
+      this->crashed = false;
+      this->silent = false;
+    }).detach();
+  }
+
+  // Each start has an identity of its own.
+  [[nodiscard]] std::string Instance() const {
+    const int starts = this->born - kFirstBorn;
+    return this->options.instance +
+           (starts == 0 ? "" : "-" + std::to_string(starts));
+  }
+
   bool Hangs(const Request& request) {
     const std::scoped_lock lock(this->gate);
     const std::string target(request.target().data(), request.target().size());
@@ -190,7 +243,7 @@
 
   Response Health() {
     Response response = TextAnswer(this->draining ? 503 : 200, "");
-    response.set("X-Instance-Id", this->options.instance);
+    response.set("X-Instance-Id", this->Instance());
     response.set("X-Warmup-Ms", std::to_string(this->WarmUpLeftMs()));
     response.set("X-Server-Load", std::to_string(this->running) + ",0," +
                                       std::to_string(this->options.slots));
@@ -206,7 +259,7 @@
   Response NotRun(unsigned status) {
     Response response = TextAnswer(status, "");
     response.set("X-Not-Executed", "1");
-    response.set("X-Instance-Id", this->options.instance);
+    response.set("X-Instance-Id", this->Instance());
     return response;
   }
 
@@ -220,7 +273,7 @@
     if (error)
       return false;
     Request request{http::verb::post,
-                    "/instances/" + this->options.instance + "/" + call, 11};
+                    "/instances/" + this->Instance() + "/" + call, 11};
     request.set(http::field::host, "admin");
     request.body() = body;
     request.prepare_payload();
@@ -241,7 +294,13 @@
   std::atomic<int> most{0};
   std::atomic<std::uint64_t> sequence{0};
   std::atomic<std::chrono::milliseconds> work{this->options.work};
+  static constexpr int kFirstBorn = 5;
+  std::atomic<int> born{kFirstBorn};
+  std::atomic<int> crashes{0};
+  std::atomic<std::chrono::milliseconds> start_again_after{
+      std::chrono::milliseconds{}};
   std::string crash_target;
+  std::chrono::milliseconds crash_work{};
   std::string hang_target;
   std::atomic<bool> crashed{false};
   std::atomic<bool> draining{false};
