Crashing requests: reports hold what says most, tables are bounded

Cause: a status held at most 64 rows in the order of a hash table. Each crash adds a row for each request that ran, each was kept for ten minutes, cleared or not, and every node passed on the rows of all. After some 5 crashes chance decided which requests the others heard of.

Change: a node reports what it counted or cleared itself in the last 10 s, and passes on rows of others only for requests that are refused or one crash short of it, at intervals that grow with the nodes. Within the bounds (256 and 64 rows, under 10 KB) the most crashes and then the newest go first. Tables hold 2,048 requests and 16 rows of each; what says least is dropped. The notes are built when the table changes, not for each status.

Why it works: every crash is told once by the node that counted it, however many there were before; what is dropped is what nobody needs.

--- a/include/teaselspread/suspects.h
+++ b/include/teaselspread/suspects.h
@@ -57,15 +57,32 @@
   // Number of crashes not cleared by a clean run from which a request is
   // refused.
   std::uint32_t crash_limit = 2;
-  std::size_t max_reported_rows = 64;
+  // Bounds of the table: requests, and rows of each. Beyond them what says
+  // least is dropped: the fewest uncleared crashes, then the oldest ones.
+  std::size_t max_requests = 2048;
+  std::size_t max_rows_per_request = 16;
+  // How long after a change it is reported.
+  Duration report_for = std::chrono::seconds(10);
+  // Bounds of the rows in RowsToReport and in RowsToRelay.
+  std::size_t max_reported_rows = 256;
+  std::size_t max_relayed_rows = 64;
+};
+
+struct Suspect {
+  // At most one for each origin.
+  std::vector<SuspectRow> rows;
+  // When a crash last became known here.
+  TimePoint crashed_at;
+  // When this node last counted a crash of it or cleared it; the epoch if only
+  // other nodes did.
+  TimePoint changed_here;
 };
 
 struct SuspectTable {
   SuspectSettings settings;
   // Hash of this node's id and incarnation.
   std::uint64_t origin = 0;
-  // At most one row for each origin.
-  std::unordered_map<Fingerprint, std::vector<SuspectRow>> rows;
+  std::unordered_map<Fingerprint, Suspect> requests;
 };
 
 // Whether a request runs normally, alone or not at all. Not thread safe.
@@ -79,17 +96,26 @@
                                       Fingerprint fingerprint,
                                       TimePoint now);
 
-// At most `max_reported_rows` rows for other nodes. Not thread safe.
+// What this node has counted or cleared recently, for all other nodes. If it is
+// too much, the most crashes and then the newest changes go first. Not thread
+// safe.
 [[nodiscard]] std::vector<SuspectRow> RowsToReport(const SuspectTable& table,
                                                    TimePoint now);
 
+// What other nodes have counted about requests near the limit, for nodes that
+// have not heard it from them. Their other rows are not passed on: each crash
+// adds as many as requests ran, and hardly any of those comes again. Not thread
+// safe.
+[[nodiscard]] std::vector<SuspectRow> RowsToRelay(const SuspectTable& table,
+                                                  TimePoint now);
+
 // Counts a crash of the upstream while `in_flight` ran there. Returns the rows
 // to send to other nodes. Not thread safe.
 std::vector<SuspectRow> OnCrash(SuspectTable& table,
                                 std::span<const Fingerprint> in_flight,
                                 TimePoint now);
 
-// Clears a suspect that ran alone without a crash of the upstream. Returns the
+// Clears a suspect after a clean run (IsCleanRun). Returns the
 // rows to send to other nodes. Not thread safe.
 std::vector<SuspectRow> OnCleanRun(SuspectTable& table,
                                    Fingerprint fingerprint,
--- a/src/edge/crash_evidence.cc
+++ b/src/edge/crash_evidence.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include <absl/strings/str_format.h>
+#include <xxhash.h>
 
 #include "base/clock.h"
 #include "teaselspread/logging.h"
@@ -23,7 +24,6 @@
 // Every upstream that crashes blames all requests that ran there, so only those
 // blamed more than once are worth a log line each.
 constexpr std::uint32_t kMinLoggedCrashes = 2;
-constexpr int kFirstServerError = 500;
 
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(CrashSign::kCount)>
@@ -46,8 +46,29 @@
        {"status", status}});
 }
 
+std::vector<SuspectNote> NotesOf(const std::vector<SuspectRow>& rows,
+                                 TimePoint now) {
+  std::vector<SuspectNote> notes;
+  for (const SuspectRow& row : rows) {
+    const auto left =
+        std::chrono::duration_cast<std::chrono::minutes>(row.expires - now);
+    notes.push_back({row.fingerprint, row.origin, row.crashes, row.cleared,
+                     static_cast<std::uint32_t>(left.count())});
+  }
+  return notes;
+}
+
 }  // namespace
 
+Fingerprint FingerprintOf(const HttpRequest& request,
+                          std::string_view caller_service) {
+  const std::uint64_t caller =
+      XXH3_64bits(caller_service.data(), caller_service.size());
+  const std::uint64_t body =
+      XXH3_64bits_withSeed(request.body.data(), request.body.size(), caller);
+  return FingerprintOf(request.method, request.target, body);
+}
+
 std::string_view NameOf(CrashSign sign) {
   return kSignNames.at(static_cast<std::size_t>(sign));
 }
@@ -90,6 +111,7 @@
   if (blamed_runs.empty())
     return false;
   const auto rows = OnCrash(this->table, blamed_runs, now);
+  this->notes_outdated = true;
   this->crashes.Add(sign);
   this->events.Add(SuspectEvent::kBlamed, rows.size());
   Log(LogLevel::kWarning, "gate", "upstream-crashed",
@@ -108,28 +130,35 @@
 void CrashEvidence::OnResponse(Fingerprint fingerprint,
                                std::string_view request_id,
                                int status) {
-  if (this->table.rows.empty())
+  if (this->IsEmpty())
     return;
   const TimePoint now = SteadyNow();
   const auto crashed = CrashesOf(this->table, fingerprint, now);
   const auto rows = OnCleanRun(this->table, fingerprint, now);
   if (rows.empty())
     return;
+  this->notes_outdated = true;
   this->events.Add(SuspectEvent::kCleared);
-  if (crashed >= kMinLoggedCrashes || status >= kFirstServerError)
+  if (crashed >= kMinLoggedCrashes)
     LogSuspect("cleared", fingerprint, crashed, "", request_id, status);
 }
 
-std::vector<SuspectNote> CrashEvidence::Notes() const {
-  std::vector<SuspectNote> notes;
+const std::vector<SuspectNote>& CrashEvidence::Reported() {
+  this->RefreshNotes();
+  return this->reported;
+}
+
+const std::vector<SuspectNote>& CrashEvidence::Relayed() {
+  this->RefreshNotes();
+  return this->relayed;
+}
+
+void CrashEvidence::RefreshNotes() {
+  if (!std::exchange(this->notes_outdated, false))
+    return;
   const TimePoint now = SteadyNow();
-  for (const SuspectRow& row : RowsToReport(this->table, now)) {
-    const auto left =
-        std::chrono::duration_cast<std::chrono::minutes>(row.expires - now);
-    notes.push_back({row.fingerprint, row.origin, row.crashes, row.cleared,
-                     static_cast<std::uint32_t>(left.count())});
-  }
-  return notes;
+  this->reported = NotesOf(RowsToReport(this->table, now), now);
+  this->relayed = NotesOf(RowsToRelay(this->table, now), now);
 }
 
 void CrashEvidence::Merge(std::string_view node,
@@ -142,6 +171,7 @@
                     now + std::chrono::minutes(note.remaining_minutes)});
   }
   for (const SuspectRow& row : MergeSuspects(this->table, rows, now)) {
+    this->notes_outdated = true;
     this->events.Add(SuspectEvent::kReceived);
     const auto crashed = CrashesOf(this->table, row.fingerprint, now);
     if (crashed >= kMinLoggedCrashes)
@@ -155,8 +185,8 @@
 
 std::size_t CrashEvidence::CountRows() const {
   std::size_t rows = 0;
-  for (const auto& [fingerprint, of_request] : this->table.rows)
-    rows += of_request.size();
+  for (const auto& [fingerprint, suspect] : this->table.requests)
+    rows += suspect.rows.size();
   return rows;
 }
 
--- a/src/edge/crash_evidence.h
+++ b/src/edge/crash_evidence.h
@@ -14,6 +14,7 @@
 
 #include "edge/frames.h"
 #include "teaselspread/counters.h"
+#include "teaselspread/http.h"
 #include "teaselspread/suspects.h"
 
 namespace teaselspread {
@@ -38,6 +39,11 @@
   kCount,
 };
 
+// Equal for a request and its retries by callers of the same service. Thread
+// safe.
+[[nodiscard]] Fingerprint FingerprintOf(const HttpRequest& request,
+                                        std::string_view caller_service);
+
 // Stable names for logs and metrics. Thread safe.
 [[nodiscard]] std::string_view NameOf(CrashSign sign);
 [[nodiscard]] std::string_view NameOf(SuspectEvent event);
@@ -56,6 +62,9 @@
   [[nodiscard]] bool Refuses(Fingerprint fingerprint,
                              std::string_view request_id);
 
+  // No request is suspected, so none needs its fingerprint.
+  [[nodiscard]] bool IsEmpty() const { return this->table.requests.empty(); }
+
   // The connection broke on which the request ran. If the upstream turns out to
   // be gone, the request may have crashed it.
   void OnBrokenRun(Fingerprint fingerprint);
@@ -71,8 +80,10 @@
                   std::string_view request_id,
                   int status);
 
-  // Rows to report to other nodes.
-  [[nodiscard]] std::vector<SuspectNote> Notes() const;
+  // Rows for other nodes (RowsToReport and RowsToRelay), as of the last change
+  // of the table.
+  [[nodiscard]] const std::vector<SuspectNote>& Reported();
+  [[nodiscard]] const std::vector<SuspectNote>& Relayed();
   // Merges rows that `node` reported.
   void Merge(std::string_view node, const std::vector<SuspectNote>& notes);
 
@@ -85,7 +96,12 @@
   CounterTable<SuspectEvent> events;
 
  private:
+  void RefreshNotes();
+
   SuspectTable table;
+  bool notes_outdated = false;
+  std::vector<SuspectNote> reported;
+  std::vector<SuspectNote> relayed;
   // Runs whose connection broke recently.
   std::vector<std::pair<TimePoint, Fingerprint>> broken_runs;
 };
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -558,7 +558,8 @@
   status.store_unavailable = node.stopping || !node.orders.StoreReachable();
   status.trial_statuses = node.trial_statuses;
   status.trial_summaries = node.trial_summaries;
-  status.suspects = node.gate.crash_evidence.Notes();
+  status.suspects = node.gate.crash_evidence.Reported();
+  status.relayed_suspects = node.gate.crash_evidence.Relayed();
   status.shortages = ShortageReportsOf(node.entry.shortage, SteadyNow());
   status.calls = CallReportsOf(node.entry.shortage);
   node.links.SetStatus(status);
--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -80,7 +80,7 @@
 };
 
 // All counters and histograms as text for the metrics address.
-[[nodiscard]] std::string MetricsText(const EdgeNode& node);
+[[nodiscard]] std::string MetricsText(EdgeNode& node);
 
 // Applies an order of the operators, from the store or from a peer. A
 // configuration that is not newer than the one in force is ignored.
--- a/src/edge/frames.cc
+++ b/src/edge/frames.cc
@@ -155,7 +155,8 @@
   add(StatusPart::kTimes,
       std::tie(a.mean_ms, a.route_times) != std::tie(b.mean_ms, b.route_times));
   add(StatusPart::kMoves, a.trial_statuses != b.trial_statuses);
-  add(StatusPart::kSuspects, a.suspects != b.suspects);
+  add(StatusPart::kSuspects, std::tie(a.suspects, a.relayed_suspects) !=
+                                 std::tie(b.suspects, b.relayed_suspects));
   add(StatusPart::kDemand,
       std::tie(a.shortages, a.calls) != std::tie(b.shortages, b.calls));
   return parts;
--- a/src/edge/frames.h
+++ b/src/edge/frames.h
@@ -59,7 +59,10 @@
   // The same for nodes that do not evaluate moves: SummaryOf in place of
   // StatusOf. Sent in place of `trial_statuses`, and not on the wire itself.
   std::vector<TrialStatus> trial_summaries;
+  // What this node has counted or cleared itself, and rows of other nodes about
+  // requests near the limit. Sent as one list, in `suspects`.
   std::vector<SuspectNote> suspects;
+  std::vector<SuspectNote> relayed_suspects;
   // Services that refused requests of this node for lack of capacity, and the
   // services that the requests of a route call while they run.
   std::vector<ShortageReport> shortages;
--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -54,16 +54,6 @@
   return static_cast<Priority>(std::min(rank, kLowest));
 }
 
-// Equal for a request and its retries by the same caller.
-Fingerprint FingerprintOfRun(const HttpRequest& request,
-                             std::string_view caller_header) {
-  const std::string_view caller = FindHeader(request.headers, caller_header);
-  const std::uint64_t seed = XXH3_64bits(caller.data(), caller.size());
-  const std::uint64_t body =
-      XXH3_64bits_withSeed(request.body.data(), request.body.size(), seed);
-  return FingerprintOf(request.method, request.target, body);
-}
-
 ResultFrame RefusedFrame(std::uint64_t call, const Refusal& refusal) {
   ResultFrame result;
   result.call_id = call;
@@ -102,8 +92,9 @@
   arrival.aim = now + std::chrono::milliseconds(frame.aim_ms);
   arrival.body_bytes = frame.request.body.size();
   run.frame = std::move(frame);
-  run.fingerprint =
-      FingerprintOfRun(run.frame.request, this->names.caller_service);
+  const HttpRequest& request = run.frame.request;
+  run.fingerprint = FingerprintOf(
+      request, FindHeader(request.headers, this->names.caller_service));
   const bool wrong_instance =
       !run.frame.instance.empty() && this->lease.current &&
       run.frame.instance != this->lease.current->instance;
--- a/src/edge/links.cc
+++ b/src/edge/links.cc
@@ -144,7 +144,7 @@
       this->callers.insert(caller);
       this->counters.Add(LinkEvent::kAccepted);
       caller->Start();
-      caller->Send(Status{kAllStatusParts, this->StatusFor(false)});
+      caller->Send(this->StatusFrame(kAllStatusParts, false));
       MarkSent(this->status_feed, caller->status_reader,
                TopicsCarried(kAllTopics, false), SteadyNow());
     }
@@ -352,8 +352,6 @@
     return;
   const TopicSet changed = ChangedTopics(this->status, new_status);
   this->status = new_status;
-  this->summary_status = new_status;
-  this->summary_status.trial_statuses = new_status.trial_summaries;
   RecordChanges(this->status_feed, changed);
   if ((changed & kUrgentTopics) != 0)
     this->SendDueStatus();
@@ -385,8 +383,14 @@
   return audience;
 }
 
-const GateStatus& Links::StatusFor(bool evaluator) const {
-  return evaluator ? this->status : this->summary_status;
+Status Links::StatusFrame(std::uint8_t parts, bool evaluator) const {
+  Status frame{parts, this->status};
+  GateStatus& sent = frame.status;
+  if (!evaluator)
+    sent.trial_statuses = sent.trial_summaries;
+  sent.suspects.insert(sent.suspects.end(), sent.relayed_suspects.begin(),
+                       sent.relayed_suspects.end());
+  return frame;
 }
 
 void Links::SendDueStatus() {
@@ -408,10 +412,10 @@
     const auto [found, added] = frames.try_emplace({due, evaluator});
     auto& [kind, bytes] = found->second;
     if (added) {
-      const GateStatus& sent = this->StatusFor(evaluator);
-      const LinkFrame frame = (due & ~kLoadTopics) == 0
-                                  ? LinkFrame(LoadOf(sent))
-                                  : LinkFrame(Status{PartsOf(due), sent});
+      const LinkFrame frame =
+          (due & ~kLoadTopics) == 0
+              ? LinkFrame(LoadOf(this->status))
+              : LinkFrame(this->StatusFrame(PartsOf(due), evaluator));
       kind = KindOf(frame);
       bytes = EncodeLinkFrame(frame);
     }
--- a/src/edge/links.h
+++ b/src/edge/links.h
@@ -184,7 +184,7 @@
   void SendDueStatus();
   [[nodiscard]] StatusAudience Audience() const;
   // The status for a caller that evaluates moves, or for another one.
-  [[nodiscard]] const GateStatus& StatusFor(bool evaluator) const;
+  [[nodiscard]] Status StatusFrame(std::uint8_t parts, bool evaluator) const;
   void CheckTimeouts();
   [[nodiscard]] std::vector<Duration> PingDelays(TimePoint now) const;
   void SendPing(Peer& peer);
@@ -196,8 +196,6 @@
   std::map<std::string, Peer> peers;
   std::set<FrameSocket*> callers;
   GateStatus status;
-  // The same with the summaries of moves.
-  GateStatus summary_status;
   StatusFeed status_feed;
   std::set<std::string, std::less<>> move_evaluators;
   bool self_evaluates = false;
--- a/src/edge/metrics.cc
+++ b/src/edge/metrics.cc
@@ -58,7 +58,7 @@
 
 }  // namespace
 
-std::string MetricsText(const EdgeNode& node) {
+std::string MetricsText(EdgeNode& node) {
   std::string text;
   const EntryCounters& entry = node.entry.counters;
   const SnapshotPtr& held = node.entry.CurrentSnapshot();
@@ -70,11 +70,11 @@
   AppendTable(text, "retries_total", "reason", entry.retries);
   AppendTable(text, "gate_refused_total", "reason",
               node.gate.AdmissionState().refusals);
-  const CrashEvidence& crashes = node.gate.crash_evidence;
+  CrashEvidence& crashes = node.gate.crash_evidence;
   AppendTable(text, "upstream_crashes_total", "sign", crashes.crashes);
   AppendTable(text, "suspects_total", "event", crashes.events);
   AppendValue(text, "suspect_rows", "", "", crashes.CountRows());
-  AppendValue(text, "suspect_rows_reported", "", "", crashes.Notes().size());
+  AppendValue(text, "suspect_rows_reported", "", "", crashes.Reported().size());
   AppendTable(text, "listener_total", "event", node.outbound.counters);
   AppendTable(text, "upstream_connections_total", "event",
               node.gate.pool.counters);
--- a/src/edge/status_feed.cc
+++ b/src/edge/status_feed.cc
@@ -75,6 +75,9 @@
     case StatusTopic::kLoad:
     case StatusTopic::kDemand:
       return LoadInterval(reader, audience, now);
+    case StatusTopic::kRelayedSuspects:
+      return SharedInterval(near ? audience.near_callers
+                                 : audience.far_callers);
     case StatusTopic::kIdle:
       return reader.evaluates_moves ? kActiveInterval : kNever;
     case StatusTopic::kTimes:
@@ -141,6 +144,8 @@
 
 constexpr TopicSet kUpstreamPartTopics =
     BitOf(StatusTopic::kUpstream) | BitOf(StatusTopic::kVersion);
+constexpr TopicSet kSuspectPartTopics =
+    BitOf(StatusTopic::kSuspects) | BitOf(StatusTopic::kRelayedSuspects);
 constexpr TopicSet kEvidenceTopics =
     BitOf(StatusTopic::kEvidence) | BitOf(StatusTopic::kBadResponses);
 constexpr TopicSet kMovePartTopics = BitOf(StatusTopic::kProgress) |
@@ -151,8 +156,9 @@
 
 std::string_view NameOf(StatusTopic topic) {
   static constexpr std::array<std::string_view, kStatusTopics> kNames = {
-      "upstream", "version",  "load",          "idle",     "times", "progress",
-      "summary",  "evidence", "bad-responses", "suspects", "demand"};
+      "upstream",      "version",  "load",    "idle",
+      "times",         "progress", "summary", "evidence",
+      "bad-responses", "suspects", "demand",  "relayed-suspects"};
   return kNames.at(static_cast<std::size_t>(topic));
 }
 
@@ -187,7 +193,9 @@
       !SameCounters(before.trial_statuses, after.trial_statuses));
   add(StatusTopic::kBadResponses,
       CountBad(before.trial_statuses) != CountBad(after.trial_statuses));
-  add(StatusTopic::kSuspects, has(StatusPart::kSuspects));
+  add(StatusTopic::kSuspects, before.suspects != after.suspects);
+  add(StatusTopic::kRelayedSuspects,
+      before.relayed_suspects != after.relayed_suspects);
   add(StatusTopic::kDemand, has(StatusPart::kDemand));
   return topics;
 }
@@ -241,7 +249,7 @@
   add(kLoadTopics, StatusPart::kLoad);
   add(BitOf(StatusTopic::kTimes), StatusPart::kTimes);
   add(kMovePartTopics, StatusPart::kMoves);
-  add(BitOf(StatusTopic::kSuspects), StatusPart::kSuspects);
+  add(kSuspectPartTopics, StatusPart::kSuspects);
   add(BitOf(StatusTopic::kDemand), StatusPart::kDemand);
   return parts;
 }
@@ -250,6 +258,8 @@
   TopicSet carried = topics;
   if ((topics & kUpstreamPartTopics) != 0)
     carried |= kUpstreamPartTopics;
+  if ((topics & kSuspectPartTopics) != 0)
+    carried |= kSuspectPartTopics;
   if ((topics & kLoadTopics) != 0)
     carried |= kLoadTopics;
   if ((topics & kMovePartTopics) != 0) {
--- a/src/edge/status_feed.h
+++ b/src/edge/status_feed.h
@@ -42,6 +42,9 @@
   kBadResponses,
   kSuspects,
   kDemand,
+  // Rows of other nodes about suspects, for callers that those nodes cannot
+  // reach.
+  kRelayedSuspects,
   kCount,
 };
 
--- a/src/node/crash_watch.cc
+++ b/src/node/crash_watch.cc
@@ -88,10 +88,11 @@
 
 std::string SuspectsText(Requests& service, Fingerprint fingerprint) {
   const std::scoped_lock lock(service.gate);
-  const auto rows = service.suspects.rows.find(fingerprint);
-  if (rows == service.suspects.rows.end())
+  const auto& requests = service.suspects.requests;
+  const auto found = requests.find(fingerprint);
+  if (found == requests.end())
     return "";
-  return absl::BytesToHexString(ToBytes(rows->second));
+  return absl::BytesToHexString(ToBytes(found->second.rows));
 }
 
 void TakeSuspectsText(Requests& service,
--- a/tests/unit/request_faults_test.cc
+++ b/tests/unit/request_faults_test.cc
@@ -129,7 +129,7 @@
   MergeSuspects(b, from_a, kStart);
   cr_assert(StateOf(b, 99, kStart) == SuspectState::kClear, "late rumour");
   ExpireSuspects(b, kStart + std::chrono::minutes(11));
-  cr_assert(b.rows.empty());
+  cr_assert(b.requests.empty());
 }
 
 std::vector<std::uint64_t> OpenIdle(ConnectionPool& pool, int count) {
--- a/tests/unit/status_feed_test.cc
+++ b/tests/unit/status_feed_test.cc
@@ -254,5 +254,28 @@
   cr_assert(SharedInterval(1000) == Ms(4000));
 }
 
+// Guards against traffic that grows with the square of the nodes after each
+// crash: only the node beside the upstream tells it at once, the others pass on
+// what they heard at intervals that grow with their number.
+Test(status_feed, crashes_counted_elsewhere_are_passed_on_at_intervals) {
+  constexpr std::size_t kCallers = 299;
+  Callers callers(kCallers, 20);
+  GateStatus status = ReadyStatus();
+  callers.Change(status);
+  callers.Send(kStart);
+  status.suspects = {{1, 2, 1, 0, 9}};
+  callers.Change(status);
+  cr_assert_eq(callers.Send(kStart + kTick), kCallers, "counted here: at once");
+  std::size_t frames = 0;
+  TimePoint now = kStart + kTick;
+  for (std::uint32_t i = 0; i < 20; ++i) {
+    status.relayed_suspects = {{1, 3, i + 1, 0, 9}};
+    callers.Change(status);
+    now += kTick;
+    frames += callers.Send(now);
+  }
+  cr_assert_leq(frames, kCallers * 2, "%zu frames in two seconds", frames);
+}
+
 }  // namespace
 }  // namespace teaselspread
--- a/tests/unit/status_parts_test.cc
+++ b/tests/unit/status_parts_test.cc
@@ -6,6 +6,8 @@
 #include <utility>
 #include <variant>
 
+#include "teaselspread/suspects.h"
+
 namespace teaselspread {
 namespace {
 
@@ -75,5 +77,16 @@
   cr_assert_eq(ChangedParts(after, after), 0);
 }
 
+// Guards against reports of suspects that fill a line when many upstreams
+// crash at once: each goes to every node.
+Test(status_parts, a_full_report_of_suspects_stays_small) {
+  const SuspectSettings bounds;
+  GateStatus status;
+  status.suspects.resize(bounds.max_reported_rows + bounds.max_relayed_rows);
+  constexpr auto kPart = static_cast<std::uint8_t>(StatusPart::kSuspects);
+  constexpr std::size_t kMaxBytes = 10'000;
+  cr_assert_leq(EncodeLinkFrame(Status{kPart, status}).size(), kMaxBytes);
+}
+
 }  // namespace
 }  // namespace teaselspread
