Crashing requests: a run cut short clears no suspicion

What callers saw: a request went on crashing upstreams although three crashes were known; with a deadline that leaves its retry less time than the crash takes, in each of 12 requests out of 12, for as long as it was sent.

Cause: any response of the upstream counted as a clean run and cleared all crashes, its own 504 at the deadline too, and a 500 after a call that failed. Under load such responses are the rule, and the upstreams that are left after a crash are loaded. teaselnode has the same fault, also for responses that say that the request did not run.

Change: only a response below 500 is a clean run, in both programs. A request that only ever fails stays a suspect until its crashes expire.

--- a/include/teaselspread/suspects.h
+++ b/include/teaselspread/suspects.h
@@ -85,6 +85,11 @@
   std::unordered_map<Fingerprint, Suspect> requests;
 };
 
+// Whether a response of this status shows that its request runs without a
+// crash. A run that was cut short shows nothing: at its deadline, or as a call
+// that it made has failed. Thread safe.
+[[nodiscard]] bool IsCleanRun(int status);
+
 // Whether a request runs normally, alone or not at all. Not thread safe.
 [[nodiscard]] SuspectState StateOf(const SuspectTable& table,
                                    Fingerprint fingerprint,
--- a/src/edge/crash_evidence.cc
+++ b/src/edge/crash_evidence.cc
@@ -130,7 +130,7 @@
 void CrashEvidence::OnResponse(Fingerprint fingerprint,
                                std::string_view request_id,
                                int status) {
-  if (this->IsEmpty())
+  if (this->IsEmpty() || !IsCleanRun(status))
     return;
   const TimePoint now = SteadyNow();
   const auto crashed = CrashesOf(this->table, fingerprint, now);
--- a/src/node/gate.cc
+++ b/src/node/gate.cc
@@ -230,10 +230,10 @@
   slot.Release(took, answer.has_value());
   if (!answer)
     return answer;
-  if (admitted.suspect)
-    ClearSuspect(service, fingerprint);
   if (!FindHeader(answer->headers, kHeaderNotRun).empty())
     return Fail(ErrorKind::kUpstreamShed, "the upstream shed the request");
+  if (admitted.suspect && IsCleanRun(answer->status))
+    ClearSuspect(service, fingerprint);
   SetHeader(answer->headers, kHeaderExecution, NameOf(Execution::kRan));
   return answer;
 }
--- a/src/suspects/suspects.cc
+++ b/src/suspects/suspects.cc
@@ -12,6 +12,7 @@
 
 constexpr std::array<std::string_view, 3> kStateNames = {"clear", "alone",
                                                          "refused"};
+constexpr int kFirstServerError = 500;
 // Fraction of a full table that is kept, so that it is not sorted for every new
 // request.
 constexpr std::size_t kKeptQuarters = 3;
@@ -133,6 +134,10 @@
   return kStateNames.at(static_cast<std::size_t>(state));
 }
 
+bool IsCleanRun(int status) {
+  return status < kFirstServerError;
+}
+
 SuspectState StateOf(const SuspectTable& table,
                      Fingerprint fingerprint,
                      TimePoint now) {
--- a/tests/unit/request_faults_test.cc
+++ b/tests/unit/request_faults_test.cc
@@ -109,6 +109,15 @@
             SuspectState::kClear);
 }
 
+// A run that ended at its deadline, or since a call that it made failed, ended
+// before it could crash the upstream.
+Test(suspects, a_run_cut_short_proves_nothing) {
+  for (const int status : {500, 502, 503, 504})
+    cr_assert_not(IsCleanRun(status), "%d", status);
+  for (const int status : {200, 204, 304, 404, 409})
+    cr_assert(IsCleanRun(status), "%d", status);
+}
+
 // Two upstreams crash at the same time, and their nodes exchange rows in any
 // order and more than once. If they counted as one crash, a third would follow.
 Test(suspects, crashes_seen_by_different_nodes_add_up_once) {
