Crashing requests: a refusal ends, and the next one lasts longer

What callers saw: proper requests that ran beside the cause of three crashes were refused for ten minutes; while a request is refused no run can clear it.

Change: a request with three uncleared crashes is refused for 60 s, and after each further crash for twice as long, up to the ten minutes that crashes count. Nodes end it within a quarter of that time after each other, so that the first run shows whether it crashes before the others allow it. A refusal's Retry-After is what is left of it instead of 80 ms. teaselnode keeps its ten minutes.

Cost: a request that does crash upstreams costs one after 60 s, 3 min, 7 min and so on, where it cost three every ten minutes before.

The test fails without the change: the refusal lasted as long as the rows.

--- a/include/teaselspread/suspects.h
+++ b/include/teaselspread/suspects.h
@@ -57,6 +57,11 @@
   // Number of crashes not cleared by a clean run from which a request is
   // refused.
   std::uint32_t crash_limit = 2;
+  // How long it is refused at first. It may be one of those that only ran
+  // beside the cause, and while it is refused no run can clear it. So it may
+  // run again then, and each crash after that doubles the time, up to the
+  // retention.
+  Duration first_refusal = std::chrono::minutes(10);
   // Bounds of the table: requests, and rows of each. Beyond them what says
   // least is dropped: the fewest uncleared crashes, then the oldest ones.
   std::size_t max_requests = 2048;
@@ -101,6 +106,19 @@
                                       Fingerprint fingerprint,
                                       TimePoint now);
 
+// How long the request is still refused; 0 if it is not. It differs between
+// nodes, so that they do not all run the request at the same moment. Not thread
+// safe.
+[[nodiscard]] Duration RefusedFor(const SuspectTable& table,
+                                  Fingerprint fingerprint,
+                                  TimePoint now);
+
+// Whether the request is refused, or would be after one more crash. It is not
+// retried after a failure. Not thread safe.
+[[nodiscard]] bool IsNearLimit(const SuspectTable& table,
+                               Fingerprint fingerprint,
+                               TimePoint now);
+
 // What this node has counted or cleared recently, for all other nodes. If it is
 // too much, the most crashes and then the newest changes go first. Not thread
 // safe.
--- a/src/edge/crash_evidence.cc
+++ b/src/edge/crash_evidence.cc
@@ -24,6 +24,9 @@
 // Every upstream that crashes blames all requests that ran there, so only those
 // blamed more than once are worth a log line each.
 constexpr std::uint32_t kMinLoggedCrashes = 2;
+// How long a request is refused at first. A run after it may cost one more
+// upstream, so it is far longer than one takes to start again.
+constexpr Duration kFirstRefusal = std::chrono::seconds(60);
 
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(CrashSign::kCount)>
@@ -79,6 +82,7 @@
 
 CrashEvidence::CrashEvidence() {
   this->table.settings.crash_limit = kMaxCrashes;
+  this->table.settings.first_refusal = kFirstRefusal;
 }
 
 bool CrashEvidence::Refuses(Fingerprint fingerprint,
@@ -92,6 +96,14 @@
   return true;
 }
 
+Duration CrashEvidence::RefusedFor(Fingerprint fingerprint) const {
+  return teaselspread::RefusedFor(this->table, fingerprint, SteadyNow());
+}
+
+bool CrashEvidence::IsNearLimit(Fingerprint fingerprint) const {
+  return teaselspread::IsNearLimit(this->table, fingerprint, SteadyNow());
+}
+
 void CrashEvidence::OnBrokenRun(Fingerprint fingerprint) {
   const TimePoint now = SteadyNow();
   std::erase_if(this->broken_runs, [now](const auto& each) {
--- a/src/edge/crash_evidence.h
+++ b/src/edge/crash_evidence.h
@@ -62,6 +62,10 @@
   [[nodiscard]] bool Refuses(Fingerprint fingerprint,
                              std::string_view request_id);
 
+  // How long it is still refused; 0 if it is not.
+  [[nodiscard]] Duration RefusedFor(Fingerprint fingerprint) const;
+  // Whether it is refused, or would be after one more crash.
+  [[nodiscard]] bool IsNearLimit(Fingerprint fingerprint) const;
   // No request is suspected, so none needs its fingerprint.
   [[nodiscard]] bool IsEmpty() const { return this->table.requests.empty(); }
 
--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -110,7 +110,8 @@
           held.fingerprint,
           FindHeader(held.frame.request.headers, kHeaderRequestId))) {
     this->gatekeeper.refusals.Add(ErrorKind::kCrashSuspect);
-    this->Refuse(id, {id, ErrorKind::kCrashSuspect, kMinRetryAfter});
+    this->Refuse(id, {id, ErrorKind::kCrashSuspect,
+                      this->crash_evidence.RefusedFor(held.fingerprint)});
     return;
   }
   const ArrivalResult arrived =
--- a/src/suspects/suspects.cc
+++ b/src/suspects/suspects.cc
@@ -16,6 +16,9 @@
 // Fraction of a full table that is kept, so that it is not sorted for every new
 // request.
 constexpr std::size_t kKeptQuarters = 3;
+// Refusals end within this fraction of their duration after each other.
+constexpr std::int64_t kSpreadDivisor = 4;
+constexpr std::uint64_t kSpreadSteps = 1024;
 
 std::uint32_t UnclearedCrashes(const SuspectRow& row, TimePoint now) {
   if (row.expires <= now || row.cleared >= row.crashes)
@@ -120,6 +123,22 @@
          now - suspect.changed_here < table.settings.report_for;
 }
 
+Duration RefusalTime(const SuspectTable& table,
+                     Fingerprint fingerprint,
+                     std::uint32_t crashes) {
+  constexpr std::uint32_t kMaxDoublings = 16;
+  const SuspectSettings& settings = table.settings;
+  const std::uint32_t doublings =
+      std::min(crashes - settings.crash_limit, kMaxDoublings);
+  const Duration full =
+      std::min(settings.first_refusal * (std::int64_t{1} << doublings),
+               settings.retention);
+  const auto step =
+      static_cast<std::int64_t>((table.origin ^ fingerprint) % kSpreadSteps);
+  return full +
+         full / kSpreadDivisor * step / static_cast<std::int64_t>(kSpreadSteps);
+}
+
 }  // namespace
 
 Fingerprint FingerprintOf(std::string_view method,
@@ -141,11 +160,11 @@
 SuspectState StateOf(const SuspectTable& table,
                      Fingerprint fingerprint,
                      TimePoint now) {
-  const std::uint32_t crashes = CrashesOf(table, fingerprint, now);
-  if (crashes == 0)
+  if (CrashesOf(table, fingerprint, now) == 0)
     return SuspectState::kClear;
-  return crashes >= table.settings.crash_limit ? SuspectState::kRefused
-                                               : SuspectState::kAlone;
+  return RefusedFor(table, fingerprint, now) > Duration{0}
+             ? SuspectState::kRefused
+             : SuspectState::kAlone;
 }
 
 std::uint32_t CrashesOf(const SuspectTable& table,
@@ -156,6 +175,26 @@
                                        : UnclearedCrashes(found->second, now);
 }
 
+Duration RefusedFor(const SuspectTable& table,
+                    Fingerprint fingerprint,
+                    TimePoint now) {
+  const auto found = table.requests.find(fingerprint);
+  if (found == table.requests.end())
+    return Duration{0};
+  const std::uint32_t crashes = UnclearedCrashes(found->second, now);
+  if (crashes < table.settings.crash_limit)
+    return Duration{0};
+  const Duration since = now - found->second.crashed_at;
+  return std::max(RefusalTime(table, fingerprint, crashes) - since,
+                  Duration{0});
+}
+
+bool IsNearLimit(const SuspectTable& table,
+                 Fingerprint fingerprint,
+                 TimePoint now) {
+  return CrashesOf(table, fingerprint, now) + 1 >= table.settings.crash_limit;
+}
+
 std::vector<SuspectRow> RowsToReport(const SuspectTable& table, TimePoint now) {
   std::vector<RankedSuspect> ranked;
   for (const auto& [fingerprint, suspect] : table.requests) {
--- a/tests/unit/request_faults_test.cc
+++ b/tests/unit/request_faults_test.cc
@@ -118,6 +118,33 @@
     cr_assert(IsCleanRun(status), "%d", status);
 }
 
+// Guards against a harmless request that ran beside the cause of three crashes
+// and is refused for as long as the cause itself, and against one that is run
+// by all nodes at once when its refusal ends.
+Test(suspects, a_refusal_ends_and_the_next_one_lasts_longer) {
+  constexpr int kNodes = 13;
+  const std::vector<Fingerprint> in_flight = {99};
+  std::set<TimePoint> ends;
+  for (std::uint64_t node = 0; node < kNodes; ++node) {
+    SuspectTable table;
+    table.origin = node * 97;
+    table.settings.crash_limit = 3;
+    table.settings.first_refusal = Seconds(60);
+    for (int i = 0; i < 3; ++i)
+      OnCrash(table, in_flight, kStart);
+    const Duration first = RefusedFor(table, 99, kStart);
+    cr_assert(first >= Seconds(60) && first <= Seconds(75));
+    cr_assert(StateOf(table, 99, kStart + first) == SuspectState::kAlone);
+    cr_assert(IsNearLimit(table, 99, kStart + first));
+    ends.insert(kStart + first);
+    OnCrash(table, in_flight, kStart + first);
+    cr_assert(RefusedFor(table, 99, kStart + first) >= Seconds(120));
+    OnCleanRun(table, 99, kStart + first);
+    cr_assert(StateOf(table, 99, kStart + first) == SuspectState::kClear);
+  }
+  cr_assert_eq(ends.size(), kNodes);
+}
+
 // Two upstreams crash at the same time, and their nodes exchange rows in any
 // order and more than once. If they counted as one crash, a third would follow.
 Test(suspects, crashes_seen_by_different_nodes_add_up_once) {
