Crashing requests: the entry refuses what it knows, and a gate's refusal is final

What callers saw: a request that crashes upstreams went from gate to gate until three had refused it, or until one that knew less ran it.

Cause: the caller's own node holds the same counts and did not look at them; a gate's crash-suspect counted as one refusal of three.

Change: each attempt, the first and every retry, looks at the counts first; crash-suspect ends the request. The three places that forward a failed response or send the error are one function.

--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -247,21 +247,40 @@
     pending.picked = this->versions.Pick(pending.service);
     pending.has_picked = true;
   }
+  if (this->IsRefusedAsSuspect(pending)) {
+    this->EndUnserved(id, ErrorKind::kCrashSuspect,
+                      this->gate.crash_evidence.RefusedFor(
+                          this->FingerprintOfPending(pending)));
+    return;
+  }
   const auto candidates = this->CandidatesFor(pending);
   const std::size_t chosen = Place(this->settings.placement, candidates,
                                    this->PlacedRequestOf(pending), this->rng);
   if (chosen == candidates.size()) {
-    if (pending.has_response) {
-      this->ForwardResponse(id, std::move(pending.response));
-      return;
-    }
-    this->SendError(id, pending.last_error,
-                    std::max(pending.retry_after, kEntryRetryAfter));
+    this->EndUnserved(id, pending.last_error,
+                      std::max(pending.retry_after, kEntryRetryAfter));
     return;
   }
   this->SendTo(id, pending, candidates[chosen]);
 }
 
+bool Entry::IsRefusedAsSuspect(PendingRequest& pending) {
+  CrashEvidence& evidence = this->gate.crash_evidence;
+  if (evidence.IsEmpty())
+    return false;
+  const HttpHeaders& headers = pending.exchange->request.headers;
+  return evidence.Refuses(this->FingerprintOfPending(pending),
+                          FindHeader(headers, kHeaderRequestId));
+}
+
+Fingerprint Entry::FingerprintOfPending(PendingRequest& pending) const {
+  if (!pending.fingerprint) {
+    pending.fingerprint =
+        FingerprintOf(pending.exchange->request, this->settings.service);
+  }
+  return *pending.fingerprint;
+}
+
 PlacedRequest Entry::PlacedRequestOf(const PendingRequest& pending) {
   PlacedRequest placed;
   placed.bytes = this->TransferBytes(pending);
@@ -411,18 +430,18 @@
     this->RecordOutcome(pending.node, true);
   }
   const bool time_left = pending.deadline - SteadyNow() > kMinAttemptTime;
+  // A gate that refuses a suspect knows more than the others: asking those
+  // would crash another upstream.
+  const bool may_ask_another = result.error != ErrorKind::kCrashSuspect &&
+                               pending.refusals < kMaxRefusals && time_left;
   const bool may_retry = reached_upstream
                              ? this->MayRetry(pending, result.error, true)
-                             : pending.refusals < kMaxRefusals && time_left;
+                             : may_ask_another;
   if (may_retry) {
     this->Attempt(id);
     return;
   }
-  if (pending.has_response) {
-    this->ForwardResponse(id, std::move(pending.response));
-    return;
-  }
-  this->SendError(id, result.error, pending.retry_after);
+  this->EndUnserved(id, result.error, pending.retry_after);
 }
 
 void Entry::HandleFailure(std::uint64_t id,
@@ -438,11 +457,7 @@
     this->Attempt(id);
     return;
   }
-  if (pending.has_response) {
-    this->ForwardResponse(id, std::move(pending.response));
-    return;
-  }
-  this->SendError(id, result.error, kEntryRetryAfter);
+  this->EndUnserved(id, result.error, kEntryRetryAfter);
 }
 
 bool Entry::MayRetry(PendingRequest& pending, ErrorKind kind, bool not_run) {
@@ -451,8 +466,12 @@
   if (std::find(pending.tried.begin(), pending.tried.end(), pending.node) ==
       pending.tried.end())
     pending.tried.push_back(pending.node);
+  const CrashEvidence& evidence = this->gate.crash_evidence;
+  const bool may_crash_another =
+      !not_run && !evidence.IsEmpty() &&
+      evidence.IsNearLimit(this->FingerprintOfPending(pending));
   FailedAttempt failed;
-  failed.kind = kind;
+  failed.kind = may_crash_another ? ErrorKind::kCrashSuspect : kind;
   failed.not_run = not_run;
   failed.idempotent = pending.route->idempotent;
   failed.attempts_made = pending.attempts;
--- a/src/edge/entry.h
+++ b/src/edge/entry.h
@@ -66,6 +66,8 @@
   // Attempts that reached an upstream, or may have.
   int attempts = 0;
   int refusals = 0;
+  // Identifies the request among suspects; none before it is needed.
+  std::optional<Fingerprint> fingerprint;
   // Why it was or was not retried; none before the first failure.
   std::optional<RetryReason> retry_reason;
   // Ready upstreams of its service that were excluded for their version at the
@@ -152,6 +154,9 @@
   // Refuses part of the requests whose route calls a service that lacks
   // capacity. True when this request was refused.
   bool ShedForDependency(std::uint64_t id, PendingRequest& pending);
+  // Whether the request has crashed too many upstreams to be sent to another.
+  [[nodiscard]] bool IsRefusedAsSuspect(PendingRequest& pending);
+  [[nodiscard]] Fingerprint FingerprintOfPending(PendingRequest& pending) const;
   void SendTo(std::uint64_t id,
               PendingRequest& pending,
               const Candidate& chosen);
@@ -170,6 +175,9 @@
   void OnCallerDisconnected(std::uint64_t id);
   void ForwardResponse(std::uint64_t id, HttpResponse response);
   void SendError(std::uint64_t id, ErrorKind kind, Duration retry_after);
+  // No attempt is left: forwards a failed response of an earlier attempt, or
+  // sends the error.
+  void EndUnserved(std::uint64_t id, ErrorKind kind, Duration retry_after);
   void RefuseImmediately(const ExchangePtr& exchange, ErrorKind kind);
   [[nodiscard]] std::vector<Candidate> CandidatesFor(PendingRequest& pending);
   [[nodiscard]] RunFrame FrameOf(std::uint64_t id,
--- a/src/edge/entry_answers.cc
+++ b/src/edge/entry_answers.cc
@@ -86,6 +86,16 @@
   SendResponse(*exchange, response);
 }
 
+void Entry::EndUnserved(std::uint64_t id,
+                        ErrorKind kind,
+                        Duration retry_after) {
+  PendingRequest& pending = this->pending_requests.at(id);
+  if (pending.has_response)
+    this->ForwardResponse(id, std::move(pending.response));
+  else
+    this->SendError(id, kind, retry_after);
+}
+
 // Calls of running requests are not counted: they go before all others, so they
 // show nothing about the remaining capacity.
 void Entry::CountDemand(const PendingRequest& pending, bool refused) {
