Crashing requests: a failed run's result waits for the check of its upstream

What callers saw: an entry retried a request 1 to 5 ms after it had crashed an upstream, before the crash was told, and so crashed a third or fourth one within one request.

Change: when a connection to the upstream breaks, the gate checks at once whether it still listens; the result now goes out after the check's outcome, so that a crash is told first, on the same link. A connection attempt on the own VM takes well under a millisecond; it is ended after 100 ms. A break less than 250 ms after the last check is checked when that time is over, where it was not checked at all: under light traffic such a crash was never counted.

--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -72,6 +72,7 @@
       loop(io),
       names(header_names),
       expiry_timer(io),
+      check_timer(io),
       rng(std::random_device{}()) {
   this->lease.settings = lease_settings;
   this->gatekeeper.settings.retry_after = kMinRetryAfter;
@@ -212,7 +213,10 @@
     this->MarkUpstreamLost(CrashSign::kNoConnection);
   } else {
     this->crash_evidence.OnBrokenRun(run.fingerprint);
-    this->CheckUpstreamListening();
+    if (this->CheckUpstreamListening()) {
+      this->awaiting_check.emplace_back(id, std::move(frame));
+      return;
+    }
   }
   this->Finish(id, counts, frame);
 }
@@ -399,15 +403,36 @@
 
 // Without this check a crash under light traffic would go unnoticed until the
 // next request fails to connect.
-void Gate::CheckUpstreamListening() {
+bool Gate::CheckUpstreamListening() {
+  if (this->checking)
+    return true;
   const TimePoint now = SteadyNow();
-  if (now - this->checked_at < kMinCheckInterval)
-    return;
+  if (const TimePoint allowed_at = this->checked_at + kMinCheckInterval;
+      now < allowed_at) {
+    this->check_timer.expires_after(allowed_at - now);
+    this->check_timer.async_wait([this](boost::system::error_code error) {
+      if (!error)
+        this->CheckUpstreamListening();
+    });
+    return false;
+  }
   this->checked_at = now;
-  this->pool.CheckListening([this](bool listening) {
-    if (!listening)
-      this->MarkUpstreamLost(CrashSign::kNotListening);
-  });
+  this->checking = true;
+  this->pool.CheckListening(
+      [this](bool listening) { this->OnListeningChecked(listening); });
+  return true;
+}
+
+// The crash is reported before the results, on the same links: an entry that
+// retries the request at once then knows of it.
+void Gate::OnListeningChecked(bool listening) {
+  this->checking = false;
+  if (!listening)
+    this->MarkUpstreamLost(CrashSign::kNotListening);
+  for (auto& [id, result] : std::exchange(this->awaiting_check, {})) {
+    if (this->runs.contains(id))
+      this->Finish(id, false, result);
+  }
 }
 
 void Gate::RefreshReportedTimes() {
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -129,7 +130,10 @@
 
  private:
   void RefreshReportedTimes();
-  void CheckUpstreamListening();
+  // Checks soon whether the upstream still listens. True if the check has
+  // begun, so that its outcome is worth waiting for.
+  bool CheckUpstreamListening();
+  void OnListeningChecked(bool listening);
   [[nodiscard]] std::optional<Duration> WarmUpLeft(
       const HttpResponse& response) const;
   void OnProbeResponse(const std::string& service,
@@ -158,6 +162,10 @@
   // Routes of the requests at the upstream, by X-Request-Id.
   std::map<std::string, std::string, std::less<>> running_routes;
   TimePoint checked_at;
+  bool checking = false;
+  // Runs whose connection broke; their results wait for the check.
+  std::vector<std::pair<std::uint64_t, ResultFrame>> awaiting_check;
+  boost::asio::steady_timer check_timer;
   // Times as last reported to other nodes, by route and over all routes.
   std::vector<RouteTime> reported_times;
   std::uint32_t reported_mean_ms = 0;
--- a/src/edge/loop_client.cc
+++ b/src/edge/loop_client.cc
@@ -38,6 +38,9 @@
 // A running server accepts a connection within a few milliseconds; one lost SYN
 // packet is retransmitted within this time.
 constexpr std::chrono::milliseconds kConnectTimeout{1000};
+// A process on the same VM accepts or refuses at once unless its queue of new
+// connections is full.
+constexpr std::chrono::milliseconds kCheckTimeout{100};
 // Margin before the idle time-out that a server announces. A request sent while
 // the server closes the connection may or may not have run.
 constexpr std::chrono::milliseconds kKeepAliveMargin{1000};
@@ -431,10 +434,18 @@
 
 void LoopClient::CheckListening(std::function<void(bool)> done) {
   auto socket = std::make_shared<tcp::socket>(this->loop);
+  auto timer = std::make_shared<asio::steady_timer>(this->loop, kCheckTimeout);
+  // Ends the attempt, so that its handler is called.
+  timer->async_wait([socket, timer](boost::system::error_code error) {
+    boost::system::error_code ignored;  // it may have ended already
+    if (!error)
+      socket->close(ignored);
+  });
   const tcp::endpoint endpoint(asio::ip::make_address(this->address.host),
                                this->address.port);
-  socket->async_connect(endpoint, [socket, done = std::move(done)](
+  socket->async_connect(endpoint, [socket, timer, done = std::move(done)](
                                       boost::system::error_code error) {
+    timer->cancel();
     done(error != asio::error::connection_refused);
   });
 }
--- a/src/edge/loop_client.h
+++ b/src/edge/loop_client.h
@@ -77,8 +77,8 @@
   void Cancel(LoopConnection* call);
 
   // Checks whether a process listens at the address: opens a connection and
-  // closes it. `done` is called later, with false only if the connection was
-  // refused.
+  // closes it. `done` is called within some 100 ms, with false only if the
+  // connection was refused.
   void CheckListening(std::function<void(bool)> done);
 
   // Whether bytes of the call's request may have reached the server.
