Crashing requests: a later expiry alone is no news

A row's remaining time is rounded to minutes on the way, so a node that heard the same row again took it for a change, logged it and passed it on. Found in the logs of crashing_request: up to four lines for one crash on each node.

--- a/src/suspects/suspects.cc
+++ b/src/suspects/suspects.cc
@@ -268,7 +268,9 @@
     own.expires = std::max(own.expires, row.expires);
     if (own.crashes != before.crashes)
       suspect.crashed_at = now;
-    if (own != before)
+    // A later expiry alone is no news: it is rounded on the way.
+    if (std::tie(own.crashes, own.cleared) !=
+        std::tie(before.crashes, before.cleared))
       changed.push_back(own);
   }
   return changed;
