Crashing requests: what is in flight at a crash is blamed, and once

What callers saw: a request crashed a fourth or fifth upstream although nobody retried it after the second crash.

Cause: a crash is noticed by the first connections that break, within a millisecond. Only requests whose connection had broken by then were blamed; the one that caused it may be among the others, and was blamed only if a further connection failed within a second. Traced in the logs of a failing run of crashing_request: the second crash of one request blamed its three neighbours.

Change: when the upstream is found gone, the requests in flight there are blamed as well; a connection that breaks after that and belongs to a run from before is not counted again.

The stand-in now breaks the connection of the request that crashes it last, 20 ms after the others.

--- a/src/edge/crash_evidence.cc
+++ b/src/edge/crash_evidence.cc
@@ -104,7 +104,9 @@
   return teaselspread::IsNearLimit(this->table, fingerprint, SteadyNow());
 }
 
-void CrashEvidence::OnBrokenRun(Fingerprint fingerprint) {
+void CrashEvidence::OnBrokenRun(Fingerprint fingerprint, TimePoint started) {
+  if (started <= this->last_crash_at)
+    return;
   const TimePoint now = SteadyNow();
   std::erase_if(this->broken_runs, [now](const auto& each) {
     return now - each.first > kCrashWindow;
@@ -112,7 +114,9 @@
   this->broken_runs.emplace_back(now, fingerprint);
 }
 
-bool CrashEvidence::OnUpstreamGone(CrashSign sign, std::string_view instance) {
+bool CrashEvidence::OnUpstreamGone(CrashSign sign,
+                                   std::string_view instance,
+                                   std::span<const Fingerprint> in_flight) {
   const TimePoint now = SteadyNow();
   std::vector<Fingerprint> blamed_runs;
   for (const auto& [when, fingerprint] : this->broken_runs) {
@@ -122,6 +126,8 @@
   this->broken_runs.clear();
   if (blamed_runs.empty())
     return false;
+  blamed_runs.insert(blamed_runs.end(), in_flight.begin(), in_flight.end());
+  this->last_crash_at = now;
   const auto rows = OnCrash(this->table, blamed_runs, now);
   this->notes_outdated = true;
   this->crashes.Add(sign);
--- a/src/edge/crash_evidence.h
+++ b/src/edge/crash_evidence.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <span>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -69,15 +70,18 @@
   // No request is suspected, so none needs its fingerprint.
   [[nodiscard]] bool IsEmpty() const { return this->table.requests.empty(); }
 
-  // The connection broke on which the request ran. If the upstream turns out to
-  // be gone, the request may have crashed it.
-  void OnBrokenRun(Fingerprint fingerprint);
+  // The connection broke on which the request ran, since `started`. If the
+  // upstream turns out to be gone, the request may have crashed it.
+  void OnBrokenRun(Fingerprint fingerprint, TimePoint started);
 
   // The upstream's process `instance` is gone. It has crashed if connections
-  // broke right before, and each request that ran on them is blamed: its caller
-  // would retry it, and it would crash one upstream after the other. True if
-  // requests were blamed.
-  bool OnUpstreamGone(CrashSign sign, std::string_view instance);
+  // broke right before. Each request that ran on them is blamed, and each one
+  // `in_flight` there: the connection of the request that crashed it may break
+  // last. Its caller would retry it, and it would crash one upstream after the
+  // other. True if requests were blamed.
+  bool OnUpstreamGone(CrashSign sign,
+                      std::string_view instance,
+                      std::span<const Fingerprint> in_flight);
 
   // The upstream responded with `status` to the request.
   void OnResponse(Fingerprint fingerprint,
@@ -108,6 +112,8 @@
   std::vector<SuspectNote> relayed;
   // Runs whose connection broke recently.
   std::vector<std::pair<TimePoint, Fingerprint>> broken_runs;
+  // Runs that started before this are blamed for that crash or cannot be.
+  TimePoint last_crash_at;
 };
 
 }  // namespace teaselspread
--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -212,7 +212,7 @@
   } else if (result.error == ErrorKind::kConnectFailed) {
     this->MarkUpstreamLost(CrashSign::kNoConnection);
   } else {
-    this->crash_evidence.OnBrokenRun(run.fingerprint);
+    this->crash_evidence.OnBrokenRun(run.fingerprint, run.started);
     if (this->CheckUpstreamListening()) {
       this->awaiting_check.emplace_back(id, std::move(frame));
       return;
@@ -393,7 +393,11 @@
 void Gate::MarkUpstreamLost(CrashSign sign) {
   const std::string instance =
       this->lease.current ? this->lease.current->instance : "";
-  if (this->crash_evidence.OnUpstreamGone(sign, instance))
+  // Connections to another process at the same address may be sound.
+  const std::vector<Fingerprint> in_flight = sign == CrashSign::kAnotherProcess
+                                                 ? std::vector<Fingerprint>{}
+                                                 : this->RunsAtUpstream();
+  if (this->crash_evidence.OnUpstreamGone(sign, instance, in_flight))
     this->on_status_change();
   OnUpstreamUnreachable(this->lease);
   Log(LogLevel::kWarning, "gate", "upstream-unreachable",
@@ -401,6 +405,15 @@
   this->ApplyLease();
 }
 
+std::vector<Fingerprint> Gate::RunsAtUpstream() const {
+  std::vector<Fingerprint> fingerprints;
+  for (const auto& [id, run] : this->runs) {
+    if (run.call != nullptr && LoopClient::MayHaveSent(run.call))
+      fingerprints.push_back(run.fingerprint);
+  }
+  return fingerprints;
+}
+
 // Without this check a crash under light traffic would go unnoticed until the
 // next request fails to connect.
 bool Gate::CheckUpstreamListening() {
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -130,6 +130,8 @@
 
  private:
   void RefreshReportedTimes();
+  // Requests that may have reached the upstream and have no result yet.
+  [[nodiscard]] std::vector<Fingerprint> RunsAtUpstream() const;
   // Checks soon whether the upstream still listens. True if the check has
   // begun, so that its outcome is worth waiting for.
   bool CheckUpstreamListening();
--- a/standins/http_server.h
+++ b/standins/http_server.h
@@ -181,14 +181,24 @@
     }).detach();
   }
 
-  // Refuses new connections and breaks the open ones.
-  void Close() {
-    const std::scoped_lock lock(this->gate);
-    if (this->acceptor)
-      ::shutdown(this->acceptor->native_handle(), SHUT_RDWR);
-    this->acceptor.reset();
-    for (const auto& connection : this->connections)
-      connection->Break();
+  // Refuses new connections and breaks the open ones, `last` some time after
+  // the others.
+  void Close(Connection* last = nullptr) {
+    {
+      const std::scoped_lock lock(this->gate);
+      if (this->acceptor)
+        ::shutdown(this->acceptor->native_handle(), SHUT_RDWR);
+      this->acceptor.reset();
+      for (const auto& connection : this->connections) {
+        if (connection.get() != last)
+          connection->Break();
+      }
+    }
+    if (last == nullptr)
+      return;
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    last->open = false;
+    last->Break();
   }
 
   // Every connection open now stops answering for good; new ones work.
--- a/standins/mesh_upstream.h
+++ b/standins/mesh_upstream.h
@@ -201,19 +201,21 @@
     }
     std::this_thread::sleep_for(std::min(left, needed));
     if (left >= needed)
-      return this->Crash();
+      return this->Crash(connection);
     Response response = TextAnswer(504, "deadline");
     response.set("X-Request-Id", HeaderOf(request, "X-Request-Id"));
     response.set("X-Response-Signature", "signed");
     connection.Send(std::move(response));
   }
 
-  void Crash() {
+  // As the kernel may do it, the connection of the request that crashes it
+  // breaks last.
+  void Crash(Connection& connection) {
     if (this->crashed.exchange(true))
       return;
     this->silent = true;
     ++this->crashes;
-    this->server.Close();
+    this->server.Close(&connection);
     const auto pause = this->start_again_after.load();
     if (pause == std::chrono::milliseconds{})
       return;
--- a/tests/process/crashing_request_test.cc
+++ b/tests/process/crashing_request_test.cc
@@ -5,6 +5,8 @@
 #include <criterion/criterion.h>
 
 #include <atomic>
+#include <cstdio>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -52,6 +54,18 @@
     return crashes;
   }
 
+  // What the nodes logged about crashes and suspects.
+  [[nodiscard]] std::string CrashLogs() const {
+    std::istringstream lines(this->Logs());
+    std::string found;
+    for (std::string line; std::getline(lines, line);) {
+      if (line.find("service=suspects") != std::string::npos ||
+          line.find("event=upstream-") != std::string::npos)
+        found += line + "\n";
+    }
+    return found;
+  }
+
   // The callers' VMs whose upstream is of "desk": the caller is part of what
   // makes two requests the same.
   [[nodiscard]] std::vector<const EdgeVm*> DeskVms() const {
@@ -124,6 +138,9 @@
   stopping = true;
   for (std::thread& caller : callers)
     caller.join();
+  // Too long for the message of an assertion.
+  if (!over.empty())
+    std::fprintf(stderr, "%s", fleet.CrashLogs().c_str());
   cr_assert(over.empty(), "%s", over.c_str());
 }
 
--- /dev/null
+++ b/tests/unit/crash_evidence_test.cc
@@ -0,0 +1,59 @@
+// Which requests one node blames for a crash of its upstream.
+#include "edge/crash_evidence.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace teaselspread {
+namespace {
+
+constexpr Fingerprint kBrokenFirst = 1;
+constexpr Fingerprint kBrokenLast = 2;
+
+// Crashes counted against the request, as reported to other nodes.
+std::uint32_t ReportedCrashes(CrashEvidence& evidence,
+                              Fingerprint fingerprint) {
+  std::uint32_t crashes = 0;
+  for (const SuspectNote& note : evidence.Reported()) {
+    if (note.fingerprint == fingerprint)
+      crashes += note.crashes - note.cleared;
+  }
+  return crashes;
+}
+
+// Guards against a request that is never blamed, since the crash is noticed by
+// other connections before its own breaks, and against one that is blamed twice
+// for one crash.
+Test(crash_evidence, requests_in_flight_are_blamed_once) {
+  CrashEvidence evidence;
+  evidence.SetOrigin(1);
+  const TimePoint started = SteadyNow();
+  evidence.OnBrokenRun(kBrokenFirst, started);
+  const std::vector<Fingerprint> in_flight = {kBrokenLast};
+  cr_assert(
+      evidence.OnUpstreamGone(CrashSign::kNotListening, "i-1", in_flight));
+  evidence.OnBrokenRun(kBrokenLast, started);
+  cr_assert_not(evidence.OnUpstreamGone(CrashSign::kNoConnection, "i-1", {}));
+  cr_assert_eq(ReportedCrashes(evidence, kBrokenFirst), 1U);
+  cr_assert_eq(ReportedCrashes(evidence, kBrokenLast), 1U);
+}
+
+// Guards against blame without a crash: the upstream left, or one connection
+// broke.
+Test(crash_evidence,
+     an_upstream_that_is_gone_without_a_broken_run_blames_none) {
+  CrashEvidence evidence;
+  const std::vector<Fingerprint> in_flight = {kBrokenLast};
+  cr_assert_not(
+      evidence.OnUpstreamGone(CrashSign::kNotListening, "i-1", in_flight));
+  evidence.OnBrokenRun(kBrokenFirst, SteadyNow());
+  cr_assert(evidence.IsEmpty());
+}
+
+}  // namespace
+}  // namespace teaselspread
