Crashing requests: the host is part of what makes two requests the same

Found while looking for the cause elsewhere: two hosts may serve the same path by different services. A clean run at one then cleared the suspicion of the other, and a crash at one refused the other. While programs of two releases run in one fleet they count a request apart.

The test failed before.

--- a/src/edge/crash_evidence.cc
+++ b/src/edge/crash_evidence.cc
@@ -67,8 +67,11 @@
                           std::string_view caller_service) {
   const std::uint64_t caller =
       XXH3_64bits(caller_service.data(), caller_service.size());
+  const std::string_view host = FindHeader(request.headers, "Host");
+  const std::uint64_t source =
+      XXH3_64bits_withSeed(host.data(), host.size(), caller);
   const std::uint64_t body =
-      XXH3_64bits_withSeed(request.body.data(), request.body.size(), caller);
+      XXH3_64bits_withSeed(request.body.data(), request.body.size(), source);
   return FingerprintOf(request.method, request.target, body);
 }
 
--- a/tests/unit/crash_evidence_test.cc
+++ b/tests/unit/crash_evidence_test.cc
@@ -55,5 +55,29 @@
   cr_assert(evidence.IsEmpty());
 }
 
+// Guards against proper requests that are taken for one that crashes upstreams,
+// as they have the path of one that does: at another host it is another
+// request.
+Test(crash_evidence, requests_differ_by_caller_host_path_and_body) {
+  HttpRequest request;
+  request.target = "/view/1";
+  SetHeader(request.headers, "Host", "desk.example");
+  const Fingerprint own = FingerprintOf(request, "desk");
+  cr_assert_eq(own, FingerprintOf(request, "desk"));
+  cr_assert_neq(own, FingerprintOf(request, "works"));
+  HttpRequest other = request;
+  SetHeader(other.headers, "Host", "works.example");
+  cr_assert_neq(own, FingerprintOf(other, "desk"));
+  other = request;
+  other.body = "b";
+  cr_assert_neq(own, FingerprintOf(other, "desk"));
+  other = request;
+  other.target = "/view/2";
+  cr_assert_neq(own, FingerprintOf(other, "desk"));
+  other = request;
+  SetHeader(other.headers, "X-Deadline-Ms", "5");
+  cr_assert_eq(own, FingerprintOf(other, "desk"), "a retry is the same");
+}
+
 }  // namespace
 }  // namespace teaselspread
