--- a/include/teaselspread/routing.h
+++ b/include/teaselspread/routing.h
@@ -21,6 +21,9 @@
 
 namespace teaselspread {
 
+// The name in a Host header. Thread safe.
+[[nodiscard]] std::string_view WithoutPort(std::string_view host);
+
 // The first route of `snapshot` whose method and path prefix match, or null. An
 // empty method matches every method; a prefix ends at a path segment.
 // The pointer lives as long as the snapshot. Thread safe.
--- a/src/edge/crash_evidence.cc
+++ b/src/edge/crash_evidence.cc
@@ -4,11 +4,13 @@
 #include <chrono>
 #include <string>
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_format.h>
 #include <xxhash.h>
 
 #include "base/clock.h"
 #include "teaselspread/logging.h"
+#include "teaselspread/routing.h"
 
 namespace teaselspread {
 namespace {
@@ -67,7 +69,8 @@
                           std::string_view caller_service) {
   const std::uint64_t caller =
       XXH3_64bits(caller_service.data(), caller_service.size());
-  const std::string_view host = FindHeader(request.headers, "Host");
+  const std::string host = absl::AsciiStrToLower(
+      std::string(WithoutPort(FindHeader(request.headers, "Host"))));
   const std::uint64_t source =
       XXH3_64bits_withSeed(host.data(), host.size(), caller);
   const std::uint64_t body =
--- a/src/routing/match.cc
+++ b/src/routing/match.cc
@@ -15,13 +15,6 @@
   return next == '/' || next == '?';
 }
 
-std::string_view WithoutPort(std::string_view host) {
-  const std::size_t colon = host.rfind(':');
-  const bool is_port = colon != std::string_view::npos &&
-                       host.find(']', colon) == std::string_view::npos;
-  return is_port ? host.substr(0, colon) : host;
-}
-
 bool HostMatches(std::string_view wanted, std::string_view host) {
   return wanted.empty() ||
          absl::EqualsIgnoreCase(absl::string_view(wanted.data(), wanted.size()),
@@ -30,6 +23,13 @@
 
 }  // namespace
 
+std::string_view WithoutPort(std::string_view host) {
+  const std::size_t colon = host.rfind(':');
+  const bool is_port = colon != std::string_view::npos &&
+                       host.find(']', colon) == std::string_view::npos;
+  return is_port ? host.substr(0, colon) : host;
+}
+
 const RouteConfig* MatchRoute(const Snapshot& snapshot,
                               std::string_view host,
                               std::string_view method,
--- a/tests/unit/crash_evidence_test.cc
+++ b/tests/unit/crash_evidence_test.cc
@@ -76,6 +76,7 @@
   cr_assert_neq(own, FingerprintOf(other, "desk"));
   other = request;
   SetHeader(other.headers, "X-Deadline-Ms", "5");
+  SetHeader(other.headers, "Host", "Desk.example:8147");
   cr_assert_eq(own, FingerprintOf(other, "desk"), "a retry is the same");
 }
 
