Crashing requests: notes of expired rows are not kept

They are built anew after two minutes. The test fails without that (crash_evidence:: expired_rows_are_not_reported).

--- a/src/edge/crash_evidence.cc
+++ b/src/edge/crash_evidence.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <chrono>
 #include <string>
+#include <utility>
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_format.h>
@@ -30,6 +31,10 @@
 // upstream, so it is far longer than one takes to start again.
 constexpr Duration kFirstRefusal = std::chrono::seconds(60);
 
+// Notes hold the time that rows have left. A node that starts gets them later,
+// and would keep rows that have expired everywhere else.
+constexpr Duration kMaxNotesAge = std::chrono::minutes(2);
+
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(CrashSign::kCount)>
     kSignNames = {"not-listening", "no-connection", "another-process-answered"};
@@ -167,20 +172,20 @@
     LogSuspect("cleared", fingerprint, crashed, "", request_id, status);
 }
 
-const std::vector<SuspectNote>& CrashEvidence::Reported() {
-  this->RefreshNotes();
+const std::vector<SuspectNote>& CrashEvidence::Reported(TimePoint now) {
+  this->RefreshNotes(now);
   return this->reported;
 }
 
-const std::vector<SuspectNote>& CrashEvidence::Relayed() {
-  this->RefreshNotes();
+const std::vector<SuspectNote>& CrashEvidence::Relayed(TimePoint now) {
+  this->RefreshNotes(now);
   return this->relayed;
 }
 
-void CrashEvidence::RefreshNotes() {
+void CrashEvidence::RefreshNotes(TimePoint now) {
   if (!std::exchange(this->notes_outdated, false))
     return;
-  const TimePoint now = SteadyNow();
+  this->notes_from = now;
   this->reported = NotesOf(RowsToReport(this->table, now), now);
   this->relayed = NotesOf(RowsToRelay(this->table, now), now);
 }
@@ -203,8 +208,11 @@
   }
 }
 
-void CrashEvidence::Tick() {
-  ExpireSuspects(this->table, SteadyNow());
+void CrashEvidence::Tick(TimePoint now) {
+  ExpireSuspects(this->table, now);
+  const bool has_notes = !this->reported.empty() || !this->relayed.empty();
+  if (has_notes && now - this->notes_from >= kMaxNotesAge)
+    this->notes_outdated = true;
 }
 
 std::size_t CrashEvidence::CountRows() const {
--- a/src/edge/crash_evidence.h
+++ b/src/edge/crash_evidence.h
@@ -89,14 +89,14 @@
                   int status);
 
   // Rows for other nodes (RowsToReport and RowsToRelay), as of the last change
-  // of the table.
-  [[nodiscard]] const std::vector<SuspectNote>& Reported();
-  [[nodiscard]] const std::vector<SuspectNote>& Relayed();
+  // of the table, or of some minutes ago.
+  [[nodiscard]] const std::vector<SuspectNote>& Reported(TimePoint now);
+  [[nodiscard]] const std::vector<SuspectNote>& Relayed(TimePoint now);
   // Merges rows that `node` reported.
   void Merge(std::string_view node, const std::vector<SuspectNote>& notes);
 
   // Drops rows that have expired. Call it a few times a second.
-  void Tick();
+  void Tick(TimePoint now);
 
   [[nodiscard]] std::size_t CountRows() const;
 
@@ -104,10 +104,11 @@
   CounterTable<SuspectEvent> events;
 
  private:
-  void RefreshNotes();
+  void RefreshNotes(TimePoint now);
 
   SuspectTable table;
   bool notes_outdated = false;
+  TimePoint notes_from;
   std::vector<SuspectNote> reported;
   std::vector<SuspectNote> relayed;
   // Runs whose connection broke recently.
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -552,15 +552,16 @@
 }
 
 void SendStatus(EdgeNode& node) {
+  const TimePoint now = SteadyNow();
   GateStatus status = node.gate.Status();
   const SnapshotPtr& held = node.entry.CurrentSnapshot();
   status.held_version = held ? held->version : 0;
   status.store_unavailable = node.stopping || !node.orders.StoreReachable();
   status.trial_statuses = node.trial_statuses;
   status.trial_summaries = node.trial_summaries;
-  status.suspects = node.gate.crash_evidence.Reported();
-  status.relayed_suspects = node.gate.crash_evidence.Relayed();
-  status.shortages = ShortageReportsOf(node.entry.shortage, SteadyNow());
+  status.suspects = node.gate.crash_evidence.Reported(now);
+  status.relayed_suspects = node.gate.crash_evidence.Relayed(now);
+  status.shortages = ShortageReportsOf(node.entry.shortage, now);
   status.calls = CallReportsOf(node.entry.shortage);
   node.links.SetStatus(status);
 }
--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -465,7 +465,7 @@
 void Gate::Tick() {
   if (this->gatekeeper.overall_service_time.mean_us > 0)
     this->RefreshReportedTimes();
-  this->crash_evidence.Tick();
+  this->crash_evidence.Tick(SteadyNow());
   this->ApplyLease();
   this->pool.Prune(kMaxIdleForReuse);
 }
--- a/src/edge/metrics.cc
+++ b/src/edge/metrics.cc
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "base/clock.h"
 #include "edge/edge_node.h"
 
 namespace teaselspread {
@@ -74,7 +75,8 @@
   AppendTable(text, "upstream_crashes_total", "sign", crashes.crashes);
   AppendTable(text, "suspects_total", "event", crashes.events);
   AppendValue(text, "suspect_rows", "", "", crashes.CountRows());
-  AppendValue(text, "suspect_rows_reported", "", "", crashes.Reported().size());
+  AppendValue(text, "suspect_rows_reported", "", "",
+              crashes.Reported(SteadyNow()).size());
   AppendTable(text, "listener_total", "event", node.outbound.counters);
   AppendTable(text, "upstream_connections_total", "event",
               node.gate.pool.counters);
--- a/tests/unit/crash_evidence_test.cc
+++ b/tests/unit/crash_evidence_test.cc
@@ -19,7 +19,7 @@
 std::uint32_t ReportedCrashes(CrashEvidence& evidence,
                               Fingerprint fingerprint) {
   std::uint32_t crashes = 0;
-  for (const SuspectNote& note : evidence.Reported()) {
+  for (const SuspectNote& note : evidence.Reported(SteadyNow())) {
     if (note.fingerprint == fingerprint)
       crashes += note.crashes - note.cleared;
   }
@@ -55,6 +55,23 @@
   cr_assert(evidence.IsEmpty());
 }
 
+// Guards against rows that live on: a node that starts gets the notes of
+// the last change, however long ago, and takes their remaining time from then.
+Test(crash_evidence, expired_rows_are_not_reported) {
+  CrashEvidence evidence;
+  const TimePoint now = SteadyNow();
+  for (int i = 0; i < 3; ++i) {
+    evidence.OnBrokenRun(kBrokenFirst, SteadyNow());
+    (void)evidence.OnUpstreamGone(CrashSign::kNotListening, "i-1", {});
+  }
+  cr_assert_not(evidence.Reported(now).empty());
+  evidence.Tick(now + std::chrono::minutes(3));
+  cr_assert(evidence.Reported(now + std::chrono::minutes(3)).empty());
+  cr_assert_eq(evidence.Relayed(now + std::chrono::minutes(3)).size(), 1U);
+  evidence.Tick(now + std::chrono::minutes(11));
+  cr_assert(evidence.Relayed(now + std::chrono::minutes(11)).empty());
+}
+
 // Guards against proper requests that are taken for one that crashes upstreams,
 // as they have the path of one that does: at another host it is another
 // request.
