--- a/include/teaselspread/suspects.h
+++ b/include/teaselspread/suspects.h
@@ -57,9 +57,9 @@
   // Number of crashes not cleared by a clean run from which a request is
   // refused.
   std::uint32_t crash_limit = 2;
-  // How long it is refused at first. It may be one of those that only ran
-  // beside the cause, and while it is refused no run can clear it. So it may
-  // run again then, and each crash after that doubles the time, up to the
+  // How long a request is refused at first. It may be one of those that only
+  // ran beside the cause, and while it is refused no run can clear it. So it
+  // may run again then, and each crash after that doubles the time, up to the
   // retention.
   Duration first_refusal = std::chrono::minutes(10);
   // Bounds of the table: requests, and rows of each. Beyond them what says
@@ -73,6 +73,7 @@
   std::size_t max_relayed_rows = 64;
 };
 
+// What is known of one request that ran when an upstream crashed.
 struct Suspect {
   // At most one for each origin.
   std::vector<SuspectRow> rows;
@@ -138,8 +139,8 @@
                                 std::span<const Fingerprint> in_flight,
                                 TimePoint now);
 
-// Clears a suspect after a clean run (IsCleanRun). Returns the
-// rows to send to other nodes. Not thread safe.
+// Clears a suspect after a clean run (IsCleanRun). Returns the rows to send to
+// other nodes. Not thread safe.
 std::vector<SuspectRow> OnCleanRun(SuspectTable& table,
                                    Fingerprint fingerprint,
                                    TimePoint now);
--- a/src/suspects/suspects.cc
+++ b/src/suspects/suspects.cc
@@ -13,10 +13,12 @@
 constexpr std::array<std::string_view, 3> kStateNames = {"clear", "alone",
                                                          "refused"};
 constexpr int kFirstServerError = 500;
-// Fraction of a full table that is kept, so that it is not sorted for every new
-// request.
+// Quarters of a full table that are kept, so that it is not sorted for every
+// new request.
 constexpr std::size_t kKeptQuarters = 3;
-// Refusals end within this fraction of their duration after each other.
+constexpr std::size_t kQuarters = 4;
+// The nodes end a refusal within its duration divided by this after each other,
+// at one of so many steps.
 constexpr std::int64_t kSpreadDivisor = 4;
 constexpr std::uint64_t kSpreadSteps = 1024;
 
@@ -85,7 +87,6 @@
         {UnclearedCrashes(suspect, now), suspect.crashed_at, fingerprint});
   }
   SortByWeight(ranked);
-  constexpr std::size_t kQuarters = 4;
   for (std::size_t i = max * kKeptQuarters / kQuarters; i < ranked.size(); ++i)
     table.requests.erase(ranked[i].fingerprint);
 }
