--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -19,19 +19,10 @@
 // The upstream responds at the deadline that it was given at the latest; its
 // connection is closed this long after that.
 constexpr Duration kDeadlineGrace = std::chrono::milliseconds(60);
-// Maximum idle time of an upstream connection that is reused. Upstreams close
-// idle connections after some seconds, and a request that is sent at the same
-// time may or may not have run. Hence the shorter limit for requests that are
-// not idempotent.
-constexpr Duration kMaxIdleForReuse = std::chrono::seconds(8);
-constexpr Duration kMaxIdleForReuseNonIdempotent = std::chrono::seconds(4);
 // Minimum Retry-After of a refusal. Callers wait for at most a third of their
 // remaining time, so after half a second many would not retry at all.
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(80);
 constexpr std::uint32_t kWarmUpStepMs = 500;
-// After a broken connection the node checks whether the upstream still listens,
-// at most once in this interval: each check costs the upstream a connection.
-constexpr Duration kMinCheckInterval = std::chrono::milliseconds(250);
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 constexpr int kHttpMisdirected = 421;
@@ -140,6 +131,7 @@
   }
   GateRun& run = found->second;
   run.started = now;
+  ++this->starts;
   HttpRequest& request = run.frame.request;
   const Duration left = run.deadline - now;
   SetHeader(request.headers, this->names.deadline,
@@ -191,6 +183,10 @@
       this->MarkUpstreamLost(CrashSign::kAnotherProcess);
     } else {
       OnUpstreamResponse(this->lease, now);
+      const HttpHeaders& sent = run.frame.request.headers;
+      this->HearUpstream(FindHeader(sent, this->names.expected_instance),
+                         FindHeader(sent, kHeaderRequestId),
+                         frame.response.headers, run.started);
     }
     if (wrong_process || (says_not_run && status != kHttpBadRequest)) {
       frame.has_response = false;
@@ -290,73 +286,6 @@
   this->Finish(id, false, {});
 }
 
-void Gate::Probe(const std::string& health_path, const std::string& service) {
-  if (this->lease.current || this->probing || health_path.empty())
-    return;
-  this->probing = true;
-  HttpRequest request;
-  request.target = health_path;
-  this->pool.Call(request, "", kMaxIdleForReuse,
-                  [this, service](const CallResult& result) {
-                    this->probing = false;
-                    if (result.has_response && !this->lease.current)
-                      this->OnProbeResponse(service, result.response);
-                  });
-}
-
-std::optional<Duration> Gate::WarmUpLeft(const HttpResponse& response) const {
-  std::int64_t millis = 0;
-  const std::string text(
-      FindHeader(response.headers, this->names.warm_up_left));
-  if (!absl::SimpleAtoi(text, &millis) || millis < 0)
-    return std::nullopt;
-  return std::chrono::milliseconds(millis);
-}
-
-// The version and start time of the process stay unknown until its heartbeat,
-// which replaces this one whatever its sequence number.
-void Gate::OnProbeResponse(const std::string& service,
-                           const HttpResponse& response) {
-  constexpr int kOk = 200;
-  constexpr std::size_t kLoadFields = 3;
-  const std::string_view instance =
-      FindHeader(response.headers, this->names.instance);
-  const std::vector<std::string> load = absl::StrSplit(
-      std::string(FindHeader(response.headers, this->names.load)), ',');
-  int slots = 0;
-  const bool knows_slots =
-      load.size() == kLoadFields && absl::SimpleAtoi(load.back(), &slots);
-  Log(LogLevel::kInfo, "gate", "upstream-probed",
-      {{"status", response.status},
-       {"instance", instance},
-       {"slots", knows_slots ? slots : 0},
-       {"warm_up_ms", FindHeader(response.headers, this->names.warm_up_left)}});
-  if (response.status != kOk || instance.empty() || !knows_slots || slots < 1)
-    return;
-  UpstreamHeartbeat heartbeat;
-  heartbeat.instance = std::string(instance);
-  heartbeat.service = service;
-  heartbeat.slots = slots;
-  heartbeat.warm_up_remaining = this->WarmUpLeft(response);
-  (void)this->OnHeartbeat(heartbeat);
-}
-
-HeartbeatResult Gate::OnHeartbeat(const UpstreamHeartbeat& heartbeat) {
-  const HeartbeatResult result =
-      ApplyHeartbeat(this->lease, heartbeat, SteadyNow());
-  this->ApplyLease();
-  this->on_status_change();
-  return result;
-}
-
-bool Gate::OnUpstreamLeaving(const LeaveCall& call) {
-  const bool known =
-      OnLeave(this->lease, call.instance, call.born_ms, SteadyNow());
-  this->ApplyLease();
-  this->on_status_change();
-  return known;
-}
-
 LeaseState Gate::ServiceState(TimePoint now) const {
   const LeaseState state = StateOf(this->lease, now);
   if (state != LeaseState::kReady)
@@ -390,64 +319,6 @@
   this->on_status_change();
 }
 
-void Gate::MarkUpstreamLost(CrashSign sign) {
-  const std::string instance =
-      this->lease.current ? this->lease.current->instance : "";
-  // Connections to another process at the same address may be sound.
-  const std::vector<Fingerprint> in_flight = sign == CrashSign::kAnotherProcess
-                                                 ? std::vector<Fingerprint>{}
-                                                 : this->RunsAtUpstream();
-  if (this->crash_evidence.OnUpstreamGone(sign, instance, in_flight))
-    this->on_status_change();
-  OnUpstreamUnreachable(this->lease);
-  Log(LogLevel::kWarning, "gate", "upstream-unreachable",
-      {{"why", NameOf(sign)}, {"instance", instance}});
-  this->ApplyLease();
-}
-
-std::vector<Fingerprint> Gate::RunsAtUpstream() const {
-  std::vector<Fingerprint> fingerprints;
-  for (const auto& [id, run] : this->runs) {
-    if (run.call != nullptr && LoopClient::MayHaveSent(run.call))
-      fingerprints.push_back(run.fingerprint);
-  }
-  return fingerprints;
-}
-
-// Without this check a crash under light traffic would go unnoticed until the
-// next request fails to connect.
-bool Gate::CheckUpstreamListening() {
-  if (this->checking)
-    return true;
-  const TimePoint now = SteadyNow();
-  if (const TimePoint allowed_at = this->checked_at + kMinCheckInterval;
-      now < allowed_at) {
-    this->check_timer.expires_after(allowed_at - now);
-    this->check_timer.async_wait([this](boost::system::error_code error) {
-      if (!error)
-        this->CheckUpstreamListening();
-    });
-    return false;
-  }
-  this->checked_at = now;
-  this->checking = true;
-  this->pool.CheckListening(
-      [this](bool listening) { this->OnListeningChecked(listening); });
-  return true;
-}
-
-// The crash is reported before the results, on the same links: an entry that
-// retries the request at once then knows of it.
-void Gate::OnListeningChecked(bool listening) {
-  this->checking = false;
-  if (!listening)
-    this->MarkUpstreamLost(CrashSign::kNotListening);
-  for (auto& [id, result] : std::exchange(this->awaiting_check, {})) {
-    if (this->runs.contains(id))
-      this->Finish(id, false, result);
-  }
-}
-
 void Gate::RefreshReportedTimes() {
   UpdateReportedTimes(this->reported_times, this->gatekeeper.service_times);
   std::vector<RouteTime> all;
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -27,10 +27,19 @@
 #include "teaselspread/admission.h"
 #include "teaselspread/counters.h"
 #include "teaselspread/edge.h"
+#include "teaselspread/named_limit.h"
 #include "teaselspread/upstream_lease.h"
 
 namespace teaselspread {
 
+// Maximum idle time of an upstream connection that is reused. Upstreams close
+// idle connections after some seconds, and a request that is sent at the same
+// time may or may not have run. Hence the shorter limit for requests that are
+// not idempotent.
+inline constexpr Duration kMaxIdleForReuse = std::chrono::seconds(8);
+inline constexpr Duration kMaxIdleForReuseNonIdempotent =
+    std::chrono::seconds(4);
+
 using ResultHandler = std::function<void(ResultFrame)>;
 
 // One request from its arrival at the gate until its result.
@@ -124,9 +133,16 @@
   // Called when more than the load may have changed in Status().
   std::function<void()> on_status_change = [] {};
 
+  [[nodiscard]] const NamedLimit& Limit() const { return this->limit; }
+
   LoopClient pool;
   UpstreamLease lease;
   CrashEvidence crash_evidence;
+  CounterTable<LimitEvent> limit_events;
+  // Requests sent to the upstream.
+  std::uint64_t starts = 0;
+  // Responses that said that the upstream leaves.
+  std::uint64_t leaving_responses = 0;
 
  private:
   void RefreshReportedTimes();
@@ -140,6 +156,16 @@
       const HttpResponse& response) const;
   void OnProbeResponse(const std::string& service,
                        const HttpResponse& response);
+  // What a response says of the upstream's process `instance`, whatever its
+  // status. `sent_at`: when its request was sent.
+  void HearUpstream(std::string_view instance,
+                    std::string_view request_id,
+                    const HttpHeaders& headers,
+                    TimePoint sent_at);
+  void HearNamedLimit(std::string_view request_id,
+                      const HttpHeaders& headers,
+                      TimePoint sent_at);
+  void HearLeaving(std::string_view request_id, const HttpHeaders& headers);
   void Start(std::uint64_t id);
   void Finish(std::uint64_t id, bool counts, const ResultFrame& result);
   void OnCallEnd(std::uint64_t id, CallResult result);
@@ -155,6 +181,13 @@
   boost::asio::io_context& loop;
   EdgeHeaderNames names;
   Gatekeeper gatekeeper;
+  NamedLimit limit;
+  // The last value that was no rate, so that it is logged once.
+  std::string ignored_limit;
+  // When a change of the limit was last logged.
+  TimePoint limit_logged_at;
+  // The last process that said in a response that it leaves.
+  std::string said_leaving;
   std::unordered_map<std::uint64_t, GateRun> runs;
   boost::asio::steady_timer expiry_timer;
   TimePoint expiry_at;
--- /dev/null
+++ b/src/edge/gate_upstream.cc
@@ -0,0 +1,218 @@
+// What the gate learns of its upstream: from heartbeats, leave calls and health
+// checks, and from connections that break.
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+#include "base/clock.h"
+#include "edge/gate.h"
+#include "teaselspread/logging.h"
+
+namespace teaselspread {
+namespace {
+
+// After a broken connection the node checks whether the upstream still listens,
+// at most once in this interval: each check costs the upstream a connection.
+constexpr Duration kMinCheckInterval = std::chrono::milliseconds(250);
+// Changes of a limit are logged at most once in this time; an upstream may name
+// another rate in each response.
+constexpr Duration kMinLimitLogInterval = std::chrono::seconds(1);
+// In logs, for the rate of an upstream that names no limit.
+constexpr double kNoLimit = -1;
+constexpr std::string_view kLeavingValue = "1";
+
+}  // namespace
+
+void Gate::Probe(const std::string& health_path, const std::string& service) {
+  if (this->lease.current || this->probing || health_path.empty())
+    return;
+  this->probing = true;
+  HttpRequest request;
+  request.target = health_path;
+  this->pool.Call(
+      request, "", kMaxIdleForReuse,
+      [this, service, sent_at = SteadyNow()](const CallResult& result) {
+        this->probing = false;
+        if (!result.has_response)
+          return;
+        if (!this->lease.current)
+          this->OnProbeResponse(service, result.response);
+        const HttpHeaders& headers = result.response.headers;
+        this->HearUpstream(FindHeader(headers, this->names.instance),
+                           "health-check", headers, sent_at);
+      });
+}
+
+std::optional<Duration> Gate::WarmUpLeft(const HttpResponse& response) const {
+  std::int64_t millis = 0;
+  const std::string text(
+      FindHeader(response.headers, this->names.warm_up_left));
+  if (!absl::SimpleAtoi(text, &millis) || millis < 0)
+    return std::nullopt;
+  return std::chrono::milliseconds(millis);
+}
+
+// The version and start time of the process stay unknown until its heartbeat,
+// which replaces this one whatever its sequence number.
+void Gate::OnProbeResponse(const std::string& service,
+                           const HttpResponse& response) {
+  constexpr int kOk = 200;
+  constexpr std::size_t kLoadFields = 3;
+  const std::string_view instance =
+      FindHeader(response.headers, this->names.instance);
+  const std::vector<std::string> load = absl::StrSplit(
+      std::string(FindHeader(response.headers, this->names.load)), ',');
+  int slots = 0;
+  const bool knows_slots =
+      load.size() == kLoadFields && absl::SimpleAtoi(load.back(), &slots);
+  Log(LogLevel::kInfo, "gate", "upstream-probed",
+      {{"status", response.status},
+       {"instance", instance},
+       {"slots", knows_slots ? slots : 0},
+       {"warm_up_ms", FindHeader(response.headers, this->names.warm_up_left)}});
+  if (response.status != kOk || instance.empty() || !knows_slots || slots < 1)
+    return;
+  UpstreamHeartbeat heartbeat;
+  heartbeat.instance = std::string(instance);
+  heartbeat.service = service;
+  heartbeat.slots = slots;
+  heartbeat.warm_up_remaining = this->WarmUpLeft(response);
+  (void)this->OnHeartbeat(heartbeat);
+}
+
+HeartbeatResult Gate::OnHeartbeat(const UpstreamHeartbeat& heartbeat) {
+  const HeartbeatResult result =
+      ApplyHeartbeat(this->lease, heartbeat, SteadyNow());
+  this->ApplyLease();
+  this->on_status_change();
+  return result;
+}
+
+bool Gate::OnUpstreamLeaving(const LeaveCall& call) {
+  const bool known =
+      OnLeave(this->lease, call.instance, call.born_ms, SteadyNow());
+  this->ApplyLease();
+  this->on_status_change();
+  return known;
+}
+
+// Responses of a process that no longer holds the lease say nothing of the one
+// that does.
+void Gate::HearUpstream(std::string_view instance,
+                        std::string_view request_id,
+                        const HttpHeaders& headers,
+                        TimePoint sent_at) {
+  if (!this->lease.current || this->lease.current->instance != instance)
+    return;
+  this->HearNamedLimit(request_id, headers, sent_at);
+  this->HearLeaving(request_id, headers);
+}
+
+void Gate::HearNamedLimit(std::string_view request_id,
+                          const HttpHeaders& headers,
+                          TimePoint sent_at) {
+  const std::string_view text = FindHeader(headers, this->names.named_limit);
+  const std::optional<double> named = ParseLimit(text);
+  const std::string& instance = this->lease.current->instance;
+  if (!text.empty() && !named) {
+    this->limit_events.Add(LimitEvent::kIgnored);
+    if (std::exchange(this->ignored_limit, std::string(text)) != text) {
+      Log(LogLevel::kWarning, "gate", "limit-ignored",
+          {{"instance", instance}, {"value", text}, {"id", request_id}});
+    }
+    return;
+  }
+  const TimePoint now = SteadyNow();
+  const double before = this->limit.per_second.value_or(kNoLimit);
+  const auto event = HearLimit(this->limit, named, sent_at, now);
+  if (!event)
+    return;
+  this->limit_events.Add(*event);
+  if (*event == LimitEvent::kChanged &&
+      now - this->limit_logged_at < kMinLimitLogInterval)
+    return;
+  this->limit_logged_at = now;
+  Log(LogLevel::kInfo, "gate", "limit",
+      {{"change", NameOf(*event)},
+       {"instance", instance},
+       {"per_second", absl::StrCat(named.value_or(kNoLimit))},
+       {"before", absl::StrCat(before)},
+       {"starts", this->starts},
+       {"id", request_id}});
+}
+
+void Gate::HearLeaving(std::string_view request_id,
+                       const HttpHeaders& headers) {
+  if (FindHeader(headers, this->names.leaving) != kLeavingValue)
+    return;
+  ++this->leaving_responses;
+  const std::string& instance = this->lease.current->instance;
+  if (std::exchange(this->said_leaving, instance) == instance)
+    return;
+  Log(LogLevel::kInfo, "gate", "upstream-says-leaving",
+      {{"instance", instance}, {"id", request_id}});
+}
+
+void Gate::MarkUpstreamLost(CrashSign sign) {
+  const std::string instance =
+      this->lease.current ? this->lease.current->instance : "";
+  // Connections to another process at the same address may be sound.
+  const std::vector<Fingerprint> in_flight = sign == CrashSign::kAnotherProcess
+                                                 ? std::vector<Fingerprint>{}
+                                                 : this->RunsAtUpstream();
+  if (this->crash_evidence.OnUpstreamGone(sign, instance, in_flight))
+    this->on_status_change();
+  OnUpstreamUnreachable(this->lease);
+  Log(LogLevel::kWarning, "gate", "upstream-unreachable",
+      {{"why", NameOf(sign)}, {"instance", instance}});
+  this->ApplyLease();
+}
+
+std::vector<Fingerprint> Gate::RunsAtUpstream() const {
+  std::vector<Fingerprint> fingerprints;
+  for (const auto& [id, run] : this->runs) {
+    if (run.call != nullptr && LoopClient::MayHaveSent(run.call))
+      fingerprints.push_back(run.fingerprint);
+  }
+  return fingerprints;
+}
+
+// Without this check a crash under light traffic would go unnoticed until the
+// next request fails to connect.
+bool Gate::CheckUpstreamListening() {
+  if (this->checking)
+    return true;
+  const TimePoint now = SteadyNow();
+  if (const TimePoint allowed_at = this->checked_at + kMinCheckInterval;
+      now < allowed_at) {
+    this->check_timer.expires_after(allowed_at - now);
+    this->check_timer.async_wait([this](boost::system::error_code error) {
+      if (!error)
+        this->CheckUpstreamListening();
+    });
+    return false;
+  }
+  this->checked_at = now;
+  this->checking = true;
+  this->pool.CheckListening(
+      [this](bool listening) { this->OnListeningChecked(listening); });
+  return true;
+}
+
+// The crash is reported before the results, on the same links: an entry that
+// retries the request at once then knows of it.
+void Gate::OnListeningChecked(bool listening) {
+  this->checking = false;
+  if (!listening)
+    this->MarkUpstreamLost(CrashSign::kNotListening);
+  for (auto& [id, result] : std::exchange(this->awaiting_check, {})) {
+    if (this->runs.contains(id))
+      this->Finish(id, false, result);
+  }
+}
+
+}  // namespace teaselspread
--- a/src/edge/metrics.cc
+++ b/src/edge/metrics.cc
@@ -98,6 +98,12 @@
   AppendValue(text, "gate_waiting", "", "", gate.waiting);
   AppendValue(text, "gate_slots", "", "", gate.slots);
   AppendValue(text, "gate_slow_start_ms", "", "", gate.warm_up_ms);
+  AppendValue(text, "gate_starts_total", "", "", node.gate.starts);
+  AppendTable(text, "gate_limit_events_total", "event", node.gate.limit_events);
+  AppendValue(text, "gate_leaving_responses_total", "", "",
+              node.gate.leaving_responses);
+  if (const auto& limit = node.gate.Limit().per_second)
+    absl::StrAppend(&text, "teaselspread_gate_limit_per_second ", *limit, "\n");
   AppendValue(text, "gate_evacuated", "", "", node.gate.IsEvacuated() ? 1 : 0);
   for (const auto& [route, histogram] : node.entry.latency_by_route)
     AppendHistogram(text, route, histogram);
