--- a/standins/mesh_upstream.h
+++ b/standins/mesh_upstream.h
@@ -127,6 +127,15 @@
   }
   // Answers 500.
   void Fail(bool fail) { this->failing = fail; }
+  // Names this limit in all answers from now on, as text; "" for none.
+  void NameLimit(const std::string& requests_per_second) {
+    const std::scoped_lock lock(this->gate);
+    this->named_limit = requests_per_second;
+  }
+  // Says in all answers from now on that it leaves; heartbeats do not.
+  void SayLeaving() { this->says_leaving = true; }
+  // Refuses all requests as not run.
+  void Shed(bool shed) { this->shedding = shed; }
 
   [[nodiscard]] std::vector<MeshRun> Runs() {
     const std::scoped_lock lock(this->gate);
@@ -152,15 +161,10 @@
       return connection.Send(this->NotRun(421));
     if (id.empty())
       return connection.Send(this->NotRun(400));
-    {
-      const std::scoped_lock lock(this->gate);
-      this->runs.push_back(
-          {id, std::string(request.target().data(), request.target().size()),
-           request.body(), HeaderOf(request, "X-Caller-Service"),
-           HeaderOf(request, "X-Deadline-Ms"),
-           std::chrono::steady_clock::now()});
-      this->most = std::max(this->most.load(), ++this->running);
-    }
+    this->Record(request, id);
+    if (this->shedding)
+      return connection.Send(this->NotRun(503));
+    this->most = std::max(this->most.load(), ++this->running);
     if (this->IsCrash(request)) {
       this->CrashOrTimeOut(request, connection);
       --this->running;
@@ -181,9 +185,26 @@
     response.set("X-Request-Id", id);
     if (this->signing)
       response.set("X-Response-Signature", "signed-" + id);
+    this->SayNeeds(response);
     connection.Send(std::move(response));
   }
 
+  void Record(const Request& request, const std::string& id) {
+    const std::scoped_lock lock(this->gate);
+    this->runs.push_back(
+        {id, std::string(request.target().data(), request.target().size()),
+         request.body(), HeaderOf(request, "X-Caller-Service"),
+         HeaderOf(request, "X-Deadline-Ms"), std::chrono::steady_clock::now()});
+  }
+
+  void SayNeeds(Response& response) {
+    const std::scoped_lock lock(this->gate);
+    if (!this->named_limit.empty())
+      response.set("Server-Limit", this->named_limit);
+    if (this->says_leaving)
+      response.set("Server-Leaving", "1");
+  }
+
   bool IsCrash(const Request& request) {
     const std::scoped_lock lock(this->gate);
     const std::string target(request.target().data(), request.target().size());
@@ -205,6 +226,7 @@
     Response response = TextAnswer(504, "deadline");
     response.set("X-Request-Id", HeaderOf(request, "X-Request-Id"));
     response.set("X-Response-Signature", "signed");
+    this->SayNeeds(response);
     connection.Send(std::move(response));
   }
 
@@ -244,7 +266,9 @@
   }
 
   Response Health() {
-    Response response = TextAnswer(this->draining ? 503 : 200, "");
+    const bool leaves = this->draining || this->says_leaving;
+    Response response = TextAnswer(leaves ? 503 : 200, "");
+    this->SayNeeds(response);
     response.set("X-Instance-Id", this->Instance());
     response.set("X-Warmup-Ms", std::to_string(this->WarmUpLeftMs()));
     response.set("X-Server-Load", std::to_string(this->running) + ",0," +
@@ -262,6 +286,7 @@
     Response response = TextAnswer(status, "");
     response.set("X-Not-Executed", "1");
     response.set("X-Instance-Id", this->Instance());
+    this->SayNeeds(response);
     return response;
   }
 
@@ -304,6 +329,9 @@
   std::string crash_target;
   std::chrono::milliseconds crash_work{};
   std::string hang_target;
+  std::string named_limit;
+  std::atomic<bool> says_leaving{false};
+  std::atomic<bool> shedding{false};
   std::atomic<bool> crashed{false};
   std::atomic<bool> draining{false};
   std::atomic<bool> silent{false};
