--- a/include/teaselspread/admission.h
+++ b/include/teaselspread/admission.h
@@ -22,6 +22,7 @@
 
 #include "teaselspread/counters.h"
 #include "teaselspread/error.h"
+#include "teaselspread/named_limit.h"
 #include "teaselspread/snapshot.h"
 #include "teaselspread/start_pace.h"
 #include "teaselspread/types.h"
@@ -117,6 +118,8 @@
   ServiceTime overall_service_time;
   // Limits the starts while the upstream is slow after its start.
   StartPace pace;
+  // Limits them while the upstream names a rate. Both may hold at once.
+  NamedLimit limit;
   int running = 0;
   int open_connections = 0;
   std::size_t body_bytes = 0;
@@ -126,6 +129,8 @@
   bool running_alone = false;
   // Refusals by kind, for the status page and metrics.
   CounterTable<ErrorKind> refusals;
+  // Those of requests that would have had a slot in time without `limit`.
+  std::uint64_t refused_by_limit = 0;
 
   Gatekeeper() = default;
   Gatekeeper(const Gatekeeper&) = delete;
@@ -182,6 +187,13 @@
                                       TimePoint now,
                                       Rng& rng);
 
+// The rate of `limit` was changed: starts what may start now, and refuses the
+// queued requests that can no longer start in time (kQueueTimeout). Not thread
+// safe.
+[[nodiscard]] GateActions OnLimitChanged(Gatekeeper& gate,
+                                         TimePoint now,
+                                         Rng& rng);
+
 // Number of running and queued requests, as responses report it. Not thread
 // safe.
 [[nodiscard]] int LoadOf(const Gatekeeper& gate);
--- a/include/teaselspread/edge.h
+++ b/include/teaselspread/edge.h
@@ -144,6 +144,9 @@
   std::string leaving;
 };
 
+// Value of EdgeHeaderNames::leaving in responses of an upstream that leaves.
+inline constexpr std::string_view kLeavingValue = "1";
+
 // Everything that depends on the platform. The functions are called on the
 // loop's thread only.
 struct EdgeAdapter {
--- a/include/teaselspread/named_limit.h
+++ b/include/teaselspread/named_limit.h
@@ -8,6 +8,7 @@
 #ifndef TEASELSPREAD_NAMED_LIMIT_H_
 #define TEASELSPREAD_NAMED_LIMIT_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -21,6 +22,8 @@
   kNamed,
   kChanged,
   kLifted,
+  // Another process holds the upstream's address.
+  kForgotten,
   // A response named something that is no rate.
   kIgnored,
   kCount,
@@ -35,6 +38,10 @@
   // Since when it has named one without a break, and when it last did.
   TimePoint first_named_at;
   TimePoint named_at;
+  // Token bucket: requests that might start at once at `refilled_at`. It is
+  // empty when a limit begins, as the upstream has just had too much.
+  double tokens = 0;
+  TimePoint refilled_at;
 };
 
 // The rate that a response header holds; none if it is not a number from 0 to a
@@ -49,6 +56,27 @@
                                     TimePoint sent_at,
                                     TimePoint now);
 
+// A health check found that the upstream may take requests again. Not all
+// upstreams name their limit there, so a few requests are let through, whose
+// responses tell.
+void AllowTrial(NamedLimit& limit, TimePoint now);
+
+// Whether so few requests start that their responses would not tell soon that
+// the limit has ended.
+[[nodiscard]] bool NeedsHealthChecks(const NamedLimit& limit);
+
+// When the next request may start; `now` or earlier if it may start at once.
+[[nodiscard]] TimePoint NextStart(const NamedLimit& limit, TimePoint now);
+
+// When a request behind `ahead` waiting ones may start, if all of them start as
+// soon as they may. With a limit of zero, the time after which the limit will
+// have been checked again.
+[[nodiscard]] TimePoint StartBehind(const NamedLimit& limit,
+                                    std::size_t ahead,
+                                    TimePoint now);
+
+void RecordStart(NamedLimit& limit, TimePoint now);
+
 }  // namespace teaselspread
 
 #endif  // TEASELSPREAD_NAMED_LIMIT_H_
--- a/include/teaselspread/placement.h
+++ b/include/teaselspread/placement.h
@@ -86,6 +86,9 @@
   Duration warm_up_left{};
   // Requests a second that its gate starts; 0 if only the slots limit them.
   double starts_per_second = 0;
+  // With such a rate: time until the next request may start, as its gate
+  // reported, less the time since; zero if not known.
+  Duration start_wait{};
 };
 
 // Cost of one candidate as a fraction of the value of the response: the
--- a/include/teaselspread/upstream_lease.h
+++ b/include/teaselspread/upstream_lease.h
@@ -97,6 +97,11 @@
              std::int64_t born_ms,
              TimePoint now);
 
+// Whether the heartbeats come from different processes. One known from its
+// health check alone has no start time yet. Thread safe.
+[[nodiscard]] bool IsAnotherProcess(const UpstreamHeartbeat& before,
+                                    const UpstreamHeartbeat& after);
+
 // The upstream responded to a request that named it.
 void OnUpstreamResponse(UpstreamLease& lease, TimePoint now);
 
--- a/src/admission/estimate.cc
+++ b/src/admission/estimate.cc
@@ -46,12 +46,27 @@
   return ahead;
 }
 
-// A request that waits for the pace alone finds a free slot when it may start.
+bool IsRateLimited(const Gatekeeper& gate, TimePoint now) {
+  return IsPaced(gate.pace, now) || gate.limit.per_second.has_value();
+}
+
+TimePoint NextStart(const Gatekeeper& gate, TimePoint now) {
+  return std::max(NextStart(gate.pace, now), NextStart(gate.limit, now));
+}
+
+TimePoint StartBehind(const Gatekeeper& gate,
+                      std::size_t ahead,
+                      TimePoint now) {
+  return std::max(StartBehind(gate.pace, ahead, now),
+                  StartBehind(gate.limit, ahead, now));
+}
+
+// A request that waits for a rate alone finds a free slot when it may start.
 Duration ExpectedWait(const Gatekeeper& gate,
                       const QueueAhead& ahead,
                       TimePoint now) {
-  const Duration paced = StartBehind(gate.pace, ahead.requests, now) - now;
-  if (IsPaced(gate.pace, now) && gate.running < gate.settings.slots)
+  const Duration paced = StartBehind(gate, ahead.requests, now) - now;
+  if (IsRateLimited(gate, now) && gate.running < gate.settings.slots)
     return paced;
   const int slots = gate.settings.slots > 0 ? gate.settings.slots : 1;
   const double work_us = static_cast<double>(ahead.run_time.count()) +
@@ -63,7 +78,7 @@
 Duration QueuedTime(const Gatekeeper& gate, TimePoint now) {
   const QueueAhead all = QueuedAhead(gate, nullptr);
   // Readers divide it by the slots.
-  const Duration paced = StartBehind(gate.pace, all.requests, now) - now;
+  const Duration paced = StartBehind(gate, all.requests, now) - now;
   return std::max(all.run_time, paced * gate.settings.slots);
 }
 
--- a/src/admission/estimate.h
+++ b/src/admission/estimate.h
@@ -25,6 +25,18 @@
 [[nodiscard]] QueueAhead QueuedAhead(const Gatekeeper& gate,
                                      const HeldRequest* held);
 
+// Whether a rate limits the starts, besides the slots. Not thread safe.
+[[nodiscard]] bool IsRateLimited(const Gatekeeper& gate, TimePoint now);
+
+// When the next request may start, as far as the rates allow it: the lowest of
+// them counts. Not thread safe.
+[[nodiscard]] TimePoint NextStart(const Gatekeeper& gate, TimePoint now);
+
+// The same for a request behind `ahead` waiting ones. Not thread safe.
+[[nodiscard]] TimePoint StartBehind(const Gatekeeper& gate,
+                                    std::size_t ahead,
+                                    TimePoint now);
+
 // Expected time until a request behind `ahead` may start. Not thread safe.
 [[nodiscard]] Duration ExpectedWait(const Gatekeeper& gate,
                                     const QueueAhead& ahead,
--- a/src/admission/gatekeeper.cc
+++ b/src/admission/gatekeeper.cc
@@ -56,6 +56,7 @@
 void StartRun(Gatekeeper& gate, HeldRequest& held, TimePoint now) {
   held.running = true;
   RecordStart(gate.pace, now);
+  RecordStart(gate.limit, now);
   ++gate.running;
   gate.running_alone = held.arrival.suspect;
 }
@@ -78,7 +79,7 @@
 }
 
 bool MayStart(const Gatekeeper& gate, TimePoint now) {
-  return HasFreeSlot(gate) && NextStart(gate.pace, now) <= now;
+  return HasFreeSlot(gate) && NextStart(gate, now) <= now;
 }
 
 std::optional<ErrorKind> ImmediateRefusal(const Gatekeeper& gate,
@@ -114,7 +115,7 @@
                            TimePoint now) {
   HeldRequest& held = AddRequest(gate, arrival);
   if (gate.running == 0 && gate.suspect_queue.empty() &&
-      NextStart(gate.pace, now) <= now) {
+      NextStart(gate, now) <= now) {
     StartRun(gate, held, now);
     return {Admission::kRun, std::nullopt, std::nullopt};
   }
@@ -129,9 +130,19 @@
   HeldRequest candidate;
   candidate.arrival = arrival;
   candidate.order = gate.next_order;
-  const Duration wait = ExpectedWait(gate, QueuedAhead(gate, &candidate), now);
-  if (now + wait > LatestAdmissibleStart(gate, arrival, now))
+  const QueueAhead ahead = QueuedAhead(gate, &candidate);
+  const Duration wait = ExpectedWait(gate, ahead, now);
+  const TimePoint by_limit = StartBehind(gate.limit, ahead.requests, now);
+  // Leaves room for one more urgent request that comes later. Otherwise it
+  // would make the last one in the queue wait in vain, until its deadline.
+  const Duration margin =
+      StartBehind(gate.limit, ahead.requests + 1, now) - by_limit;
+  if (now + wait > LatestAdmissibleStart(gate, arrival, now) ||
+      now + wait + margin > LatestStart(gate, arrival)) {
+    const bool limited = gate.limit.per_second && by_limit >= now + wait;
+    gate.refused_by_limit += limited ? 1 : 0;
     return Refuse(gate, arrival.id, ErrorKind::kDeadlineTooShort, now, rng);
+  }
   ArrivalResult arrived{Admission::kQueued, std::nullopt, std::nullopt};
   const auto limit = static_cast<std::size_t>(gate.settings.queue_limit);
   if (gate.queue.size() >= limit) {
@@ -173,7 +184,7 @@
   ExpireQueue(gate, gate.suspect_queue, now, rng, actions);
   ExpireQueue(gate, gate.queue, now, rng, actions);
   if (!gate.suspect_queue.empty() && gate.running == 0 && gate.ready &&
-      NextStart(gate.pace, now) <= now)
+      NextStart(gate, now) <= now)
     StartSuspect(gate, now, actions);
   while (MayStart(gate, now) && !gate.queue.empty()) {
     HeldRequest& held = *gate.queue.begin();
@@ -282,7 +293,7 @@
   const bool suspect_may_start =
       gate.running == 0 && gate.ready && !gate.suspect_queue.empty();
   if (suspect_may_start || (HasFreeSlot(gate) && !gate.queue.empty()))
-    next = NextStart(gate.pace, now);
+    next = NextStart(gate, now);
   for (const Queue* queue : {&gate.queue, &gate.suspect_queue}) {
     for (const HeldRequest& held : *queue) {
       const TimePoint latest = LatestStart(gate, held.arrival);
@@ -313,6 +324,31 @@
   return actions;
 }
 
+GateActions OnLimitChanged(Gatekeeper& gate, TimePoint now, Rng& rng) {
+  GateActions actions;
+  StartQueued(gate, now, rng, actions);
+  std::vector<std::uint64_t> hopeless;
+  std::size_t ahead = 0;
+  for (auto next = gate.queue.begin(); next != gate.queue.end();) {
+    HeldRequest& held = *next++;
+    if (StartBehind(gate.limit, ahead, now) <=
+        LatestStart(gate, held.arrival)) {
+      ++ahead;
+      continue;
+    }
+    hopeless.push_back(held.arrival.id);
+    gate.queue.erase(gate.queue.iterator_to(held));
+    RemoveRequest(gate, hopeless.back());
+  }
+  // Only now, since Retry-After follows from the queue that remains.
+  for (const std::uint64_t id : hopeless) {
+    ++gate.refused_by_limit;
+    actions.refused.push_back(
+        MakeRefusal(gate, id, ErrorKind::kQueueTimeout, now, rng));
+  }
+  return actions;
+}
+
 int LoadOf(const Gatekeeper& gate) {
   return gate.running + static_cast<int>(gate.queue.size()) +
          static_cast<int>(gate.suspect_queue.size());
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -409,7 +409,8 @@
     if (error)
       return;
     node.gate.Tick();
-    if (SteadyNow() - node.started < kProbeWindow)
+    if (SteadyNow() - node.started < kProbeWindow ||
+        node.gate.Limit().per_second)
       ProbeUpstream(node);
     RefreshVersions(node);
     ChooseReaderRole(node);
--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -29,6 +29,8 @@
 // Weight of the newest request in the moving average of TransferBytes.
 constexpr double kNewestSizeWeight = 0.01;
 constexpr int kFirstServerError = 500;
+// Stands for a rate of zero, so that expected waits are finite.
+constexpr double kMinStartsPerSecond = 0.01;
 
 std::optional<Duration> ParseDeadline(std::string_view text) {
   std::int64_t millis = 0;
@@ -40,6 +42,17 @@
   return std::chrono::milliseconds(std::min(millis, kMaxMillis));
 }
 
+// Requests a second that the gate starts: the lowest of its rates, or 0 if only
+// the slots limit them. `slow_start`: the rate of upstreams of the service that
+// are slow after their start; 0 if they have none.
+double StartsPerSecond(const GateStatus& status, double slow_start) {
+  const double slow = status.warm_up_ms > 0 ? slow_start : 0;
+  if (!status.limit_per_second)
+    return slow;
+  const double limit = std::max(*status.limit_per_second, kMinStartsPerSecond);
+  return slow > 0 ? std::min(slow, limit) : limit;
+}
+
 // Rank of a candidate, lower is better; only those of the best rank are used. A
 // spare version or an unresponsive link is still better than a refusal.
 int RankOf(VersionFit fit, bool unresponsive) {
@@ -188,7 +201,8 @@
                                 ? 0
                                 : config->second.slow_start_per_second;
   const auto add = [&](std::string_view node, Distance distance,
-                       const GateStatus& status, std::uint32_t load) {
+                       const GateStatus& status, std::uint32_t load,
+                       Duration age) {
     Candidate candidate;
     candidate.node = node;
     candidate.distance = distance;
@@ -201,7 +215,11 @@
     candidate.queued_time = std::chrono::milliseconds(status.queued_ms);
     candidate.failure_ratio = this->FailureRatio(std::string(node), now);
     candidate.warm_up_left = std::chrono::milliseconds(status.warm_up_ms);
-    candidate.starts_per_second = status.warm_up_ms > 0 ? slow_start : 0;
+    candidate.starts_per_second = StartsPerSecond(status, slow_start);
+    if (status.limit_per_second) {
+      const Duration wait = candidate.queued_time / candidate.slots;
+      candidate.start_wait = std::max(wait - age, Duration{0});
+    }
     candidates.push_back(candidate);
   };
   // Whether the node may be added; clears candidates of a worse rank.
@@ -224,7 +242,8 @@
   };
   const GateStatus own = this->gate.Status();
   if (fits(this->settings.vm, own, false))
-    add(this->settings.vm, Distance::kOwnVm, own, own.running + own.waiting);
+    add(this->settings.vm, Distance::kOwnVm, own, own.running + own.waiting,
+        Duration{0});
   for (const auto& [name, peer] : this->links.Peers()) {
     if (!peer.connected ||
         !fits(name, peer.status, Links::IsLinkUnresponsive(peer, now)))
@@ -233,7 +252,8 @@
     const std::uint32_t reported_load =
         peer.status.running + peer.status.waiting + peer.sent_since_status;
     add(name, near ? Distance::kOwnDataCenter : Distance::kOtherDataCenter,
-        peer.status, std::max(reported_load, peer.in_flight));
+        peer.status, std::max(reported_load, peer.in_flight),
+        now - peer.status_received_at);
   }
   return candidates;
 }
--- a/src/edge/entry_answers.cc
+++ b/src/edge/entry_answers.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
 #include "base/clock.h"
@@ -179,6 +180,8 @@
        {"instance", seen.instance},
        {"load", seen.running + seen.waiting},
        {"slots", seen.slots},
+       {"limit",
+        seen.limit_per_second ? absl::StrCat(*seen.limit_per_second) : ""},
        {"load_age_ms", seen_age.count() / kMicrosPerMilli},
        {"spent_ms", pending.time_waited.count() / kMicrosPerMilli},
        {"attempts", pending.attempts},
--- a/src/edge/frames.cc
+++ b/src/edge/frames.cc
@@ -9,6 +9,7 @@
 #include <boost/iostreams/device/array.hpp>
 #include <boost/iostreams/stream.hpp>
 
+#include "edge/status_notes.h"
 #include "wire/codec.h"
 
 namespace teaselspread {
@@ -66,8 +67,15 @@
   }
   if (Has(value, StatusPart::kLoad))
     codec(status.running, status.waiting, status.queued_ms);
-  if (Has(value, StatusPart::kTimes))
-    codec(status.mean_ms, status.route_times);
+  if (Has(value, StatusPart::kTimes)) {
+    codec(status.mean_ms);
+    if constexpr (C::kWriting) {
+      codec(TimesWithNotes(status));
+    } else {
+      codec(status.route_times);
+      TakeNotes(status);
+    }
+  }
   if (Has(value, StatusPart::kMoves))
     codec(status.trial_statuses);
   if (Has(value, StatusPart::kSuspects))
@@ -153,7 +161,9 @@
   add(StatusPart::kLoad, std::tie(a.running, a.waiting, a.queued_ms) !=
                              std::tie(b.running, b.waiting, b.queued_ms));
   add(StatusPart::kTimes,
-      std::tie(a.mean_ms, a.route_times) != std::tie(b.mean_ms, b.route_times));
+      std::tie(a.mean_ms, a.route_times, a.limit_per_second, a.process_stamp) !=
+          std::tie(b.mean_ms, b.route_times, b.limit_per_second,
+                   b.process_stamp));
   add(StatusPart::kMoves, a.trial_statuses != b.trial_statuses);
   add(StatusPart::kSuspects, std::tie(a.suspects, a.relayed_suspects) !=
                                  std::tie(b.suspects, b.relayed_suspects));
@@ -182,6 +192,8 @@
   if (!Has(frame, StatusPart::kTimes)) {
     known.mean_ms = old.mean_ms;
     known.route_times = std::move(old.route_times);
+    known.limit_per_second = old.limit_per_second;
+    known.process_stamp = old.process_stamp;
   }
   if (!Has(frame, StatusPart::kMoves))
     known.trial_statuses = std::move(old.trial_statuses);
--- a/src/edge/frames.h
+++ b/src/edge/frames.h
@@ -4,6 +4,7 @@
 #define TEASELSPREAD_SRC_EDGE_FRAMES_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -48,6 +49,10 @@
   // each route, as rounded by the gate.
   std::uint32_t mean_ms = 0;
   std::vector<RouteTime> route_times;
+  // Requests a second that the upstream says it takes; none without a limit.
+  std::optional<double> limit_per_second;
+  // Distinguishes processes of the same identity; 0 if not known.
+  std::uint32_t process_stamp = 0;
   // Remaining time in which the upstream is slow after its start.
   std::uint32_t warm_up_ms = 0;
   ConfigVersion held_version = 0;
--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -348,7 +348,7 @@
   this->gatekeeper.pace.slow_until = SlowUntil(this->lease, now);
   const LeaseState state = this->ServiceState(now);
   const bool ready = state == LeaseState::kReady;
-  const int slots = this->lease.current ? this->lease.current->slots : 1;
+  const int slots = this->UsableSlots();
   const std::string version =
       this->lease.current ? this->lease.current->version : "";
   const bool slow = IsPaced(this->gatekeeper.pace, now);
@@ -407,6 +407,9 @@
     status.service = this->lease.current->service;
     status.version = this->lease.current->version;
     status.slots = static_cast<std::uint32_t>(this->lease.current->slots);
+    status.process_stamp =
+        static_cast<std::uint32_t>(this->lease.current->born_ms);
+    status.limit_per_second = this->reported_limit;
     // Rounded to steps, since each change is sent to every node.
     const std::uint32_t left = MillisOf(SlowUntil(this->lease, now) - now);
     status.warm_up_ms =
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -82,9 +82,9 @@
   // idempotent continues at the upstream.
   void Cancel(std::uint64_t id);
 
-  // Queries the upstream's health check for its identity, unless a heartbeat
-  // has come. Otherwise a node that was restarted beside a working upstream
-  // would refuse requests for up to a whole heartbeat interval.
+  // Queries the upstream's health check, if NeedsProbe. A node that was
+  // restarted beside a working upstream would otherwise refuse requests for up
+  // to a whole heartbeat interval, and would not know the upstream's limit.
   void Probe(const std::string& health_path, const std::string& service);
 
   // Receives a heartbeat; it has taken effect when this returns.
@@ -133,7 +133,14 @@
   // Called when more than the load may have changed in Status().
   std::function<void()> on_status_change = [] {};
 
-  [[nodiscard]] const NamedLimit& Limit() const { return this->limit; }
+  [[nodiscard]] const NamedLimit& Limit() const {
+    return this->gatekeeper.limit;
+  }
+
+  // Whether Probe would tell something that is not known: what the upstream
+  // says of itself, if this node started beside a running one, or whether its
+  // limit has ended, if too few requests start for their responses to tell.
+  [[nodiscard]] bool NeedsProbe() const;
 
   LoopClient pool;
   UpstreamLease lease;
@@ -156,6 +163,7 @@
       const HttpResponse& response) const;
   void OnProbeResponse(const std::string& service,
                        const HttpResponse& response);
+  void RegisterProbed(const std::string& service, const HttpResponse& response);
   // What a response says of the upstream's process `instance`, whatever its
   // status. `sent_at`: when its request was sent.
   void HearUpstream(std::string_view instance,
@@ -165,7 +173,15 @@
   void HearNamedLimit(std::string_view request_id,
                       const HttpHeaders& headers,
                       TimePoint sent_at);
-  void HearLeaving(std::string_view request_id, const HttpHeaders& headers);
+  void HearLeaving(std::string_view instance,
+                   std::string_view request_id,
+                   const HttpHeaders& headers);
+  [[nodiscard]] int UsableSlots() const;
+  void AllowTrialRequests();
+  void ForgetLimit();
+  // The limit has changed: reports it, and applies it to what waits.
+  void OnLimitSet();
+  void MarkHeard();
   void Start(std::uint64_t id);
   void Finish(std::uint64_t id, bool counts, const ResultFrame& result);
   void OnCallEnd(std::uint64_t id, CallResult result);
@@ -181,13 +197,20 @@
   boost::asio::io_context& loop;
   EdgeHeaderNames names;
   Gatekeeper gatekeeper;
-  NamedLimit limit;
   // The last value that was no rate, so that it is logged once.
   std::string ignored_limit;
   // When a change of the limit was last logged.
   TimePoint limit_logged_at;
+  // The limit as reported to other nodes.
+  std::optional<double> reported_limit;
   // The last process that said in a response that it leaves.
   std::string said_leaving;
+  // The upstream has responded since this node started, so what it says of
+  // itself is known.
+  bool heard = false;
+  TimePoint probed_at;
+  // When the process that holds the lease replaced another one.
+  TimePoint process_since;
   std::unordered_map<std::uint64_t, GateRun> runs;
   boost::asio::steady_timer expiry_timer;
   TimePoint expiry_at;
--- a/src/edge/gate_upstream.cc
+++ b/src/edge/gate_upstream.cc
@@ -1,5 +1,7 @@
 // What the gate learns of its upstream: from heartbeats, leave calls and health
 // checks, and from connections that break.
+#include <algorithm>
+#include <cmath>
 #include <string>
 #include <utility>
 #include <vector>
@@ -23,28 +25,38 @@
 constexpr Duration kMinLimitLogInterval = std::chrono::seconds(1);
 // In logs, for the rate of an upstream that names no limit.
 constexpr double kNoLimit = -1;
-constexpr std::string_view kLeavingValue = "1";
+constexpr std::string_view kHealthCheckId = "health-check";
+// Interval of the health checks that ask whether a low limit has ended.
+constexpr Duration kLimitCheckInterval = std::chrono::seconds(2);
+// Relative change of a limit that is reported to other nodes.
+constexpr double kReportedLimitStep = 0.1;
+// Slots in use until the upstream has responded for the first time.
+constexpr int kSlotsUnheard = 4;
 
 }  // namespace
 
+bool Gate::NeedsProbe() const {
+  if (this->probing)
+    return false;
+  if (!this->lease.current || !this->heard)
+    return true;
+  return NeedsHealthChecks(this->gatekeeper.limit) &&
+         SteadyNow() - this->probed_at >= kLimitCheckInterval;
+}
+
 void Gate::Probe(const std::string& health_path, const std::string& service) {
-  if (this->lease.current || this->probing || health_path.empty())
+  if (!this->NeedsProbe() || health_path.empty())
     return;
   this->probing = true;
+  this->probed_at = SteadyNow();
   HttpRequest request;
   request.target = health_path;
-  this->pool.Call(
-      request, "", kMaxIdleForReuse,
-      [this, service, sent_at = SteadyNow()](const CallResult& result) {
-        this->probing = false;
-        if (!result.has_response)
-          return;
-        if (!this->lease.current)
-          this->OnProbeResponse(service, result.response);
-        const HttpHeaders& headers = result.response.headers;
-        this->HearUpstream(FindHeader(headers, this->names.instance),
-                           "health-check", headers, sent_at);
-      });
+  this->pool.Call(request, "", kMaxIdleForReuse,
+                  [this, service](const CallResult& result) {
+                    this->probing = false;
+                    if (result.has_response)
+                      this->OnProbeResponse(service, result.response);
+                  });
 }
 
 std::optional<Duration> Gate::WarmUpLeft(const HttpResponse& response) const {
@@ -56,10 +68,49 @@
   return std::chrono::milliseconds(millis);
 }
 
-// The version and start time of the process stay unknown until its heartbeat,
-// which replaces this one whatever its sequence number.
 void Gate::OnProbeResponse(const std::string& service,
                            const HttpResponse& response) {
+  if (!this->lease.current)
+    this->RegisterProbed(service, response);
+  const std::string_view instance =
+      FindHeader(response.headers, this->names.instance);
+  this->HearLeaving(instance, kHealthCheckId, response.headers);
+  if (!this->lease.current || this->lease.current->instance != instance)
+    return;
+  const std::string_view named =
+      FindHeader(response.headers, this->names.named_limit);
+  if (named.empty())
+    this->AllowTrialRequests();
+  else
+    this->HearNamedLimit(kHealthCheckId, response.headers, this->probed_at);
+  this->MarkHeard();
+}
+
+void Gate::AllowTrialRequests() {
+  AllowTrial(this->gatekeeper.limit, SteadyNow());
+  this->OnLimitSet();
+}
+
+// An upstream may name another rate in each response, and each one reported
+// costs other nodes a frame.
+void Gate::OnLimitSet() {
+  const std::optional<double>& set = this->gatekeeper.limit.per_second;
+  std::optional<double>& reported = this->reported_limit;
+  if (!set || !reported ||
+      std::abs(*set - *reported) > kReportedLimitStep * *reported)
+    reported = set;
+  this->Apply(OnLimitChanged(this->gatekeeper, SteadyNow(), this->rng));
+}
+
+void Gate::MarkHeard() {
+  if (!std::exchange(this->heard, true))
+    this->ApplyLease();
+}
+
+// The version and start time of the process stay unknown until its heartbeat,
+// which replaces this one whatever its sequence number.
+void Gate::RegisterProbed(const std::string& service,
+                          const HttpResponse& response) {
   constexpr int kOk = 200;
   constexpr std::size_t kLoadFields = 3;
   const std::string_view instance =
@@ -85,13 +136,29 @@
 }
 
 HeartbeatResult Gate::OnHeartbeat(const UpstreamHeartbeat& heartbeat) {
+  const std::optional<UpstreamHeartbeat> before = this->lease.current;
   const HeartbeatResult result =
       ApplyHeartbeat(this->lease, heartbeat, SteadyNow());
+  if (before && IsAnotherProcess(*before, *this->lease.current)) {
+    this->process_since = SteadyNow();
+    this->ForgetLimit();
+  }
   this->ApplyLease();
   this->on_status_change();
   return result;
 }
 
+void Gate::ForgetLimit() {
+  if (!this->gatekeeper.limit.per_second)
+    return;
+  this->gatekeeper.limit = {};
+  this->limit_events.Add(LimitEvent::kForgotten);
+  Log(LogLevel::kInfo, "gate", "limit",
+      {{"change", NameOf(LimitEvent::kForgotten)},
+       {"instance", this->lease.current->instance}});
+  this->OnLimitSet();
+}
+
 bool Gate::OnUpstreamLeaving(const LeaveCall& call) {
   const bool known =
       OnLeave(this->lease, call.instance, call.born_ms, SteadyNow());
@@ -101,21 +168,37 @@
 }
 
 // Responses of a process that no longer holds the lease say nothing of the one
-// that does.
+// that does, which may have the same name.
 void Gate::HearUpstream(std::string_view instance,
                         std::string_view request_id,
                         const HttpHeaders& headers,
                         TimePoint sent_at) {
-  if (!this->lease.current || this->lease.current->instance != instance)
+  if (!this->lease.current || this->lease.current->instance != instance ||
+      sent_at < this->process_since)
     return;
   this->HearNamedLimit(request_id, headers, sent_at);
-  this->HearLeaving(request_id, headers);
+  this->HearLeaving(instance, request_id, headers);
+  this->MarkHeard();
+}
+
+// Until the upstream has responded, its limit is not known. Few requests start
+// until then, so that a node that was restarted beside an upstream in need does
+// not send it all that its slots take.
+int Gate::UsableSlots() const {
+  if (!this->lease.current)
+    return 1;
+  const int slots = this->lease.current->slots;
+  return this->heard ? slots : std::min(slots, kSlotsUnheard);
 }
 
 void Gate::HearNamedLimit(std::string_view request_id,
                           const HttpHeaders& headers,
                           TimePoint sent_at) {
   const std::string_view text = FindHeader(headers, this->names.named_limit);
+  // A response without a signature may be forged, and is no proof that the
+  // limit has ended.
+  if (text.empty() && FindHeader(headers, this->names.signature).empty())
+    return;
   const std::optional<double> named = ParseLimit(text);
   const std::string& instance = this->lease.current->instance;
   if (!text.empty() && !named) {
@@ -127,11 +210,15 @@
     return;
   }
   const TimePoint now = SteadyNow();
-  const double before = this->limit.per_second.value_or(kNoLimit);
-  const auto event = HearLimit(this->limit, named, sent_at, now);
+  NamedLimit& limit = this->gatekeeper.limit;
+  const double before = limit.per_second.value_or(kNoLimit);
+  const auto event = HearLimit(limit, named, sent_at, now);
   if (!event)
     return;
   this->limit_events.Add(*event);
+  this->OnLimitSet();
+  if (*event != LimitEvent::kChanged)
+    this->on_status_change();
   if (*event == LimitEvent::kChanged &&
       now - this->limit_logged_at < kMinLimitLogInterval)
     return;
@@ -145,12 +232,12 @@
        {"id", request_id}});
 }
 
-void Gate::HearLeaving(std::string_view request_id,
+void Gate::HearLeaving(std::string_view instance,
+                       std::string_view request_id,
                        const HttpHeaders& headers) {
   if (FindHeader(headers, this->names.leaving) != kLeavingValue)
     return;
   ++this->leaving_responses;
-  const std::string& instance = this->lease.current->instance;
   if (std::exchange(this->said_leaving, instance) == instance)
     return;
   Log(LogLevel::kInfo, "gate", "upstream-says-leaving",
--- a/src/edge/metrics.cc
+++ b/src/edge/metrics.cc
@@ -99,6 +99,8 @@
   AppendValue(text, "gate_slots", "", "", gate.slots);
   AppendValue(text, "gate_slow_start_ms", "", "", gate.warm_up_ms);
   AppendValue(text, "gate_starts_total", "", "", node.gate.starts);
+  AppendValue(text, "gate_refused_by_limit_total", "", "",
+              node.gate.AdmissionState().refused_by_limit);
   AppendTable(text, "gate_limit_events_total", "event", node.gate.limit_events);
   AppendValue(text, "gate_leaving_responses_total", "", "",
               node.gate.leaving_responses);
--- a/src/edge/status_feed.cc
+++ b/src/edge/status_feed.cc
@@ -74,6 +74,7 @@
                             SharedInterval(audience.far_callers));
     case StatusTopic::kLoad:
     case StatusTopic::kDemand:
+    case StatusTopic::kLimit:
       return LoadInterval(reader, audience, now);
     case StatusTopic::kRelayedSuspects:
       return SharedInterval(near ? audience.near_callers
@@ -146,6 +147,8 @@
     BitOf(StatusTopic::kUpstream) | BitOf(StatusTopic::kVersion);
 constexpr TopicSet kSuspectPartTopics =
     BitOf(StatusTopic::kSuspects) | BitOf(StatusTopic::kRelayedSuspects);
+constexpr TopicSet kTimesPartTopics =
+    BitOf(StatusTopic::kTimes) | BitOf(StatusTopic::kLimit);
 constexpr TopicSet kEvidenceTopics =
     BitOf(StatusTopic::kEvidence) | BitOf(StatusTopic::kBadResponses);
 constexpr TopicSet kMovePartTopics = BitOf(StatusTopic::kProgress) |
@@ -156,9 +159,9 @@
 
 std::string_view NameOf(StatusTopic topic) {
   static constexpr std::array<std::string_view, kStatusTopics> kNames = {
-      "upstream",      "version",  "load",    "idle",
-      "times",         "progress", "summary", "evidence",
-      "bad-responses", "suspects", "demand",  "relayed-suspects"};
+      "upstream", "version",          "load",     "idle",          "times",
+      "progress", "summary",          "evidence", "bad-responses", "suspects",
+      "demand",   "relayed-suspects", "limit"};
   return kNames.at(static_cast<std::size_t>(topic));
 }
 
@@ -183,7 +186,10 @@
                                               after.warm_up_ms));
   add(StatusTopic::kLoad, has(StatusPart::kLoad));
   add(StatusTopic::kIdle, !IsIdle(before) && IsIdle(after));
-  add(StatusTopic::kTimes, has(StatusPart::kTimes));
+  add(StatusTopic::kTimes,
+      std::tie(before.mean_ms, before.route_times, before.process_stamp) !=
+          std::tie(after.mean_ms, after.route_times, after.process_stamp));
+  add(StatusTopic::kLimit, before.limit_per_second != after.limit_per_second);
   add(StatusTopic::kProgress,
       !SameMoves(before.trial_statuses, after.trial_statuses) ||
           !SameSuspicions(before.trial_summaries, after.trial_summaries));
@@ -247,7 +253,7 @@
   };
   add(kUpstreamPartTopics, StatusPart::kUpstream);
   add(kLoadTopics, StatusPart::kLoad);
-  add(BitOf(StatusTopic::kTimes), StatusPart::kTimes);
+  add(kTimesPartTopics, StatusPart::kTimes);
   add(kMovePartTopics, StatusPart::kMoves);
   add(kSuspectPartTopics, StatusPart::kSuspects);
   add(BitOf(StatusTopic::kDemand), StatusPart::kDemand);
@@ -262,6 +268,8 @@
     carried |= kSuspectPartTopics;
   if ((topics & kLoadTopics) != 0)
     carried |= kLoadTopics;
+  if ((topics & kTimesPartTopics) != 0)
+    carried |= kTimesPartTopics;
   if ((topics & kMovePartTopics) != 0) {
     carried |= BitOf(StatusTopic::kProgress);
     carried |=
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -102,22 +102,34 @@
   return std::clamp(starts_in_a_run, 1.0, slots);
 }
 
+// Expected time until the request may start, in microseconds, where a rate
+// limits the starts. The reported wait counts although all
+// slots are free: the rate may be used up.
+double PacedWaitUs(const Candidate& candidate,
+                   const PlacedRequest& request,
+                   double ahead) {
+  const auto reported_us = static_cast<double>(candidate.start_wait.count());
+  if (ahead <= 0)
+    return reported_us;
+  const double gap_us = kMicrosPerSecond / candidate.starts_per_second;
+  const double ahead_us = request.skips_queue ? gap_us : ahead * gap_us;
+  return std::max(reported_us, ahead_us);
+}
+
 // Expected time until the request may start, in microseconds.
 double ExpectedWaitUs(const Candidate& candidate,
                       const PlacedRequest& request,
                       double run_us) {
   const double slots = UsableSlots(candidate, run_us);
   const double ahead = candidate.load + 1.0 - slots;
+  if (candidate.starts_per_second > 0)
+    return PacedWaitUs(candidate, request, ahead);
   if (ahead <= 0)
     return 0;
   const double mean_us =
       candidate.mean_run_time > Duration{0}
           ? static_cast<double>(candidate.mean_run_time.count())
           : run_us;
-  if (candidate.starts_per_second > 0) {
-    const double gap_us = kMicrosPerSecond / candidate.starts_per_second;
-    return request.skips_queue ? gap_us : ahead * gap_us;
-  }
   if (request.skips_queue)
     return mean_us / slots;
   // For waiting requests that the gate has not reported, only the number is
--- a/src/upstream/upstream_lease.cc
+++ b/src/upstream/upstream_lease.cc
@@ -109,6 +109,12 @@
   return false;
 }
 
+bool IsAnotherProcess(const UpstreamHeartbeat& before,
+                      const UpstreamHeartbeat& after) {
+  return before.instance != after.instance ||
+         (before.born_ms != 0 && before.born_ms != after.born_ms);
+}
+
 void OnUpstreamResponse(UpstreamLease& lease, TimePoint now) {
   lease.renewed_at = now;
 }
--- a/tests/unit/frames_compat_test.cc
+++ b/tests/unit/frames_compat_test.cc
@@ -1,6 +1,7 @@
 // Frames between nodes of two releases while a fleet is upgraded. The bytes
 // were written by a release before this one.
 #include "edge/frames.h"
+#include "edge/status_notes.h"
 
 #include <criterion/criterion.h>
 
@@ -8,6 +9,7 @@
 #include <string_view>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "teaselspread/version_trial.h"
 
@@ -68,6 +70,35 @@
   cr_assert(EncodeLinkFrame(Decode<Hello>(kHello)) == FromHex(kHello));
 }
 
+// A node of the release before closes the link on fields that it does not know,
+// so the limit travels as a row of a list that it can parse. That node must not
+// take the row for a route's time, and this one must not keep it there.
+Test(frames_compat, a_limit_travels_in_the_fields_of_the_release_before) {
+  const auto before = Decode<Status>(kStatus);
+  Status limited = before;
+  limited.status.limit_per_second = 34.3;
+  limited.status.process_stamp = 77;
+  const std::string bytes = EncodeLinkFrame(limited);
+  const auto frame =
+      DecodeLinkFrame(std::string_view(bytes).substr(kFrameLengthBytes));
+  cr_assert(frame.has_value());
+  const auto& received = std::get<Status>(*frame).status;
+  cr_assert(received == limited.status);
+  cr_assert(received.route_times == before.status.route_times);
+  const std::vector<RouteTime> rows = TimesWithNotes(limited.status);
+  cr_assert_eq(rows.size(), before.status.route_times.size() + 2);
+  cr_assert(ReportedTimeOf(rows, "read") ==
+            ReportedTimeOf(before.status.route_times, "read"));
+  for (const double per_second : {0.0, 0.001, 1e6}) {
+    GateStatus status;
+    status.limit_per_second = per_second;
+    status.route_times = TimesWithNotes(status);
+    status.limit_per_second.reset();
+    TakeNotes(status);
+    cr_assert(status.limit_per_second == per_second);
+  }
+}
+
 // Nodes of the release before judge moves by the counters of all peers. The row
 // that marks a suspicion must not count there as responses of an upstream.
 Test(frames_compat, a_suspicion_adds_no_responses) {
--- a/tests/unit/placement_test.cc
+++ b/tests/unit/placement_test.cc
@@ -183,5 +183,17 @@
   cr_assert(NextIndex(round_robin, one) == 0);
 }
 
+// An upstream with free slots has used up the rate that it named. To entries it
+// looked idle: they sent to it, were refused and had to try the next.
+Test(placement, an_idle_upstream_without_room_for_starts_is_avoided) {
+  Candidate limited = MakeCandidate(Distance::kOwnDataCenter, 0);
+  limited.starts_per_second = 2;
+  limited.start_wait = Ms(450);
+  const Candidate busy = MakeCandidate(Distance::kOtherDataCenter, 8);
+  cr_assert(PlaceOnce({limited, busy}) == 1);
+  limited.start_wait = Ms(0);
+  cr_assert(PlaceOnce({limited, busy}) == 0);
+}
+
 }  // namespace
 }  // namespace teaselspread
--- a/tests/unit/status_feed_test.cc
+++ b/tests/unit/status_feed_test.cc
@@ -277,5 +277,34 @@
   cr_assert_leq(frames, kCallers * 2, "%zu frames in two seconds", frames);
 }
 
+// An upstream in need names another rate in each response. If each one went to
+// every node, a few such upstreams would be most of what hundreds of nodes
+// send.
+Test(status_feed, changes_of_a_limit_are_sent_at_the_interval_of_loads) {
+  constexpr std::size_t kActive = 10;
+  constexpr std::size_t kCallers = 300;
+  Callers callers(kCallers, kActive);
+  GateStatus status = ReadyStatus();
+  callers.Change(status);
+  callers.Send(kStart);
+  std::size_t frames = 0;
+  constexpr Ms kSpan{10000};
+  for (Ms passed = kTick; passed <= kSpan; passed += kTick) {
+    status.limit_per_second = 10.0 + static_cast<double>(passed.count() % 7);
+    callers.Change(status);
+    frames += callers.Send(kStart + passed);
+  }
+  const double seconds = std::chrono::duration<double>(kSpan).count();
+  // Once to everybody, then as often as loads.
+  cr_assert_leq(static_cast<double>(frames),
+                kCallers + seconds * (kActive * 5 + 2 * 1000.0 / 12));
+  // Callers that send requests know of it within the interval.
+  callers.received.assign(kCallers, 0);
+  status.limit_per_second.reset();
+  callers.Change(status);
+  callers.Send(kStart + kSpan + Ms(200));
+  cr_assert_geq(callers.CountReceived(StatusTopic::kLimit), kActive);
+}
+
 }  // namespace
 }  // namespace teaselspread
--- a/tests/unit/upstream_lease_test.cc
+++ b/tests/unit/upstream_lease_test.cc
@@ -66,6 +66,17 @@
                            kStart + Ms(14000)) == HeartbeatResult::kAccepted);
 }
 
+// A limit that an upstream named is forgotten when another process holds its
+// address, and not when the first heartbeat completes what is known of it.
+Test(upstream_lease, processes_are_told_apart_by_name_and_start_time) {
+  const UpstreamHeartbeat probed = MakeHeartbeat("i-1", 0, 0);
+  const UpstreamHeartbeat known = MakeHeartbeat("i-1", 5000, 3);
+  cr_assert_not(IsAnotherProcess(probed, known));
+  cr_assert_not(IsAnotherProcess(known, MakeHeartbeat("i-1", 5000, 4)));
+  cr_assert(IsAnotherProcess(known, MakeHeartbeat("i-1", 8000, 1)));
+  cr_assert(IsAnotherProcess(known, MakeHeartbeat("i-2", 5000, 4)));
+}
+
 // The same while an earlier process at the address still holds the lease.
 Test(upstream_lease, a_leave_holds_while_an_earlier_process_is_held) {
   UpstreamLease lease;
