--- a/include/teaselspread/upstream_lease.h
+++ b/include/teaselspread/upstream_lease.h
@@ -97,6 +97,11 @@
              std::int64_t born_ms,
              TimePoint now);
 
+// Whether the process `instance` that holds the lease, or a recent one of that
+// name, has announced that it leaves.
+[[nodiscard]] bool HasAnnouncedLeave(const UpstreamLease& lease,
+                                     std::string_view instance);
+
 // Whether the heartbeats come from different processes. One known from its
 // health check alone has no start time yet. Thread safe.
 [[nodiscard]] bool IsAnotherProcess(const UpstreamHeartbeat& before,
--- /dev/null
+++ b/src/edge/departures.h
@@ -0,0 +1,48 @@
+// Upstream processes that said in a response, which this node has passed on,
+// that they leave.
+//
+// The gate beside such a process refuses requests for it. But a node that is
+// restarted forgets that, and takes the process for ready again if a late
+// heartbeat says so; those who were told must not send it anything then.
+//
+// Pure: the caller passes the time in. Nothing here is thread safe.
+#ifndef TEASELSPREAD_SRC_EDGE_DEPARTURES_H_
+#define TEASELSPREAD_SRC_EDGE_DEPARTURES_H_
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <string_view>
+
+#include "teaselspread/types.h"
+
+namespace teaselspread {
+
+struct Departure {
+  std::string instance;
+  // Distinguishes processes of the same name; 0 if not known.
+  std::uint32_t process_stamp = 0;
+  TimePoint heard_at;
+};
+
+struct DepartureTable {
+  // In the order of `heard_at`.
+  std::deque<Departure> departures;
+};
+
+// Ignores an empty `instance`.
+void RecordDeparture(DepartureTable& table,
+                     std::string_view instance,
+                     std::uint32_t process_stamp,
+                     TimePoint now);
+
+// Whether the process has said so. One of that name that started at another
+// time has not; where a start time is not known, the names decide.
+[[nodiscard]] bool HasLeft(const DepartureTable& table,
+                           std::string_view instance,
+                           std::uint32_t process_stamp,
+                           TimePoint now);
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_SRC_EDGE_DEPARTURES_H_
--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -233,7 +233,9 @@
     const bool tried = std::find(pending.tried.begin(), pending.tried.end(),
                                  node) != pending.tried.end();
     const int rank = RankOf(fit, unresponsive);
-    if (fit == VersionFit::kNone || tried || rank > best)
+    const bool left =
+        HasLeft(this->departures, status.instance, status.process_stamp, now);
+    if (fit == VersionFit::kNone || tried || rank > best || left)
       return false;
     if (rank < best)
       candidates.clear();
@@ -333,6 +335,11 @@
   return peer == nullptr ? none : peer->status.instance;
 }
 
+std::uint32_t Entry::ProcessStampOf(const std::string& node) const {
+  const Peer* peer = this->links.Find(node);
+  return peer == nullptr ? 0 : peer->status.process_stamp;
+}
+
 const std::string& Entry::VersionOf(const Candidate& chosen) const {
   static const std::string unknown;
   if (chosen.distance == Distance::kOwnVm) {
@@ -377,6 +384,8 @@
                    const Candidate& chosen) {
   pending.node = std::string(chosen.node);
   pending.version = this->VersionOf(chosen);
+  pending.instance = this->InstanceOf(pending.node);
+  pending.process_stamp = this->ProcessStampOf(pending.node);
   pending.at_own_gate = chosen.distance == Distance::kOwnVm;
   pending.in_flight = true;
   pending.sent_at = SteadyNow();
@@ -388,7 +397,7 @@
     });
     return;
   }
-  frame.instance = this->InstanceOf(pending.node);
+  frame.instance = pending.instance;
   if (!this->links.Run(pending.node, frame)) {
     pending.in_flight = false;
     pending.tried.push_back(pending.node);
@@ -421,6 +430,11 @@
 void Entry::HandleResponse(std::uint64_t id,
                            PendingRequest& pending,
                            ResultFrame result) {
+  if (FindHeader(result.response.headers, this->names.leaving) ==
+      kLeavingValue) {
+    RecordDeparture(this->departures, pending.instance, pending.process_stamp,
+                    SteadyNow());
+  }
   const bool failed = result.response.status >= kFirstServerError;
   this->RecordOutcome(pending.node, failed);
   this->ReportOutcome(pending, failed, Duration(result.upstream_time_us));
--- a/src/edge/entry.h
+++ b/src/edge/entry.h
@@ -18,6 +18,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "edge/departures.h"
 #include "edge/gate.h"
 #include "edge/http_listener.h"
 #include "edge/latency_histogram.h"
@@ -56,6 +57,9 @@
   std::string node;
   // Version of that node's upstream, as known when the request was sent.
   std::string version;
+  // Its process; empty if it is the one on this VM.
+  std::string instance;
+  std::uint32_t process_stamp = 0;
   bool at_own_gate = false;
   bool in_flight = false;
   TimePoint sent_at;
@@ -183,6 +187,7 @@
   [[nodiscard]] RunFrame FrameOf(std::uint64_t id,
                                  const PendingRequest& pending);
   [[nodiscard]] const std::string& InstanceOf(const std::string& node) const;
+  [[nodiscard]] std::uint32_t ProcessStampOf(const std::string& node) const;
   [[nodiscard]] const std::string& VersionOf(const Candidate& chosen) const;
   // Records the outcome of an attempt as evidence about the upstream's version.
   void ReportOutcome(const PendingRequest& pending,
@@ -217,6 +222,8 @@
   double mean_transfer_bytes = 0;
   std::map<std::string, NodeHealth> node_health;
   std::map<std::string, RetryBudget> retry_budgets;
+  // Processes that said in a response to this node that they leave.
+  DepartureTable departures;
   Rng rng;
 };
 
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -203,8 +203,6 @@
   TimePoint limit_logged_at;
   // The limit as reported to other nodes.
   std::optional<double> reported_limit;
-  // The last process that said in a response that it leaves.
-  std::string said_leaving;
   // The upstream has responded since this node started, so what it says of
   // itself is known.
   bool heard = false;
--- a/src/edge/gate_upstream.cc
+++ b/src/edge/gate_upstream.cc
@@ -232,16 +232,19 @@
        {"id", request_id}});
 }
 
+// Final, like a leave call, whatever heartbeats that are late say afterwards.
 void Gate::HearLeaving(std::string_view instance,
                        std::string_view request_id,
                        const HttpHeaders& headers) {
-  if (FindHeader(headers, this->names.leaving) != kLeavingValue)
+  if (instance.empty() ||
+      FindHeader(headers, this->names.leaving) != kLeavingValue)
     return;
   ++this->leaving_responses;
-  if (std::exchange(this->said_leaving, instance) == instance)
+  if (HasAnnouncedLeave(this->lease, instance))
     return;
   Log(LogLevel::kInfo, "gate", "upstream-says-leaving",
       {{"instance", instance}, {"id", request_id}});
+  (void)this->OnUpstreamLeaving({std::string(instance), 0});
 }
 
 void Gate::MarkUpstreamLost(CrashSign sign) {
--- a/src/upstream/upstream_lease.cc
+++ b/src/upstream/upstream_lease.cc
@@ -68,7 +68,13 @@
   const bool may_be_late = lease.refused_connection && lease.current &&
                            SameProcess(heartbeat, *lease.current);
   if (lease.current) {
-    const UpstreamHeartbeat& held = *lease.current;
+    UpstreamHeartbeat& held = *lease.current;
+    // A process that is leaving, and known from its health check alone, has no
+    // start time yet. If its next heartbeat counted as that of a new process,
+    // the leaving one would get requests again.
+    if (held.leaving && held.born_ms == 0 &&
+        held.instance == heartbeat.instance && heartbeat.sequence > 1)
+      held.born_ms = heartbeat.born_ms;
     if (IsOlderProcess(heartbeat, held))
       return HeartbeatResult::kStale;
     if (SameProcess(heartbeat, held)) {
@@ -109,6 +115,15 @@
   return false;
 }
 
+bool HasAnnouncedLeave(const UpstreamLease& lease, std::string_view instance) {
+  if (lease.current && lease.current->instance == instance)
+    return lease.current->leaving;
+  return std::any_of(lease.left_processes.begin(), lease.left_processes.end(),
+                     [instance](const LeftProcess& process) {
+                       return process.instance == instance;
+                     });
+}
+
 bool IsAnotherProcess(const UpstreamHeartbeat& before,
                       const UpstreamHeartbeat& after) {
   return before.instance != after.instance ||
--- a/tests/process/leaving_responses_test.cc
+++ b/tests/process/leaving_responses_test.cc
@@ -65,13 +65,15 @@
 }
 
 // Guards against requests from nodes that were told, after the node beside the
-// upstream was restarted and takes the upstream for ready again.
+// upstream was restarted and takes the upstream for ready again: neither
+// heartbeats nor the health check say that it leaves.
 Test(leaving_responses, a_restart_of_the_node_beside_it_changes_nothing) {
   EdgeFleet fleet;
   EdgeVm& leaving = fleet.At(0);
   EdgeVm& told = fleet.At(1);
   cr_assert(fleet.WaitUntilReady());
-  leaving.upstream.SayLeaving();
+  constexpr bool kInHealth = false;
+  leaving.upstream.SayLeaving(kInHealth);
   // Until the node has passed on such a response.
   cr_assert(WaitUntil([&] {
     (void)SendRequest(told, "GET", "/view/1", NextRequestId());
--- a/tests/unit/upstream_lease_test.cc
+++ b/tests/unit/upstream_lease_test.cc
@@ -66,6 +66,25 @@
                            kStart + Ms(14000)) == HeartbeatResult::kAccepted);
 }
 
+// A node that restarted beside an upstream knows it from its health check, and
+// a response says that it leaves. The next heartbeat, which gives its start
+// time and calls it ready, must not count as one of a new process.
+Test(upstream_lease, a_leave_holds_for_a_process_known_from_its_health_check) {
+  UpstreamLease lease;
+  (void)ApplyHeartbeat(lease, MakeHeartbeat("i-1", 0, 0), kStart);
+  cr_assert_not(HasAnnouncedLeave(lease, "i-1"));
+  cr_assert(OnLeave(lease, "i-1", 0, kStart));
+  cr_assert(HasAnnouncedLeave(lease, "i-1"));
+  for (const int seconds : {1, 15, 30}) {
+    cr_assert(ApplyHeartbeat(lease, MakeHeartbeat("i-1", 5000, 20 + seconds),
+                             kStart + std::chrono::seconds(seconds)) ==
+              HeartbeatResult::kAlreadyLeaving);
+  }
+  cr_assert(ApplyHeartbeat(lease, MakeHeartbeat("i-1", 8000, 1),
+                           kStart + std::chrono::seconds(31)) ==
+            HeartbeatResult::kAccepted);
+}
+
 // A limit that an upstream named is forgotten when another process holds its
 // address, and not when the first heartbeat completes what is known of it.
 Test(upstream_lease, processes_are_told_apart_by_name_and_start_time) {
