A refusal tells when the first of the upstreams has room, not the last one asked

What callers saw, in the stand-in: two upstreams of a service have no room; the one asked last has named a limit of zero, and the caller is told to come back when that one may take a request, in 10 s and more, although the other has room within a second.

Cause: each gate's refusal overwrote the Retry-After of the one before.

Change: the shortest counts. A refusal as a crash suspect holds everywhere and stays as it is.

--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -456,7 +456,13 @@
                           ResultFrame& result) {
   pending.tried.push_back(pending.node);
   pending.last_error = result.error;
-  pending.retry_after = std::chrono::milliseconds(result.retry_after_ms);
+  const Duration retry_after = std::chrono::milliseconds(result.retry_after_ms);
+  // The first upstream that has room again serves the caller. A suspect is
+  // refused by all of them.
+  const bool is_latest =
+      pending.refusals == 0 || result.error == ErrorKind::kCrashSuspect;
+  pending.retry_after =
+      is_latest ? retry_after : std::min(pending.retry_after, retry_after);
   ++pending.refusals;
   const bool reached_upstream = result.error == ErrorKind::kUpstreamShed;
   if (reached_upstream) {
--- a/tests/process/named_limit_test.cc
+++ b/tests/process/named_limit_test.cc
@@ -56,6 +56,10 @@
   // Those who were kept waiting for half of their time.
   [[nodiscard]] int CountRefusedLate() const { return this->refused_late; }
   [[nodiscard]] int CountRefused() const { return this->refused; }
+  // The longest Retry-After of a refusal, in seconds.
+  [[nodiscard]] double LongestRetryAfter() const {
+    return this->longest_retry_after;
+  }
 
  private:
   void Press(const EdgeVm& vm) {
@@ -68,6 +72,7 @@
       constexpr int kUnavailable = 503;
       if (response.status == kUnavailable) {
         ++this->refused;
+        this->RecordRetryAfter(response);
         if (Clock::now() - sent_at > this->waits / 2)
           ++this->refused_late;
       }
@@ -75,10 +80,20 @@
     }
   }
 
+  void RecordRetryAfter(const HttpResponse& response) {
+    const double seconds = std::stod(
+        "0" + std::string(FindHeader(response.headers, "Retry-After")));
+    double longest = this->longest_retry_after;
+    while (longest < seconds &&
+           !this->longest_retry_after.compare_exchange_weak(longest, seconds)) {
+    }
+  }
+
   Ms waits;
   std::string deadline;
   std::atomic<bool> stopping{false};
   std::atomic<int> refused{0};
+  std::atomic<double> longest_retry_after{0};
   std::atomic<int> refused_late{0};
   std::vector<std::thread> callers;
 };
@@ -202,5 +217,20 @@
   cr_assert_leq(pressure.CountRefusedLate() * 100, pressure.CountRefused());
 }
 
+// Guards against callers that are asked to come back when the last upstream has
+// room, although another has room long before.
+Test(named_limit, a_refusal_says_when_the_first_upstream_has_room) {
+  EdgeFleet fleet;
+  cr_assert(fleet.WaitUntilReady());
+  fleet.At(0).upstream.NameLimit("0");
+  fleet.At(2).upstream.NameLimit("10");
+  Pressure pressure(fleet, 12, Ms(1000));
+  std::this_thread::sleep_for(Ms(4000));
+  cr_assert_gt(pressure.CountRefused(), 100);
+  // The queue holds what starts in the second that callers have, and node and
+  // gate each spread the time by up to its double.
+  cr_assert_leq(pressure.LongestRetryAfter(), 5.0);
+}
+
 }  // namespace
 }  // namespace teaselspread
