Named limit: who is overtaken is told before its aim, not at its deadline

Cause: a limited gate starts a few dozen a second. Requests are queued by the wait behind those ahead of them, then more urgent ones, which come as fast as the limit lets any start, go before them again and again, and they are refused when their deadline comes. With slots alone the queue moves several times as fast.

Change: while a limit holds, a queued request is refused when the latest start has passed with which it was admitted, and as soon as those before it make it later than that. Without a limit nothing changes.

--- a/include/teaselspread/admission.h
+++ b/include/teaselspread/admission.h
@@ -77,6 +77,9 @@
   Admission admission = Admission::kRefused;
   std::optional<Refusal> refusal;
   std::optional<Refusal> evicted;
+  // Queued requests that `limit` now lets start too late, as this one goes
+  // before them.
+  std::vector<Refusal> overtaken;
 };
 
 // What the caller has to do now: start the requests in `run` and respond to
@@ -93,6 +96,10 @@
   Arrival arrival;
   std::uint64_t order = 0;
   bool running = false;
+  // Latest start with which it was queued. While `limit` holds, a request that
+  // has not started by then is refused: more urgent ones may take all that the
+  // upstream takes, and the others would wait until their deadline in vain.
+  TimePoint latest_start = TimePoint::max();
 };
 
 // Queue order: by priority (internal lookups first), then by earliest aim, then
--- a/src/admission/gatekeeper.cc
+++ b/src/admission/gatekeeper.cc
@@ -106,8 +106,10 @@
                      ErrorKind kind,
                      TimePoint now,
                      Rng& rng) {
-  return {Admission::kRefused, MakeRefusal(gate, id, kind, now, rng),
-          std::nullopt};
+  return {Admission::kRefused,
+          MakeRefusal(gate, id, kind, now, rng),
+          std::nullopt,
+          {}};
 }
 
 ArrivalResult AdmitSuspect(Gatekeeper& gate,
@@ -117,10 +119,41 @@
   if (gate.running == 0 && gate.suspect_queue.empty() &&
       NextStart(gate, now) <= now) {
     StartRun(gate, held, now);
-    return {Admission::kRun, std::nullopt, std::nullopt};
+    return {Admission::kRun, std::nullopt, std::nullopt, {}};
   }
   gate.suspect_queue.insert(held);
-  return {Admission::kQueued, std::nullopt, std::nullopt};
+  return {Admission::kQueued, std::nullopt, std::nullopt, {}};
+}
+
+// Latest start of a queued request.
+TimePoint LatestStartOf(const Gatekeeper& gate, const HeldRequest& held) {
+  const TimePoint by_deadline = LatestStart(gate, held.arrival);
+  return gate.limit.per_second ? std::min(by_deadline, held.latest_start)
+                               : by_deadline;
+}
+
+// Refuses the queued requests that `limit` lets start too late.
+std::vector<Refusal> RefuseHopeless(Gatekeeper& gate, TimePoint now, Rng& rng) {
+  std::vector<std::uint64_t> hopeless;
+  std::size_t ahead = 0;
+  for (auto next = gate.queue.begin(); next != gate.queue.end();) {
+    HeldRequest& held = *next++;
+    if (StartBehind(gate.limit, ahead, now) <= LatestStartOf(gate, held)) {
+      ++ahead;
+      continue;
+    }
+    hopeless.push_back(held.arrival.id);
+    gate.queue.erase(gate.queue.iterator_to(held));
+    RemoveRequest(gate, hopeless.back());
+  }
+  // Only now, since Retry-After follows from the queue that remains.
+  std::vector<Refusal> refusals;
+  for (const std::uint64_t id : hopeless) {
+    ++gate.refused_by_limit;
+    refusals.push_back(
+        MakeRefusal(gate, id, ErrorKind::kQueueTimeout, now, rng));
+  }
+  return refusals;
 }
 
 ArrivalResult Enqueue(Gatekeeper& gate,
@@ -143,7 +176,8 @@
     gate.refused_by_limit += limited ? 1 : 0;
     return Refuse(gate, arrival.id, ErrorKind::kDeadlineTooShort, now, rng);
   }
-  ArrivalResult arrived{Admission::kQueued, std::nullopt, std::nullopt};
+  ArrivalResult arrived;
+  arrived.admission = Admission::kQueued;
   const auto limit = static_cast<std::size_t>(gate.settings.queue_limit);
   if (gate.queue.size() >= limit) {
     if (gate.queue.empty() || !RunsBefore{}(candidate, *gate.queue.rbegin()) ||
@@ -152,7 +186,11 @@
     arrived.evicted = RefuseQueued(gate, gate.queue, *gate.queue.rbegin(),
                                    ErrorKind::kQueueFull, now, rng);
   }
-  gate.queue.insert(AddRequest(gate, arrival));
+  HeldRequest& held = AddRequest(gate, arrival);
+  held.latest_start = LatestAdmissibleStart(gate, arrival, now);
+  gate.queue.insert(held);
+  if (gate.limit.per_second)
+    arrived.overtaken = RefuseHopeless(gate, now, rng);
   return arrived;
 }
 
@@ -163,7 +201,7 @@
                  GateActions& actions) {
   for (auto next = queue.begin(); next != queue.end();) {
     HeldRequest& held = *next++;
-    if (LatestStart(gate, held.arrival) < now) {
+    if (LatestStartOf(gate, held) < now) {
       actions.refused.push_back(
           RefuseQueued(gate, queue, held, ErrorKind::kQueueTimeout, now, rng));
     }
@@ -247,7 +285,7 @@
     return AdmitSuspect(gate, arrival, now);
   if (MayStart(gate, now) && gate.queue.empty()) {
     StartRun(gate, AddRequest(gate, arrival), now);
-    return {Admission::kRun, std::nullopt, std::nullopt};
+    return {Admission::kRun, std::nullopt, std::nullopt, {}};
   }
   return Enqueue(gate, arrival, now, rng);
 }
@@ -296,7 +334,7 @@
     next = NextStart(gate, now);
   for (const Queue* queue : {&gate.queue, &gate.suspect_queue}) {
     for (const HeldRequest& held : *queue) {
-      const TimePoint latest = LatestStart(gate, held.arrival);
+      const TimePoint latest = LatestStartOf(gate, held);
       next = next ? std::min(*next, latest) : latest;
     }
   }
@@ -327,25 +365,8 @@
 GateActions OnLimitChanged(Gatekeeper& gate, TimePoint now, Rng& rng) {
   GateActions actions;
   StartQueued(gate, now, rng, actions);
-  std::vector<std::uint64_t> hopeless;
-  std::size_t ahead = 0;
-  for (auto next = gate.queue.begin(); next != gate.queue.end();) {
-    HeldRequest& held = *next++;
-    if (StartBehind(gate.limit, ahead, now) <=
-        LatestStart(gate, held.arrival)) {
-      ++ahead;
-      continue;
-    }
-    hopeless.push_back(held.arrival.id);
-    gate.queue.erase(gate.queue.iterator_to(held));
-    RemoveRequest(gate, hopeless.back());
-  }
-  // Only now, since Retry-After follows from the queue that remains.
-  for (const std::uint64_t id : hopeless) {
-    ++gate.refused_by_limit;
-    actions.refused.push_back(
-        MakeRefusal(gate, id, ErrorKind::kQueueTimeout, now, rng));
-  }
+  const auto refused = RefuseHopeless(gate, now, rng);
+  actions.refused.insert(actions.refused.end(), refused.begin(), refused.end());
   return actions;
 }
 
--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -110,6 +110,8 @@
       Arrive(this->gatekeeper, arrival, now, this->rng);
   if (arrived.evicted)
     this->Refuse(arrived.evicted->id, *arrived.evicted);
+  for (const Refusal& refusal : arrived.overtaken)
+    this->Refuse(refusal.id, refusal);
   if (arrived.refusal) {
     this->Refuse(id, *arrived.refusal);
     return;
--- a/tests/unit/limit_pace_test.cc
+++ b/tests/unit/limit_pace_test.cc
@@ -7,6 +7,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <map>
 #include <random>
 #include <string>
 #include <utility>
@@ -152,6 +153,10 @@
     for (const std::uint64_t id : actions.run)
       this->Begin(id, now);
     this->refused_late += static_cast<int>(actions.refused.size());
+    for (const Refusal& refusal : actions.refused) {
+      const Duration held = now - this->arrived_at.at(refusal.id);
+      this->longest_held = std::max(this->longest_held, held);
+    }
   }
   void Advance(TimePoint now) {
     while (!this->ends.empty() && this->ends.front().first <= now) {
@@ -166,6 +171,7 @@
   // Requests come at this rate, at random, until `end`.
   void Press(double per_second, TimePoint begin, TimePoint end, Duration aim) {
     std::exponential_distribution<double> gap(per_second);
+    std::uniform_real_distribution<double> draw(0, 1);
     TimePoint next = begin;
     for (TimePoint now = begin; now < end; now += Ms(1)) {
       this->Advance(now);
@@ -175,9 +181,14 @@
         arrival.route = "lookup";
         arrival.aim = now + aim;
         arrival.deadline = now + 2 * aim;
+        arrival.priority = draw(this->rng) < this->urgent_share
+                               ? Priority::kNormal
+                               : Priority::kBackground;
+        this->arrived_at[arrival.id] = now;
         const auto arrived = Arrive(this->gate, arrival, now, this->rng);
         if (arrived.admission == Admission::kRun)
           this->Begin(arrival.id, now);
+        this->Apply({{}, arrived.overtaken}, now);
         if (arrived.refusal)
           this->refusals.push_back(*arrived.refusal);
       }
@@ -189,7 +200,11 @@
   std::vector<TimePoint> starts;
   std::vector<std::pair<TimePoint, std::uint64_t>> ends;
   std::vector<Refusal> refusals;
+  // Refused after they have waited, and for how long at most.
   int refused_late = 0;
+  Duration longest_held{0};
+  std::map<std::uint64_t, TimePoint> arrived_at;
+  double urgent_share = 0;
   std::uint64_t last_id = 0;
 };
 
@@ -215,6 +230,27 @@
   }
 }
 
+// More urgent requests take nearly all that the upstream takes. The others were
+// queued behind few, overtaken by many, and held until their time was used up.
+Test(limit_pace, overtaken_requests_are_told_before_their_aim) {
+  constexpr Duration kAim = Ms(400);
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    PressedGate pressed(seed);
+    pressed.urgent_share = 0.3;
+    constexpr double kPerSecond = 34.3;
+    (void)HearLimit(pressed.gate.limit, kPerSecond, kStart, kStart);
+    pressed.Press(3 * kPerSecond, kStart, kStart + std::chrono::seconds(12),
+                  kAim);
+    // They may wait for half of the time to the latest start within the aim;
+    // the clock steps by a millisecond.
+    cr_assert_leq(pressed.longest_held.count(),
+                  ((kAim - kRunTime) / 2 + Duration(Ms(1))).count(), "seed %lu",
+                  seed);
+    cr_assert_geq(static_cast<double>(pressed.starts.size()),
+                  0.9 * 12 * kPerSecond, "seed %lu", seed);
+  }
+}
+
 // Requests wait for a slot when the limit is named: those that it lets start
 // too late are told at once, while their callers have time to go elsewhere.
 Test(limit_pace, what_waits_when_a_limit_is_named_is_refused_at_once) {
