Look elsewhere: an encoded body is not the upstream's, and its Retry-After counts

- A success with a Content-Encoding was passed on with its signature, although no caller asked for an encoding and the body is not the upstream's.
It is now treated like an unsigned success: retried if it may be, else 502.
- An upstream that refuses a request as not run may say when to come back; the gate replaced that by 80 ms.
It now counts, up to an hour.

Looked at and left: the load in responses after the first heartbeat (slots come with heartbeats; the gate counts its own requests), connections refused while its queue is long (the gate queues nothing there).

Tests: edge::a_success_with_a_content_encoding_is_rejected and edge::the_retry_after_of_an_upstream_reaches_the_caller failed on the code before, one run each, and pass.

--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -1,6 +1,7 @@
 #include "edge/gate.h"
 
 #include <algorithm>
+#include <cmath>
 #include <random>
 #include <utility>
 #include <vector>
@@ -45,6 +46,20 @@
   return static_cast<Priority>(std::min(rank, kLowest));
 }
 
+// How long the upstream asks callers to wait; kMinRetryAfter if it does not
+// say.
+Duration RetryAfterOf(const HttpHeaders& headers) {
+  constexpr double kMaxSeconds = 3600;
+  constexpr double kMicrosPerSecond = 1e6;
+  double seconds = 0;
+  const std::string text(FindHeader(headers, kHeaderRetryAfter));
+  if (!absl::SimpleAtod(text, &seconds) || !std::isfinite(seconds))
+    return kMinRetryAfter;
+  const double micros =
+      std::clamp(seconds, 0.0, kMaxSeconds) * kMicrosPerSecond;
+  return std::max(Duration(static_cast<std::int64_t>(micros)), kMinRetryAfter);
+}
+
 ResultFrame RefusedFrame(std::uint64_t call, const Refusal& refusal) {
   ResultFrame result;
   result.call_id = call;
@@ -177,9 +192,14 @@
         !FindHeader(result.response.headers, this->names.not_run).empty();
     const bool wrong_process = status == kHttpMisdirected;
     // An unsigned success may have been forged between the upstream and here.
-    const bool unsigned_success =
-        status >= kFirstSuccess && status < kFirstRedirect &&
-        FindHeader(result.response.headers, this->names.signature).empty();
+    // One with an encoding has another body than the upstream's: requests ask
+    // for none.
+    const bool success = status >= kFirstSuccess && status < kFirstRedirect;
+    const HttpHeaders& headers = result.response.headers;
+    const bool foreign_success =
+        success && (FindHeader(headers, this->names.signature).empty() ||
+                    !FindHeader(headers, "Content-Encoding").empty());
+    const Duration retry_after = RetryAfterOf(headers);
     frame.response = std::move(result.response);
     if (wrong_process) {
       this->MarkUpstreamLost(CrashSign::kAnotherProcess);
@@ -194,9 +214,9 @@
       frame.has_response = false;
       frame.error = ErrorKind::kUpstreamShed;
       frame.execution = Execution::kNotRun;
-      frame.retry_after_ms = MillisOf(kMinRetryAfter);
+      frame.retry_after_ms = MillisOf(retry_after);
       frame.response = {};
-    } else if (unsigned_success) {
+    } else if (foreign_success) {
       frame.has_response = false;
       frame.error = ErrorKind::kWrongResponse;
       frame.execution = Execution::kUnknown;
--- a/standins/mesh_upstream.h
+++ b/standins/mesh_upstream.h
@@ -125,6 +125,16 @@
   void BecomeSlow(std::chrono::milliseconds for_ms) {
     this->slow_until = std::chrono::steady_clock::now() + for_ms;
   }
+  // Successes bear this encoding, as if something on the way had packed them.
+  void EncodeAnswers(const std::string& encoding) {
+    const std::scoped_lock lock(this->gate);
+    this->content_encoding = encoding;
+  }
+  // Refusals as not run ask callers to come back after this many seconds.
+  void AskBackAfter(const std::string& seconds) {
+    const std::scoped_lock lock(this->gate);
+    this->retry_after = seconds;
+  }
   // Answers 500.
   void Fail(bool fail) { this->failing = fail; }
   // Names this limit in all answers from now on, as text; "" for none.
@@ -207,6 +217,9 @@
       response.set("Server-Limit", this->named_limit);
     if (this->says_leaving)
       response.set("Server-Leaving", "1");
+    const bool success = response.result_int() < 300;
+    if (success && !this->content_encoding.empty())
+      response.set("Content-Encoding", this->content_encoding);
   }
 
   bool IsCrash(const Request& request) {
@@ -290,6 +303,11 @@
   Response NotRun(unsigned status) {
     Response response = TextAnswer(status, "");
     response.set("X-Not-Executed", "1");
+    {
+      const std::scoped_lock lock(this->gate);
+      if (!this->retry_after.empty())
+        response.set("Retry-After", this->retry_after);
+    }
     response.set("X-Instance-Id", this->Instance());
     this->SayNeeds(response);
     return response;
@@ -335,6 +353,8 @@
   std::chrono::milliseconds crash_work{};
   std::string hang_target;
   std::string named_limit;
+  std::string content_encoding;
+  std::string retry_after;
   std::atomic<bool> says_leaving{false};
   std::atomic<bool> health_says_leaving{false};
   std::atomic<bool> shedding{false};
--- a/tests/process/edge_test.cc
+++ b/tests/process/edge_test.cc
@@ -288,6 +288,40 @@
   cr_assert(SendRequest(vm, "GET", "/view/1", NextRequestId()).status == 502);
 }
 
+// Guards against a body that is not the upstream's: something on the way has
+// encoded it, and the caller, who asked for none, would take it for the
+// content.
+Test(edge, a_success_with_a_content_encoding_is_rejected) {
+  standin::StoreService& store = *new standin::StoreService;
+  store.Put("keyed.op", "config", ConfigText("00000001"));
+  EdgeVm vm("a-1", "a", {"i-a1", "desk"}, store.Port());
+  cr_assert(WaitUntil([&] {
+    return SendRequest(vm, "GET", "/view/1", "settle").status == 200;
+  }));
+  vm.upstream.EncodeAnswers("gzip");
+  cr_assert(SendRequest(vm, "GET", "/view/1", NextRequestId()).status == 502);
+  vm.upstream.EncodeAnswers("");
+  cr_assert(SendRequest(vm, "GET", "/view/1", NextRequestId()).status == 200);
+}
+
+// Guards against callers that come back too soon: the upstream that refused
+// them has said when it takes requests again.
+Test(edge, the_retry_after_of_an_upstream_reaches_the_caller) {
+  standin::StoreService& store = *new standin::StoreService;
+  store.Put("keyed.op", "config", ConfigText("00000001"));
+  EdgeVm vm("a-1", "a", {"i-a1", "desk"}, store.Port());
+  cr_assert(WaitUntil([&] {
+    return SendRequest(vm, "GET", "/view/1", "settle").status == 200;
+  }));
+  vm.upstream.AskBackAfter("1.5");
+  vm.upstream.Shed(true);
+  const HttpResponse response =
+      SendRequest(vm, "GET", "/view/1", NextRequestId());
+  cr_assert_eq(response.status, 503);
+  const std::string seconds(FindHeader(response.headers, "Retry-After"));
+  cr_assert_geq(std::stod("0" + seconds), 1.5, "%s", seconds.c_str());
+}
+
 // Guards against requests that reach an upstream after its notice to leave was
 // acknowledged. The other upstreams serve the callers.
 Test(edge, nothing_reaches_an_upstream_after_its_leave_was_acknowledged) {
