Named limit: read as a newcomer: terms of the field, one job a function, age in the log

Behaviour is unchanged but for the log: event=limit says for how long the limit had been named, and is written in one place for all changes.

--- a/include/teaselspread/edge.h
+++ b/include/teaselspread/edge.h
@@ -137,7 +137,7 @@
   // On the response to a health check: milliseconds for which the process stays
   // slow after its start.
   std::string warm_up_left;
-  // On responses of an upstream in need: the requests a second that it takes
+  // On responses of an overloaded upstream: the requests a second that it takes
   // from all nodes together, as a decimal number.
   std::string named_limit;
   // On responses: "1" from an upstream that leaves.
--- a/include/teaselspread/named_limit.h
+++ b/include/teaselspread/named_limit.h
@@ -1,7 +1,7 @@
 // The rate of requests that an upstream says it takes, from all nodes together.
 //
-// An upstream in need names the rate in each of its responses for as long as
-// the need lasts. Every request to it passes the gate beside it, so the gate
+// An overloaded upstream names the rate in each of its responses for as long as
+// the overload lasts. Every request to it passes the gate beside it, so the gate
 // alone can keep to the rate, whichever nodes the requests come from.
 //
 // Pure: the caller passes the time in. Nothing here is thread safe.
@@ -39,7 +39,7 @@
   TimePoint first_named_at;
   TimePoint named_at;
   // Token bucket: requests that might start at once at `refilled_at`. It is
-  // empty when a limit begins, as the upstream has just had too much.
+  // empty when a limit begins, as the upstream is overloaded already.
   double tokens = 0;
   TimePoint refilled_at;
 };
--- a/src/admission/gatekeeper.cc
+++ b/src/admission/gatekeeper.cc
@@ -133,8 +133,8 @@
 }
 
 // Refuses the queued requests that `limit` lets start too late.
-std::vector<Refusal> RefuseHopeless(Gatekeeper& gate, TimePoint now, Rng& rng) {
-  std::vector<std::uint64_t> hopeless;
+std::vector<Refusal> RefuseTooLate(Gatekeeper& gate, TimePoint now, Rng& rng) {
+  std::vector<std::uint64_t> too_late;
   std::size_t ahead = 0;
   for (auto next = gate.queue.begin(); next != gate.queue.end();) {
     HeldRequest& held = *next++;
@@ -142,13 +142,13 @@
       ++ahead;
       continue;
     }
-    hopeless.push_back(held.arrival.id);
+    too_late.push_back(held.arrival.id);
     gate.queue.erase(gate.queue.iterator_to(held));
-    RemoveRequest(gate, hopeless.back());
+    RemoveRequest(gate, too_late.back());
   }
   // Only now, since Retry-After follows from the queue that remains.
   std::vector<Refusal> refusals;
-  for (const std::uint64_t id : hopeless) {
+  for (const std::uint64_t id : too_late) {
     ++gate.refused_by_limit;
     refusals.push_back(
         MakeRefusal(gate, id, ErrorKind::kQueueTimeout, now, rng));
@@ -166,8 +166,8 @@
   const QueueAhead ahead = QueuedAhead(gate, &candidate);
   const Duration wait = ExpectedWait(gate, ahead, now);
   const TimePoint by_limit = StartBehind(gate.limit, ahead.requests, now);
-  // Leaves room for one more urgent request that comes later. Otherwise it
-  // would make the last one in the queue wait in vain, until its deadline.
+  // Leaves room for one more urgent request that comes later and would make the
+  // last one in the queue wait in vain, until its deadline.
   const Duration margin =
       StartBehind(gate.limit, ahead.requests + 1, now) - by_limit;
   if (now + wait > LatestAdmissibleStart(gate, arrival, now) ||
@@ -190,7 +190,7 @@
   held.latest_start = LatestAdmissibleStart(gate, arrival, now);
   gate.queue.insert(held);
   if (gate.limit.per_second)
-    arrived.overtaken = RefuseHopeless(gate, now, rng);
+    arrived.overtaken = RefuseTooLate(gate, now, rng);
   return arrived;
 }
 
@@ -365,7 +365,7 @@
 GateActions OnLimitChanged(Gatekeeper& gate, TimePoint now, Rng& rng) {
   GateActions actions;
   StartQueued(gate, now, rng, actions);
-  const auto refused = RefuseHopeless(gate, now, rng);
+  const auto refused = RefuseTooLate(gate, now, rng);
   actions.refused.insert(actions.refused.end(), refused.begin(), refused.end());
   return actions;
 }
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -173,11 +173,18 @@
   void HearNamedLimit(std::string_view request_id,
                       const HttpHeaders& headers,
                       TimePoint sent_at);
+  void OnInvalidLimit(std::string_view request_id, std::string_view text);
+  void LogLimit(LimitEvent event,
+                const NamedLimit& before,
+                std::string_view request_id);
   void HearLeaving(std::string_view instance,
                    std::string_view request_id,
                    const HttpHeaders& headers);
+  // Slots in use: fewer than the upstream has until it has responded.
   [[nodiscard]] int UsableSlots() const;
+  // A health check named no limit; see AllowTrial.
   void AllowTrialRequests();
+  // Another process holds the lease.
   void ForgetLimit();
   // The limit has changed: reports it, and applies it to what waits.
   void OnLimitSet();
--- a/src/edge/gate_upstream.cc
+++ b/src/edge/gate_upstream.cc
@@ -149,14 +149,12 @@
 }
 
 void Gate::ForgetLimit() {
-  if (!this->gatekeeper.limit.per_second)
+  const NamedLimit before = std::exchange(this->gatekeeper.limit, {});
+  if (!before.per_second)
     return;
-  this->gatekeeper.limit = {};
   this->limit_events.Add(LimitEvent::kForgotten);
-  Log(LogLevel::kInfo, "gate", "limit",
-      {{"change", NameOf(LimitEvent::kForgotten)},
-       {"instance", this->lease.current->instance}});
   this->OnLimitSet();
+  this->LogLimit(LimitEvent::kForgotten, before, "");
 }
 
 bool Gate::OnUpstreamLeaving(const LeaveCall& call) {
@@ -182,8 +180,8 @@
 }
 
 // Until the upstream has responded, its limit is not known. Few requests start
-// until then, so that a node that was restarted beside an upstream in need does
-// not send it all that its slots take.
+// until then, so that a node that was restarted beside an overloaded upstream
+// does not fill all its slots at once.
 int Gate::UsableSlots() const {
   if (!this->lease.current)
     return 1;
@@ -200,34 +198,49 @@
   if (text.empty() && FindHeader(headers, this->names.signature).empty())
     return;
   const std::optional<double> named = ParseLimit(text);
-  const std::string& instance = this->lease.current->instance;
   if (!text.empty() && !named) {
-    this->limit_events.Add(LimitEvent::kIgnored);
-    if (std::exchange(this->ignored_limit, std::string(text)) != text) {
-      Log(LogLevel::kWarning, "gate", "limit-ignored",
-          {{"instance", instance}, {"value", text}, {"id", request_id}});
-    }
+    this->OnInvalidLimit(request_id, text);
     return;
   }
-  const TimePoint now = SteadyNow();
-  NamedLimit& limit = this->gatekeeper.limit;
-  const double before = limit.per_second.value_or(kNoLimit);
-  const auto event = HearLimit(limit, named, sent_at, now);
+  const NamedLimit before = this->gatekeeper.limit;
+  const auto event =
+      HearLimit(this->gatekeeper.limit, named, sent_at, SteadyNow());
   if (!event)
     return;
   this->limit_events.Add(*event);
   this->OnLimitSet();
   if (*event != LimitEvent::kChanged)
     this->on_status_change();
-  if (*event == LimitEvent::kChanged &&
+  this->LogLimit(*event, before, request_id);
+}
+
+void Gate::OnInvalidLimit(std::string_view request_id, std::string_view text) {
+  this->limit_events.Add(LimitEvent::kIgnored);
+  if (std::exchange(this->ignored_limit, std::string(text)) == text)
+    return;
+  Log(LogLevel::kWarning, "gate", "limit-ignored",
+      {{"instance", this->lease.current->instance},
+       {"value", text},
+       {"id", request_id}});
+}
+
+void Gate::LogLimit(LimitEvent event,
+                    const NamedLimit& before,
+                    std::string_view request_id) {
+  const TimePoint now = SteadyNow();
+  if (event == LimitEvent::kChanged &&
       now - this->limit_logged_at < kMinLimitLogInterval)
     return;
   this->limit_logged_at = now;
+  const Duration held =
+      before.per_second ? now - before.first_named_at : Duration{0};
+  const std::optional<double>& per_second = this->gatekeeper.limit.per_second;
   Log(LogLevel::kInfo, "gate", "limit",
-      {{"change", NameOf(*event)},
-       {"instance", instance},
-       {"per_second", absl::StrCat(named.value_or(kNoLimit))},
-       {"before", absl::StrCat(before)},
+      {{"change", NameOf(event)},
+       {"instance", this->lease.current->instance},
+       {"per_second", absl::StrCat(per_second.value_or(kNoLimit))},
+       {"before", absl::StrCat(before.per_second.value_or(kNoLimit))},
+       {"for_ms", held / std::chrono::milliseconds(1)},
        {"starts", this->starts},
        {"id", request_id}});
 }
--- a/src/edge/status_feed.h
+++ b/src/edge/status_feed.h
@@ -45,7 +45,7 @@
   // Rows of other nodes about suspects, for callers that those nodes cannot
   // reach.
   kRelayedSuspects,
-  // The rate that the upstream says it takes.
+  // The rate of requests that the upstream says it takes.
   kLimit,
   kCount,
 };
--- a/tests/process/named_limit_test.cc
+++ b/tests/process/named_limit_test.cc
@@ -133,8 +133,8 @@
                 allowed);
 }
 
-// Guards against an upstream in need that goes on getting its usual share: it
-// names its limit to all callers, and each of them believes it has room.
+// Guards against an overloaded upstream that goes on getting its usual share:
+// it names its limit to all callers, and each of them believes it has room.
 Test(named_limit, an_upstream_gets_no_more_than_it_names_from_all_nodes) {
   EdgeFleet fleet;
   EdgeVm& limited = fleet.At(0);
@@ -176,8 +176,8 @@
       [&] { return ArrivalsSince(limited.upstream, lifted_at).size() > 50; }));
 }
 
-// Guards against a node that restarts beside an upstream in need and sends it
-// all that its slots take: heartbeats do not tell the limit.
+// Guards against a node that restarts beside an overloaded upstream and sends
+// it all that its slots take: heartbeats do not tell the limit.
 Test(named_limit, a_restarted_node_keeps_to_it) {
   EdgeFleet fleet;
   EdgeVm& limited = fleet.At(0);
--- a/tests/unit/limit_pace_test.cc
+++ b/tests/unit/limit_pace_test.cc
@@ -208,7 +208,7 @@
   std::uint64_t last_id = 0;
 };
 
-// All entries send to an upstream in need what its slots take. It is to get
+// All entries send to an overloaded upstream what its slots take. It is to get
 // what it named, and the rest is refused on arrival and not when its time is
 // used up.
 Test(limit_pace, a_gate_under_pressure_keeps_to_the_limit) {
--- a/tests/unit/status_feed_test.cc
+++ b/tests/unit/status_feed_test.cc
@@ -277,8 +277,8 @@
   cr_assert_leq(frames, kCallers * 2, "%zu frames in two seconds", frames);
 }
 
-// An upstream in need names another rate in each response. If each one went to
-// every node, a few such upstreams would be most of what hundreds of nodes
+// An overloaded upstream names another rate in each response. If each one went
+// to every node, a few such upstreams would be most of what hundreds of nodes
 // send.
 Test(status_feed, changes_of_a_limit_are_sent_at_the_interval_of_loads) {
   constexpr std::size_t kActive = 10;
