--- a/include/teaselspread/named_limit.h
+++ b/include/teaselspread/named_limit.h
@@ -1,8 +1,8 @@
 // The rate of requests that an upstream says it takes, from all nodes together.
 //
 // An overloaded upstream names the rate in each of its responses for as long as
-// the overload lasts. Every request to it passes the gate beside it, so the gate
-// alone can keep to the rate, whichever nodes the requests come from.
+// the overload lasts. Every request to it passes the gate beside it, so the
+// gate alone can keep to the rate, whichever nodes the requests come from.
 //
 // Pure: the caller passes the time in. Nothing here is thread safe.
 #ifndef TEASELSPREAD_NAMED_LIMIT_H_
