Gate: Retry-After is parsed only where a response is refused as not run

Every response was searched for it and the text copied, on the path of all requests; only a refusal uses it.

--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -199,7 +199,6 @@
     const bool foreign_success =
         success && (FindHeader(headers, this->names.signature).empty() ||
                     !FindHeader(headers, "Content-Encoding").empty());
-    const Duration retry_after = RetryAfterOf(headers);
     frame.response = std::move(result.response);
     if (wrong_process) {
       this->MarkUpstreamLost(CrashSign::kAnotherProcess);
@@ -214,7 +213,7 @@
       frame.has_response = false;
       frame.error = ErrorKind::kUpstreamShed;
       frame.execution = Execution::kNotRun;
-      frame.retry_after_ms = MillisOf(retry_after);
+      frame.retry_after_ms = MillisOf(RetryAfterOf(frame.response.headers));
       frame.response = {};
     } else if (foreign_success) {
       frame.has_response = false;
