--- a/include/teaselspread/edge.h
+++ b/include/teaselspread/edge.h
@@ -15,6 +15,7 @@
 #include "teaselspread/evacuation.h"
 #include "teaselspread/http.h"
 #include "teaselspread/placement.h"
+#include "teaselspread/quota.h"
 #include "teaselspread/record_store.h"
 #include "teaselspread/settings.h"
 #include "teaselspread/snapshot.h"
@@ -65,6 +66,8 @@
   // its service, and a number that is always allowed.
   double slow_start_excess = 1.5;
   double slow_start_slack = 4;
+  // Bounds on what a client account gets beyond its rate limit.
+  QuotaBounds quota;
   // How an upstream is chosen for a request. `crossing_cost` should reflect the
   // network: near 0 where traffic between data centres is free.
   PlacementSettings placement;
@@ -123,6 +126,8 @@
   std::string deadline;
   // Service that runs on the VM where the request originated.
   std::string caller_service;
+  // Client account whose API key the request bears.
+  std::string account;
   // The only process that may run the request.
   std::string expected_instance;
   // On a response: the upstream did not run the request.
--- a/include/teaselspread/error.h
+++ b/include/teaselspread/error.h
@@ -69,6 +69,10 @@
   // Command line and other.
   kUsage,
   kInternal,
+  // Client accounts. Appended, as nodes of different releases exchange the
+  // numbers of the other kinds.
+  kUnauthorized,
+  kQuotaExceeded,
   kCount,
 };
 
--- a/include/teaselspread/snapshot.h
+++ b/include/teaselspread/snapshot.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -58,6 +59,8 @@
   std::string method;
   std::string path_prefix;
   Priority priority = Priority::kNormal;
+  // Requests need no API key although the configuration has client accounts.
+  bool allow_anonymous = false;
   // Non-idempotent requests need an Idempotency-Key and run at most once.
   bool idempotent = true;
   Duration deadline = std::chrono::seconds(2);
@@ -67,6 +70,22 @@
   std::size_t max_body_bytes = 1U << 20;
 };
 
+// Rate limit of a client account, over all nodes together.
+struct AccountLimit {
+  // Requests a second; 0 if there is no limit.
+  double per_second = 0;
+  // Requests that may run at once beyond that rate.
+  double burst = 0;
+};
+
+// A client account. Its API keys are in Snapshot::account_by_key.
+struct AccountConfig {
+  std::string name;
+  // Goes before the priority of the route; none if the route's alone counts.
+  std::optional<Priority> priority;
+  AccountLimit limit;
+};
+
 // Bounds beyond which the new version counts as failing, compared with the old
 // version at the same time on the same route.
 struct MoveBounds {
@@ -117,6 +136,12 @@
   // Longest path_prefix first, so that the first match is the best one.
   std::vector<RouteConfig> routes;
   std::map<std::string, MoveConfig> moves;
+  // Whether requests need an API key, unless their route says otherwise. Also
+  // true if the list of accounts is empty: then no key is valid.
+  bool has_accounts = false;
+  std::map<std::string, AccountConfig, std::less<>> accounts;
+  // Name of the account that holds each API key. Never to be logged.
+  std::map<std::string, std::string, std::less<>> account_by_key;
   LimitsConfig limits;
 };
 
--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -55,6 +55,8 @@
     {K::kAppendUnknown, "append-unknown", 504, E::kUnknown, true, false},
     {K::kUsage, "usage", 400, E::kNotRun, false, false},
     {K::kInternal, "internal", 500, E::kUnknown, false, false},
+    {K::kUnauthorized, "unauthorized", 401, E::kNotRun, false, false},
+    {K::kQuotaExceeded, "quota-exceeded", 429, E::kNotRun, true, false},
 }};
 
 constexpr bool TableIsInOrder() {
