--- a/include/teaselspread/admission.h
+++ b/include/teaselspread/admission.h
@@ -49,6 +49,8 @@
   std::uint64_t id = 0;
   std::string route;
   Priority priority = Priority::kNormal;
+  // Order among requests of the same priority; lower values run first.
+  std::uint8_t tie_break = 0;
   TimePoint deadline;
   // Time until which a response has its full value, a soft deadline; the epoch
   // when not given.
@@ -102,10 +104,10 @@
   TimePoint latest_start = TimePoint::max();
 };
 
-// Queue order: by priority (internal lookups first), then by earliest aim, then
-// by arrival. A request without an aim is ordered by its deadline. The deadline
-// alone would let callers that retry after a refusal, with little time left,
-// overtake first attempts and make those late as well.
+// Queue order: by priority (internal lookups first), then by tie-break, then by
+// earliest aim, then by arrival. A request without an aim is ordered by its
+// deadline. The deadline alone would let callers that retry after a refusal,
+// with little time left, overtake first attempts and make those late as well.
 struct RunsBefore {
   bool operator()(const HeldRequest& a, const HeldRequest& b) const;
 };
--- a/src/admission/gatekeeper.cc
+++ b/src/admission/gatekeeper.cc
@@ -20,6 +20,10 @@
   return has_aim ? std::min(arrival.aim, arrival.deadline) : arrival.deadline;
 }
 
+bool HaveSamePriority(const Arrival& a, const Arrival& b) {
+  return a.priority == b.priority && a.tie_break == b.tie_break;
+}
+
 // Retry-After covers the time to drain the queue, so that retries fit into it.
 // It has jitter, since callers that retry all at once would not fit.
 Refusal MakeRefusal(Gatekeeper& gate,
@@ -181,7 +185,7 @@
   const auto limit = static_cast<std::size_t>(gate.settings.queue_limit);
   if (gate.queue.size() >= limit) {
     if (gate.queue.empty() || !RunsBefore{}(candidate, *gate.queue.rbegin()) ||
-        candidate.arrival.priority == gate.queue.rbegin()->arrival.priority)
+        HaveSamePriority(candidate.arrival, gate.queue.rbegin()->arrival))
       return Refuse(gate, arrival.id, ErrorKind::kQueueFull, now, rng);
     arrived.evicted = RefuseQueued(gate, gate.queue, *gate.queue.rbegin(),
                                    ErrorKind::kQueueFull, now, rng);
@@ -253,8 +257,8 @@
 bool RunsBefore::operator()(const HeldRequest& a, const HeldRequest& b) const {
   const TimePoint due_a = EffectiveDeadline(a.arrival);
   const TimePoint due_b = EffectiveDeadline(b.arrival);
-  return std::tie(a.arrival.priority, due_a, a.order) <
-         std::tie(b.arrival.priority, due_b, b.order);
+  return std::tie(a.arrival.priority, a.arrival.tie_break, due_a, a.order) <
+         std::tie(b.arrival.priority, b.arrival.tie_break, due_b, b.order);
 }
 
 Gatekeeper::~Gatekeeper() {
--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -11,6 +11,7 @@
 #include <xxhash.h>
 
 #include "base/clock.h"
+#include "teaselspread/accounts.h"
 #include "teaselspread/logging.h"
 #include "teaselspread/wire.h"
 
@@ -40,12 +41,6 @@
                                        : ErrorKind::kNotReady;
 }
 
-Priority PriorityOf(std::uint8_t rank) {
-  constexpr std::uint8_t kLowest =
-      static_cast<std::uint8_t>(Priority::kBackground);
-  return static_cast<Priority>(std::min(rank, kLowest));
-}
-
 // How long the upstream asks callers to wait; kMinRetryAfter if it does not
 // say.
 Duration RetryAfterOf(const HttpHeaders& headers) {
@@ -94,7 +89,9 @@
   Arrival arrival;
   arrival.id = id;
   arrival.route = frame.route;
-  arrival.priority = PriorityOf(frame.priority);
+  const RequestPriority order = DecodePriority(frame.priority);
+  arrival.priority = order.priority;
+  arrival.tie_break = order.tie_break;
   arrival.deadline = run.deadline;
   arrival.aim = now + std::chrono::milliseconds(frame.aim_ms);
   arrival.body_bytes = frame.request.body.size();
@@ -413,9 +410,26 @@
 
 std::string_view Gate::CallingRoute(std::string_view request_id) const {
   const std::size_t dot = request_id.find('.');
-  if (dot == std::string_view::npos)
-    return {};
-  const auto found = this->running_routes.find(request_id.substr(0, dot));
+  return dot == std::string_view::npos
+             ? std::string_view{}
+             : this->RunningRoute(request_id.substr(0, dot));
+}
+
+std::string_view Gate::CallingRouteAtAnyDepth(
+    std::string_view request_id) const {
+  std::size_t dot = request_id.rfind('.');
+  while (dot != std::string_view::npos) {
+    request_id = request_id.substr(0, dot);
+    if (const std::string_view route = this->RunningRoute(request_id);
+        !route.empty())
+      return route;
+    dot = request_id.rfind('.');
+  }
+  return {};
+}
+
+std::string_view Gate::RunningRoute(std::string_view request_id) const {
+  const auto found = this->running_routes.find(request_id);
   return found == this->running_routes.end() ? std::string_view{}
                                              : found->second;
 }
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -115,6 +115,11 @@
   [[nodiscard]] std::string_view CallingRoute(
       std::string_view request_id) const;
 
+  // The same, also if the id of the running request itself has dots, as it does
+  // if that request is a nested call.
+  [[nodiscard]] std::string_view CallingRouteAtAnyDepth(
+      std::string_view request_id) const;
+
   // Drops the measurements of routes that are not in `routes`.
   void KeepRoutes(const std::set<std::string_view>& routes) {
     RetainServiceTimes(this->gatekeeper, routes);
@@ -152,6 +157,9 @@
   std::uint64_t leaving_responses = 0;
 
  private:
+  // Route of the request at the upstream with this id; empty if there is none.
+  [[nodiscard]] std::string_view RunningRoute(
+      std::string_view request_id) const;
   void RefreshReportedTimes();
   // Requests that may have reached the upstream and have no result yet.
   [[nodiscard]] std::vector<Fingerprint> RunsAtUpstream() const;
