--- a/include/teaselspread/http.h
+++ b/include/teaselspread/http.h
@@ -23,6 +23,9 @@
 // NameOf(ErrorKind) of the error that gave this answer.
 inline constexpr std::string_view kHeaderReason = "X-Reason";
 inline constexpr std::string_view kHeaderRetryAfter = "Retry-After";
+// The caller's credentials, and the scheme in which a 401 asks for them.
+inline constexpr std::string_view kHeaderAuthorization = "Authorization";
+inline constexpr std::string_view kHeaderAuthenticate = "WWW-Authenticate";
 // Milliseconds that are left for the request.
 inline constexpr std::string_view kHeaderDeadline = "X-Deadline-Ms";
 // Counts the nodes that a request passed.
--- a/include/teaselspread/logging.h
+++ b/include/teaselspread/logging.h
@@ -15,7 +15,8 @@
 enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarning, kError, kCount };
 
 // One field of a line. Numbers are never quoted; text is if it is empty or has
-// blanks, quotes, '=', control or non-ASCII characters.
+// blanks, quotes, '=', control or non-ASCII characters. A field without a name
+// is left out of the line.
 struct LogField {
   LogField(std::string_view name, std::string_view text)
       : key(name), value(text) {}
--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -10,6 +10,7 @@
 
 #include "base/clock.h"
 #include "edge/response_times.h"
+#include "teaselspread/accounts.h"
 #include "teaselspread/logging.h"
 #include "teaselspread/routing.h"
 
@@ -53,6 +54,11 @@
   return slow > 0 ? std::min(slow, limit) : limit;
 }
 
+RequestPriority PriorityOf(const PendingRequest& pending) {
+  return pending.nested ? kNestedCallPriority
+                        : EffectivePriority(pending.account, *pending.route);
+}
+
 // Rank of a candidate, lower is better; only those of the best rank are used. A
 // spare version or an unresponsive link is still better than a refusal.
 int RankOf(VersionFit fit, bool unresponsive) {
@@ -102,25 +108,52 @@
     this->RefuseImmediately(exchange, ErrorKind::kNoRoute);
     return;
   }
-  if (FindHeader(request.headers, kHeaderRequestId).empty()) {
+  const std::string_view request_id =
+      FindHeader(request.headers, kHeaderRequestId);
+  // With accounts a call that is not recognised would be refused, so those of
+  // nested calls are looked up as well.
+  const std::string_view calling_route =
+      this->snapshot->has_accounts
+          ? this->gate.CallingRouteAtAnyDepth(request_id)
+          : this->gate.CallingRoute(request_id);
+  const auto account =
+      IdentifyCaller(*this->snapshot, *route,
+                     FindHeader(request.headers, kHeaderAuthorization),
+                     !calling_route.empty(), request_id);
+  if (!account) {
+    this->RefuseImmediately(exchange, account.error().kind,
+                            account.error().message);
+    return;
+  }
+  if (request_id.empty()) {
     this->RefuseImmediately(exchange, ErrorKind::kBadRequest);
     return;
   }
+  const std::uint64_t id =
+      this->AddPending(exchange, *route, *account, calling_route);
+  this->BeginAttempts(id);
+}
+
+std::uint64_t Entry::AddPending(const ExchangePtr& exchange,
+                                const RouteConfig& route,
+                                const AccountConfig* account,
+                                std::string_view calling_route) {
   const std::uint64_t id = this->next_id++;
   PendingRequest pending;
   pending.exchange = exchange;
   pending.snapshot = this->snapshot;
-  pending.route = route;
-  pending.service = route->service;
-  const std::string_view calling_route =
-      this->gate.CallingRoute(FindHeader(request.headers, kHeaderRequestId));
-  pending.nested = !calling_route.empty();
-  if (!route->split.empty()) {
+  pending.route = &route;
+  pending.service = route.service;
+  pending.account = account;
+  // Nested calls bear no key: a caller with one gains no precedence by an id
+  // that begins with that of another request.
+  pending.nested = !calling_route.empty() && account == nullptr;
+  if (!route.split.empty()) {
     std::vector<std::uint32_t> weights;
-    for (const WeightedService& part : route->split)
+    for (const WeightedService& part : route.split)
       weights.push_back(part.weight);
-    const std::size_t turn = NextIndex(this->turns[route->name], weights);
-    pending.service = route->split[turn].service;
+    const std::size_t turn = NextIndex(this->turns[route.name], weights);
+    pending.service = route.split[turn].service;
   }
   this->SetTimes(pending);
   pending.timer = std::make_unique<boost::asio::steady_timer>(this->loop);
@@ -132,12 +165,18 @@
   exchange->on_caller_disconnected = [this, id] {
     this->OnCallerDisconnected(id);
   };
-  OnFirstAttempt(this->BudgetOf(pending.service));
   if (pending.nested)
     RecordCall(this->shortage, std::string(calling_route), pending.service);
-  const auto added =
-      this->pending_requests.emplace(id, std::move(pending)).first;
-  if (!this->ShedForDependency(id, added->second))
+  this->pending_requests.emplace(id, std::move(pending));
+  return id;
+}
+
+void Entry::BeginAttempts(std::uint64_t id) {
+  const auto found = this->pending_requests.find(id);
+  if (found == this->pending_requests.end())
+    return;
+  OnFirstAttempt(this->BudgetOf(found->second.service));
+  if (!this->ShedForDependency(id, found->second))
     this->Attempt(id);
 }
 
@@ -167,7 +206,7 @@
     return false;
   const double shed_ratio =
       FractionToShed(this->shortage, pending.route->name,
-                     pending.route->priority, SteadyNow());
+                     PriorityOf(pending).priority, SteadyNow());
   std::uniform_real_distribution<double> draw(0, 1);
   if (shed_ratio <= 0 || draw(this->rng) >= shed_ratio)
     return false;
@@ -357,9 +396,7 @@
   // If a nested call fails, its half-finished request fails too and the work
   // done for it is lost. So nested calls go first, and may wait until their
   // deadline.
-  const Priority priority =
-      pending.nested ? Priority::kInternal : pending.route->priority;
-  frame.priority = static_cast<std::uint8_t>(priority);
+  frame.priority = EncodePriority(PriorityOf(pending));
   frame.idempotent = pending.route->idempotent;
   const Duration left = TimeForUpstream(pending.deadline - SteadyNow());
   frame.deadline_ms = static_cast<std::uint32_t>(
@@ -376,6 +413,14 @@
   SetHeader(frame.request.headers, this->names.caller_service,
             this->settings.service);
   RemoveHeader(frame.request.headers, this->names.expected_instance);
+  if (pending.snapshot->has_accounts) {
+    RemoveHeader(frame.request.headers, kHeaderAuthorization);
+    RemoveHeader(frame.request.headers, this->names.account);
+    if (pending.account != nullptr) {
+      SetHeader(frame.request.headers, this->names.account,
+                pending.account->name);
+    }
+  }
   return frame;
 }
 
--- a/src/edge/entry.h
+++ b/src/edge/entry.h
@@ -49,6 +49,8 @@
   bool has_picked = false;
   // A call that the upstream on this VM makes while it runs another request.
   bool nested = false;
+  // Points into `snapshot`; null without an account.
+  const AccountConfig* account = nullptr;
   TimePoint deadline;
   // Estimate of how long the caller waited before it sent this request.
   Duration time_waited{};
@@ -150,6 +152,15 @@
   ShortageTable shortage;
 
  private:
+  // Adds a request that IdentifyCaller has accepted to the pending ones.
+  // `calling_route`: route of the request that made it; empty if it is no
+  // nested call. Returns its id.
+  std::uint64_t AddPending(const ExchangePtr& exchange,
+                           const RouteConfig& route,
+                           const AccountConfig* account,
+                           std::string_view calling_route);
+  // Sends an identified request for the first time, unless it is shed.
+  void BeginAttempts(std::uint64_t id);
   void SetTimes(PendingRequest& pending);
   // When the response starts to lose value; none for routes without an aim.
   [[nodiscard]] static std::optional<TimePoint> AimOf(
@@ -182,7 +193,10 @@
   // No attempt is left: forwards a failed response of an earlier attempt, or
   // sends the error.
   void EndUnserved(std::uint64_t id, ErrorKind kind, Duration retry_after);
-  void RefuseImmediately(const ExchangePtr& exchange, ErrorKind kind);
+  // `cause` is only logged.
+  void RefuseImmediately(const ExchangePtr& exchange,
+                         ErrorKind kind,
+                         std::string_view cause = "");
   [[nodiscard]] std::vector<Candidate> CandidatesFor(PendingRequest& pending);
   [[nodiscard]] RunFrame FrameOf(std::uint64_t id,
                                  const PendingRequest& pending);
--- a/src/edge/entry_answers.cc
+++ b/src/edge/entry_answers.cc
@@ -10,6 +10,7 @@
 #include <absl/strings/str_format.h>
 
 #include "base/clock.h"
+#include "teaselspread/accounts.h"
 #include "teaselspread/logging.h"
 
 namespace teaselspread {
@@ -36,10 +37,19 @@
          kind == ErrorKind::kQueueFull || kind == ErrorKind::kQueueTimeout;
 }
 
+// Left out of the line without accounts, so that it is as it was before them.
+LogField AccountField(const Snapshot* snapshot, const AccountConfig* account) {
+  if (snapshot == nullptr || !snapshot->has_accounts)
+    return {"", ""};
+  return {"account", account == nullptr ? std::string_view{} : account->name};
+}
+
 HttpResponse MakeErrorResponse(ErrorKind kind, Duration retry_after) {
   HttpResponse response = ErrorResponse(Error{kind, std::string(NameOf(kind))});
   if (TraitsOf(kind).retry_after)
     SetHeader(response.headers, kHeaderRetryAfter, FormatSeconds(retry_after));
+  if (kind == ErrorKind::kUnauthorized)
+    SetHeader(response.headers, kHeaderAuthenticate, "Bearer");
   return response;
 }
 
@@ -102,11 +112,14 @@
 void Entry::CountDemand(const PendingRequest& pending, bool refused) {
   if (pending.nested || pending.shed_ratio > 0)
     return;
-  RecordDemand(this->shortage, pending.service, pending.route->priority,
+  RecordDemand(this->shortage, pending.service,
+               EffectivePriority(pending.account, *pending.route).priority,
                refused, SteadyNow());
 }
 
-void Entry::RefuseImmediately(const ExchangePtr& exchange, ErrorKind kind) {
+void Entry::RefuseImmediately(const ExchangePtr& exchange,
+                              ErrorKind kind,
+                              std::string_view cause) {
   this->counters.refusals.Add(kind);
   const HttpRequest& request = exchange->request;
   const std::string_view request_id =
@@ -118,6 +131,8 @@
   Log(LogLevel::kInfo, "requests", "refused",
       {{"id", request_id},
        {"reason", NameOf(kind)},
+       {cause.empty() ? "" : "cause", cause},
+       AccountField(this->snapshot.get(), nullptr),
        {"config", this->snapshot ? this->snapshot->version : 0},
        {"host", FindHeader(request.headers, "Host")},
        {"path", PathOf(request)}});
@@ -173,6 +188,7 @@
        {"reason", kind == ErrorKind::kInternal ? "" : NameOf(kind)},
        {"status", status},
        {"route", pending.route->name},
+       AccountField(pending.snapshot.get(), pending.account),
        {"config", pending.snapshot->version},
        {"to", pending.service},
        {"version", pending.version},
