--- a/tests/contract/platform_test.cc
+++ b/tests/contract/platform_test.cc
@@ -61,6 +61,69 @@
   cr_assert(snapshot->services.at("works").slow_start_per_second == 0);
 }
 
+// Guards against accounts whose callers are refused because an omitted field or
+// a field of another type made their item unreadable.
+Test(platform, accounts_are_decoded) {
+  const SnapshotPtr snapshot = DecodeSnapshot(R"({"version": "00000001",
+    "listeners": [{"hostname": "h", "policy": [
+      {"name": "r-open", "allowAnonymous": true,
+       "match": {"pathPrefix": "/open/"}, "action": {"service": "desk"}},
+      {"name": "r-text", "allowAnonymous": "true",
+       "match": {"pathPrefix": "/text/"}, "action": {"service": "desk"}},
+      {"name": "r-view",
+       "match": {"pathPrefix": "/view/"}, "action": {"service": "desk"}}]}],
+    "tenants": [
+      {"name": "ada", "apiKeys": ["k-1", "k-2"], "priority": 0,
+       "ratePerS": 12.5, "burst": 30},
+      {"name": "bo", "apiKeys": ["k-3"], "priority": 9},
+      {"name": "cy", "apiKeys": ["k-4"], "priority": "1",
+       "ratePerS": -3, "burst": null}]})");
+  cr_assert(snapshot->has_accounts);
+  cr_assert_eq(snapshot->accounts.size(), 3U);
+  const AccountConfig& ada = snapshot->accounts.at("ada");
+  cr_assert(ada.name == "ada" && ada.priority == Priority::kInternal);
+  cr_assert(ada.limit.per_second == 12.5 && ada.limit.burst == 30);
+  const AccountConfig& bo = snapshot->accounts.at("bo");
+  cr_assert(bo.priority == Priority::kBackground);
+  cr_assert(bo.limit.per_second == 0 && bo.limit.burst == 0);
+  const AccountConfig& cy = snapshot->accounts.at("cy");
+  cr_assert_not(cy.priority.has_value());
+  cr_assert(cy.limit.per_second == 0 && cy.limit.burst == 0);
+  cr_assert(snapshot->account_by_key.at("k-2") == "ada");
+  for (const RouteConfig& route : snapshot->routes)
+    cr_assert_eq(route.allow_anonymous, route.name == "r-open");
+}
+
+// Guards against a faulty item that takes the accounts after it away, and
+// against a key that moves to another account without a change of its own.
+Test(platform, faulty_accounts_are_passed_over) {
+  const SnapshotPtr snapshot = DecodeSnapshot(R"({"version": "00000001",
+    "tenants": [5, {"apiKeys": ["k-1"]}, {"name": "none"},
+      {"name": "", "apiKeys": ["k-1"]}, {"name": "empty", "apiKeys": ["", 4]},
+      {"name": "a\r\nX-Forged: 1", "apiKeys": ["k-1"]},
+      {"name": "ada", "apiKeys": ["k-2"], "priority": 1},
+      {"name": "bo", "apiKeys": ["k-2", "k-3"]},
+      {"name": "ada", "apiKeys": ["k-4"], "priority": 0}]})");
+  cr_assert_eq(snapshot->accounts.size(), 2U);
+  cr_assert_eq(snapshot->account_by_key.size(), 3U);
+  cr_assert(snapshot->account_by_key.at("k-2") == "ada");
+  cr_assert(snapshot->account_by_key.at("k-3") == "bo");
+  cr_assert(snapshot->account_by_key.at("k-4") == "ada");
+  cr_assert(snapshot->accounts.at("ada").priority == Priority::kNormal);
+}
+
+// An empty list means that no key is valid, and no list that none is needed. A
+// list that cannot be read must not open every route.
+Test(platform, an_empty_list_of_accounts_is_not_a_missing_one) {
+  cr_assert_not(DecodeSnapshot(R"({"version": "00000001"})")->has_accounts);
+  for (const char* list : {"[]", "null", "7", "{}", "\"ada\""}) {
+    const SnapshotPtr snapshot = DecodeSnapshot(
+        std::string(R"({"version": "00000001", "tenants": )") + list + "}");
+    cr_assert(snapshot->has_accounts, "%s", list);
+    cr_assert(snapshot->accounts.empty(), "%s", list);
+  }
+}
+
 // Guards against records of other writers, or of a later release, that stop the
 // process or change what is in force.
 Test(platform, unreadable_records_are_not_applied) {
--- a/tests/unit/admission_test.cc
+++ b/tests/unit/admission_test.cc
@@ -271,5 +271,55 @@
   cr_assert(LoadOf(gate) == 0);
 }
 
+// Requests of one account priority on routes of several priorities. Ordered by
+// the aim alone, those of a background route would run before others.
+Test(admission, the_tie_break_decides_before_the_aim) {
+  Gatekeeper gate;
+  SetUp(gate, 1, Ms(10));
+  Rng rng(1);
+  const auto arrive = [&](std::uint64_t id, Priority priority,
+                          std::uint8_t tie_break, Duration aim) {
+    Arrival arrival = MakeArrival(id, priority);
+    arrival.tie_break = tie_break;
+    arrival.aim = kStart + aim;
+    return Arrive(gate, arrival, kStart, rng).admission;
+  };
+  cr_assert(arrive(1, Priority::kNormal, 0, Ms(900)) == Admission::kRun);
+  (void)arrive(2, Priority::kNormal, 3, Ms(500));
+  (void)arrive(3, Priority::kNormal, 2, Ms(800));
+  (void)arrive(4, Priority::kNormal, 2, Ms(700));
+  (void)arrive(5, Priority::kInternal, 3, Ms(900));
+  for (const std::uint64_t next : {5U, 4U, 3U, 2U}) {
+    const std::uint64_t running = next == 5 ? 1 : next + 1;
+    const GateActions actions = FinishOne(gate, running, kStart);
+    cr_assert(actions.run == std::vector<std::uint64_t>{next}, "%d",
+              static_cast<int>(next));
+  }
+}
+
+// Guards against a full queue of less urgent routes that refuses an urgent one
+// because all accounts have the same priority, and against evictions among
+// equals, of which each costs another request its place.
+Test(admission, a_full_queue_evicts_by_tie_break) {
+  Gatekeeper gate;
+  SetUp(gate, 1, Ms(10));
+  gate.settings.queue_limit = 1;
+  Rng rng(1);
+  const auto arrive = [&](std::uint64_t id, std::uint8_t tie_break,
+                          Duration aim) {
+    Arrival arrival = MakeArrival(id);
+    arrival.tie_break = tie_break;
+    arrival.aim = kStart + aim;
+    return Arrive(gate, arrival, kStart, rng);
+  };
+  (void)arrive(1, 2, Ms(900));
+  (void)arrive(2, 3, Ms(900));
+  const ArrivalResult equal = arrive(3, 3, Ms(800));
+  cr_assert(equal.refusal && equal.refusal->kind == ErrorKind::kQueueFull);
+  const ArrivalResult urgent = arrive(4, 2, Ms(900));
+  cr_assert(urgent.admission == Admission::kQueued);
+  cr_assert(urgent.evicted && urgent.evicted->id == 2);
+}
+
 }  // namespace
 }  // namespace teaselspread
--- a/tests/unit/frames_compat_test.cc
+++ b/tests/unit/frames_compat_test.cc
@@ -11,6 +11,7 @@
 #include <variant>
 #include <vector>
 
+#include "teaselspread/accounts.h"
 #include "teaselspread/version_trial.h"
 
 namespace teaselspread {
@@ -29,6 +30,12 @@
 constexpr std::string_view kHello =
     "0000001d010006626f6c652d3204626f6c650831302e302e302e32d41cc8000000";
 
+// A request of a route of priority 1, without an account.
+constexpr std::string_view kRun =
+    "0000005f0102050000000000000004726561640101d00700002c01000003692d31034745"
+    "54072f766965772f31030c582d526571756573742d496403712d310d417574686f72697a"
+    "6174696f6e08426561726572206b08582d54656e616e7401740162";
+
 std::string FromHex(std::string_view hex) {
   std::string bytes;
   for (std::size_t i = 0; i < hex.size(); i += 2) {
@@ -70,6 +77,29 @@
   cr_assert(EncodeLinkFrame(Decode<Hello>(kHello)) == FromHex(kHello));
 }
 
+// Without accounts a request has the same bytes as before. Guards against gates
+// of the release before that take its priority for another one.
+Test(frames_compat, requests_without_an_account_have_the_same_bytes) {
+  const auto run = Decode<RunFrame>(kRun);
+  cr_assert(run.route == "read");
+  RouteConfig route;
+  RunFrame sent = run;
+  sent.priority = EncodePriority(EffectivePriority(nullptr, route));
+  cr_assert(EncodeLinkFrame(sent) == FromHex(kRun));
+  for (const Priority priority :
+       {Priority::kInternal, Priority::kNormal, Priority::kBackground}) {
+    route.priority = priority;
+    const AccountConfig without_priority;
+    const auto byte = static_cast<std::uint8_t>(priority);
+    cr_assert_eq(EncodePriority(EffectivePriority(nullptr, route)), byte);
+    cr_assert_eq(EncodePriority(EffectivePriority(&without_priority, route)),
+                 byte);
+    cr_assert(DecodePriority(byte).priority == priority);
+  }
+  cr_assert_eq(EncodePriority(kNestedCallPriority), 0U);
+  cr_assert(DecodePriority(0) == kNestedCallPriority);
+}
+
 // A node of the release before closes the link on fields that it does not know,
 // so the limit travels as a row of a list that it can parse. That node must not
 // take the row for a route's time, and this one must not keep it there.
