--- a/standins/mesh_upstream.h
+++ b/standins/mesh_upstream.h
@@ -40,6 +40,11 @@
   std::string caller_service;
   std::string deadline;
   std::chrono::steady_clock::time_point arrived;
+  // Client account, and credentials, if any arrived.
+  std::string account;
+  std::string authorization;
+  // Names of all headers, in the order in which they arrived.
+  std::vector<std::string> header_names;
 };
 
 // Thread safe.
@@ -204,11 +209,18 @@
   }
 
   void Record(const Request& request, const std::string& id) {
+    std::vector<std::string> header_names;
+    for (const auto& field : request) {
+      const auto name = field.name_string();
+      header_names.emplace_back(name.data(), name.size());
+    }
     const std::scoped_lock lock(this->gate);
     this->runs.push_back(
         {id, std::string(request.target().data(), request.target().size()),
          request.body(), HeaderOf(request, "X-Caller-Service"),
-         HeaderOf(request, "X-Deadline-Ms"), std::chrono::steady_clock::now()});
+         HeaderOf(request, "X-Deadline-Ms"), std::chrono::steady_clock::now(),
+         HeaderOf(request, "X-Tenant"), HeaderOf(request, "Authorization"),
+         std::move(header_names)});
   }
 
   void SayNeeds(Response& response) {
