--- a/tests/process/client_accounts_test.cc
+++ b/tests/process/client_accounts_test.cc
@@ -203,6 +203,26 @@
   std::thread caller;
 };
 
+// Guards against a request that ends, or whose account is lost, because its key
+// was removed while it ran.
+Test(client_accounts, a_running_request_keeps_its_account) {
+  EdgeFleet fleet;
+  cr_assert(fleet.WaitUntilReady());
+  cr_assert(Publish(fleet, 2));
+  RunningRequest running(fleet, fleet.At(0), "/view/1", "q",
+                         WithKey("secret-ada"));
+  cr_assert_not_null(running.vm);
+  cr_assert(Publish(fleet, 3, "[]"));
+  cr_assert(IsUnauthorized(
+      Send(fleet.At(0), "/view/1", NextRequestId(), WithKey("secret-ada"))));
+  cr_assert_eq(running.Join(), 200);
+  const std::string logs = fleet.WaitForLogs("q ");
+  const std::size_t line = logs.find("id=q ");
+  cr_assert_neq(line, std::string::npos);
+  cr_assert(logs.substr(line, logs.find('\n', line) - line)
+                .find("account=ada config=2") != std::string::npos);
+}
+
 // Upstreams have no key for the calls that they make. Guards against requests
 // that fail because one of these is refused, at whichever depth, and against
 // calls of an unknown request that get 401, after which nobody would repeat
