--- a/include/teaselspread/admission.h
+++ b/include/teaselspread/admission.h
@@ -23,6 +23,7 @@
 #include "teaselspread/counters.h"
 #include "teaselspread/error.h"
 #include "teaselspread/named_limit.h"
+#include "teaselspread/slot_reserve.h"
 #include "teaselspread/snapshot.h"
 #include "teaselspread/start_pace.h"
 #include "teaselspread/types.h"
@@ -96,6 +97,10 @@
   Arrival arrival;
   std::uint64_t order = 0;
   bool running = false;
+  // Its route is long (slot_reserve.h). Always false without a reservation.
+  bool is_long = false;
+  // Counted in Gatekeeper::held_back.
+  bool was_held_back = false;
   // Latest start with which it was queued. While `limit` holds, a request that
   // has not started by then is refused: more urgent ones may take all that the
   // upstream takes, and the others would wait until their deadline in vain.
@@ -127,7 +132,12 @@
   StartPace pace;
   // Limits them while the upstream names a rate. Both may hold at once.
   NamedLimit limit;
+  // Limits the slots that long requests hold together, if the settings reserve
+  // slots.
+  SlotReserve reserve;
   int running = 0;
+  // Those of `running` that are long.
+  int running_long = 0;
   int open_connections = 0;
   std::size_t body_bytes = 0;
   std::uint64_t next_order = 0;
@@ -138,6 +148,10 @@
   CounterTable<ErrorKind> refusals;
   // Those of requests that would have had a slot in time without `limit`.
   std::uint64_t refused_by_limit = 0;
+  // Long requests that did not start although a slot was free, and those that
+  // were refused since the slots of long requests would not be free in time.
+  std::uint64_t held_back = 0;
+  std::uint64_t refused_by_reserve = 0;
 
   Gatekeeper() = default;
   Gatekeeper(const Gatekeeper&) = delete;
@@ -173,8 +187,9 @@
 // Removes a queued request whose caller disconnected. Not thread safe.
 void CancelWaiting(Gatekeeper& gate, std::uint64_t id);
 
-// Starts queued requests that the pace admits by now, and refuses those that
-// can no longer meet their deadline (kQueueTimeout). Not thread safe.
+// Starts queued requests that the pace and the reservation admit by now, and
+// refuses those that can no longer meet their deadline (kQueueTimeout). Not
+// thread safe.
 [[nodiscard]] GateActions Advance(Gatekeeper& gate, TimePoint now, Rng& rng);
 
 // When Advance has something to do next, if no request arrives or ends before.
@@ -205,8 +220,27 @@
 // safe.
 [[nodiscard]] int LoadOf(const Gatekeeper& gate);
 
-// Expected time to run all queued requests one after the other; more if the
-// pace starts them later than that. Not thread safe.
+// Slots that long requests may hold together now; all slots without a
+// reservation. Not thread safe.
+[[nodiscard]] int LongSlots(const Gatekeeper& gate);
+
+// Number of queued requests, without long ones that are held back: those do not
+// delay any other. Not thread safe.
+[[nodiscard]] int CountWaiting(const Gatekeeper& gate);
+
+// Expected time until a slot of the long requests is free for one of `route`,
+// which is long, that arrives now; zero without a reservation, or while such a
+// slot is free. Not thread safe.
+[[nodiscard]] Duration LongWait(const Gatekeeper& gate, std::string_view route);
+
+// The service times by which other nodes choose among gates: a long route's
+// with the wait for its slots, which no other figure of the gate tells. Not
+// thread safe.
+[[nodiscard]] ServiceTimes TimesForPlacement(const Gatekeeper& gate);
+
+// Expected time to run all queued requests one after the other, without long
+// ones that are held back; more if the pace starts them later than that. Not
+// thread safe.
 [[nodiscard]] Duration QueuedTime(const Gatekeeper& gate, TimePoint now);
 
 // Drops the service times of all routes not in `routes`. Not thread safe.
--- a/include/teaselspread/waiting_settings.h
+++ b/include/teaselspread/waiting_settings.h
@@ -15,6 +15,8 @@
   // vary: if the whole time were allowed, nearly all queued requests would end
   // just after their aim under sustained overload.
   double wait_part = 0.5;
+  // Long requests leave the slots free that urgent ones need (slot_reserve.h).
+  bool reserve_slots = false;
 };
 
 }  // namespace teaselspread
--- a/src/admission/estimate.cc
+++ b/src/admission/estimate.cc
@@ -1,6 +1,8 @@
 #include "admission/estimate.h"
 
 #include <algorithm>
+#include <limits>
+#include <string>
 
 namespace teaselspread {
 namespace {
@@ -37,15 +39,54 @@
 
 QueueAhead QueuedAhead(const Gatekeeper& gate, const HeldRequest* held) {
   QueueAhead ahead;
+  HoldBack is_held_back(gate);
   for (const HeldRequest& waiting : gate.queue) {
     if (held != nullptr && !RunsBefore{}(waiting, *held))
       break;
+    const Duration run = ExpectedServiceTime(gate, waiting.arrival.route);
+    if (waiting.is_long) {
+      ++ahead.long_requests;
+      ahead.long_run_time += run;
+    }
+    if (is_held_back(waiting)) {
+      ++ahead.held_back;
+      continue;
+    }
     ++ahead.requests;
-    ahead.run_time += ExpectedServiceTime(gate, waiting.arrival.route);
+    ahead.run_time += run;
   }
   return ahead;
 }
 
+HoldBack::HoldBack(const Gatekeeper& gate)
+    : free_slots(IsReserving(gate) ? LongSlots(gate) - gate.running_long
+                                   : std::numeric_limits<int>::max()) {}
+
+bool HoldBack::operator()(const HeldRequest& held) {
+  if (!held.is_long)
+    return false;
+  if (this->free_slots <= 0)
+    return true;
+  --this->free_slots;
+  return false;
+}
+
+int LongSlots(const Gatekeeper& gate) {
+  const int slots = gate.settings.slots;
+  return gate.settings.waiting.reserve_slots ? LongCap(gate.reserve, slots)
+                                             : slots;
+}
+
+bool IsReserving(const Gatekeeper& gate) {
+  return LongSlots(gate) < gate.settings.slots;
+}
+
+int CountWaiting(const Gatekeeper& gate) {
+  return static_cast<int>(IsReserving(gate)
+                              ? QueuedAhead(gate, nullptr).requests
+                              : gate.queue.size());
+}
+
 bool IsRateLimited(const Gatekeeper& gate, TimePoint now) {
   return IsPaced(gate.pace, now) || gate.limit.per_second.has_value();
 }
@@ -75,6 +116,43 @@
   return std::max(for_slots, paced);
 }
 
+Duration WaitForLongSlot(const Gatekeeper& gate,
+                         const QueueAhead& ahead,
+                         std::string_view route) {
+  const int cap = LongSlots(gate);
+  const auto before_it = static_cast<int>(ahead.long_requests);
+  if (!IsReserving(gate) || gate.running_long + before_it < cap)
+    return Duration{0};
+  return (ahead.long_run_time + ExpectedServiceTime(gate, route)) / cap;
+}
+
+Duration ExpectedLongWait(const Gatekeeper& gate,
+                          const QueueAhead& ahead,
+                          std::string_view route,
+                          TimePoint now) {
+  QueueAhead for_rate = ahead;
+  for_rate.requests += ahead.held_back;
+  return std::max(ExpectedWait(gate, for_rate, now),
+                  WaitForLongSlot(gate, ahead, route));
+}
+
+Duration LongWait(const Gatekeeper& gate, std::string_view route) {
+  return WaitForLongSlot(gate, QueuedAhead(gate, nullptr), route);
+}
+
+ServiceTimes TimesForPlacement(const Gatekeeper& gate) {
+  ServiceTimes times = gate.service_times;
+  if (!IsReserving(gate))
+    return times;
+  for (const std::string& route : LongRoutes(gate.reserve)) {
+    const auto found = times.find(route);
+    if (found != times.end())
+      found->second.mean_us +=
+          static_cast<double>(LongWait(gate, route).count());
+  }
+  return times;
+}
+
 Duration QueuedTime(const Gatekeeper& gate, TimePoint now) {
   const QueueAhead all = QueuedAhead(gate, nullptr);
   // Readers divide it by the slots.
@@ -87,6 +165,7 @@
   std::erase_if(gate.service_times, [&routes](const auto& row) {
     return !routes.contains(row.first);
   });
+  RetainRoutes(gate.reserve, routes);
 }
 
 TimePoint LatestStart(const Gatekeeper& gate, const Arrival& arrival) {
--- a/src/admission/estimate.h
+++ b/src/admission/estimate.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <string>
+#include <string_view>
 
 #include "teaselspread/admission.h"
 
@@ -16,11 +17,30 @@
 
 // The queued requests that run before another one.
 struct QueueAhead {
+  // Without long ones that are held back.
   std::size_t requests = 0;
   // Sum of their expected run times.
   Duration run_time{};
+  std::size_t held_back = 0;
+  // Of all long ones.
+  std::size_t long_requests = 0;
+  Duration long_run_time{};
 };
 
+// Tells of queued requests, passed in queue order, which ones are held back:
+// long ones for which no slot of the cap is left.
+class HoldBack {
+ public:
+  explicit HoldBack(const Gatekeeper& gate);
+  bool operator()(const HeldRequest& held);
+
+ private:
+  int free_slots;
+};
+
+// Whether long requests have fewer slots than all. Not thread safe.
+[[nodiscard]] bool IsReserving(const Gatekeeper& gate);
+
 // Those that run before `held`; all of them if that is null. Not thread safe.
 [[nodiscard]] QueueAhead QueuedAhead(const Gatekeeper& gate,
                                      const HeldRequest* held);
@@ -42,6 +62,19 @@
                                     const QueueAhead& ahead,
                                     TimePoint now);
 
+// Expected time until a long request of `route` behind `ahead` gets a slot of
+// the cap. Not thread safe.
+[[nodiscard]] Duration WaitForLongSlot(const Gatekeeper& gate,
+                                       const QueueAhead& ahead,
+                                       std::string_view route);
+
+// ExpectedWait of a long request of `route`, which also needs a slot of the
+// cap. Not thread safe.
+[[nodiscard]] Duration ExpectedLongWait(const Gatekeeper& gate,
+                                        const QueueAhead& ahead,
+                                        std::string_view route,
+                                        TimePoint now);
+
 // Latest start at which the request is expected to meet its deadline. Not
 // thread safe.
 [[nodiscard]] TimePoint LatestStart(const Gatekeeper& gate,
--- a/src/admission/gatekeeper.cc
+++ b/src/admission/gatekeeper.cc
@@ -20,25 +20,47 @@
   return has_aim ? std::min(arrival.aim, arrival.deadline) : arrival.deadline;
 }
 
+Duration ExpectedWaitOf(const Gatekeeper& gate,
+                        const HeldRequest& held,
+                        const QueueAhead& ahead,
+                        TimePoint now) {
+  return held.is_long ? ExpectedLongWait(gate, ahead, held.arrival.route, now)
+                      : ExpectedWait(gate, ahead, now);
+}
+
+// The request as it would be queued.
+HeldRequest CandidateOf(const Gatekeeper& gate, const Arrival& arrival) {
+  HeldRequest candidate;
+  candidate.arrival = arrival;
+  candidate.order = gate.next_order;
+  candidate.is_long = gate.settings.waiting.reserve_slots &&
+                      IsLong(gate.reserve, arrival.route, arrival.priority);
+  return candidate;
+}
+
 // Retry-After covers the time to drain the queue, so that retries fit into it.
 // It has jitter, since callers that retry all at once would not fit.
 Refusal MakeRefusal(Gatekeeper& gate,
-                    std::uint64_t id,
+                    const HeldRequest& held,
                     ErrorKind kind,
                     TimePoint now,
                     Rng& rng) {
   gate.refusals.Add(kind);
-  const Duration base = gate.settings.retry_after +
-                        ExpectedWait(gate, QueuedAhead(gate, nullptr), now);
-  return {id, kind, JitteredRetryAfter(base, rng)};
+  const Duration base =
+      gate.settings.retry_after +
+      ExpectedWaitOf(gate, held, QueuedAhead(gate, nullptr), now);
+  return {held.arrival.id, kind, JitteredRetryAfter(base, rng)};
 }
 
-void RemoveRequest(Gatekeeper& gate, std::uint64_t id) {
+// The request stays valid until the result is destroyed.
+std::unique_ptr<HeldRequest> RemoveRequest(Gatekeeper& gate, std::uint64_t id) {
   const auto found = gate.held.find(id);
   if (found == gate.held.end())
-    return;
-  gate.body_bytes -= found->second->arrival.body_bytes;
+    return nullptr;
+  std::unique_ptr<HeldRequest> removed = std::move(found->second);
+  gate.body_bytes -= removed->arrival.body_bytes;
   gate.held.erase(found);
+  return removed;
 }
 
 Refusal RefuseQueued(Gatekeeper& gate,
@@ -47,10 +69,9 @@
                      ErrorKind kind,
                      TimePoint now,
                      Rng& rng) {
-  const std::uint64_t id = held.arrival.id;
   queue.erase(queue.iterator_to(held));
-  RemoveRequest(gate, id);
-  return MakeRefusal(gate, id, kind, now, rng);
+  const auto removed = RemoveRequest(gate, held.arrival.id);
+  return MakeRefusal(gate, *removed, kind, now, rng);
 }
 
 void StartRun(Gatekeeper& gate, HeldRequest& held, TimePoint now) {
@@ -58,13 +79,13 @@
   RecordStart(gate.pace, now);
   RecordStart(gate.limit, now);
   ++gate.running;
+  gate.running_long += held.is_long ? 1 : 0;
   gate.running_alone = held.arrival.suspect;
 }
 
 HeldRequest& AddRequest(Gatekeeper& gate, const Arrival& arrival) {
-  auto held = std::make_unique<HeldRequest>();
-  held->arrival = arrival;
-  held->order = gate.next_order++;
+  auto held = std::make_unique<HeldRequest>(CandidateOf(gate, arrival));
+  ++gate.next_order;
   gate.body_bytes += arrival.body_bytes;
   HeldRequest& result = *held;
   gate.held.emplace(arrival.id, std::move(held));
@@ -102,16 +123,96 @@
 }
 
 ArrivalResult Refuse(Gatekeeper& gate,
-                     std::uint64_t id,
+                     const HeldRequest& candidate,
                      ErrorKind kind,
                      TimePoint now,
                      Rng& rng) {
   return {Admission::kRefused,
-          MakeRefusal(gate, id, kind, now, rng),
+          MakeRefusal(gate, candidate, kind, now, rng),
           std::nullopt,
           {}};
 }
 
+// The first queued request that is not held back.
+Queue::iterator FirstStartable(Gatekeeper& gate) {
+  return std::find_if_not(gate.queue.begin(), gate.queue.end(), HoldBack(gate));
+}
+
+bool HasStartable(const Gatekeeper& gate) {
+  return std::find_if_not(gate.queue.begin(), gate.queue.end(),
+                          HoldBack(gate)) != gate.queue.end();
+}
+
+// Whether no slot of the cap is free for the request, which is not queued.
+bool IsHeldBack(const Gatekeeper& gate, const Arrival& arrival) {
+  return IsReserving(gate) && HoldBack(gate)(CandidateOf(gate, arrival));
+}
+
+// Counts the queued requests that only the reservation keeps from starting.
+void CountHeldBack(Gatekeeper& gate, TimePoint now) {
+  if (!IsReserving(gate) || !MayStart(gate, now))
+    return;
+  for (HeldRequest& held : gate.queue)
+    gate.held_back += std::exchange(held.was_held_back, true) ? 0 : 1;
+}
+
+// Takes the last one of those held back out of a full queue, in favour of a
+// request that need not wait for their slots.
+std::optional<Refusal> EvictHeldBack(Gatekeeper& gate,
+                                     TimePoint now,
+                                     Rng& rng) {
+  if (!IsReserving(gate))
+    return std::nullopt;
+  const auto last =
+      std::find_if(gate.queue.rbegin(), gate.queue.rend(),
+                   [](const HeldRequest& held) { return held.is_long; });
+  if (last == gate.queue.rend())
+    return std::nullopt;
+  return RefuseQueued(gate, gate.queue, *last, ErrorKind::kQueueFull, now, rng);
+}
+
+// Makes room for `candidate` in a full queue, if others yield to it.
+std::optional<Refusal> Evict(Gatekeeper& gate,
+                             const HeldRequest& candidate,
+                             TimePoint now,
+                             Rng& rng) {
+  if (!candidate.is_long) {
+    if (auto evicted = EvictHeldBack(gate, now, rng))
+      return evicted;
+  }
+  if (gate.queue.empty() || !RunsBefore{}(candidate, *gate.queue.rbegin()) ||
+      candidate.arrival.priority == gate.queue.rbegin()->arrival.priority)
+    return std::nullopt;
+  return RefuseQueued(gate, gate.queue, *gate.queue.rbegin(),
+                      ErrorKind::kQueueFull, now, rng);
+}
+
+// A route became long or is no longer.
+void MarkLongRequests(Gatekeeper& gate) {
+  gate.running_long = 0;
+  for (auto& [id, held] : gate.held) {
+    const Arrival& arrival = held->arrival;
+    held->is_long = IsLong(gate.reserve, arrival.route, arrival.priority);
+    gate.running_long += held->is_long && held->running ? 1 : 0;
+  }
+}
+
+void RefreshReserve(Gatekeeper& gate, TimePoint now) {
+  if (gate.settings.waiting.reserve_slots &&
+      UpdateReserve(gate.reserve, gate.service_times, now))
+    MarkLongRequests(gate);
+}
+
+void Observe(Gatekeeper& gate, const Arrival& arrival, TimePoint now) {
+  if (!gate.settings.waiting.reserve_slots)
+    return;
+  const bool has_aim = arrival.aim != TimePoint{};
+  ObserveArrival(gate.reserve, arrival.route, arrival.priority,
+                 {arrival.deadline - now,
+                  (has_aim ? arrival.aim : arrival.deadline) - now},
+                 now);
+}
+
 ArrivalResult AdmitSuspect(Gatekeeper& gate,
                            const Arrival& arrival,
                            TimePoint now) {
@@ -132,63 +233,92 @@
                                : by_deadline;
 }
 
-// Refuses the queued requests that `limit` lets start too late.
+// Refuses the queued requests that `limit` or the reservation lets start too
+// late.
 std::vector<Refusal> RefuseTooLate(Gatekeeper& gate, TimePoint now, Rng& rng) {
-  std::vector<std::uint64_t> too_late;
+  std::vector<std::unique_ptr<HeldRequest>> too_late;
+  // Those that remain before the next one, for the limit and for the slots of
+  // long requests.
   std::size_t ahead = 0;
+  QueueAhead long_ahead;
+  HoldBack is_held_back(gate);
   for (auto next = gate.queue.begin(); next != gate.queue.end();) {
     HeldRequest& held = *next++;
-    if (StartBehind(gate.limit, ahead, now) <= LatestStartOf(gate, held)) {
-      ++ahead;
+    const std::size_t held_back_ahead = held.is_long ? long_ahead.held_back : 0;
+    const TimePoint latest = LatestStartOf(gate, held);
+    const bool by_limit =
+        StartBehind(gate.limit, ahead + held_back_ahead, now) > latest;
+    const bool by_reserve =
+        held.is_long &&
+        now + WaitForLongSlot(gate, long_ahead, held.arrival.route) > latest;
+    if (by_limit || by_reserve) {
+      gate.refused_by_limit += by_limit ? 1 : 0;
+      gate.refused_by_reserve += by_limit ? 0 : 1;
+      gate.queue.erase(gate.queue.iterator_to(held));
+      too_late.push_back(RemoveRequest(gate, held.arrival.id));
       continue;
     }
-    too_late.push_back(held.arrival.id);
-    gate.queue.erase(gate.queue.iterator_to(held));
-    RemoveRequest(gate, too_late.back());
+    if (held.is_long) {
+      ++long_ahead.long_requests;
+      long_ahead.long_run_time += ExpectedServiceTime(gate, held.arrival.route);
+    }
+    if (is_held_back(held))
+      ++long_ahead.held_back;
+    else
+      ++ahead;
   }
   // Only now, since Retry-After follows from the queue that remains.
   std::vector<Refusal> refusals;
-  for (const std::uint64_t id : too_late) {
-    ++gate.refused_by_limit;
+  for (const auto& held : too_late)
     refusals.push_back(
-        MakeRefusal(gate, id, ErrorKind::kQueueTimeout, now, rng));
-  }
+        MakeRefusal(gate, *held, ErrorKind::kQueueTimeout, now, rng));
   return refusals;
 }
 
+// Whether the wait for a slot of the long requests is what makes one too late.
+bool IsForReserve(const Gatekeeper& gate,
+                  const HeldRequest& candidate,
+                  const QueueAhead& ahead,
+                  Duration wait) {
+  return candidate.is_long &&
+         WaitForLongSlot(gate, ahead, candidate.arrival.route) >= wait &&
+         wait > Duration{0};
+}
+
 ArrivalResult Enqueue(Gatekeeper& gate,
                       const Arrival& arrival,
                       TimePoint now,
                       Rng& rng) {
-  HeldRequest candidate;
-  candidate.arrival = arrival;
-  candidate.order = gate.next_order;
+  const HeldRequest candidate = CandidateOf(gate, arrival);
   const QueueAhead ahead = QueuedAhead(gate, &candidate);
-  const Duration wait = ExpectedWait(gate, ahead, now);
-  const TimePoint by_limit = StartBehind(gate.limit, ahead.requests, now);
+  const Duration wait = ExpectedWaitOf(gate, candidate, ahead, now);
+  const std::size_t before_it =
+      ahead.requests + (candidate.is_long ? ahead.held_back : 0);
+  const TimePoint by_limit = StartBehind(gate.limit, before_it, now);
   // Leaves room for one more urgent request that comes later and would make the
   // last one in the queue wait in vain, until its deadline.
   const Duration margin =
-      StartBehind(gate.limit, ahead.requests + 1, now) - by_limit;
+      StartBehind(gate.limit, before_it + 1, now) - by_limit;
   if (now + wait > LatestAdmissibleStart(gate, arrival, now) ||
       now + wait + margin > LatestStart(gate, arrival)) {
     const bool limited = gate.limit.per_second && by_limit >= now + wait;
     gate.refused_by_limit += limited ? 1 : 0;
-    return Refuse(gate, arrival.id, ErrorKind::kDeadlineTooShort, now, rng);
+    gate.refused_by_reserve +=
+        !limited && IsForReserve(gate, candidate, ahead, wait) ? 1 : 0;
+    return Refuse(gate, candidate, ErrorKind::kDeadlineTooShort, now, rng);
   }
   ArrivalResult arrived;
   arrived.admission = Admission::kQueued;
   const auto limit = static_cast<std::size_t>(gate.settings.queue_limit);
   if (gate.queue.size() >= limit) {
-    if (gate.queue.empty() || !RunsBefore{}(candidate, *gate.queue.rbegin()) ||
-        candidate.arrival.priority == gate.queue.rbegin()->arrival.priority)
-      return Refuse(gate, arrival.id, ErrorKind::kQueueFull, now, rng);
-    arrived.evicted = RefuseQueued(gate, gate.queue, *gate.queue.rbegin(),
-                                   ErrorKind::kQueueFull, now, rng);
+    arrived.evicted = Evict(gate, candidate, now, rng);
+    if (!arrived.evicted)
+      return Refuse(gate, candidate, ErrorKind::kQueueFull, now, rng);
   }
   HeldRequest& held = AddRequest(gate, arrival);
   held.latest_start = LatestAdmissibleStart(gate, arrival, now);
   gate.queue.insert(held);
+  CountHeldBack(gate, now);
   if (gate.limit.per_second)
     arrived.overtaken = RefuseTooLate(gate, now, rng);
   return arrived;
@@ -221,15 +351,24 @@
                  GateActions& actions) {
   ExpireQueue(gate, gate.suspect_queue, now, rng, actions);
   ExpireQueue(gate, gate.queue, now, rng, actions);
+  RefreshReserve(gate, now);
   if (!gate.suspect_queue.empty() && gate.running == 0 && gate.ready &&
       NextStart(gate, now) <= now)
     StartSuspect(gate, now, actions);
-  while (MayStart(gate, now) && !gate.queue.empty()) {
-    HeldRequest& held = *gate.queue.begin();
-    gate.queue.erase(gate.queue.begin());
+  while (MayStart(gate, now)) {
+    const auto first = FirstStartable(gate);
+    if (first == gate.queue.end())
+      break;
+    HeldRequest& held = *first;
+    gate.queue.erase(first);
     StartRun(gate, held, now);
     actions.run.push_back(held.arrival.id);
   }
+  if (!IsReserving(gate))
+    return;
+  CountHeldBack(gate, now);
+  const auto refused = RefuseTooLate(gate, now, rng);
+  actions.refused.insert(actions.refused.end(), refused.begin(), refused.end());
 }
 
 void RefuseAllQueued(Gatekeeper& gate,
@@ -279,11 +418,13 @@
                      const Arrival& arrival,
                      TimePoint now,
                      Rng& rng) {
+  Observe(gate, arrival, now);
   if (const auto kind = ImmediateRefusal(gate, arrival, now))
-    return Refuse(gate, arrival.id, *kind, now, rng);
+    return Refuse(gate, CandidateOf(gate, arrival), *kind, now, rng);
   if (arrival.suspect)
     return AdmitSuspect(gate, arrival, now);
-  if (MayStart(gate, now) && gate.queue.empty()) {
+  if (MayStart(gate, now) && !HasStartable(gate) &&
+      !IsHeldBack(gate, arrival)) {
     StartRun(gate, AddRequest(gate, arrival), now);
     return {Admission::kRun, std::nullopt, std::nullopt, {}};
   }
@@ -305,6 +446,7 @@
   if (found->second->arrival.suspect)
     gate.running_alone = false;
   --gate.running;
+  gate.running_long -= found->second->is_long ? 1 : 0;
   RemoveRequest(gate, id);
   StartQueued(gate, now, rng, actions);
   return actions;
@@ -330,8 +472,12 @@
   std::optional<TimePoint> next;
   const bool suspect_may_start =
       gate.running == 0 && gate.ready && !gate.suspect_queue.empty();
-  if (suspect_may_start || (HasFreeSlot(gate) && !gate.queue.empty()))
+  if (suspect_may_start || (HasFreeSlot(gate) && HasStartable(gate)))
     next = NextStart(gate, now);
+  if (IsReserving(gate) && gate.ready && !gate.queue.empty()) {
+    const TimePoint update = gate.reserve.updated_at + kReserveInterval;
+    next = next ? std::min(*next, update) : update;
+  }
   for (const Queue* queue : {&gate.queue, &gate.suspect_queue}) {
     for (const HeldRequest& held : *queue) {
       const TimePoint latest = LatestStartOf(gate, held);
@@ -371,7 +517,7 @@
 }
 
 int LoadOf(const Gatekeeper& gate) {
-  return gate.running + static_cast<int>(gate.queue.size()) +
+  return gate.running + CountWaiting(gate) +
          static_cast<int>(gate.suspect_queue.size());
 }
 
