--- a/src/admission/gatekeeper.cc
+++ b/src/admission/gatekeeper.cc
@@ -269,6 +269,7 @@
   }
   // Only now, since Retry-After follows from the queue that remains.
   std::vector<Refusal> refusals;
+  refusals.reserve(too_late.size());
   for (const auto& held : too_late)
     refusals.push_back(
         MakeRefusal(gate, *held, ErrorKind::kQueueTimeout, now, rng));
--- a/src/admission/slot_reserve.cc
+++ b/src/admission/slot_reserve.cc
@@ -84,14 +84,18 @@
 struct Row {
   Priority priority;
   RouteDemand* demand;
+  double slack_us;
+  bool is_silent;
 };
 
-std::vector<Row> MeasuredRows(SlotReserve& reserve) {
+std::vector<Row> MeasuredRows(SlotReserve& reserve, TimePoint now) {
   std::vector<Row> rows;
   for (auto& [route, demands] : reserve.routes) {
     for (std::size_t i = 0; i < demands.size(); ++i) {
-      if (IsMeasured(demands.at(i)))
-        rows.push_back({static_cast<Priority>(i), &demands.at(i)});
+      RouteDemand& demand = demands.at(i);
+      if (IsMeasured(demand))
+        rows.push_back({static_cast<Priority>(i), &demand, SlackOf(demand),
+                        IsSilent(demand, now)});
     }
   }
   return rows;
@@ -99,17 +103,17 @@
 
 bool IsLongBeside(const Row& row, const Row& urgent) {
   const RouteDemand& demand = *row.demand;
-  const double slack = SlackOf(*urgent.demand);
   const double factor = demand.is_long ? kStillLongFactor : kLongFactor;
   const double slack_factor = demand.is_long ? kStillSlackFactor : kSlackFactor;
-  return row.priority >= urgent.priority && demand.run_us > factor * slack &&
-         SlackOf(demand) > slack_factor * slack;
+  return row.priority >= urgent.priority &&
+         demand.run_us > factor * urgent.slack_us &&
+         row.slack_us > slack_factor * urgent.slack_us;
 }
 
 bool IsUrgentBeside(const Row& row, const Row& long_row) {
   const double factor = row.demand->is_urgent ? 1 / kStillUrgentFactor : 1.0;
   return row.priority <= long_row.priority &&
-         long_row.demand->run_us > factor * SlackOf(*row.demand);
+         long_row.demand->run_us > factor * row.slack_us;
 }
 
 void SmoothRunTime(RouteDemand& demand, double measured_us, Duration passed) {
@@ -151,7 +155,7 @@
     const bool in_use = now - row.demand->last_at <= kMaxLongSilence;
     const bool is_long =
         in_use && std::any_of(rows.begin(), rows.end(), [&](const Row& other) {
-          return !IsSilent(*other.demand, now) && IsLongBeside(row, other);
+          return !other.is_silent && IsLongBeside(row, other);
         });
     changed |= is_long != row.demand->is_long;
     row.demand->is_long = is_long;
@@ -165,7 +169,7 @@
   for (const Row& row : rows) {
     RouteDemand& demand = *row.demand;
     demand.is_urgent =
-        !demand.is_long && !IsSilent(demand, now) &&
+        !demand.is_long && !row.is_silent &&
         std::any_of(rows.begin(), rows.end(), [&row](const Row& other) {
           return other.demand->is_long && IsUrgentBeside(row, other);
         });
@@ -229,7 +233,7 @@
   TakeRunTimes(reserve, measured, passed);
   if (now - reserve.first_observed_at < kMinObserved)
     return false;
-  const std::vector<Row> rows = MeasuredRows(reserve);
+  const std::vector<Row> rows = MeasuredRows(reserve, now);
   const bool changed = MarkLong(rows, now);
   reserve.urgent_load = MarkUrgent(rows, now);
   reserve.reserved = SlotsFor(reserve.urgent_load, reserve.reserved);
