--- a/src/config/settings_reader.cc
+++ b/src/config/settings_reader.cc
@@ -212,6 +212,13 @@
           }};
 }
 
+Key BoolKey(std::string_view name, bool& target) {
+  return {name, kOptional, [&target](const Item& item) {
+            const FieldRule rule{"", ScalarType::kBool, false, 0, 0};
+            return ReadBounded(item, "expected true or false", rule, target);
+          }};
+}
+
 Key LevelKey(std::string_view name, LogLevel& target) {
   return {name, kOptional, [&target](const Item& item) {
             return ReadValue(item, "expected one of debug, info, warn, error",
--- a/src/config/settings_reader.h
+++ b/src/config/settings_reader.h
@@ -68,6 +68,7 @@
                                     double low,
                                     double high,
                                     double& target);
+[[nodiscard]] SettingsKey BoolKey(std::string_view name, bool& target);
 [[nodiscard]] SettingsKey LevelKey(std::string_view name, LogLevel& target);
 [[nodiscard]] SettingsKey FileKey(std::string_view name, std::string& target);
 [[nodiscard]] SettingsKey TextKey(std::string_view name, std::string& target);
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -598,6 +598,7 @@
   node.config_exchange.fetch.newer_seen_at = TimePoint{};
   node.entry.SetSnapshot(*snapshot);
   UpdateStartPace(node);
+  node.gate.SetHasAccounts((*snapshot)->has_accounts);
   Log(LogLevel::kInfo, "config", "in-force",
       {{"version", (*snapshot)->version},
        {"before", own},
--- a/src/edge/edge_settings.cc
+++ b/src/edge/edge_settings.cc
@@ -28,7 +28,8 @@
 
 std::vector<Key> KeysOf(WaitingSettings& waiting) {
   return {WeightKey("late_part", waiting.late_part),
-          WeightKey("wait_part", waiting.wait_part)};
+          WeightKey("wait_part", waiting.wait_part),
+          BoolKey("reserve_slots", waiting.reserve_slots)};
 }
 
 std::vector<Key> KeysOf(EdgeSettings& settings) {
--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -316,7 +316,9 @@
   const std::optional<TimePoint> aim = AimOf(pending);
   const TimePoint due = aim && *aim > now ? *aim : pending.deadline;
   placed.aim = std::max(due - now, kMinAttemptTime);
-  placed.skips_queue = pending.nested;
+  // Where slots are reserved, what waits at a gate consists of calls and urgent
+  // requests, and a call waits behind most of it.
+  placed.skips_queue = pending.nested && !this->gate.ReservesSlots();
   return placed;
 }
 
--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -7,6 +7,8 @@
 #include <vector>
 
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
 #include <xxhash.h>
 
@@ -341,7 +343,8 @@
 }
 
 void Gate::RefreshReportedTimes() {
-  UpdateReportedTimes(this->reported_times, this->gatekeeper.service_times);
+  UpdateReportedTimes(this->reported_times,
+                      TimesForPlacement(this->gatekeeper));
   std::vector<RouteTime> all;
   if (this->reported_mean_ms > 0)
     all.push_back({"", this->reported_mean_ms});
@@ -349,6 +352,25 @@
   this->reported_mean_ms = all.front().mean_ms;
 }
 
+void Gate::LogReservation() {
+  const TimePoint now = SteadyNow();
+  const int slots = this->gatekeeper.settings.slots;
+  const int cap = LongSlots(this->gatekeeper);
+  const bool reserving = cap < slots;
+  if (std::exchange(this->logged_reservation, reserving) == reserving)
+    return;
+  if (reserving)
+    this->reserved_since = now;
+  Log(LogLevel::kInfo, "gate", "slots-reserved",
+      {{"change", reserving ? "begun" : "ended"},
+       {"routes", absl::StrJoin(LongRoutes(this->gatekeeper.reserve), ",")},
+       {"cap", cap},
+       {"slots", slots},
+       {"urgent_load", absl::StrCat(this->gatekeeper.reserve.urgent_load)},
+       {"for_ms", MillisOf(now - this->reserved_since)},
+       {"held_back", this->gatekeeper.held_back}});
+}
+
 void Gate::SetStartPace(const StartPaceSettings& pace) {
   this->gatekeeper.pace.settings = pace;
   this->ScheduleExpiry();
@@ -357,6 +379,7 @@
 void Gate::Tick() {
   if (this->gatekeeper.overall_service_time.mean_us > 0)
     this->RefreshReportedTimes();
+  this->LogReservation();
   this->crash_evidence.Tick(SteadyNow());
   this->ApplyLease();
   this->pool.Prune(kMaxIdleForReuse);
@@ -440,7 +463,7 @@
   if (this->node_leaving && status.state == LeaseState::kReady)
     status.state = LeaseState::kLeaving;
   status.running = static_cast<std::uint32_t>(this->gatekeeper.running);
-  status.waiting = static_cast<std::uint32_t>(this->gatekeeper.queue.size());
+  status.waiting = static_cast<std::uint32_t>(CountWaiting(this->gatekeeper));
   status.queued_ms = MillisOf(QueuedTime(this->gatekeeper, now));
   status.route_times = this->reported_times;
   status.mean_ms = this->reported_mean_ms;
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -66,6 +66,16 @@
 
   void SetWaitingSettings(const WaitingSettings& waiting) {
     this->gatekeeper.settings.waiting = waiting;
+    this->reserves_by_setting = waiting.reserve_slots;
+  }
+  // The configuration in force has client accounts, so slots are reserved for
+  // urgent requests whatever the settings say.
+  void SetHasAccounts(bool has_accounts) {
+    this->gatekeeper.settings.waiting.reserve_slots =
+        has_accounts || this->reserves_by_setting;
+  }
+  [[nodiscard]] bool ReservesSlots() const {
+    return this->gatekeeper.settings.waiting.reserve_slots;
   }
   // Limits the starts while the upstream is slow after its start. To be called
   // again when the service or its configuration changes.
@@ -153,6 +163,8 @@
 
  private:
   void RefreshReportedTimes();
+  // Logs that a reservation of slots has begun or ended.
+  void LogReservation();
   // Requests that may have reached the upstream and have no result yet.
   [[nodiscard]] std::vector<Fingerprint> RunsAtUpstream() const;
   // Checks soon whether the upstream still listens. True if the check has
@@ -232,6 +244,10 @@
   // Times as last reported to other nodes, by route and over all routes.
   std::vector<RouteTime> reported_times;
   std::uint32_t reported_mean_ms = 0;
+  bool reserves_by_setting = false;
+  // What was last logged of the reservation.
+  bool logged_reservation = false;
+  TimePoint reserved_since;
   bool node_leaving = false;
   bool evacuated = false;
   bool orders_known = false;
--- a/src/edge/metrics.cc
+++ b/src/edge/metrics.cc
@@ -101,6 +101,14 @@
   AppendValue(text, "gate_starts_total", "", "", node.gate.starts);
   AppendValue(text, "gate_refused_by_limit_total", "", "",
               node.gate.AdmissionState().refused_by_limit);
+  const Gatekeeper& admission = node.gate.AdmissionState();
+  if (const int cap = LongSlots(admission); cap < admission.settings.slots) {
+    AppendValue(text, "gate_long_slots", "", "",
+                static_cast<std::uint64_t>(cap));
+  }
+  AppendValue(text, "gate_held_back_total", "", "", admission.held_back);
+  AppendValue(text, "gate_refused_by_reserve_total", "", "",
+              admission.refused_by_reserve);
   AppendTable(text, "gate_limit_events_total", "event", node.gate.limit_events);
   AppendValue(text, "gate_leaving_responses_total", "", "",
               node.gate.leaving_responses);
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include "teaselspread/edge.h"
+
 namespace teaselspread {
 namespace {
 
@@ -117,6 +119,34 @@
   cr_assert(settings.error().message.starts_with("/nonexistent/n.yaml:1:"));
 }
 
+// A switch that is not read leaves urgent requests behind long ones.
+Test(settings, a_node_on_a_platform_reads_whether_slots_are_reserved) {
+  const std::string addresses = R"(vm: bole-01
+data_center: bole
+service: filings
+outbound: 10.1.0.1:8080
+readiness: 10.1.0.1:8081
+admin: 10.1.0.1:8082
+metrics: 10.1.0.1:8083
+link: 10.1.0.1:8084
+upstream: 127.0.0.1:9000
+store: 10.9.0.1:8900
+)";
+  const auto without = ParseEdgeSettings("e.yaml", addresses);
+  cr_assert(without.has_value(), "%s", without.error().message.c_str());
+  cr_assert_not(without->waiting.reserve_slots);
+  const auto with = ParseEdgeSettings(
+      "e.yaml", addresses + "waiting: {reserve_slots: true}\n");
+  cr_assert(with.has_value(), "%s", with.error().message.c_str());
+  cr_assert(with->waiting.reserve_slots);
+  const auto wrong =
+      ParseEdgeSettings("e.yaml", addresses + "waiting: {reserve_slots: 2}\n");
+  cr_assert(!wrong.has_value());
+  cr_assert(
+      wrong.error().message.starts_with("e.yaml:11: waiting/reserve_slots: "),
+      "%s", wrong.error().message.c_str());
+}
+
 Test(settings, addresses_read_back) {
   for (const char* text : {"10.0.0.1:80", "[::1]:65535"}) {
     const auto address = ParseAddress(text);
