--- a/tests/unit/urgent_beside_long_test.cc
+++ b/tests/unit/urgent_beside_long_test.cc
@@ -404,7 +404,7 @@
 // Guards against head-of-line blocking: at the usual load, seven tenths of all
 // slots, long requests hold so many slots that urgent ones and calls are late.
 // Callers need 90% of urgent requests and 95% of calls within their soft
-// deadline; run times alone make 4% and 3% of them late.
+// deadline.
 Test(urgent_beside_long, urgent_requests_and_calls_are_in_time) {
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
     const Service reserved = Play("usual, reserved", {}, seed);
