--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -23,6 +23,7 @@
 
 #include "edge/crash_evidence.h"
 #include "edge/frames.h"
+#include "edge/load_report.h"
 #include "edge/loop_client.h"
 #include "teaselspread/admission.h"
 #include "teaselspread/counters.h"
@@ -150,6 +151,8 @@
   std::uint64_t starts = 0;
   // Responses that said that the upstream leaves.
   std::uint64_t leaving_responses = 0;
+  // Responses whose load header held an invalid figure.
+  std::uint64_t ignored_loads = 0;
 
  private:
   void RefreshReportedTimes();
@@ -164,6 +167,10 @@
   void OnProbeResponse(const std::string& service,
                        const HttpResponse& response);
   void RegisterProbed(const std::string& service, const HttpResponse& response);
+  // Parses the load header; a malformed one is counted and logged.
+  LoadReport ReadLoad(std::string_view instance,
+                      std::string_view request_id,
+                      const HttpHeaders& headers);
   // What a response says of the upstream's process `instance`, whatever its
   // status. `sent_at`: when its request was sent.
   void HearUpstream(std::string_view instance,
@@ -206,6 +213,8 @@
   Gatekeeper gatekeeper;
   // The last value that was no rate, so that it is logged once.
   std::string ignored_limit;
+  // Process whose load header was last logged as malformed.
+  std::string ignored_load_instance;
   // When a change of the limit was last logged.
   TimePoint limit_logged_at;
   // The limit as reported to other nodes.
--- a/src/edge/gate_upstream.cc
+++ b/src/edge/gate_upstream.cc
@@ -8,7 +8,6 @@
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_split.h>
 
 #include "base/clock.h"
 #include "edge/gate.h"
@@ -112,20 +111,16 @@
 void Gate::RegisterProbed(const std::string& service,
                           const HttpResponse& response) {
   constexpr int kOk = 200;
-  constexpr std::size_t kLoadFields = 3;
   const std::string_view instance =
       FindHeader(response.headers, this->names.instance);
-  const std::vector<std::string> load = absl::StrSplit(
-      std::string(FindHeader(response.headers, this->names.load)), ',');
-  int slots = 0;
-  const bool knows_slots =
-      load.size() == kLoadFields && absl::SimpleAtoi(load.back(), &slots);
+  const int slots = this->ReadLoad(instance, kHealthCheckId, response.headers)
+                        .slots.value_or(0);
   Log(LogLevel::kInfo, "gate", "upstream-probed",
       {{"status", response.status},
        {"instance", instance},
-       {"slots", knows_slots ? slots : 0},
+       {"slots", slots},
        {"warm_up_ms", FindHeader(response.headers, this->names.warm_up_left)}});
-  if (response.status != kOk || instance.empty() || !knows_slots || slots < 1)
+  if (response.status != kOk || instance.empty() || slots < 1)
     return;
   UpstreamHeartbeat heartbeat;
   heartbeat.instance = std::string(instance);
@@ -135,6 +130,23 @@
   (void)this->OnHeartbeat(heartbeat);
 }
 
+LoadReport Gate::ReadLoad(std::string_view instance,
+                          std::string_view request_id,
+                          const HttpHeaders& headers) {
+  const std::string_view text = FindHeader(headers, this->names.load);
+  const LoadReport report = ParseLoad(text);
+  if (!report.malformed)
+    return report;
+  ++this->ignored_loads;
+  // The header changes with the load, so each process is logged once.
+  if (std::exchange(this->ignored_load_instance, std::string(instance)) !=
+      instance) {
+    Log(LogLevel::kWarning, "gate", "load-ignored",
+        {{"instance", instance}, {"value", text}, {"id", request_id}});
+  }
+  return report;
+}
+
 HeartbeatResult Gate::OnHeartbeat(const UpstreamHeartbeat& heartbeat) {
   const std::optional<UpstreamHeartbeat> before = this->lease.current;
   const HeartbeatResult result =
--- a/src/edge/metrics.cc
+++ b/src/edge/metrics.cc
@@ -104,6 +104,10 @@
   AppendTable(text, "gate_limit_events_total", "event", node.gate.limit_events);
   AppendValue(text, "gate_leaving_responses_total", "", "",
               node.gate.leaving_responses);
+  if (node.gate.ignored_loads > 0) {
+    AppendValue(text, "gate_loads_ignored_total", "", "",
+                node.gate.ignored_loads);
+  }
   if (const auto& limit = node.gate.Limit().per_second)
     absl::StrAppend(&text, "teaselspread_gate_limit_per_second ", *limit, "\n");
   AppendValue(text, "gate_evacuated", "", "", node.gate.IsEvacuated() ? 1 : 0);
--- a/standins/mesh_upstream.h
+++ b/standins/mesh_upstream.h
@@ -30,6 +30,9 @@
   std::chrono::milliseconds heartbeat{100};
   // How long it is slow after its start.
   std::chrono::milliseconds warm_up{0};
+  // Fourth figure of the load header, in percent; empty for upstreams that send
+  // three figures.
+  std::string work_percent{};
 };
 
 // One request that it ran.
@@ -148,6 +151,13 @@
     this->says_leaving = true;
     this->health_says_leaving = in_health;
   }
+  // Reports this duration of work, in percent of the usual, in all responses
+  // from now on; "" for three figures in the load header of health checks and
+  // none in others. The work itself does not change.
+  void ReportWork(const std::string& percent) {
+    const std::scoped_lock lock(this->gate);
+    this->work_percent = percent;
+  }
   // Refuses all requests as not run.
   void Shed(bool shed) { this->shedding = shed; }
 
@@ -212,7 +222,10 @@
   }
 
   void SayNeeds(Response& response) {
+    const std::string load = this->LoadText();
     const std::scoped_lock lock(this->gate);
+    if (!this->work_percent.empty())
+      response.set("X-Server-Load", load);
     if (!this->named_limit.empty())
       response.set("Server-Limit", this->named_limit);
     if (this->says_leaving)
@@ -289,11 +302,17 @@
       this->SayNeeds(response);
     response.set("X-Instance-Id", this->Instance());
     response.set("X-Warmup-Ms", std::to_string(this->WarmUpLeftMs()));
-    response.set("X-Server-Load", std::to_string(this->running) + ",0," +
-                                      std::to_string(this->options.slots));
+    response.set("X-Server-Load", this->LoadText());
     return response;
   }
 
+  std::string LoadText() {
+    const std::scoped_lock lock(this->gate);
+    return std::to_string(this->running) + ",0," +
+           std::to_string(this->options.slots) +
+           (this->work_percent.empty() ? "" : "," + this->work_percent);
+  }
+
   [[nodiscard]] std::int64_t WarmUpLeftMs() const {
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
         this->slow_until.load() - std::chrono::steady_clock::now());
@@ -353,6 +372,7 @@
   std::chrono::milliseconds crash_work{};
   std::string hang_target;
   std::string named_limit;
+  std::string work_percent{this->options.work_percent};
   std::string content_encoding;
   std::string retry_after;
   std::atomic<bool> says_leaving{false};
