--- a/include/teaselspread/admission.h
+++ b/include/teaselspread/admission.h
@@ -27,6 +27,7 @@
 #include "teaselspread/start_pace.h"
 #include "teaselspread/types.h"
 #include "teaselspread/upstream_model.h"
+#include "teaselspread/upstream_speed.h"
 #include "teaselspread/waiting_settings.h"
 
 namespace teaselspread {
@@ -100,6 +101,8 @@
   // has not started by then is refused: more urgent ones may take all that the
   // upstream takes, and the others would wait until their deadline in vain.
   TimePoint latest_start = TimePoint::max();
+  // Speed factor of the upstream when the run started.
+  double factor_at_start = 1;
 };
 
 // Queue order: by priority (internal lookups first), then by earliest aim, then
@@ -121,8 +124,12 @@
       queue;
   boost::intrusive::set<HeldRequest, boost::intrusive::compare<RunsBefore>>
       suspect_queue;
+  // At the usual speed of the upstream.
   ServiceTimes service_times;
   ServiceTime overall_service_time;
+  // How long its work takes now. Estimates that decide whether a request can
+  // run in time are multiplied by it.
+  SpeedFactor speed;
   // Limits the starts while the upstream is slow after its start.
   StartPace pace;
   // Limits them while the upstream names a rate. Both may hold at once.
@@ -205,15 +212,17 @@
 // safe.
 [[nodiscard]] int LoadOf(const Gatekeeper& gate);
 
-// Expected time to run all queued requests one after the other; more if the
-// pace starts them later than that. Not thread safe.
+// Expected time to run all queued requests one after the other, at the usual
+// speed of the upstream; more if the pace starts them later than that. Not
+// thread safe.
 [[nodiscard]] Duration QueuedTime(const Gatekeeper& gate, TimePoint now);
 
 // Drops the service times of all routes not in `routes`. Not thread safe.
 void RetainServiceTimes(Gatekeeper& gate,
                         const std::set<std::string_view>& routes);
 
-// Expected run time of a request of `route`. Not thread safe.
+// Expected run time of a request of `route` at the usual speed of the upstream.
+// Not thread safe.
 [[nodiscard]] Duration ExpectedServiceTime(const Gatekeeper& gate,
                                            std::string_view route);
 
--- a/src/admission/estimate.cc
+++ b/src/admission/estimate.cc
@@ -9,6 +9,13 @@
 // count.
 constexpr double kNewestWeight = 0.1;
 
+// Expected run time at the speed that the upstream has at `now`.
+Duration RunTimeNow(const Gatekeeper& gate,
+                    std::string_view route,
+                    TimePoint now) {
+  return SlowedBy(FactorAt(gate.speed, now), ExpectedServiceTime(gate, route));
+}
+
 void UpdateMean(ServiceTime& time, double run_time_us) {
   if (time.mean_us == 0) {
     time.mean_us = run_time_us;
@@ -69,8 +76,9 @@
   if (IsRateLimited(gate, now) && gate.running < gate.settings.slots)
     return paced;
   const int slots = gate.settings.slots > 0 ? gate.settings.slots : 1;
-  const double work_us = static_cast<double>(ahead.run_time.count()) +
-                         gate.overall_service_time.mean_us;
+  const double usual_work_us = static_cast<double>(ahead.run_time.count()) +
+                               gate.overall_service_time.mean_us;
+  const double work_us = usual_work_us * FactorAt(gate.speed, now);
   const Duration for_slots(static_cast<std::int64_t>(work_us / slots));
   return std::max(for_slots, paced);
 }
@@ -89,14 +97,16 @@
   });
 }
 
-TimePoint LatestStart(const Gatekeeper& gate, const Arrival& arrival) {
-  return arrival.deadline - ExpectedServiceTime(gate, arrival.route);
+TimePoint LatestStart(const Gatekeeper& gate,
+                      const Arrival& arrival,
+                      TimePoint now) {
+  return arrival.deadline - RunTimeNow(gate, arrival.route, now);
 }
 
 TimePoint LatestAdmissibleStart(const Gatekeeper& gate,
                                 const Arrival& arrival,
                                 TimePoint now) {
-  const TimePoint latest = LatestStart(gate, arrival);
+  const TimePoint latest = LatestStart(gate, arrival, now);
   if (arrival.aim == TimePoint{} || arrival.aim >= arrival.deadline)
     return latest;
   const double aim_to_deadline =
@@ -104,7 +114,7 @@
   const Duration allowed_lateness(static_cast<std::int64_t>(
       aim_to_deadline * gate.settings.waiting.late_part));
   const TimePoint latest_start_by_aim =
-      arrival.aim + allowed_lateness - ExpectedServiceTime(gate, arrival.route);
+      arrival.aim + allowed_lateness - RunTimeNow(gate, arrival.route, now);
   const double allowed_wait =
       static_cast<double>((latest_start_by_aim - now).count()) *
       gate.settings.waiting.wait_part;
--- a/src/admission/estimate.h
+++ b/src/admission/estimate.h
@@ -9,7 +9,8 @@
 
 namespace teaselspread {
 
-// Adds the time of one run of `route` to the estimates. Not thread safe.
+// Adds the time of one run of `route`, at the usual speed, to the estimates.
+// Not thread safe.
 void RecordServiceTime(Gatekeeper& gate,
                        const std::string& route,
                        Duration run_time);
@@ -17,7 +18,7 @@
 // The queued requests that run before another one.
 struct QueueAhead {
   std::size_t requests = 0;
-  // Sum of their expected run times.
+  // Sum of their expected run times at the usual speed.
   Duration run_time{};
 };
 
@@ -42,10 +43,11 @@
                                     const QueueAhead& ahead,
                                     TimePoint now);
 
-// Latest start at which the request is expected to meet its deadline. Not
-// thread safe.
+// Latest start at which the request is expected to meet its deadline, at the
+// speed that the upstream has at `now`. Not thread safe.
 [[nodiscard]] TimePoint LatestStart(const Gatekeeper& gate,
-                                    const Arrival& arrival);
+                                    const Arrival& arrival,
+                                    TimePoint now);
 
 // Latest expected start with which a request that arrives now may be queued:
 // earlier than LatestStart if it has an aim before its deadline, since a
--- a/src/admission/gatekeeper.cc
+++ b/src/admission/gatekeeper.cc
@@ -55,6 +55,7 @@
 
 void StartRun(Gatekeeper& gate, HeldRequest& held, TimePoint now) {
   held.running = true;
+  held.factor_at_start = FactorAt(gate.speed, now);
   RecordStart(gate.pace, now);
   RecordStart(gate.limit, now);
   ++gate.running;
@@ -126,8 +127,10 @@
 }
 
 // Latest start of a queued request.
-TimePoint LatestStartOf(const Gatekeeper& gate, const HeldRequest& held) {
-  const TimePoint by_deadline = LatestStart(gate, held.arrival);
+TimePoint LatestStartOf(const Gatekeeper& gate,
+                        const HeldRequest& held,
+                        TimePoint now) {
+  const TimePoint by_deadline = LatestStart(gate, held.arrival, now);
   return gate.limit.per_second ? std::min(by_deadline, held.latest_start)
                                : by_deadline;
 }
@@ -138,7 +141,7 @@
   std::size_t ahead = 0;
   for (auto next = gate.queue.begin(); next != gate.queue.end();) {
     HeldRequest& held = *next++;
-    if (StartBehind(gate.limit, ahead, now) <= LatestStartOf(gate, held)) {
+    if (StartBehind(gate.limit, ahead, now) <= LatestStartOf(gate, held, now)) {
       ++ahead;
       continue;
     }
@@ -171,7 +174,7 @@
   const Duration margin =
       StartBehind(gate.limit, ahead.requests + 1, now) - by_limit;
   if (now + wait > LatestAdmissibleStart(gate, arrival, now) ||
-      now + wait + margin > LatestStart(gate, arrival)) {
+      now + wait + margin > LatestStart(gate, arrival, now)) {
     const bool limited = gate.limit.per_second && by_limit >= now + wait;
     gate.refused_by_limit += limited ? 1 : 0;
     return Refuse(gate, arrival.id, ErrorKind::kDeadlineTooShort, now, rng);
@@ -201,7 +204,7 @@
                  GateActions& actions) {
   for (auto next = queue.begin(); next != queue.end();) {
     HeldRequest& held = *next++;
-    if (LatestStartOf(gate, held) < now) {
+    if (LatestStartOf(gate, held, now) < now) {
       actions.refused.push_back(
           RefuseQueued(gate, queue, held, ErrorKind::kQueueTimeout, now, rng));
     }
@@ -300,8 +303,12 @@
   const auto found = gate.held.find(id);
   if (found == gate.held.end() || !found->second->running)
     return actions;
-  if (updates_estimate)
-    RecordServiceTime(gate, found->second->arrival.route, run_time);
+  if (updates_estimate) {
+    const double factor = FactorOverRun(found->second->factor_at_start,
+                                        FactorAt(gate.speed, now));
+    RecordServiceTime(gate, found->second->arrival.route,
+                      UsualTime(factor, run_time));
+  }
   if (found->second->arrival.suspect)
     gate.running_alone = false;
   --gate.running;
@@ -334,7 +341,7 @@
     next = NextStart(gate, now);
   for (const Queue* queue : {&gate.queue, &gate.suspect_queue}) {
     for (const HeldRequest& held : *queue) {
-      const TimePoint latest = LatestStartOf(gate, held);
+      const TimePoint latest = LatestStartOf(gate, held, now);
       next = next ? std::min(*next, latest) : latest;
     }
   }
