--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -138,6 +138,11 @@
     return this->gatekeeper.limit;
   }
 
+  // Speed of the upstream, as its process last reported it.
+  [[nodiscard]] const SpeedFactor& Speed() const {
+    return this->gatekeeper.speed;
+  }
+
   // Whether Probe would tell something that is not known: what the upstream
   // says of itself, if this node started beside a running one, or whether its
   // limit has ended, if too few requests start for their responses to tell.
@@ -166,11 +171,16 @@
       const HttpResponse& response) const;
   void OnProbeResponse(const std::string& service,
                        const HttpResponse& response);
-  void RegisterProbed(const std::string& service, const HttpResponse& response);
+  // `slots`: from the load header; 0 if not known.
+  void RegisterProbed(const std::string& service,
+                      const HttpResponse& response,
+                      int slots);
   // Parses the load header; a malformed one is counted and logged.
   LoadReport ReadLoad(std::string_view instance,
                       std::string_view request_id,
                       const HttpHeaders& headers);
+  // What a response of the process that holds the lease says of its speed.
+  void HearWorkPercent(const LoadReport& load);
   // What a response says of the upstream's process `instance`, whatever its
   // status. `sent_at`: when its request was sent.
   void HearUpstream(std::string_view instance,
--- a/src/edge/gate_upstream.cc
+++ b/src/edge/gate_upstream.cc
@@ -69,10 +69,12 @@
 
 void Gate::OnProbeResponse(const std::string& service,
                            const HttpResponse& response) {
-  if (!this->lease.current)
-    this->RegisterProbed(service, response);
   const std::string_view instance =
       FindHeader(response.headers, this->names.instance);
+  const LoadReport load =
+      this->ReadLoad(instance, kHealthCheckId, response.headers);
+  if (!this->lease.current)
+    this->RegisterProbed(service, response, load.slots.value_or(0));
   this->HearLeaving(instance, kHealthCheckId, response.headers);
   if (!this->lease.current || this->lease.current->instance != instance)
     return;
@@ -82,6 +84,7 @@
     this->AllowTrialRequests();
   else
     this->HearNamedLimit(kHealthCheckId, response.headers, this->probed_at);
+  this->HearWorkPercent(load);
   this->MarkHeard();
 }
 
@@ -109,12 +112,11 @@
 // The version and start time of the process stay unknown until its heartbeat,
 // which replaces this one whatever its sequence number.
 void Gate::RegisterProbed(const std::string& service,
-                          const HttpResponse& response) {
+                          const HttpResponse& response,
+                          int slots) {
   constexpr int kOk = 200;
   const std::string_view instance =
       FindHeader(response.headers, this->names.instance);
-  const int slots = this->ReadLoad(instance, kHealthCheckId, response.headers)
-                        .slots.value_or(0);
   Log(LogLevel::kInfo, "gate", "upstream-probed",
       {{"status", response.status},
        {"instance", instance},
@@ -147,12 +149,18 @@
   return report;
 }
 
+void Gate::HearWorkPercent(const LoadReport& load) {
+  if (load.work_percent)
+    HearSpeed(this->gatekeeper.speed, *load.work_percent, SteadyNow());
+}
+
 HeartbeatResult Gate::OnHeartbeat(const UpstreamHeartbeat& heartbeat) {
   const std::optional<UpstreamHeartbeat> before = this->lease.current;
   const HeartbeatResult result =
       ApplyHeartbeat(this->lease, heartbeat, SteadyNow());
   if (before && IsAnotherProcess(*before, *this->lease.current)) {
     this->process_since = SteadyNow();
+    this->gatekeeper.speed = {};
     this->ForgetLimit();
   }
   this->ApplyLease();
@@ -186,6 +194,7 @@
   if (!this->lease.current || this->lease.current->instance != instance ||
       sent_at < this->process_since)
     return;
+  this->HearWorkPercent(this->ReadLoad(instance, request_id, headers));
   this->HearNamedLimit(request_id, headers, sent_at);
   this->HearLeaving(instance, request_id, headers);
   this->MarkHeard();
--- a/src/edge/metrics.cc
+++ b/src/edge/metrics.cc
@@ -104,6 +104,10 @@
   AppendTable(text, "gate_limit_events_total", "event", node.gate.limit_events);
   AppendValue(text, "gate_leaving_responses_total", "", "",
               node.gate.leaving_responses);
+  if (const SpeedFactor& speed = node.gate.Speed(); speed.reported) {
+    AppendValue(text, "gate_work_percent", "", "",
+                PercentAt(speed, SteadyNow()));
+  }
   if (node.gate.ignored_loads > 0) {
     AppendValue(text, "gate_loads_ignored_total", "", "",
                 node.gate.ignored_loads);
