--- a/include/teaselspread/logging.h
+++ b/include/teaselspread/logging.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <initializer_list>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -23,9 +24,16 @@
   template <std::integral Number>
   LogField(std::string_view name, Number number)
       : key(name), value(std::to_string(number)) {}
+  // Left out of the line if there is no value.
+  template <std::integral Number>
+  LogField(std::string_view name, std::optional<Number> number)
+      : key(name),
+        value(number ? std::to_string(*number) : ""),
+        present(number.has_value()) {}
 
   std::string_view key;
   std::string value;
+  bool present = true;
 };
 
 // Origin of the log lines, written to each line of this process.
--- a/include/teaselspread/placement.h
+++ b/include/teaselspread/placement.h
@@ -45,6 +45,11 @@
   // Relative increase of the run time from an idle upstream to one with all
   // slots in use.
   double busy_factor = 0.3;
+  // Part of an upstream's momentary slowness that counts against a request's
+  // own run there; waiting times count all of it. With all of it here, too,
+  // slots of slowed upstreams stayed idle at peaks, while the requests that
+  // would have had them were late or refused elsewhere (shared_vm_test).
+  double slow_run_weight = 0.2;
   // Maximum random addition to the cost, as a fraction of it, so that nodes
   // with the same figures do not all choose the same upstream.
   double spread = 0.1;
@@ -91,6 +96,13 @@
   Duration start_wait{};
 };
 
+// Applies the factor by which work takes longer at the candidate now to its
+// times, which are at the usual speed. A factor of 1 changes nothing.
+// Precondition: `factor` is positive. Thread safe.
+void ApplySpeed(const PlacementSettings& settings,
+                double factor,
+                Candidate& candidate);
+
 // Cost of one candidate as a fraction of the value of the response: the
 // probability that it is late or fails, the time that it takes, and the cost of
 // the distance. While all responses are well within their aim the distance
--- a/src/admission/upstream_speed.cc
+++ b/src/admission/upstream_speed.cc
@@ -57,6 +57,8 @@
 bool NeedsReport(const SpeedFactor& told,
                  const SpeedFactor& speed,
                  TimePoint now) {
+  if (!speed.reported)
+    return false;
   const double assumed = FactorAt(told, now);
   return std::abs(FactorAt(speed, now) - assumed) > kReportStep * assumed;
 }
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -228,6 +228,7 @@
                                  std::uint64_t digest) {
     return RespondToConfigRequest(node, peer, digest);
   };
+  on.own_speed = [&node] { return node.gate.Speed(); };
   on.on_config_busy = [&node](const std::string& peer) {
     OnConfigBusy(node, peer);
   };
--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -202,7 +202,7 @@
                                 : config->second.slow_start_per_second;
   const auto add = [&](std::string_view node, Distance distance,
                        const GateStatus& status, std::uint32_t load,
-                       Duration age) {
+                       Duration age, const SpeedFactor& speed) {
     Candidate candidate;
     candidate.node = node;
     candidate.distance = distance;
@@ -220,6 +220,7 @@
       const Duration wait = candidate.queued_time / candidate.slots;
       candidate.start_wait = std::max(wait - age, Duration{0});
     }
+    ApplySpeed(this->settings.placement, FactorAt(speed, now), candidate);
     candidates.push_back(candidate);
   };
   // Whether the node may be added; clears candidates of a worse rank.
@@ -245,7 +246,7 @@
   const GateStatus own = this->gate.Status();
   if (fits(this->settings.vm, own, false))
     add(this->settings.vm, Distance::kOwnVm, own, own.running + own.waiting,
-        Duration{0});
+        Duration{0}, this->gate.Speed());
   for (const auto& [name, peer] : this->links.Peers()) {
     if (!peer.connected ||
         !fits(name, peer.status, Links::IsLinkUnresponsive(peer, now)))
@@ -255,7 +256,7 @@
         peer.status.running + peer.status.waiting + peer.sent_since_status;
     add(name, near ? Distance::kOwnDataCenter : Distance::kOtherDataCenter,
         peer.status, std::max(reported_load, peer.in_flight),
-        now - peer.status_received_at);
+        now - peer.status_received_at, peer.speed);
   }
   return candidates;
 }
--- a/src/edge/entry_answers.cc
+++ b/src/edge/entry_answers.cc
@@ -168,6 +168,13 @@
   const GateStatus seen = peer == nullptr ? this->gate.Status() : peer->status;
   const Duration seen_age =
       peer == nullptr ? Duration{0} : now - peer->status_received_at;
+  const SpeedFactor speed = peer == nullptr ? this->gate.Speed() : peer->speed;
+  std::optional<std::uint32_t> speed_percent;
+  std::optional<std::int64_t> speed_age_ms;
+  if (speed.reported) {
+    speed_percent = PercentAt(speed, now);
+    speed_age_ms = (now - speed.reported_at).count() / kMicrosPerMilli;
+  }
   Log(LogLevel::kInfo, "requests", outcome,
       {{"id", FindHeader(pending.exchange->request.headers, kHeaderRequestId)},
        {"reason", kind == ErrorKind::kInternal ? "" : NameOf(kind)},
@@ -183,6 +190,8 @@
        {"limit",
         seen.limit_per_second ? absl::StrCat(*seen.limit_per_second) : ""},
        {"load_age_ms", seen_age.count() / kMicrosPerMilli},
+       {"speed", speed_percent},
+       {"speed_age_ms", speed_age_ms},
        {"spent_ms", pending.time_waited.count() / kMicrosPerMilli},
        {"attempts", pending.attempts},
        {"refusals", pending.refusals},
--- a/src/edge/frame_socket.h
+++ b/src/edge/frame_socket.h
@@ -14,6 +14,7 @@
 #include "edge/link_health.h"
 #include "edge/status_feed.h"
 #include "teaselspread/types.h"
+#include "teaselspread/upstream_speed.h"
 
 namespace teaselspread {
 
@@ -66,6 +67,8 @@
   LinkTimes times;
   // On an accepted socket: what its caller has received of the status.
   StatusReader status_reader;
+  // On an accepted socket: the upstream's speed as its caller assumes it.
+  SpeedFactor told_speed;
 
  private:
   void Read();
--- a/src/edge/frames.cc
+++ b/src/edge/frames.cc
@@ -10,6 +10,7 @@
 #include <boost/iostreams/stream.hpp>
 
 #include "edge/status_notes.h"
+#include "teaselspread/upstream_speed.h"
 #include "wire/codec.h"
 
 namespace teaselspread {
@@ -119,6 +120,14 @@
 template <class C>
 void Fields(C& /*codec*/, FieldsOf<C, ConfigBusy> /*value*/) {}
 template <class C>
+void Fields(C& codec, FieldsOf<C, SpeedFrame> value) {
+  codec(value.percent);
+  if constexpr (!C::kWriting) {
+    if (value.percent < kMinWorkPercent || value.percent > kMaxWorkPercent)
+      throw cereal::Exception("speed out of range");
+  }
+}
+template <class C>
 void Fields(C& codec, FieldsOf<C, ConfigFrame> value) {
   codec(value.version, value.key, value.base_digest, value.digest,
         value.size_bytes);
@@ -208,8 +217,9 @@
 std::string_view NameOf(FrameKind kind) {
   static constexpr std::array<std::string_view,
                               static_cast<std::size_t>(FrameKind::kCount)>
-      kNames = {"hello", "status",     "run",    "result", "cancel",     "ping",
-                "pong",  "config-ask", "config", "load",   "config-busy"};
+      kNames = {"hello",  "status", "run",         "result",
+                "cancel", "ping",   "pong",        "config-ask",
+                "config", "load",   "config-busy", "speed"};
   return kNames.at(static_cast<std::size_t>(kind));
 }
 
--- a/src/edge/frames.h
+++ b/src/edge/frames.h
@@ -191,6 +191,13 @@
 // from another node, or later from this one.
 struct ConfigBusy {};
 
+// How long work takes at the upstream beside the sender, in percent of the
+// usual. Sent before a result or a load, and only by nodes whose upstream
+// reports it: a node of an earlier release closes the link on it.
+struct SpeedFrame {
+  std::uint32_t percent = 0;
+};
+
 using LinkFrame = std::variant<Hello,
                                Status,
                                RunFrame,
@@ -201,7 +208,8 @@
                                ConfigRequest,
                                ConfigFrame,
                                LoadFrame,
-                               ConfigBusy>;
+                               ConfigBusy,
+                               SpeedFrame>;
 
 // The alternatives of LinkFrame, in its order.
 enum class FrameKind : std::uint8_t {
@@ -216,6 +224,7 @@
   kConfig,
   kLoad,
   kConfigBusy,
+  kSpeed,
   kCount,
 };
 
--- a/src/edge/links.cc
+++ b/src/edge/links.cc
@@ -40,6 +40,13 @@
          a.service != b.service || a.version != b.version || a.slots != b.slots;
 }
 
+// A start time of 0 is not known yet.
+bool IsAnotherProcess(const GateStatus& a, const GateStatus& b) {
+  return a.instance != b.instance ||
+         (a.process_stamp != 0 && b.process_stamp != 0 &&
+          a.process_stamp != b.process_stamp);
+}
+
 LoadFrame LoadOf(const GateStatus& status) {
   return {status.running, status.waiting, status.queued_ms};
 }
@@ -266,6 +273,7 @@
   const bool was_connected = std::exchange(peer->connected, false);
   peer->in_flight = 0;
   peer->sent_since_status = 0;
+  peer->speed = {};
   this->counters.Add(was_connected ? LinkEvent::kLost
                                    : LinkEvent::kConnectFailed);
   const std::string name = peer->node;
@@ -300,6 +308,8 @@
     ApplyStatus(peer->status, std::move(*status_frame));
     const bool changed =
         !peer->connected || UpstreamChanged(before, peer->status);
+    if (IsAnotherProcess(before, peer->status))
+      peer->speed = {};
     peer->connected = true;
     Reset(peer->backoff);
     peer->sent_since_status = has_load ? 0 : peer->sent_since_status;
@@ -312,6 +322,8 @@
     this->handlers.on_result(name, std::move(*result));
   } else if (const auto* load = std::get_if<LoadFrame>(&frame)) {
     ApplyLoad(*peer, *load);
+  } else if (const auto* speed = std::get_if<SpeedFrame>(&frame)) {
+    HearSpeed(peer->speed, speed->percent, SteadyNow());
   } else if (auto* config = std::get_if<ConfigFrame>(&frame)) {
     this->handlers.on_config(name, std::move(*config));
   } else if (std::holds_alternative<ConfigBusy>(frame)) {
@@ -407,6 +419,8 @@
       const auto topic = static_cast<StatusTopic>(i);
       this->topics_sent.Add(topic, (due & BitOf(topic)) != 0 ? 1 : 0);
     }
+    if ((due & kLoadTopics) != 0)
+      this->SendSpeedIfChanged(*caller, now);
     const bool evaluator = reader.evaluates_moves;
     MarkSent(this->status_feed, reader, TopicsCarried(due, evaluator), now);
     const auto [found, added] = frames.try_emplace({due, evaluator});
@@ -423,6 +437,15 @@
   }
 }
 
+void Links::SendSpeedIfChanged(FrameSocket& caller, TimePoint now) {
+  const SpeedFactor speed = this->handlers.own_speed();
+  if (!NeedsReport(caller.told_speed, speed, now))
+    return;
+  const std::uint32_t percent = PercentAt(speed, now);
+  caller.Send(SpeedFrame{percent});
+  HearSpeed(caller.told_speed, percent, now);
+}
+
 bool Links::Run(const std::string& node, const RunFrame& frame) {
   Peer* peer = this->Find(node);
   if (peer == nullptr || !peer->connected)
@@ -479,8 +502,10 @@
 }
 
 void Links::SendResult(FrameSocket* to, const ResultFrame& result) {
-  if (this->callers.contains(to))
-    to->Send(result);
+  if (!this->callers.contains(to))
+    return;
+  this->SendSpeedIfChanged(*to, SteadyNow());
+  to->Send(result);
 }
 
 // In the order of `peers`.
--- a/src/edge/links.h
+++ b/src/edge/links.h
@@ -28,6 +28,7 @@
 #include "teaselspread/counters.h"
 #include "teaselspread/error.h"
 #include "teaselspread/types.h"
+#include "teaselspread/upstream_speed.h"
 
 namespace teaselspread {
 
@@ -73,6 +74,8 @@
   bool connected = false;
   GateStatus status;
   TimePoint status_received_at;
+  // Speed of its upstream's process, as it was told over this link.
+  SpeedFactor speed;
   // Requests of this node that are in flight there.
   std::uint32_t in_flight = 0;
   // Requests sent after `status` was received, which it does not count yet.
@@ -107,6 +110,8 @@
   // The node sends no configuration now, or has sent one before this.
   std::function<void(const std::string& node)> on_config_busy;
   std::function<void(const std::string& node, ConfigFrame)> on_config;
+  // Speed of the own upstream, of which callers are told.
+  std::function<SpeedFactor()> own_speed = [] { return SpeedFactor{}; };
 };
 
 // Not thread safe.
@@ -182,6 +187,8 @@
   void HandleServerFrame(const std::string& node, LinkFrame frame);
   void HandleCallerFrame(FrameSocket* from, LinkFrame frame);
   void SendDueStatus();
+  // To be called before a result or a load is sent to `caller`.
+  void SendSpeedIfChanged(FrameSocket& caller, TimePoint now);
   [[nodiscard]] StatusAudience Audience() const;
   // The status for a caller that evaluates moves, or for another one.
   [[nodiscard]] Status StatusFrame(std::uint8_t parts, bool evaluator) const;
--- a/src/logging/logging.cc
+++ b/src/logging/logging.cc
@@ -149,8 +149,10 @@
   AppendField(line, "data_center", identity.data_center);
   AppendField(line, "service", service);
   AppendField(line, "event", event);
-  for (const LogField& field : fields)
-    AppendField(line, field.key, field.value);
+  for (const LogField& field : fields) {
+    if (field.present)
+      AppendField(line, field.key, field.value);
+  }
   return line;
 }
 
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -6,6 +6,8 @@
 #include <random>
 #include <vector>
 
+#include "teaselspread/upstream_speed.h"
+
 namespace teaselspread {
 namespace {
 
@@ -141,6 +143,15 @@
 
 }  // namespace
 
+void ApplySpeed(const PlacementSettings& settings,
+                double factor,
+                Candidate& candidate) {
+  const double run_factor = std::lerp(1.0, factor, settings.slow_run_weight);
+  candidate.run_time = SlowedBy(run_factor, candidate.run_time);
+  candidate.mean_run_time = SlowedBy(factor, candidate.mean_run_time);
+  candidate.queued_time = SlowedBy(factor, candidate.queued_time);
+}
+
 double CostOf(const PlacementSettings& settings,
               const Candidate& candidate,
               const PlacedRequest& request) {
--- a/tests/unit/frames_compat_test.cc
+++ b/tests/unit/frames_compat_test.cc
@@ -99,6 +99,25 @@
   }
 }
 
+// Guards against a speed that would make an upstream look endlessly slow, or
+// infinitely fast: peers are other processes, possibly of another release.
+Test(frames_compat, a_speed_out_of_range_is_malformed) {
+  for (const std::uint32_t percent : {10U, 100U, 250U, 2000U}) {
+    const std::string bytes = EncodeLinkFrame(SpeedFrame{percent});
+    const auto frame =
+        DecodeLinkFrame(std::string_view(bytes).substr(kFrameLengthBytes));
+    cr_assert(frame.has_value());
+    cr_assert_eq(std::get<SpeedFrame>(*frame).percent, percent);
+  }
+  for (const std::uint32_t percent : {0U, 9U, 2001U, 0xffffffffU}) {
+    const std::string bytes = EncodeLinkFrame(SpeedFrame{percent});
+    const auto frame =
+        DecodeLinkFrame(std::string_view(bytes).substr(kFrameLengthBytes));
+    cr_assert_not(frame.has_value());
+    cr_assert(frame.error().kind == ErrorKind::kFrameMalformed);
+  }
+}
+
 // Nodes of the release before judge moves by the counters of all peers. The row
 // that marks a suspicion must not count there as responses of an upstream.
 Test(frames_compat, a_suspicion_adds_no_responses) {
--- a/tests/unit/placement_test.cc
+++ b/tests/unit/placement_test.cc
@@ -195,5 +195,33 @@
   cr_assert(PlaceOnce({limited, busy}) == 0);
 }
 
+// Guards against times that change without a figure, and against the opposite
+// mistake: a slowed upstream whose queue seems as short as before.
+Test(placement, the_speed_of_an_upstream_applies_to_its_times) {
+  const PlacementSettings settings;
+  Candidate usual;
+  usual.slots = 18;
+  usual.load = 30;
+  usual.waiting = 12;
+  usual.run_time = std::chrono::microseconds(86'999);
+  usual.mean_run_time = std::chrono::microseconds(99'001);
+  usual.queued_time = std::chrono::microseconds(1'200'003);
+  Candidate same = usual;
+  ApplySpeed(settings, 1, same);
+  cr_assert(same.run_time == usual.run_time);
+  cr_assert(same.mean_run_time == usual.mean_run_time);
+  cr_assert(same.queued_time == usual.queued_time);
+  Candidate slowed = usual;
+  ApplySpeed(settings, 2.5, slowed);
+  cr_assert(slowed.mean_run_time == usual.mean_run_time * 5 / 2);
+  cr_assert(slowed.queued_time == usual.queued_time * 5 / 2);
+  cr_assert(slowed.run_time > usual.run_time);
+  cr_assert(slowed.run_time < usual.run_time * 5 / 2);
+  PlacedRequest request;
+  request.aim = std::chrono::milliseconds(300);
+  cr_assert_gt(CostOf(settings, slowed, request),
+               CostOf(settings, usual, request));
+}
+
 }  // namespace
 }  // namespace teaselspread
