--- a/tests/contract/links_test.cc
+++ b/tests/contract/links_test.cc
@@ -4,12 +4,18 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 
 #include <boost/asio/io_context.hpp>
 
+#include "base/clock.h"
 #include "contract/raw_socket.h"
+#include "teaselspread/upstream_speed.h"
 
 namespace teaselspread {
 namespace {
@@ -59,5 +65,130 @@
   cr_assert(peer.Accepted() == 1, "%d links were opened", peer.Accepted());
 }
 
+// Two nodes; "a-1" opens a link to "b-1", whose upstream reports `speed`.
+struct SpeedLink {
+  boost::asio::io_context io;
+  SpeedFactor speed;
+  // Speed that "a-1" knew when the result came.
+  std::optional<SpeedFactor> at_result;
+  std::unique_ptr<Links> caller;
+  std::unique_ptr<Links> server;
+
+  SpeedLink() {
+    this->caller = std::make_unique<Links>(this->io, this->CallerHandlers());
+    this->server = std::make_unique<Links>(this->io, this->ServerHandlers());
+    this->caller->self = {"a-1", "a", {}};
+    this->server->self = {"b-1", "b", {}};
+    cr_assert(this->caller->Listen({"127.0.0.1", 0}).has_value());
+    const auto bound = this->server->Listen({"127.0.0.1", 0});
+    cr_assert(bound.has_value());
+    this->SetProcess("i-1", 7);
+    this->caller->Add(Hello{"b-1", "b", *bound});
+    cr_assert(this->RunUntil([this] { return this->Known().connected; }));
+  }
+
+  LinkHandlers CallerHandlers() {
+    LinkHandlers on;
+    on.on_status = [](const std::string&, bool, std::uint8_t) {};
+    on.on_link_lost = [](const std::string&) {};
+    on.on_result = [this](const std::string&, const ResultFrame&) {
+      this->at_result = this->Known().speed;
+    };
+    return on;
+  }
+
+  LinkHandlers ServerHandlers() {
+    LinkHandlers on;
+    on.on_hello = [](const Hello&) {};
+    on.on_caller_disconnected = [](FrameSocket*) {};
+    on.own_speed = [this] { return this->speed; };
+    on.on_run = [this](FrameSocket* from, const RunFrame& frame) {
+      ResultFrame result;
+      result.call_id = frame.call_id;
+      this->server->SendResult(from, result);
+    };
+    return on;
+  }
+
+  [[nodiscard]] const Peer& Known() const { return *this->caller->Find("b-1"); }
+
+  void SetProcess(const std::string& instance, std::uint32_t stamp) {
+    GateStatus status;
+    status.instance = instance;
+    status.process_stamp = stamp;
+    status.state = LeaseState::kReady;
+    this->server->SetStatus(status);
+  }
+
+  bool RunUntil(const std::function<bool()>& condition) {
+    const auto end = std::chrono::steady_clock::now() + 10s;
+    while (!condition() && std::chrono::steady_clock::now() < end)
+      this->io.run_for(5ms);
+    return condition();
+  }
+
+  // What the caller knew of the speed when the result came.
+  SpeedFactor Call() {
+    this->at_result.reset();
+    RunFrame frame;
+    frame.call_id = 1;
+    cr_assert(this->caller->Run("b-1", frame));
+    cr_assert(this->RunUntil([this] { return this->at_result.has_value(); }));
+    return *this->at_result;
+  }
+
+  [[nodiscard]] std::uint64_t SpeedFrames() const {
+    return this->server->frames_near.Get(FrameKind::kSpeed) +
+           this->server->frames_far.Get(FrameKind::kSpeed);
+  }
+};
+
+// Guards against an entry that places its next request by the load of a result
+// and the speed before it, and against a frame with each result.
+Test(links, the_speed_comes_before_the_result_and_only_when_it_differs) {
+  SpeedLink link;
+  HearSpeed(link.speed, 250, SteadyNow());
+  const SpeedFactor first = link.Call();
+  cr_assert(first.reported.has_value());
+  cr_assert_gt(FactorAt(first, SteadyNow()), 2.0);
+  const std::uint64_t frames = link.SpeedFrames();
+  for (int i = 0; i < 20; ++i)
+    (void)link.Call();
+  cr_assert_eq(link.SpeedFrames(), frames);
+  HearSpeed(link.speed, 100, SteadyNow());
+  cr_assert_eq(FactorAt(link.Call(), SteadyNow()), 1.0);
+  cr_assert_eq(link.SpeedFrames(), frames + 1);
+}
+
+// Guards against frames that a node of an earlier release cannot parse, in
+// deployments whose upstreams report no speed.
+Test(links, without_a_figure_no_speed_is_sent) {
+  SpeedLink link;
+  for (int i = 0; i < 20; ++i)
+    cr_assert_not(link.Call().reported.has_value());
+  cr_assert_eq(link.SpeedFrames(), 0U);
+}
+
+// Guards against a new process that is taken for slow, as the one before it
+// was, and against a speed that outlives the link that told it.
+Test(links, a_speed_ends_with_the_process_and_with_the_link) {
+  SpeedLink link;
+  const auto known = [&link] {
+    return link.Known().speed.reported.has_value();
+  };
+  HearSpeed(link.speed, 250, SteadyNow());
+  (void)link.Call();
+  cr_assert(known());
+  link.speed = {};
+  link.SetProcess("i-2", 8);
+  cr_assert(link.RunUntil([&] { return !known(); }));
+  HearSpeed(link.speed, 400, SteadyNow());
+  (void)link.Call();
+  cr_assert(known());
+  link.server.reset();
+  cr_assert(link.RunUntil([&] { return !link.Known().connected; }));
+  cr_assert_not(known());
+}
+
 }  // namespace
 }  // namespace teaselspread
