--- a/include/teaselspread/logging.h
+++ b/include/teaselspread/logging.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <initializer_list>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -15,8 +16,7 @@
 enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarning, kError, kCount };
 
 // One field of a line. Numbers are never quoted; text is if it is empty or has
-// blanks, quotes, '=', control or non-ASCII characters. A field without a name
-// is left out of the line.
+// blanks, quotes, '=', control or non-ASCII characters.
 struct LogField {
   LogField(std::string_view name, std::string_view text)
       : key(name), value(text) {}
@@ -24,11 +24,27 @@
   template <std::integral Number>
   LogField(std::string_view name, Number number)
       : key(name), value(std::to_string(number)) {}
+  // Left out of the line if there is no value.
+  template <std::integral Number>
+  LogField(std::string_view name, std::optional<Number> number)
+      : key(name),
+        value(number ? std::to_string(*number) : ""),
+        present(number.has_value()) {}
 
   std::string_view key;
   std::string value;
+  bool present = true;
 };
 
+// A field that is left out of the line unless `present`. Thread safe.
+[[nodiscard]] inline LogField FieldIf(bool present,
+                                      std::string_view name,
+                                      std::string_view text) {
+  LogField field(name, text);
+  field.present = present;
+  return field;
+}
+
 // Origin of the log lines, written to each line of this process.
 struct LogIdentity {
   std::string vm;
--- a/src/admission/estimate.h
+++ b/src/admission/estimate.h
@@ -10,7 +10,8 @@
 
 namespace teaselspread {
 
-// Adds the time of one run of `route` to the estimates. Not thread safe.
+// Adds the time of one run of `route`, at the usual speed, to the estimates.
+// Not thread safe.
 void RecordServiceTime(Gatekeeper& gate,
                        const std::string& route,
                        Duration run_time);
@@ -19,7 +20,7 @@
 struct QueueAhead {
   // Without long ones that are held back.
   std::size_t requests = 0;
-  // Sum of their expected run times.
+  // Sum of their expected run times at the usual speed.
   Duration run_time{};
   std::size_t held_back = 0;
   // Of all long ones.
@@ -63,7 +64,7 @@
                                     TimePoint now);
 
 // Expected time until a long request of `route` behind `ahead` gets a slot of
-// the cap. Not thread safe.
+// the cap, at the usual speed of the upstream. Not thread safe.
 [[nodiscard]] Duration WaitForLongSlot(const Gatekeeper& gate,
                                        const QueueAhead& ahead,
                                        std::string_view route);
@@ -75,10 +76,11 @@
                                         std::string_view route,
                                         TimePoint now);
 
-// Latest start at which the request is expected to meet its deadline. Not
-// thread safe.
+// Latest start at which the request is expected to meet its deadline, at the
+// speed that the upstream has at `now`. Not thread safe.
 [[nodiscard]] TimePoint LatestStart(const Gatekeeper& gate,
-                                    const Arrival& arrival);
+                                    const Arrival& arrival,
+                                    TimePoint now);
 
 // Latest expected start with which a request that arrives now may be queued:
 // earlier than LatestStart if it has an aim before its deadline, since a
--- a/src/admission/gatekeeper.cc
+++ b/src/admission/gatekeeper.cc
@@ -80,6 +80,7 @@
 
 void StartRun(Gatekeeper& gate, HeldRequest& held, TimePoint now) {
   held.running = true;
+  held.factor_at_start = FactorAt(gate.speed, now);
   RecordStart(gate.pace, now);
   RecordStart(gate.limit, now);
   ++gate.running;
@@ -231,8 +232,10 @@
 }
 
 // Latest start of a queued request.
-TimePoint LatestStartOf(const Gatekeeper& gate, const HeldRequest& held) {
-  const TimePoint by_deadline = LatestStart(gate, held.arrival);
+TimePoint LatestStartOf(const Gatekeeper& gate,
+                        const HeldRequest& held,
+                        TimePoint now) {
+  const TimePoint by_deadline = LatestStart(gate, held.arrival, now);
   return gate.limit.per_second ? std::min(by_deadline, held.latest_start)
                                : by_deadline;
 }
@@ -249,12 +252,14 @@
   for (auto next = gate.queue.begin(); next != gate.queue.end();) {
     HeldRequest& held = *next++;
     const std::size_t held_back_ahead = held.is_long ? long_ahead.held_back : 0;
-    const TimePoint latest = LatestStartOf(gate, held);
+    const TimePoint latest = LatestStartOf(gate, held, now);
     const bool by_limit =
         StartBehind(gate.limit, ahead + held_back_ahead, now) > latest;
     const bool by_reserve =
         held.is_long &&
-        now + WaitForLongSlot(gate, long_ahead, held.arrival.route) > latest;
+        now + SlowedBy(FactorAt(gate.speed, now),
+                       WaitForLongSlot(gate, long_ahead, held.arrival.route)) >
+            latest;
     if (by_limit || by_reserve) {
       gate.refused_by_limit += by_limit ? 1 : 0;
       gate.refused_by_reserve += by_limit ? 0 : 1;
@@ -305,7 +310,7 @@
   const Duration margin =
       StartBehind(gate.limit, before_it + 1, now) - by_limit;
   if (now + wait > LatestAdmissibleStart(gate, arrival, now) ||
-      now + wait + margin > LatestStart(gate, arrival)) {
+      now + wait + margin > LatestStart(gate, arrival, now)) {
     const bool limited = gate.limit.per_second && by_limit >= now + wait;
     gate.refused_by_limit += limited ? 1 : 0;
     gate.refused_by_reserve +=
@@ -336,7 +341,7 @@
                  GateActions& actions) {
   for (auto next = queue.begin(); next != queue.end();) {
     HeldRequest& held = *next++;
-    if (LatestStartOf(gate, held) < now) {
+    if (LatestStartOf(gate, held, now) < now) {
       actions.refused.push_back(
           RefuseQueued(gate, queue, held, ErrorKind::kQueueTimeout, now, rng));
     }
@@ -446,8 +451,12 @@
   const auto found = gate.held.find(id);
   if (found == gate.held.end() || !found->second->running)
     return actions;
-  if (updates_estimate)
-    RecordServiceTime(gate, found->second->arrival.route, run_time);
+  if (updates_estimate) {
+    const double factor = FactorOverRun(found->second->factor_at_start,
+                                        FactorAt(gate.speed, now));
+    RecordServiceTime(gate, found->second->arrival.route,
+                      UsualTime(factor, run_time));
+  }
   if (found->second->arrival.suspect)
     gate.running_alone = false;
   --gate.running;
@@ -485,7 +494,7 @@
   }
   for (const Queue* queue : {&gate.queue, &gate.suspect_queue}) {
     for (const HeldRequest& held : *queue) {
-      const TimePoint latest = LatestStartOf(gate, held);
+      const TimePoint latest = LatestStartOf(gate, held, now);
       next = next ? std::min(*next, latest) : latest;
     }
   }
--- a/src/edge/entry_answers.cc
+++ b/src/edge/entry_answers.cc
@@ -39,9 +39,8 @@
 
 // Left out of the line without accounts, so that it is as it was before them.
 LogField AccountField(const Snapshot* snapshot, const AccountConfig* account) {
-  if (snapshot == nullptr || !snapshot->has_accounts)
-    return {"", ""};
-  return {"account", account == nullptr ? std::string_view{} : account->name};
+  return FieldIf(snapshot != nullptr && snapshot->has_accounts, "account",
+                 account == nullptr ? std::string_view{} : account->name);
 }
 
 HttpResponse MakeErrorResponse(ErrorKind kind, Duration retry_after) {
@@ -131,7 +130,7 @@
   Log(LogLevel::kInfo, "requests", "refused",
       {{"id", request_id},
        {"reason", NameOf(kind)},
-       {cause.empty() ? "" : "cause", cause},
+       FieldIf(!cause.empty(), "cause", cause),
        AccountField(this->snapshot.get(), nullptr),
        {"config", this->snapshot ? this->snapshot->version : 0},
        {"host", FindHeader(request.headers, "Host")},
@@ -183,6 +182,13 @@
   const GateStatus seen = peer == nullptr ? this->gate.Status() : peer->status;
   const Duration seen_age =
       peer == nullptr ? Duration{0} : now - peer->status_received_at;
+  const SpeedFactor speed = peer == nullptr ? this->gate.Speed() : peer->speed;
+  std::optional<std::uint32_t> speed_percent;
+  std::optional<std::int64_t> speed_age_ms;
+  if (speed.reported) {
+    speed_percent = PercentAt(speed, now);
+    speed_age_ms = (now - speed.reported_at).count() / kMicrosPerMilli;
+  }
   Log(LogLevel::kInfo, "requests", outcome,
       {{"id", FindHeader(pending.exchange->request.headers, kHeaderRequestId)},
        {"reason", kind == ErrorKind::kInternal ? "" : NameOf(kind)},
@@ -199,6 +205,8 @@
        {"limit",
         seen.limit_per_second ? absl::StrCat(*seen.limit_per_second) : ""},
        {"load_age_ms", seen_age.count() / kMicrosPerMilli},
+       {"speed", speed_percent},
+       {"speed_age_ms", speed_age_ms},
        {"spent_ms", pending.time_waited.count() / kMicrosPerMilli},
        {"attempts", pending.attempts},
        {"refusals", pending.refusals},
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -23,6 +23,7 @@
 
 #include "edge/crash_evidence.h"
 #include "edge/frames.h"
+#include "edge/load_report.h"
 #include "edge/loop_client.h"
 #include "teaselspread/admission.h"
 #include "teaselspread/counters.h"
@@ -152,6 +153,11 @@
     return this->gatekeeper.limit;
   }
 
+  // Speed of the upstream, as its process last reported it.
+  [[nodiscard]] const SpeedFactor& Speed() const {
+    return this->gatekeeper.speed;
+  }
+
   // Whether Probe would tell something that is not known: what the upstream
   // says of itself, if this node started beside a running one, or whether its
   // limit has ended, if too few requests start for their responses to tell.
@@ -165,6 +171,8 @@
   std::uint64_t starts = 0;
   // Responses that said that the upstream leaves.
   std::uint64_t leaving_responses = 0;
+  // Responses whose load header held an invalid figure.
+  std::uint64_t ignored_loads = 0;
 
  private:
   // Route of the request at the upstream with this id; empty if there is none.
@@ -183,7 +191,16 @@
       const HttpResponse& response) const;
   void OnProbeResponse(const std::string& service,
                        const HttpResponse& response);
-  void RegisterProbed(const std::string& service, const HttpResponse& response);
+  // `slots`: from the load header; 0 if not known.
+  void RegisterProbed(const std::string& service,
+                      const HttpResponse& response,
+                      int slots);
+  // Parses the load header; a malformed one is counted and logged.
+  LoadReport ReadLoad(std::string_view instance,
+                      std::string_view request_id,
+                      const HttpHeaders& headers);
+  // What a response of the process that holds the lease says of its speed.
+  void HearWorkPercent(const LoadReport& load);
   // What a response says of the upstream's process `instance`, whatever its
   // status. `sent_at`: when its request was sent.
   void HearUpstream(std::string_view instance,
@@ -226,6 +243,8 @@
   Gatekeeper gatekeeper;
   // The last value that was no rate, so that it is logged once.
   std::string ignored_limit;
+  // Process whose load header was last logged as malformed.
+  std::string ignored_load_instance;
   // When a change of the limit was last logged.
   TimePoint limit_logged_at;
   // The limit as reported to other nodes.
--- a/src/edge/gate_upstream.cc
+++ b/src/edge/gate_upstream.cc
@@ -8,7 +8,6 @@
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_split.h>
 
 #include "base/clock.h"
 #include "edge/gate.h"
@@ -70,10 +69,12 @@
 
 void Gate::OnProbeResponse(const std::string& service,
                            const HttpResponse& response) {
-  if (!this->lease.current)
-    this->RegisterProbed(service, response);
   const std::string_view instance =
       FindHeader(response.headers, this->names.instance);
+  const LoadReport load =
+      this->ReadLoad(instance, kHealthCheckId, response.headers);
+  if (!this->lease.current)
+    this->RegisterProbed(service, response, load.slots.value_or(0));
   this->HearLeaving(instance, kHealthCheckId, response.headers);
   if (!this->lease.current || this->lease.current->instance != instance)
     return;
@@ -83,6 +84,7 @@
     this->AllowTrialRequests();
   else
     this->HearNamedLimit(kHealthCheckId, response.headers, this->probed_at);
+  this->HearWorkPercent(load);
   this->MarkHeard();
 }
 
@@ -110,22 +112,17 @@
 // The version and start time of the process stay unknown until its heartbeat,
 // which replaces this one whatever its sequence number.
 void Gate::RegisterProbed(const std::string& service,
-                          const HttpResponse& response) {
+                          const HttpResponse& response,
+                          int slots) {
   constexpr int kOk = 200;
-  constexpr std::size_t kLoadFields = 3;
   const std::string_view instance =
       FindHeader(response.headers, this->names.instance);
-  const std::vector<std::string> load = absl::StrSplit(
-      std::string(FindHeader(response.headers, this->names.load)), ',');
-  int slots = 0;
-  const bool knows_slots =
-      load.size() == kLoadFields && absl::SimpleAtoi(load.back(), &slots);
   Log(LogLevel::kInfo, "gate", "upstream-probed",
       {{"status", response.status},
        {"instance", instance},
-       {"slots", knows_slots ? slots : 0},
+       {"slots", slots},
        {"warm_up_ms", FindHeader(response.headers, this->names.warm_up_left)}});
-  if (response.status != kOk || instance.empty() || !knows_slots || slots < 1)
+  if (response.status != kOk || instance.empty() || slots < 1)
     return;
   UpstreamHeartbeat heartbeat;
   heartbeat.instance = std::string(instance);
@@ -135,12 +132,35 @@
   (void)this->OnHeartbeat(heartbeat);
 }
 
+LoadReport Gate::ReadLoad(std::string_view instance,
+                          std::string_view request_id,
+                          const HttpHeaders& headers) {
+  const std::string_view text = FindHeader(headers, this->names.load);
+  const LoadReport report = ParseLoad(text);
+  if (!report.malformed)
+    return report;
+  ++this->ignored_loads;
+  // The header changes with the load, so each process is logged once.
+  if (std::exchange(this->ignored_load_instance, std::string(instance)) !=
+      instance) {
+    Log(LogLevel::kWarning, "gate", "load-ignored",
+        {{"instance", instance}, {"value", text}, {"id", request_id}});
+  }
+  return report;
+}
+
+void Gate::HearWorkPercent(const LoadReport& load) {
+  if (load.work_percent)
+    HearSpeed(this->gatekeeper.speed, *load.work_percent, SteadyNow());
+}
+
 HeartbeatResult Gate::OnHeartbeat(const UpstreamHeartbeat& heartbeat) {
   const std::optional<UpstreamHeartbeat> before = this->lease.current;
   const HeartbeatResult result =
       ApplyHeartbeat(this->lease, heartbeat, SteadyNow());
   if (before && IsAnotherProcess(*before, *this->lease.current)) {
     this->process_since = SteadyNow();
+    this->gatekeeper.speed = {};
     this->ForgetLimit();
   }
   this->ApplyLease();
@@ -174,6 +194,7 @@
   if (!this->lease.current || this->lease.current->instance != instance ||
       sent_at < this->process_since)
     return;
+  this->HearWorkPercent(this->ReadLoad(instance, request_id, headers));
   this->HearNamedLimit(request_id, headers, sent_at);
   this->HearLeaving(instance, request_id, headers);
   this->MarkHeard();
--- a/src/logging/logging.cc
+++ b/src/logging/logging.cc
@@ -150,7 +150,7 @@
   AppendField(line, "service", service);
   AppendField(line, "event", event);
   for (const LogField& field : fields) {
-    if (!field.key.empty())
+    if (field.present)
       AppendField(line, field.key, field.value);
   }
   return line;
