--- a/include/teaselspread/retry.h
+++ b/include/teaselspread/retry.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string_view>
+#include <vector>
 
 #include "teaselspread/counters.h"
 #include "teaselspread/error.h"
@@ -58,12 +59,15 @@
   TimePoint deadline;
   // Minimum time that an attempt needs on this route.
   Duration min_attempt_time{};
+  // Budgets of the services that the request calls while it runs: a retry makes
+  // those calls again.
+  std::vector<RetryBudget*> callee_budgets;
 };
 
 // Adds to the budget for a first attempt. Not thread safe.
 void OnFirstAttempt(RetryBudget& budget);
 
-// Decides on a retry, takes a token if it is allowed, and counts the reason.
+// Decides on a retry, takes tokens if it is allowed, and counts the reason.
 // kRetried... means "send it to another upstream now". Not thread safe.
 [[nodiscard]] RetryReason DecideRetry(RetryBudget& budget,
                                       const FailedAttempt& attempt,
--- a/include/teaselspread/shortage.h
+++ b/include/teaselspread/shortage.h
@@ -95,6 +95,12 @@
                 const std::string& route,
                 const std::string& service);
 
+// The services that requests of `route` call while they run, as this node and
+// the others have seen. Valid until the table changes.
+[[nodiscard]] std::set<std::string_view> ServicesCalledBy(
+    const ShortageTable& table,
+    std::string_view route);
+
 // Drops the calls of all routes not in `routes`; otherwise those of earlier
 // configurations would use up the limited number of rows.
 void RetainRoutes(ShortageTable& table,
--- a/src/admission/shortage.cc
+++ b/src/admission/shortage.cc
@@ -51,6 +51,22 @@
     table.own_calls.insert({route, service});
 }
 
+std::set<std::string_view> ServicesCalledBy(const ShortageTable& table,
+                                            std::string_view route) {
+  std::set<std::string_view> services;
+  for (const CallReport& call : table.own_calls) {
+    if (call.route == route)
+      services.insert(call.service);
+  }
+  for (const auto& [node, calls] : table.peer_calls) {
+    for (const CallReport& call : calls) {
+      if (call.route == route)
+        services.insert(call.service);
+    }
+  }
+  return services;
+}
+
 void RetainRoutes(ShortageTable& table,
                   const std::set<std::string_view>& routes) {
   std::erase_if(table.own_calls, [&routes](const CallReport& call) {
@@ -120,19 +136,8 @@
                       std::string_view route,
                       Priority priority,
                       TimePoint now) {
-  std::set<std::string_view> services;
-  for (const CallReport& call : table.own_calls) {
-    if (call.route == route)
-      services.insert(call.service);
-  }
-  for (const auto& [node, calls] : table.peer_calls) {
-    for (const CallReport& call : calls) {
-      if (call.route == route)
-        services.insert(call.service);
-    }
-  }
   double max_refused = 0;
-  for (const std::string_view service : services)
+  for (const std::string_view service : ServicesCalledBy(table, route))
     max_refused =
         std::max(max_refused, RefusedFraction(table, service, priority, now));
   return std::min(max_refused * table.settings.gain,
--- a/src/retry/retry.cc
+++ b/src/retry/retry.cc
@@ -13,6 +13,10 @@
                     "refused-deadline",     "refused-budget",
                     "refused-attempts",     "refused-no-other"};
 
+// Calls that a run is taken to make to each service that it calls. Nodes report
+// which services a route calls, not how often.
+constexpr double kCallsPerRun = 2;
+
 // Whether a retry on another upstream may succeed, if the request is
 // idempotent. Errors of the caller and its cancellation would not change.
 bool MaySucceedElsewhere(ErrorKind kind) {
@@ -37,7 +41,10 @@
     return RetryReason::kRefusedNoOtherUpstream;
   if (now + attempt.min_attempt_time >= attempt.deadline)
     return RetryReason::kRefusedDeadline;
-  if (budget.tokens < 1)
+  const auto& callees = attempt.callee_budgets;
+  if (budget.tokens < 1 ||
+      std::any_of(callees.begin(), callees.end(),
+                  [](const RetryBudget* callee) { return callee->tokens < 1; }))
     return RetryReason::kRefusedBudget;
   return attempt.not_run ? RetryReason::kRetriedNotRun
                          : RetryReason::kRetriedIdempotent;
@@ -63,8 +70,11 @@
                         const FailedAttempt& attempt,
                         TimePoint now) {
   const RetryReason reason = EvaluateRetry(budget, attempt, now);
-  if (IsRetry(reason))
+  if (IsRetry(reason)) {
     budget.tokens -= 1;
+    for (RetryBudget* callee : attempt.callee_budgets)
+      callee->tokens -= kCallsPerRun;
+  }
   budget.counters.Add(reason);
   return reason;
 }
--- a/tests/unit/request_faults_test.cc
+++ b/tests/unit/request_faults_test.cc
@@ -31,6 +31,35 @@
   return DecideRetry(budget, attempt, kStart);
 }
 
+// A retried request makes its calls again. If only its own service's budget
+// paid for it, the service that it calls would get more retries than agreed.
+Test(retry, calls_that_a_retry_repeats_count_at_the_service_called) {
+  constexpr int kRequests = 1000;
+  constexpr int kCallsPerRequest = 2;
+  RetryBudget own;
+  RetryBudget callee;
+  int repeated_calls = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    OnFirstAttempt(own);
+    for (int call = 0; call < kCallsPerRequest; ++call)
+      OnFirstAttempt(callee);
+    // The requests of another service fail as often and use up the budget.
+    (void)DecideRetry(callee, MakeFailed(ErrorKind::kUpstreamShed, true, true),
+                      kStart);
+    FailedAttempt failed = MakeFailed(ErrorKind::kUpstreamFailed, false, true);
+    failed.callee_budgets = {&callee};
+    if (IsRetry(DecideRetry(own, failed, kStart)))
+      repeated_calls += kCallsPerRequest;
+  }
+  const auto retries_of_calls =
+      static_cast<int>(callee.counters.Get(RetryReason::kRetriedNotRun));
+  const double allowed =
+      callee.settings.retry_ratio * kRequests * kCallsPerRequest +
+      callee.settings.burst;
+  cr_assert_leq(repeated_calls + retries_of_calls, allowed + kCallsPerRequest);
+  cr_assert_gt(repeated_calls, 0);
+}
+
 // Retrying an attempt that may have run could execute it twice; not retrying
 // one that did not run fails it without need.
 Test(retry, only_unexecuted_or_idempotent_requests_are_retried) {
