--- a/src/edge/frames.cc
+++ b/src/edge/frames.cc
@@ -125,6 +125,31 @@
   codec(value.packed);
 }
 
+// Bounds what a peer may send. The fields are written unchecked: their values
+// come from this node.
+template <class C>
+void CheckAtMost(std::uint32_t value, std::uint32_t maximum) {
+  if constexpr (!C::kWriting) {
+    if (value > maximum)
+      throw cereal::Exception("value too large");
+  }
+}
+
+template <class C>
+void Fields(C& codec, FieldsOf<C, TokenRequest> value) {
+  codec(value.sequence, value.account, value.wanted, value.unspent);
+  CheckAtMost<C>(value.wanted, kMaxTokensPerFrame);
+  CheckAtMost<C>(value.unspent, kMaxTokensPerFrame);
+}
+template <class C>
+void Fields(C& codec, FieldsOf<C, TokenGrantFrame> value) {
+  codec(value.sequence, value.is_lender, value.tokens, value.retry_after_ms);
+  CheckAtMost<C>(value.tokens, kMaxTokensPerFrame);
+  CheckAtMost<C>(value.retry_after_ms, kMaxQuotaRetryMs);
+}
+template <class C>
+void Fields(C& /*codec*/, FieldsOf<C, LeavingFrame> /*value*/) {}
+
 namespace {
 
 namespace io = boost::iostreams;
@@ -208,8 +233,10 @@
 std::string_view NameOf(FrameKind kind) {
   static constexpr std::array<std::string_view,
                               static_cast<std::size_t>(FrameKind::kCount)>
-      kNames = {"hello", "status",     "run",    "result", "cancel",     "ping",
-                "pong",  "config-ask", "config", "load",   "config-busy"};
+      kNames = {"hello",       "status", "run",         "result",
+                "cancel",      "ping",   "pong",        "config-ask",
+                "config",      "load",   "config-busy", "token-request",
+                "token-grant", "leaving"};
   return kNames.at(static_cast<std::size_t>(kind));
 }
 
--- a/src/edge/frames.h
+++ b/src/edge/frames.h
@@ -191,6 +191,38 @@
 // from another node, or later from this one.
 struct ConfigBusy {};
 
+// Upper bounds on fields of TokenRequest and TokenGrantFrame. A larger value
+// makes a frame malformed.
+inline constexpr std::uint32_t kMaxTokensPerFrame = 1'000'000;
+inline constexpr std::uint32_t kMaxQuotaRetryMs = 60'000;
+
+// Asks the receiver, the lender of the account's tokens (quota.h), for tokens.
+// Sent by the side that opened the link.
+struct TokenRequest {
+  // Increases with each request of the sender; the answer repeats it.
+  std::uint32_t sequence = 0;
+  std::string account;
+  // At most kMaxTokensPerFrame each.
+  std::uint32_t wanted = 0;
+  // Tokens that expired at the sender without being spent.
+  std::uint32_t unspent = 0;
+};
+
+// Answers a TokenRequest, at once.
+struct TokenGrantFrame {
+  std::uint32_t sequence = 0;
+  // False if the sender does not lend for this account; `tokens` is 0 then.
+  bool is_lender = false;
+  // At most kMaxTokensPerFrame.
+  std::uint32_t tokens = 0;
+  // Time until the next token if `tokens` is 0; at most kMaxQuotaRetryMs.
+  std::uint32_t retry_after_ms = 0;
+};
+
+// The sender stops as planned: it no longer counts as a known node, and its
+// share of the limits is free for others.
+struct LeavingFrame {};
+
 using LinkFrame = std::variant<Hello,
                                Status,
                                RunFrame,
@@ -201,7 +233,10 @@
                                ConfigRequest,
                                ConfigFrame,
                                LoadFrame,
-                               ConfigBusy>;
+                               ConfigBusy,
+                               TokenRequest,
+                               TokenGrantFrame,
+                               LeavingFrame>;
 
 // The alternatives of LinkFrame, in its order.
 enum class FrameKind : std::uint8_t {
@@ -216,6 +251,9 @@
   kConfig,
   kLoad,
   kConfigBusy,
+  kTokenRequest,
+  kTokenGrant,
+  kLeaving,
   kCount,
 };
 
--- a/src/edge/links.cc
+++ b/src/edge/links.cc
@@ -319,6 +319,10 @@
   } else if (const auto* pong = std::get_if<PongFrame>(&frame)) {
     if (pong->sequence == peer->config_request_sequence)
       this->handlers.on_config_busy(name);
+  } else if (const auto* grant = std::get_if<TokenGrantFrame>(&frame)) {
+    this->handlers.on_token_grant(name, *grant);
+  } else if (std::holds_alternative<LeavingFrame>(frame)) {
+    this->handlers.on_node_leaving(name);
   }
 }
 
@@ -340,6 +344,8 @@
   } else if (const auto* config_request = std::get_if<ConfigRequest>(&frame)) {
     from->Send(
         this->handlers.on_config_request(from->node, config_request->digest));
+  } else if (const auto* tokens = std::get_if<TokenRequest>(&frame)) {
+    from->Send(this->handlers.on_token_request(from->node, *tokens));
   }
 }
 
@@ -465,6 +471,19 @@
     due_since = SteadyNow();
 }
 
+bool Links::RequestTokens(const std::string& node,
+                          const TokenRequest& request) {
+  Peer* peer = this->Find(node);
+  if (peer == nullptr || !peer->connected)
+    return false;
+  peer->socket->Send(request);
+  // The answer comes at once, so its absence shows that the link failed.
+  if (TimePoint& due_since = peer->socket->times.response_due_since;
+      due_since == TimePoint{})
+    due_since = SteadyNow();
+  return true;
+}
+
 void Links::SendToCallers(const LinkFrame& frame) {
   const std::string bytes = EncodeLinkFrame(frame);
   for (FrameSocket* caller : this->callers)
--- a/src/edge/links.h
+++ b/src/edge/links.h
@@ -107,6 +107,13 @@
   // The node sends no configuration now, or has sent one before this.
   std::function<void(const std::string& node)> on_config_busy;
   std::function<void(const std::string& node, ConfigFrame)> on_config;
+  // Returns the answer, which is sent on the socket of the request.
+  std::function<TokenGrantFrame(const std::string& node, const TokenRequest&)>
+      on_token_request;
+  std::function<void(const std::string& node, const TokenGrantFrame&)>
+      on_token_grant;
+  // The node begins a planned stop.
+  std::function<void(const std::string& node)> on_node_leaving;
 };
 
 // Not thread safe.
@@ -144,6 +151,8 @@
   void Cancel(const std::string& node, std::uint64_t call);
   // `digest`: of the configuration that is held; 0 requests a full copy.
   void RequestConfig(const std::string& node, std::uint64_t digest);
+  // False when there is no link to the node.
+  bool RequestTokens(const std::string& node, const TokenRequest& request);
   // Sends to all nodes that have a link to this one, or to one of them.
   void SendToCallers(const LinkFrame& frame);
   void SendToCaller(const std::string& node, const LinkFrame& frame);
--- a/tests/unit/frames_compat_test.cc
+++ b/tests/unit/frames_compat_test.cc
@@ -134,5 +134,55 @@
   cr_assert_gt(ShareOf(trial, later), trial.settings.first_share);
 }
 
+// Releases identify a frame by its position in LinkFrame. A kind inserted
+// before others, or a changed field, would make the next release misread it.
+Test(frames_compat, quota_frames_have_fixed_bytes) {
+  constexpr std::string_view kRequest =
+      "00000013010b070000000473686f700500000002000000";
+  constexpr std::string_view kGrant = "0000000f010c07000000010500000000000000";
+  constexpr std::string_view kLeaving = "00000002010d";
+  cr_assert(EncodeLinkFrame(TokenRequest{7, "shop", 5, 2}) ==
+            FromHex(kRequest));
+  cr_assert(EncodeLinkFrame(TokenGrantFrame{7, true, 5, 0}) == FromHex(kGrant));
+  cr_assert(EncodeLinkFrame(LeavingFrame{}) == FromHex(kLeaving));
+  const auto request = Decode<TokenRequest>(kRequest);
+  cr_assert_eq(request.sequence, 7U);
+  cr_assert(request.account == "shop");
+  cr_assert_eq(request.wanted, 5U);
+  cr_assert_eq(request.unspent, 2U);
+  const auto grant = Decode<TokenGrantFrame>(kGrant);
+  cr_assert(grant.is_lender);
+  cr_assert_eq(grant.tokens, 5U);
+  (void)Decode<LeavingFrame>(kLeaving);
+  cr_assert(NameOf(FrameKind::kTokenRequest) == "token-request");
+  cr_assert(NameOf(FrameKind::kTokenGrant) == "token-grant");
+  cr_assert(NameOf(FrameKind::kLeaving) == "leaving");
+}
+
+bool IsMalformed(const LinkFrame& frame) {
+  const std::string bytes = EncodeLinkFrame(frame);
+  const auto decoded =
+      DecodeLinkFrame(std::string_view(bytes).substr(kFrameLengthBytes));
+  return !decoded && decoded.error().kind == ErrorKind::kFrameMalformed;
+}
+
+// A faulty peer must not be able to return tokens that were never lent, to take
+// all of a limit, or to stop requests for hours by a retry delay.
+Test(frames_compat, quota_frames_beyond_their_bounds_are_malformed) {
+  constexpr std::uint32_t kMax = kMaxTokensPerFrame;
+  cr_assert(!IsMalformed(TokenRequest{1, "shop", kMax, kMax}));
+  cr_assert(IsMalformed(TokenRequest{1, "shop", kMax + 1, 0}));
+  cr_assert(IsMalformed(TokenRequest{1, "shop", 0, kMax + 1}));
+  cr_assert(!IsMalformed(TokenGrantFrame{1, true, kMax, kMaxQuotaRetryMs}));
+  cr_assert(IsMalformed(TokenGrantFrame{1, true, kMax + 1, 0}));
+  cr_assert(IsMalformed(TokenGrantFrame{1, true, 0, kMaxQuotaRetryMs + 1}));
+  const std::string bytes = EncodeLinkFrame(TokenRequest{1, "shop", 1, 0});
+  for (std::size_t size = kFrameLengthBytes; size < bytes.size(); ++size) {
+    const auto part = std::string_view(bytes).substr(kFrameLengthBytes,
+                                                     size - kFrameLengthBytes);
+    cr_assert(!DecodeLinkFrame(part).has_value());
+  }
+}
+
 }  // namespace
 }  // namespace teaselspread
