--- a/include/teaselspread/node_census.h
+++ b/include/teaselspread/node_census.h
@@ -43,12 +43,12 @@
   std::string self;
   // Rows stay after a node has left or been dropped, so that a roster that
   // still names it does not bring it back.
-  std::map<std::string, CensusRow, std::less<>> rows;
+  std::map<std::string, CensusRow, std::less<>> rows{};
   // Nodes that are reached or lost, and those that are reached, with this one.
   std::size_t known = 1;
   std::size_t reached = 1;
   // Since when more than half of the known nodes have been reached.
-  std::optional<TimePoint> majority_since;
+  std::optional<TimePoint> majority_since{};
 };
 
 // The roster names `node`. Does nothing if there is a row for it.
@@ -57,7 +57,7 @@
 void OnNodeReached(NodeCensus& census, std::string_view node, TimePoint now);
 // The last link to `node` was lost. Does nothing if it was not reached.
 void OnNodeLost(NodeCensus& census, std::string_view node, TimePoint now);
-// `node` announced that it leaves. Counts until it is reached again.
+// `node` announced that it leaves: it is not known until it is reached again.
 void OnNodeLeft(NodeCensus& census, std::string_view node, TimePoint now);
 
 // Known nodes, with this one. Drops those that have been lost for too long.
