--- a/include/teaselspread/quota.h
+++ b/include/teaselspread/quota.h
@@ -56,6 +56,7 @@
 
 // The accounts for which this node lends.
 struct TokenLender {
+  QuotaBounds bounds;
   std::map<std::string, TokenBucket, std::less<>> buckets;
 };
 
@@ -71,7 +72,7 @@
 };
 
 // Lends up to `wanted` tokens. `share`: fraction of the limit that this lender
-// may lend, 0..1. Precondition: BeginLending.
+// may lend, 0..1. Lends none for an account that it has not begun to lend for.
 [[nodiscard]] TokenGrant Lend(TokenLender& lender,
                               std::string_view account,
                               const AccountLimit& limit,
@@ -79,7 +80,8 @@
                               std::uint32_t wanted,
                               TimePoint now);
 
-// Returns tokens that a borrower has not spent.
+// Returns tokens that a borrower has not spent. To be called before Lend for
+// the same request.
 void TakeBack(TokenLender& lender,
               std::string_view account,
               const AccountLimit& limit,
@@ -103,15 +105,19 @@
 struct BorrowedTokens {
   std::uint32_t tokens = 0;
   TimePoint valid_until;
-  // Tokens that expired unspent and have not been returned yet.
+  // Tokens that expired unspent and have not been returned yet, and since when.
   std::uint32_t unspent = 0;
+  TimePoint unspent_since;
   // The lender had no tokens until then.
   TimePoint denied_until;
-  // Moving average of the requests a second.
+  // Moving average of the requests a second that borrowed tokens admitted.
   double demand_per_second = 0;
   TimePoint last_request_at;
-  // Spent without a lender; none before the first time.
+  // Spent without a lender. None before the first time, and after a lender has
+  // answered for a whole window since the last time.
   std::optional<TokenBucket> own_share;
+  // Whether the last request was decided without a lender.
+  bool is_alone = false;
 };
 
 struct TokenBorrower {
@@ -119,7 +125,8 @@
   std::map<std::string, BorrowedTokens, std::less<>> accounts;
 };
 
-// Takes a token for one request, if this node holds a valid one.
+// Takes a token for one request, if this node holds a valid one. To be called
+// again for a request that has waited for a grant.
 [[nodiscard]] QuotaDecision Spend(TokenBorrower& borrower,
                                   std::string_view account,
                                   TimePoint now);
@@ -137,7 +144,9 @@
                               TimePoint now);
 
 // `asked_at`: when the request for tokens was sent; their lifetime counts from
-// then, so that it ends here before it ends for the lender.
+// then, so that it ends here before it ends for the lender. Also to be called
+// for an answer that comes too late for the requests that waited, so that its
+// tokens are returned.
 void OnGrant(TokenBorrower& borrower,
              std::string_view account,
              const TokenGrant& grant,
@@ -148,8 +157,10 @@
 void Refund(TokenBorrower& borrower, std::string_view account, TimePoint now);
 
 // Decides without a lender: this node's equal share of the limit. At the first
-// time it starts with a share of half of the agreed slack, rounded at random so
-// that few nodes have a token too many at a time.
+// time, and again when a lender has answered for a window since, it starts with
+// a share of half of the agreed slack, rounded at random so that few nodes have
+// a token too many at a time. `known_nodes`: from the NodeCensus, with this
+// one.
 [[nodiscard]] QuotaDecision SpendAlone(TokenBorrower& borrower,
                                        std::string_view account,
                                        const AccountLimit& limit,
