--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -189,6 +189,38 @@
   node.links.SetReadsOrders(node.orders.Role() != ReaderRole::kNonReader);
 }
 
+QuotaIo QuotaIoOf(EdgeNode& node) {
+  QuotaIo io;
+  io.send_request = [&node](const std::string& to,
+                            const TokenRequest& request) {
+    return node.links.RequestTokens(to, request);
+  };
+  io.announce_leave = [&node] { node.links.SendToCallers(LeavingFrame{}); };
+  io.tick_after = [&node](Duration delay) {
+    node.quota_timer.expires_after(delay);
+    node.quota_timer.async_wait([&node](boost::system::error_code error) {
+      if (!error)
+        node.quota.Tick();
+    });
+  };
+  return io;
+}
+
+QuotaService::Limits LimitsOf(const Snapshot& snapshot) {
+  QuotaService::Limits limits;
+  for (const auto& [name, account] : snapshot.accounts) {
+    if (account.limit.per_second > 0)
+      limits[name] = account.limit;
+  }
+  return limits;
+}
+
+void NotePeerForQuota(EdgeNode& node, const std::string& name) {
+  const Peer* peer = node.links.Find(name);
+  if (peer != nullptr && peer->connected)
+    node.quota.OnLinkUp(name, peer->line_mbit);
+}
+
 LinkHandlers LinkHandlersOf(EdgeNode& node) {
   LinkHandlers on;
   on.on_run = [&node](FrameSocket* from, RunFrame frame) {
@@ -208,13 +240,16 @@
     node.versions.ForgetNode(name);
     RemovePeerShortage(node.entry.shortage, name);
     node.entry.OnLinkLost(name);
+    node.quota.OnLinkLost(name);
     ChooseReaderRole(node);
     OnPeerLost(node, name);
   };
   on.on_status = [&node](const std::string& name, bool upstream_changed,
                          std::uint8_t parts) {
-    if (upstream_changed)
+    if (upstream_changed) {
       RefreshVersions(node);
+      NotePeerForQuota(node, name);
+    }
     if (const Peer* peer = node.links.Find(name)) {
       ApplyPeerNotes(node, *peer, parts);
       OnPeerVersion(node, name, peer->status.held_version);
@@ -222,6 +257,8 @@
   };
   on.on_hello = [&node](const Hello& hello) {
     node.links.Add(hello);
+    node.quota.OnNodeKnown(hello.node);
+    NotePeerForQuota(node, hello.node);
     SendEvacuations(node, hello.node);
   };
   on.on_config_request = [&node](const std::string& peer,
@@ -237,6 +274,17 @@
     else
       OnConfigCopy(node, peer, copy);
   };
+  on.on_token_request = [&node](const std::string&,
+                                const TokenRequest& request) {
+    return node.quota.OnTokenRequest(request);
+  };
+  on.on_token_grant = [&node](const std::string& peer,
+                              const TokenGrantFrame& grant) {
+    node.quota.OnTokenGrant(peer, grant);
+  };
+  on.on_node_leaving = [&node](const std::string& peer) {
+    node.quota.OnNodeLeaving(peer);
+  };
   return on;
 }
 
@@ -354,6 +402,7 @@
   Log(LogLevel::kInfo, "node", "stopping",
       {{"open", node.entry.CountPending()},
        {"running", node.gate.CountRunning()}});
+  node.quota.BeginLeaving();
   node.gate.LeaveNode();
   node.outbound.CloseAfterResponses();
   SendStatus(node);
@@ -409,6 +458,7 @@
     if (error)
       return;
     node.gate.Tick();
+    node.quota.Tick();
     if (SteadyNow() - node.started < kProbeWindow ||
         node.gate.Limit().per_second)
       ProbeUpstream(node);
@@ -514,6 +564,10 @@
       log(this->loop),
       gate(this->loop, this->adapter.headers, LeaseSettingsOf(this->settings)),
       links(this->loop, LinkHandlersOf(*this)),
+      quota({this->settings.vm,
+             static_cast<std::uint32_t>(this->settings.line_mbit)},
+            this->settings.quota,
+            QuotaIoOf(*this)),
       entry(this->loop,
             EntrySettingsOf(this->settings),
             this->adapter.headers,
@@ -541,6 +595,7 @@
       signals(this->loop, SIGTERM, SIGINT, SIGHUP),
       tick_timer(this->loop),
       roster_timer(this->loop),
+      quota_timer(this->loop),
       rng(std::random_device{}()) {
   this->orders.OnNewestRead(
       [this](const std::set<std::string, std::less<>>& keys,
@@ -597,6 +652,7 @@
   node.config_exchange.archive.Add((*snapshot)->version, record);
   node.config_exchange.fetch.newer_seen_at = TimePoint{};
   node.entry.SetSnapshot(*snapshot);
+  node.quota.SetLimits(LimitsOf(**snapshot));
   UpdateStartPace(node);
   Log(LogLevel::kInfo, "config", "in-force",
       {{"version", (*snapshot)->version},
--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -17,6 +17,7 @@
 #include "edge/links.h"
 #include "edge/log_writer.h"
 #include "edge/move_reporter.h"
+#include "edge/quota_service.h"
 #include "edge/store_calls.h"
 #include "edge/stream_watch.h"
 #include "edge/version_choice.h"
@@ -45,6 +46,7 @@
   LogWriter log;
   Gate gate;
   Links links;
+  QuotaService quota;
   VersionChoice versions;
   Entry entry;
   StreamWatch orders;
@@ -56,6 +58,7 @@
   boost::asio::signal_set signals;
   boost::asio::steady_timer tick_timer;
   boost::asio::steady_timer roster_timer;
+  boost::asio::steady_timer quota_timer;
   // Runs that other nodes requested, by their id at the gate.
   std::map<std::uint64_t, RemoteRun> remote_runs;
   std::uint64_t last_remote_run = 0;
--- a/src/edge/metrics.cc
+++ b/src/edge/metrics.cc
@@ -57,6 +57,19 @@
                   histogram.count, "\n");
 }
 
+void AppendQuota(std::string& text, const QuotaService& quota) {
+  if (!quota.IsActive())
+    return;
+  AppendTable(text, "quota_total", "outcome", quota.events);
+  AppendTable(text, "quota_token_requests_total", "result",
+              quota.token_requests);
+  AppendValue(text, "quota_tokens_lent_total", "", "", quota.tokens_lent);
+  AppendValue(text, "quota_tokens_borrowed_total", "", "",
+              quota.tokens_borrowed);
+  AppendValue(text, "quota_known_nodes", "", "", quota.KnownNodes());
+  absl::StrAppend(&text, "teaselspread_quota_share ", quota.Share(), "\n");
+}
+
 }  // namespace
 
 std::string MetricsText(EdgeNode& node) {
@@ -107,6 +120,7 @@
   if (const auto& limit = node.gate.Limit().per_second)
     absl::StrAppend(&text, "teaselspread_gate_limit_per_second ", *limit, "\n");
   AppendValue(text, "gate_evacuated", "", "", node.gate.IsEvacuated() ? 1 : 0);
+  AppendQuota(text, node.quota);
   for (const auto& [route, histogram] : node.entry.latency_by_route)
     AppendHistogram(text, route, histogram);
   return text;
--- a/src/edge/roster.cc
+++ b/src/edge/roster.cc
@@ -72,13 +72,16 @@
           return;
         }
         for (const StoredRecord& record : page.records) {
-          if (const auto hello = HelloOf(record))
+          if (const auto hello = HelloOf(record)) {
             node.links.Add(*hello);
+            node.quota.OnNodeKnown(hello->node);
+          }
         }
         if (page.has_more && !page.records.empty()) {
           ReadPage(node, page.records.back().key);
           return;
         }
+        node.quota.OnRosterRead();
         const bool isolated = IsIsolated(node);
         ScheduleTask(node, isolated ? kIsolatedReadInterval : kReadInterval,
                      ReadRoster);
