--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -73,12 +73,14 @@
              EdgeHeaderNames header_names,
              Gate& own_gate,
              Links& node_links,
+             QuotaService& quota_service,
              VersionChoice& version_choice)
     : loop(io),
       settings(std::move(entry_settings)),
       names(std::move(header_names)),
       gate(own_gate),
       links(node_links),
+      quota(quota_service),
       versions(version_choice),
       rng(std::random_device{}()) {}
 
@@ -131,7 +133,37 @@
   }
   const std::uint64_t id =
       this->AddPending(exchange, *route, *account, calling_route);
-  this->BeginAttempts(id);
+  const bool limited = *account != nullptr && (*account)->limit.per_second > 0;
+  if (limited)
+    this->AcquireToken(id);
+  else
+    this->BeginAttempts(id);
+}
+
+void Entry::AcquireToken(std::uint64_t id) {
+  PendingRequest& waiting = this->pending_requests.at(id);
+  waiting.token = TokenState::kWaiting;
+  this->quota.Acquire(
+      id, waiting.account->name, [this, id](const QuotaDecision& decision) {
+        PendingRequest& pending = this->pending_requests.at(id);
+        if (decision.outcome == QuotaOutcome::kAdmitted) {
+          pending.token = TokenState::kHeld;
+          this->BeginAttempts(id);
+          return;
+        }
+        pending.token = TokenState::kNone;
+        this->SendError(id, ErrorKind::kQuotaExceeded,
+                        std::max(decision.retry_after, kEntryRetryAfter));
+      });
+}
+
+void Entry::ReleaseToken(std::uint64_t id, const PendingRequest& pending) {
+  const bool may_have_reached =
+      pending.in_flight || pending.attempts > 0 || pending.may_have_run;
+  if (pending.token == TokenState::kWaiting)
+    this->quota.Cancel(id, pending.account->name);
+  else if (pending.token == TokenState::kHeld && !may_have_reached)
+    this->quota.Refund(pending.account->name);
 }
 
 std::uint64_t Entry::AddPending(const ExchangePtr& exchange,
@@ -618,6 +650,7 @@
     else
       this->links.Cancel(pending.node, id);
   }
+  this->ReleaseToken(id, pending);
   this->LogDecision(pending, "caller-left", ErrorKind::kCancelled, 0);
   this->pending_requests.erase(found);
 }
--- a/src/edge/entry.h
+++ b/src/edge/entry.h
@@ -23,6 +23,7 @@
 #include "edge/http_listener.h"
 #include "edge/latency_histogram.h"
 #include "edge/links.h"
+#include "edge/quota_service.h"
 #include "edge/version_choice.h"
 #include "teaselspread/counters.h"
 #include "teaselspread/edge.h"
@@ -39,6 +40,9 @@
 // of their remaining time.
 inline constexpr Duration kEntryRetryAfter = std::chrono::milliseconds(100);
 
+// What a request has of the tokens of its account's limit.
+enum class TokenState : std::uint8_t { kNone, kWaiting, kHeld };
+
 // One request of a caller until its final response.
 struct PendingRequest {
   ExchangePtr exchange;
@@ -51,6 +55,7 @@
   bool nested = false;
   // Points into `snapshot`; null without an account.
   const AccountConfig* account = nullptr;
+  TokenState token = TokenState::kNone;
   TimePoint deadline;
   // Estimate of how long the caller waited before it sent this request.
   Duration time_waited{};
@@ -122,6 +127,7 @@
         EdgeHeaderNames header_names,
         Gate& own_gate,
         Links& node_links,
+        QuotaService& quota_service,
         VersionChoice& version_choice);
   Entry(const Entry&) = delete;
   Entry& operator=(const Entry&) = delete;
@@ -159,6 +165,11 @@
                            const RouteConfig& route,
                            const AccountConfig* account,
                            std::string_view calling_route);
+  // Begins the attempts of the request, or refuses it, once it is decided
+  // whether its account is over its limit.
+  void AcquireToken(std::uint64_t id);
+  // A request ends. Its token goes back unless it may have reached an upstream.
+  void ReleaseToken(std::uint64_t id, const PendingRequest& pending);
   // Sends an identified request for the first time, unless it is shed.
   void BeginAttempts(std::uint64_t id);
   void SetTimes(PendingRequest& pending);
@@ -224,6 +235,7 @@
   EdgeHeaderNames names;
   Gate& gate;
   Links& links;
+  QuotaService& quota;
   VersionChoice& versions;
   SnapshotPtr snapshot;
   std::unordered_map<std::uint64_t, PendingRequest> pending_requests;
--- a/src/edge/entry_answers.cc
+++ b/src/edge/entry_answers.cc
@@ -44,6 +44,24 @@
   return {"account", account == nullptr ? std::string_view{} : account->name};
 }
 
+// The fields of a line about a request over its account's limit; left out of
+// other lines.
+struct QuotaFields {
+  LogField lender{"", ""};
+  LogField lender_age{"", ""};
+  LogField alone{"", ""};
+};
+
+QuotaFields QuotaFieldsOf(const QuotaStanding& standing) {
+  const std::string age =
+      standing.answer_age
+          ? absl::StrCat(standing.answer_age->count() / kMicrosPerMilli)
+          : "";
+  return {{"lender", standing.lender},
+          {"lender_age_ms", age},
+          {"alone", standing.alone ? 1 : 0}};
+}
+
 HttpResponse MakeErrorResponse(ErrorKind kind, Duration retry_after) {
   HttpResponse response = ErrorResponse(Error{kind, std::string(NameOf(kind))});
   if (TraitsOf(kind).retry_after)
@@ -90,7 +108,10 @@
   SetHeader(response.headers, kHeaderRequestId,
             FindHeader(request.headers, kHeaderRequestId));
   this->counters.refusals.Add(kind);
-  this->CountDemand(pending, IsCapacityRefusal(kind));
+  this->ReleaseToken(id, pending);
+  // A request over its account's limit asks nothing of the service.
+  if (kind != ErrorKind::kQuotaExceeded)
+    this->CountDemand(pending, IsCapacityRefusal(kind));
   this->LogDecision(pending, "refused", kind, response.status);
   const ExchangePtr exchange = pending.exchange;
   this->pending_requests.erase(found);
@@ -183,12 +204,19 @@
   const GateStatus seen = peer == nullptr ? this->gate.Status() : peer->status;
   const Duration seen_age =
       peer == nullptr ? Duration{0} : now - peer->status_received_at;
+  const QuotaFields quota_fields =
+      kind == ErrorKind::kQuotaExceeded
+          ? QuotaFieldsOf(this->quota.StandingOf(pending.account->name))
+          : QuotaFields{};
   Log(LogLevel::kInfo, "requests", outcome,
       {{"id", FindHeader(pending.exchange->request.headers, kHeaderRequestId)},
        {"reason", kind == ErrorKind::kInternal ? "" : NameOf(kind)},
        {"status", status},
        {"route", pending.route->name},
        AccountField(pending.snapshot.get(), pending.account),
+       quota_fields.lender,
+       quota_fields.lender_age,
+       quota_fields.alone,
        {"config", pending.snapshot->version},
        {"to", pending.service},
        {"version", pending.version},
