--- a/tests/process/edge_fleet.h
+++ b/tests/process/edge_fleet.h
@@ -25,13 +25,20 @@
   std::uint16_t link = ClaimPort();
 };
 
+// Settings of a node that most tests leave at their defaults.
+struct EdgeVmOptions {
+  std::string agreed = "graceS=6";
+  int line_mbit = 0;
+};
+
 // One VM: an upstream and the node beside it, which can be restarted.
 class EdgeVm {
  public:
   EdgeVm(const std::string& vm_name,
          const std::string& data_center,
          const standin::MeshUpstreamOptions& options,
-         std::uint16_t store_port)
+         std::uint16_t store_port,
+         const EdgeVmOptions& node_options = {})
       : name(vm_name),
         service(options.service),
         upstream(*new standin::MeshUpstream(options)) {
@@ -50,7 +57,8 @@
          << "link: " << at(this->ports.link)
          << "upstream: " << at(this->upstream.Port())
          << "store: " << at(store_port) << "heartbeat: 1500ms\n"
-         << "agreed: graceS=6\n";
+         << "agreed: " << node_options.agreed
+         << "\nline_mbit: " << node_options.line_mbit << "\n";
     file.close();
     this->Start();
     this->upstream.BeatTo(this->ports.admin);
@@ -141,18 +149,20 @@
   standin::StoreService& store = *new standin::StoreService;
   std::vector<std::unique_ptr<EdgeVm>> vms;
 
-  EdgeFleet() {
-    this->store.Put("keyed.op", "config", ConfigText("00000001"));
-    this->Add("a-1", "a", {"i-a1", "desk"});
-    this->Add("a-2", "a", {"i-a2", "works"});
-    this->Add("b-1", "b", {"i-b1", "desk"});
+  explicit EdgeFleet(const std::string& config = ConfigText("00000001"),
+                     const EdgeVmOptions& node_options = {}) {
+    this->store.Put("keyed.op", "config", config);
+    this->Add("a-1", "a", {"i-a1", "desk"}, node_options);
+    this->Add("a-2", "a", {"i-a2", "works"}, node_options);
+    this->Add("b-1", "b", {"i-b1", "desk"}, node_options);
   }
 
   EdgeVm& Add(const std::string& name,
               const std::string& data_center,
-              const standin::MeshUpstreamOptions& options) {
-    this->vms.push_back(std::make_unique<EdgeVm>(name, data_center, options,
-                                                 this->store.Port()));
+              const standin::MeshUpstreamOptions& options,
+              const EdgeVmOptions& node_options = {}) {
+    this->vms.push_back(std::make_unique<EdgeVm>(
+        name, data_center, options, this->store.Port(), node_options));
     return *this->vms.back();
   }
 
