--- a/tests/process/quota_fleet_test.cc
+++ b/tests/process/quota_fleet_test.cc
@@ -1,5 +1,6 @@
 // Rate limits of client accounts over all nodes together. Real nodes; what runs
 // is counted at the upstreams.
+#include "contract/raw_socket.h"
 #include "process/edge_fleet.h"
 
 #include <criterion/criterion.h>
@@ -324,6 +325,65 @@
   AssertNoneRefused(fleet, small, stop_at + Ms(1000));
 }
 
+HttpHeaders HeadersOfBig(const std::string& deadline_ms) {
+  return {{"X-Request-Id", NextRequestId()},
+          {"X-Deadline-Ms", deadline_ms},
+          {"Authorization", std::string("Bearer ") + kBigKey}};
+}
+
+// Guards against a crash of the node, or a token that is lost, when a request
+// ends while it waits for its token.
+Test(quota_fleet, requests_may_end_while_they_wait_for_a_token) {
+  LimitedFleet fleet;
+  cr_assert(fleet.WaitUntilShared());
+  EdgeVm& vm = fleet.At(0);
+  fleet.Lender().node->Signal(SIGSTOP);
+  {
+    const RawSocket leaving = RawSocket::ConnectTo(vm.Outbound().port);
+    leaving.Send(std::string("GET /view/left HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+                             "X-Request-Id: left\r\nX-Deadline-Ms: 2000\r\n"
+                             "Authorization: Bearer ") +
+                 kBigKey + "\r\n\r\n");
+    std::this_thread::sleep_for(Ms(20));
+  }
+  const HttpResponse late =
+      CallOnce(vm.Outbound(), "GET", "/view/late", "", HeadersOfBig("50"));
+  fleet.Lender().node->Signal(SIGCONT);
+  cr_assert_eq(late.status, 504, "%d", late.status);
+  cr_assert(WaitUntil([&] {
+    return vm.Metric(R"(teaselspread_quota_total{outcome="cancelled"})") == 2;
+  }));
+  for (const auto& other : fleet.vms) {
+    for (const standin::MeshRun& run : other->upstream.Runs())
+      cr_assert(run.target != "/view/left" && run.target != "/view/late");
+  }
+  cr_assert(WaitUntil([&] {
+    return CallOnce(vm.Outbound(), "GET", kBigPath, "", HeadersOfBig("2000"))
+               .status == 200;
+  }));
+}
+
+// Guards against requests that use up the limit although no upstream had room
+// for them.
+Test(quota_fleet, requests_that_reach_no_upstream_are_not_counted) {
+  LimitedFleet fleet;
+  cr_assert(fleet.WaitUntilShared());
+  EdgeVm& vm = fleet.At(0);
+  // The only one beside an upstream of that service.
+  fleet.At(1).node->Signal(SIGKILL);
+  const auto load = [&] {
+    return CallOnce(vm.Outbound(), "POST", "/load/x", "body",
+                    HeadersOfBig("2000"))
+        .status;
+  };
+  cr_assert(WaitUntil([&] { return load() == 503; }));
+  // More than the limit allows.
+  for (int i = 0; i < 100; ++i)
+    cr_assert_eq(load(), 503);
+  cr_assert_geq(vm.Metric(R"(teaselspread_quota_total{outcome="refunded"})"),
+                100U);
+}
+
 // A fleet whose accounts have no limit must send what it sent before there were
 // accounts: nodes of the release before end a link on frames they do not know.
 Test(quota_fleet, without_limits_nothing_is_sent_for_them) {
