--- a/include/teaselspread/quota.h
+++ b/include/teaselspread/quota.h
@@ -18,6 +18,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "teaselspread/snapshot.h"
 #include "teaselspread/types.h"
@@ -137,7 +138,8 @@
 };
 
 // What to request from the lender while `waiting` requests wait for tokens: one
-// for each, and those that are expected within a token's lifetime.
+// for each, and those that are expected within a token's lifetime. If none
+// waits, `wanted` is 0, and `unspent` may be returned alone.
 [[nodiscard]] TokenAsk AskFor(TokenBorrower& borrower,
                               std::string_view account,
                               std::uint32_t waiting,
@@ -156,6 +158,12 @@
 // A request that had been admitted was refused before it reached an upstream.
 void Refund(TokenBorrower& borrower, std::string_view account, TimePoint now);
 
+// Accounts with tokens to return, which the next request for tokens would take
+// back too late if this node has few requests of the account. To be called more
+// often than once a TokenLifetime, and AskFor with none waiting for each.
+[[nodiscard]] std::vector<std::string> AccountsToReturn(TokenBorrower& borrower,
+                                                        TimePoint now);
+
 // Decides without a lender: this node's equal share of the limit. At the first
 // time, and again when a lender has answered for a window since, it starts with
 // a share of half of the agreed slack, rounded at random so that few nodes have
--- a/src/quota/quota.cc
+++ b/src/quota/quota.cc
@@ -12,10 +12,16 @@
 namespace teaselspread {
 namespace {
 
-// Half of the excess and of the slack covers what no node can observe, such as
-// a partition that has not been detected yet.
+// Part of the excess that covers tokens spent after they were lent.
 constexpr double kForLifetime = 0.5;
-constexpr double kForOwnShares = 0.5;
+// Parts of the excess and of the slack that all own shares together start with.
+// If a lender is cut off together with a third of the nodes, two thirds of the
+// own shares are spent besides the whole limit that it lends until the
+// partition is detected: half of the excess.
+constexpr double kExcessForOwnShares = 0.75;
+constexpr double kSlackForOwnShares = 0.5;
+// Time in which a lost link is detected. An own share grows only after it.
+constexpr Duration kDetection = std::chrono::seconds(1);
 // Requests that come together may take more than the burst, by this part of the
 // slack: a bucket of 5 tokens alone refuses 1 in 200 requests of an account
 // that sends 1/1.6 of its limit.
@@ -40,7 +46,7 @@
   const double seconds = SecondsOf(now - bucket.refilled_at);
   const double refilled = bucket.tokens + std::max(seconds, 0.0) * per_second;
   bucket.tokens = std::min(refilled, capacity);
-  bucket.refilled_at = now;
+  bucket.refilled_at = std::max(bucket.refilled_at, now);
 }
 
 Duration TimeToNextToken(const TokenBucket& bucket, double per_second) {
@@ -94,6 +100,14 @@
          std::exp(-std::max(seconds, 0.0) / kDemandSeconds);
 }
 
+// What all own shares together start with.
+double OwnSharesStart(const QuotaBounds& bounds, const AccountLimit& limit) {
+  const double agreed =
+      limit.per_second * SecondsOf(bounds.window) + limit.burst;
+  return agreed * bounds.excess * kExcessForOwnShares +
+         bounds.slack * kSlackForOwnShares;
+}
+
 // A share below one token, given to as many nodes as have one together.
 double RoundAtRandom(double value, Rng& rng) {
   const double whole = std::floor(value);
@@ -198,9 +212,12 @@
   BorrowedTokens& row = RowOf(borrower, account);
   const Duration lifetime = TokenLifetime(borrower.bounds);
   Expire(row, lifetime, now);
+  const std::uint32_t unspent = std::exchange(row.unspent, 0);
+  if (waiting == 0)
+    return {0, unspent};
   const auto expected =
       static_cast<std::uint32_t>(DemandAt(row, now) * SecondsOf(lifetime));
-  return {waiting + expected, std::exchange(row.unspent, 0)};
+  return {waiting + expected, unspent};
 }
 
 void OnGrant(TokenBorrower& borrower,
@@ -241,6 +258,17 @@
     AddUnspent(row, 1, lifetime, now);
 }
 
+std::vector<std::string> AccountsToReturn(TokenBorrower& borrower,
+                                          TimePoint now) {
+  std::vector<std::string> accounts;
+  for (auto& [account, row] : borrower.accounts) {
+    Expire(row, TokenLifetime(borrower.bounds), now);
+    if (row.unspent > 0)
+      accounts.push_back(account);
+  }
+  return accounts;
+}
+
 QuotaDecision SpendAlone(TokenBorrower& borrower,
                          std::string_view account,
                          const AccountLimit& limit,
@@ -250,19 +278,23 @@
   BorrowedTokens& row = RowOf(borrower, account);
   const auto nodes = static_cast<double>(std::max<std::size_t>(known_nodes, 1));
   const double per_second = limit.per_second / nodes;
-  const double capacity = std::max(1.0, limit.burst / nodes);
+  const double start = OwnSharesStart(borrower.bounds, limit) / nodes;
+  const double capacity =
+      std::max({1.0, limit.burst / nodes, std::ceil(start)});
   if (!row.own_share) {
-    const double start = borrower.bounds.slack * kForOwnShares / nodes;
-    row.own_share = TokenBucket{RoundAtRandom(start, rng), now};
+    row.own_share = TokenBucket{RoundAtRandom(start, rng), now + kDetection};
   } else if (!row.is_alone) {
     // The lender lent the whole limit in the meantime.
-    row.own_share->refilled_at = now;
+    row.own_share->refilled_at = std::max(row.own_share->refilled_at, now);
   }
   row.is_alone = true;
   TokenBucket& bucket = *row.own_share;
   Refill(bucket, per_second, capacity, now);
-  if (bucket.tokens < kWholeToken)
-    return {QuotaOutcome::kDenied, TimeToNextToken(bucket, per_second)};
+  if (bucket.tokens < kWholeToken) {
+    const Duration until_refill = bucket.refilled_at - now;
+    return {QuotaOutcome::kDenied,
+            until_refill + TimeToNextToken(bucket, per_second)};
+  }
   bucket.tokens = std::max(bucket.tokens - 1, 0.0);
   return {QuotaOutcome::kAdmitted, {}};
 }
