--- a/include/teaselspread/quota.h
+++ b/include/teaselspread/quota.h
@@ -115,7 +115,7 @@
   double demand_per_second = 0;
   TimePoint last_request_at;
   // Spent without a lender. None before the first time, and after a lender has
-  // answered for a whole window since the last time.
+  // answered more than a window after the last time.
   std::optional<TokenBucket> own_share;
   // Whether the last request was decided without a lender.
   bool is_alone = false;
@@ -164,11 +164,12 @@
 [[nodiscard]] std::vector<std::string> AccountsToReturn(TokenBorrower& borrower,
                                                         TimePoint now);
 
-// Decides without a lender: this node's equal share of the limit. At the first
-// time, and again when a lender has answered for a window since, it starts with
-// a share of half of the agreed slack, rounded at random so that few nodes have
-// a token too many at a time. `known_nodes`: from the NodeCensus, with this
-// one.
+// Decides without a lender: this node's equal share of the limit. It starts
+// with a share of 0.75 of the excess and half of the slack, rounded at random
+// so that few nodes have a token too many at a time, and grows after the time
+// in which a lost link is detected. It starts anew if a lender has answered
+// more than a window after the last call. `known_nodes`: from the NodeCensus,
+// with this one.
 [[nodiscard]] QuotaDecision SpendAlone(TokenBorrower& borrower,
                                        std::string_view account,
                                        const AccountLimit& limit,
--- a/src/quota/quota.cc
+++ b/src/quota/quota.cc
@@ -23,7 +23,7 @@
 // Time in which a lost link is detected. An own share grows only after it.
 constexpr Duration kDetection = std::chrono::seconds(1);
 // Requests that come together may take more than the burst, by this part of the
-// slack: a bucket of 5 tokens alone refuses 1 in 200 requests of an account
+// slack: a bucket of 5 tokens alone refuses 1 in 105 requests of an account
 // that sends 1/1.6 of its limit.
 constexpr double kForBurst = 0.25;
 // Time constant of the moving average of the demand.
