--- a/include/teaselspread/quota.h
+++ b/include/teaselspread/quota.h
@@ -18,6 +18,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "teaselspread/snapshot.h"
 #include "teaselspread/types.h"
@@ -114,7 +115,7 @@
   double demand_per_second = 0;
   TimePoint last_request_at;
   // Spent without a lender. None before the first time, and after a lender has
-  // answered for a whole window since the last time.
+  // answered more than a window after the last time.
   std::optional<TokenBucket> own_share;
   // Whether the last request was decided without a lender.
   bool is_alone = false;
@@ -137,7 +138,8 @@
 };
 
 // What to request from the lender while `waiting` requests wait for tokens: one
-// for each, and those that are expected within a token's lifetime.
+// for each, and those that are expected within a token's lifetime. If none
+// waits, `wanted` is 0, and `unspent` may be returned alone.
 [[nodiscard]] TokenAsk AskFor(TokenBorrower& borrower,
                               std::string_view account,
                               std::uint32_t waiting,
@@ -156,11 +158,18 @@
 // A request that had been admitted was refused before it reached an upstream.
 void Refund(TokenBorrower& borrower, std::string_view account, TimePoint now);
 
-// Decides without a lender: this node's equal share of the limit. At the first
-// time, and again when a lender has answered for a window since, it starts with
-// a share of half of the agreed slack, rounded at random so that few nodes have
-// a token too many at a time. `known_nodes`: from the NodeCensus, with this
-// one.
+// Accounts with tokens to return, which the next request for tokens would take
+// back too late if this node has few requests of the account. To be called more
+// often than once a TokenLifetime, and AskFor with none waiting for each.
+[[nodiscard]] std::vector<std::string> AccountsToReturn(TokenBorrower& borrower,
+                                                        TimePoint now);
+
+// Decides without a lender: this node's equal share of the limit. It starts
+// with a share of 0.75 of the excess and half of the slack, rounded at random
+// so that few nodes have a token too many at a time, and grows after the time
+// in which a lost link is detected. It starts anew if a lender has answered
+// more than a window after the last call. `known_nodes`: from the NodeCensus,
+// with this one.
 [[nodiscard]] QuotaDecision SpendAlone(TokenBorrower& borrower,
                                        std::string_view account,
                                        const AccountLimit& limit,
