--- a/src/edge/entry_answers.cc
+++ b/src/edge/entry_answers.cc
@@ -43,6 +43,24 @@
                  account == nullptr ? std::string_view{} : account->name);
 }
 
+// The fields of a line about a request over its account's limit; left out of
+// other lines.
+struct QuotaFields {
+  LogField lender = FieldIf(false, "lender", "");
+  LogField lender_age = FieldIf(false, "lender_age_ms", "");
+  LogField alone = FieldIf(false, "alone", "");
+};
+
+QuotaFields QuotaFieldsOf(const QuotaStanding& standing) {
+  const std::string age =
+      standing.answer_age
+          ? absl::StrCat(standing.answer_age->count() / kMicrosPerMilli)
+          : "";
+  return {{"lender", standing.lender},
+          {"lender_age_ms", age},
+          {"alone", standing.alone ? 1 : 0}};
+}
+
 HttpResponse MakeErrorResponse(ErrorKind kind, Duration retry_after) {
   HttpResponse response = ErrorResponse(Error{kind, std::string(NameOf(kind))});
   if (TraitsOf(kind).retry_after)
@@ -89,7 +107,10 @@
   SetHeader(response.headers, kHeaderRequestId,
             FindHeader(request.headers, kHeaderRequestId));
   this->counters.refusals.Add(kind);
-  this->CountDemand(pending, IsCapacityRefusal(kind));
+  this->ReleaseToken(id, pending);
+  // A request over its account's limit asks nothing of the service.
+  if (kind != ErrorKind::kQuotaExceeded)
+    this->CountDemand(pending, IsCapacityRefusal(kind));
   this->LogDecision(pending, "refused", kind, response.status);
   const ExchangePtr exchange = pending.exchange;
   this->pending_requests.erase(found);
@@ -189,12 +210,19 @@
     speed_percent = PercentAt(speed, now);
     speed_age_ms = (now - speed.reported_at).count() / kMicrosPerMilli;
   }
+  const QuotaFields quota_fields =
+      kind == ErrorKind::kQuotaExceeded
+          ? QuotaFieldsOf(this->quota.StandingOf(pending.account->name))
+          : QuotaFields{};
   Log(LogLevel::kInfo, "requests", outcome,
       {{"id", FindHeader(pending.exchange->request.headers, kHeaderRequestId)},
        {"reason", kind == ErrorKind::kInternal ? "" : NameOf(kind)},
        {"status", status},
        {"route", pending.route->name},
        AccountField(pending.snapshot.get(), pending.account),
+       quota_fields.lender,
+       quota_fields.lender_age,
+       quota_fields.alone,
        {"config", pending.snapshot->version},
        {"to", pending.service},
        {"version", pending.version},
