--- a/src/quota/quota.cc
+++ b/src/quota/quota.cc
@@ -238,6 +238,9 @@
   }
   if (grant.retry_after > Duration::zero())
     row.denied_until = now + grant.retry_after;
+  // Tokens that expired on the way serve nobody: this node still decides alone.
+  if (grant.tokens > 0 && now >= valid_until)
+    return;
   row.is_alone = false;
   if (row.own_share &&
       now - row.own_share->refilled_at > borrower.bounds.window)
--- a/tests/unit/quota_test.cc
+++ b/tests/unit/quota_test.cc
@@ -336,6 +336,20 @@
   cr_assert(alone(kStart + Ms(4500)) == QuotaOutcome::kAdmitted);
 }
 
+// Guards against a slow lender, whose tokens expire on the way: its answers
+// would stop the own share from growing, and the node would admit nothing.
+Test(quota, answers_that_come_too_late_do_not_stop_the_own_share) {
+  TokenBorrower borrower;
+  Rng rng(1);
+  const auto alone = [&](TimePoint now) {
+    return SpendAlone(borrower, kAccount, kLimit, 10, now, rng).outcome;
+  };
+  while (alone(kStart) == QuotaOutcome::kAdmitted) {
+  }
+  OnGrant(borrower, kAccount, {3, {}}, kStart + Ms(1), kStart + Seconds(1));
+  cr_assert(alone(kStart + Seconds(4)) == QuotaOutcome::kAdmitted);
+}
+
 Test(node_census, counts_nodes_of_the_roster_and_those_reached) {
   NodeCensus census{.self = "vm-0"};
   for (const std::string& name : Names(10))
