--- a/include/teaselspread/upstream_speed.h
+++ b/include/teaselspread/upstream_speed.h
@@ -20,6 +20,21 @@
 inline constexpr std::uint32_t kMinWorkPercent = 10;
 inline constexpr std::uint32_t kMaxWorkPercent = 2000;
 
+// The level of the figures that one upstream reports.
+struct WorkLevel {
+  // None before the first report.
+  std::optional<double> percent;
+  TimePoint updated_at;
+};
+
+// The reported `percent` relative to the upstream's own level, in percent, and
+// updates the level. It falls to a lower figure at once and rises slowly, since
+// other work on the VM only ever slows an upstream. Precondition: `percent` is
+// a positive number.
+[[nodiscard]] double RelativeToLevel(WorkLevel& level,
+                                     double percent,
+                                     TimePoint now);
+
 struct SpeedFactor {
   // Factor by which work takes longer than usual, as last reported; none while
   // the upstream reports none.
@@ -27,7 +42,7 @@
   TimePoint reported_at;
 };
 
-// The upstream reported that work takes `percent` of the usual time.
+// Work takes `percent` of the time that is usual at the upstream.
 // Precondition: `percent` is a positive number.
 void HearSpeed(SpeedFactor& speed, double percent, TimePoint now);
 
--- a/src/admission/upstream_speed.cc
+++ b/src/admission/upstream_speed.cc
@@ -10,6 +10,9 @@
 // figure useful between two load reports, which are 200 ms apart, and drops it
 // soon after the upstream was last heard.
 constexpr Duration kDecay = std::chrono::milliseconds(500);
+// Time in which the level of an upstream rises to e times its value at most. A
+// slow moment raises it by a few percent only.
+constexpr Duration kLevelRise = std::chrono::seconds(20);
 constexpr double kPercent = 100;
 // Relative difference from which callers are told.
 constexpr double kReportStep = 0.1;
@@ -21,6 +24,21 @@
 
 }  // namespace
 
+double RelativeToLevel(WorkLevel& level, double percent, TimePoint now) {
+  const double bounded =
+      std::clamp<double>(percent, kMinWorkPercent, kMaxWorkPercent);
+  if (!level.percent || bounded < *level.percent) {
+    level.percent = bounded;
+  } else {
+    const Duration passed = std::max(now - level.updated_at, Duration{0});
+    const double rise = std::exp(static_cast<double>(passed.count()) /
+                                 static_cast<double>(kLevelRise.count()));
+    level.percent = std::min(bounded, *level.percent * rise);
+  }
+  level.updated_at = now;
+  return bounded / *level.percent * kPercent;
+}
+
 void HearSpeed(SpeedFactor& speed, double percent, TimePoint now) {
   speed.reported =
       std::clamp<double>(percent, kMinWorkPercent, kMaxWorkPercent) / kPercent;
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -271,6 +271,8 @@
   // Times as last reported to other nodes, by route and over all routes.
   std::vector<RouteTime> reported_times;
   std::uint32_t reported_mean_ms = 0;
+  // Level of the figures of the process that holds the lease.
+  WorkLevel work_level;
   bool reserves_by_setting = false;
   // What was last logged of the reservation.
   bool logged_reservation = false;
--- a/src/edge/gate_upstream.cc
+++ b/src/edge/gate_upstream.cc
@@ -150,8 +150,11 @@
 }
 
 void Gate::HearWorkPercent(const LoadReport& load) {
-  if (load.work_percent)
-    HearSpeed(this->gatekeeper.speed, *load.work_percent, SteadyNow());
+  if (!load.work_percent)
+    return;
+  const TimePoint now = SteadyNow();
+  HearSpeed(this->gatekeeper.speed,
+            RelativeToLevel(this->work_level, *load.work_percent, now), now);
 }
 
 HeartbeatResult Gate::OnHeartbeat(const UpstreamHeartbeat& heartbeat) {
@@ -161,6 +164,7 @@
   if (before && IsAnotherProcess(*before, *this->lease.current)) {
     this->process_since = SteadyNow();
     this->gatekeeper.speed = {};
+    this->work_level = {};
     this->ForgetLimit();
   }
   this->ApplyLease();
--- a/tests/process/upstream_speed_process_test.cc
+++ b/tests/process/upstream_speed_process_test.cc
@@ -57,6 +57,12 @@
   cr_assert(fleet.WaitUntilReady());
   const std::string metric = "teaselspread_gate_work_percent";
   cr_assert_eq(vm.Metrics().find(metric), std::string::npos);
+  // Its level, from which the slow moment deviates.
+  vm.upstream.ReportWork("100");
+  cr_assert(WaitUntil([&] {
+    (void)SendRequest(vm, "GET", "/view/1", "tell");
+    return vm.Metric(metric) == 100;
+  }));
   vm.upstream.ReportWork("250");
   cr_assert(WaitUntil([&] {
     (void)SendRequest(vm, "GET", "/view/1", "tell");
--- a/tests/unit/upstream_speed_test.cc
+++ b/tests/unit/upstream_speed_test.cc
@@ -21,6 +21,37 @@
   return speed;
 }
 
+// Guards against an upstream on a slow machine that counts as slowed all the
+// time: its measured run times would be divided by its own level, and other
+// nodes would take it for as fast as the rest.
+Test(upstream_speed, only_the_deviation_from_the_own_level_counts) {
+  WorkLevel level;
+  TimePoint now = kStart;
+  for (int i = 0; i < 100; ++i) {
+    now += Ms(20);
+    cr_assert_float_eq(RelativeToLevel(level, 170, now), 100, 1e-6);
+  }
+  // A slow moment of 400 ms hardly raises the level.
+  for (int i = 0; i < 20; ++i) {
+    now += Ms(20);
+    const double slowed = RelativeToLevel(level, 425, now);
+    cr_assert(slowed > 240 && slowed <= 250, "%f", slowed);
+  }
+  cr_assert_float_eq(RelativeToLevel(level, 170, now + Ms(20)), 100, 1e-6);
+}
+
+// Guards against a first report in a slow moment, after which an upstream at
+// its usual speed would count as faster than that.
+Test(upstream_speed, the_level_falls_at_once_and_rises_within_a_minute) {
+  WorkLevel level;
+  TimePoint now = kStart;
+  cr_assert_float_eq(RelativeToLevel(level, 425, now), 100, 1e-6);
+  cr_assert_float_eq(RelativeToLevel(level, 170, now + Ms(20)), 100, 1e-6);
+  for (; now < kStart + std::chrono::minutes(1); now += Ms(20))
+    (void)RelativeToLevel(level, 250, now);
+  cr_assert_float_eq(RelativeToLevel(level, 250, now), 100, 1e-6);
+}
+
 // Guards against estimates that change without a figure.
 Test(upstream_speed, without_a_figure_nothing_changes) {
   const SpeedFactor none;
