--- a/include/teaselspread/retry.h
+++ b/include/teaselspread/retry.h
@@ -4,7 +4,6 @@
 
 #include <cstdint>
 #include <string_view>
-#include <vector>
 
 #include "teaselspread/counters.h"
 #include "teaselspread/error.h"
@@ -59,15 +58,17 @@
   TimePoint deadline;
   // Minimum time that an attempt needs on this route.
   Duration min_attempt_time{};
-  // Budgets of the services that the request calls while it runs: a retry makes
-  // those calls again.
-  std::vector<RetryBudget*> callee_budgets;
+  // Whether it is a nested call, or a request that makes nested calls. A
+  // service that is called gets repeated calls from both: from entries that
+  // retry the call, and from runs of requests that were retried.
+  bool nests_calls = false;
 };
 
 // Adds to the budget for a first attempt. Not thread safe.
 void OnFirstAttempt(RetryBudget& budget);
 
-// Decides on a retry, takes tokens if it is allowed, and counts the reason.
+// Decides on a retry, takes a token if it is allowed (two if `nests_calls`; the
+// budget may become negative), and counts the reason.
 // kRetried... means "send it to another upstream now". Not thread safe.
 [[nodiscard]] RetryReason DecideRetry(RetryBudget& budget,
                                       const FailedAttempt& attempt,
--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -601,9 +601,9 @@
   failed.has_other_upstream = !this->CandidatesFor(pending).empty();
   failed.deadline = pending.deadline;
   failed.min_attempt_time = kMinAttemptTime;
-  for (const std::string_view service :
-       ServicesCalledBy(this->shortage, pending.route->name))
-    failed.callee_budgets.push_back(&this->BudgetOf(std::string(service)));
+  failed.nests_calls =
+      pending.nested ||
+      !ServicesCalledBy(this->shortage, pending.route->name).empty();
   RetryBudget& budget = this->BudgetOf(pending.service);
   const RetryReason reason = DecideRetry(budget, failed, SteadyNow());
   this->counters.retries.Add(reason);
--- a/src/retry/retry.cc
+++ b/src/retry/retry.cc
@@ -13,9 +13,9 @@
                     "refused-deadline",     "refused-budget",
                     "refused-attempts",     "refused-no-other"};
 
-// Calls that a run is taken to make to each service that it calls. Nodes report
-// which services a route calls, not how often.
-constexpr double kCallsPerRun = 2;
+// Tokens of a retry that repeats nested calls, or is one itself: each of the
+// two sides takes half of the retries that the called service may get.
+constexpr double kNestedRetryCost = 2;
 
 // Whether a retry on another upstream may succeed, if the request is
 // idempotent. Errors of the caller and its cancellation would not change.
@@ -41,10 +41,7 @@
     return RetryReason::kRefusedNoOtherUpstream;
   if (now + attempt.min_attempt_time >= attempt.deadline)
     return RetryReason::kRefusedDeadline;
-  const auto& callees = attempt.callee_budgets;
-  if (budget.tokens < 1 ||
-      std::any_of(callees.begin(), callees.end(),
-                  [](const RetryBudget* callee) { return callee->tokens < 1; }))
+  if (budget.tokens < 1)
     return RetryReason::kRefusedBudget;
   return attempt.not_run ? RetryReason::kRetriedNotRun
                          : RetryReason::kRetriedIdempotent;
@@ -70,11 +67,8 @@
                         const FailedAttempt& attempt,
                         TimePoint now) {
   const RetryReason reason = EvaluateRetry(budget, attempt, now);
-  if (IsRetry(reason)) {
-    budget.tokens -= 1;
-    for (RetryBudget* callee : attempt.callee_budgets)
-      callee->tokens -= kCallsPerRun;
-  }
+  if (IsRetry(reason))
+    budget.tokens -= attempt.nests_calls ? kNestedRetryCost : 1;
   budget.counters.Add(reason);
   return reason;
 }
