--- a/src/admission/gatekeeper.cc
+++ b/src/admission/gatekeeper.cc
@@ -161,17 +161,19 @@
     gate.held_back += std::exchange(held.was_held_back, true) ? 0 : 1;
 }
 
-// Takes the last one of those held back out of a full queue, in favour of a
-// request that need not wait for their slots.
-std::optional<Refusal> EvictHeldBack(Gatekeeper& gate,
-                                     TimePoint now,
-                                     Rng& rng) {
-  if (!IsReserving(gate))
+// Takes the last long request out of a full queue, in favour of one that is not
+// long and has at least its priority.
+std::optional<Refusal> EvictLong(Gatekeeper& gate,
+                                 const HeldRequest& candidate,
+                                 TimePoint now,
+                                 Rng& rng) {
+  if (!IsReserving(gate) || candidate.is_long)
     return std::nullopt;
   const auto last =
       std::find_if(gate.queue.rbegin(), gate.queue.rend(),
                    [](const HeldRequest& held) { return held.is_long; });
-  if (last == gate.queue.rend())
+  if (last == gate.queue.rend() ||
+      last->arrival.priority < candidate.arrival.priority)
     return std::nullopt;
   return RefuseQueued(gate, gate.queue, *last, ErrorKind::kQueueFull, now, rng);
 }
@@ -181,10 +183,8 @@
                              const HeldRequest& candidate,
                              TimePoint now,
                              Rng& rng) {
-  if (!candidate.is_long) {
-    if (auto evicted = EvictHeldBack(gate, now, rng))
-      return evicted;
-  }
+  if (auto evicted = EvictLong(gate, candidate, now, rng))
+    return evicted;
   if (gate.queue.empty() || !RunsBefore{}(candidate, *gate.queue.rbegin()) ||
       HaveSamePriority(candidate.arrival, gate.queue.rbegin()->arrival))
     return std::nullopt;
--- a/tests/unit/slot_reserve_test.cc
+++ b/tests/unit/slot_reserve_test.cc
@@ -402,6 +402,23 @@
   cr_assert_eq(arrived.evicted->id, 5);
 }
 
+// Guards against a short request of low priority that takes the place of a long
+// one of higher priority.
+Test(slot_reserve, a_less_important_request_evicts_no_long_one) {
+  Gatekeeper gate;
+  SetUp(gate);
+  gate.settings.queue_limit = 2;
+  FillWithLong(gate);
+  for (std::uint64_t id = 11; id <= 13; ++id)
+    (void)ArriveAt(gate, id, Urgent(), kLater);
+  Rng rng(1);
+  Arrival arrival = MakeArrival(14, Urgent(), kLater);
+  arrival.priority = Priority::kBackground;
+  const ArrivalResult arrived = Arrive(gate, arrival, kLater, rng);
+  cr_assert(arrived.admission == Admission::kRefused);
+  cr_assert_not(arrived.evicted.has_value());
+}
+
 // With a named limit both hold: the limit's starts are not kept for requests
 // that are held back, and they are not exceeded.
 Test(slot_reserve, a_named_limit_holds_beside_the_reservation) {
@@ -519,7 +536,7 @@
 }
 
 // Guards deployments without a reservation against any change: the digest is
-// that of commit 470a6bb, which knows no reservation.
+// that of a gate without the reservation, which knows no reservation.
 Test(slot_reserve, without_a_reservation_every_decision_is_as_before) {
   constexpr std::uint64_t kDigestBefore = 0x9f324c59d1142f91;
   cr_assert_eq(DigestOf({}), kDigestBefore, "%lx", DigestOf({}));
