--- a/src/quota/quota.cc
+++ b/src/quota/quota.cc
@@ -13,7 +13,10 @@
 namespace {
 
 // Part of the excess that covers tokens spent after they were lent.
-constexpr double kForLifetime = 0.5;
+constexpr double kExcessForLifetime = 0.5;
+// A token has to outlive the network round trip from its lender, also where no
+// excess is agreed.
+constexpr Duration kMinLifetime = std::chrono::milliseconds(20);
 // Parts of the excess and of the slack that all own shares together start with.
 // If a lender is cut off together with a third of the nodes, two thirds of the
 // own shares are spent besides the whole limit that it lends until the
@@ -25,7 +28,7 @@
 // Requests that come together may take more than the burst, by this part of the
 // slack: a bucket of 5 tokens alone refuses 1 in 105 requests of an account
 // that sends 1/1.6 of its limit.
-constexpr double kForBurst = 0.25;
+constexpr double kSlackForBurst = 0.25;
 // Time constant of the moving average of the demand.
 constexpr double kDemandSeconds = 1;
 // Longest wait that a refusal names, so that a limit that has been raised takes
@@ -60,7 +63,7 @@
 }
 
 double LenderCapacity(const QuotaBounds& bounds, const AccountLimit& limit) {
-  return limit.burst + bounds.slack * kForBurst;
+  return limit.burst + bounds.slack * kSlackForBurst;
 }
 
 BorrowedTokens& RowOf(TokenBorrower& borrower, std::string_view account) {
@@ -119,8 +122,9 @@
 
 Duration TokenLifetime(const QuotaBounds& bounds) {
   const auto window = static_cast<double>(bounds.window.count());
-  return Duration(
-      static_cast<std::int64_t>(bounds.excess * kForLifetime * window));
+  const Duration agreed(
+      static_cast<std::int64_t>(bounds.excess * kExcessForLifetime * window));
+  return std::max(agreed, kMinLifetime);
 }
 
 std::string_view LenderOf(std::string_view account,
@@ -238,7 +242,7 @@
   }
   if (grant.retry_after > Duration::zero())
     row.denied_until = now + grant.retry_after;
-  // Tokens that expired on the way serve nobody: this node still decides alone.
+  // Expired tokens admit no request, so this node still decides alone.
   if (grant.tokens > 0 && now >= valid_until)
     return;
   row.is_alone = false;
--- a/tests/unit/quota_test.cc
+++ b/tests/unit/quota_test.cc
@@ -195,6 +195,12 @@
   cr_assert_eq(AskFor(borrower, kAccount, 1, kStart + Ms(260)).unspent, 0U);
 }
 
+// Guards against bounds without an excess: tokens that expire at once would
+// admit nothing, and the lender would ask itself again and again.
+Test(quota, tokens_outlive_a_round_trip_without_an_agreed_excess) {
+  cr_assert_gt(TokenLifetime({.window = Seconds(5), .excess = 0}), Ms(10));
+}
+
 // The lifetime starts when the request for tokens is sent. Counted from the
 // answer, a slow answer would let tokens be spent long after they were lent.
 Test(quota, an_answer_that_comes_after_the_lifetime_admits_nothing) {
