--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -215,7 +215,7 @@
   return limits;
 }
 
-void NotePeerForQuota(EdgeNode& node, const std::string& name) {
+void UpdateQuotaPeer(EdgeNode& node, const std::string& name) {
   const Peer* peer = node.links.Find(name);
   if (peer != nullptr && peer->connected)
     node.quota.OnLinkUp(name, peer->line_mbit);
@@ -248,7 +248,7 @@
                          std::uint8_t parts) {
     if (upstream_changed) {
       RefreshVersions(node);
-      NotePeerForQuota(node, name);
+      UpdateQuotaPeer(node, name);
     }
     if (const Peer* peer = node.links.Find(name)) {
       ApplyPeerNotes(node, *peer, parts);
@@ -256,9 +256,8 @@
     }
   };
   on.on_hello = [&node](const Hello& hello) {
-    node.links.Add(hello);
-    node.quota.OnNodeKnown(hello.node);
-    NotePeerForQuota(node, hello.node);
+    AddNode(node, hello);
+    UpdateQuotaPeer(node, hello.node);
     SendEvacuations(node, hello.node);
   };
   on.on_config_request = [&node](const std::string& peer,
@@ -609,6 +608,13 @@
       static_cast<std::uint32_t>(edge_settings.line_mbit);
 }
 
+void AddNode(EdgeNode& node, const Hello& hello) {
+  node.links.Add(hello);
+  // One with an unusable address cannot be reached and has no share of limits.
+  if (node.links.Find(hello.node) != nullptr)
+    node.quota.OnNodeKnown(hello.node);
+}
+
 void SendStatus(EdgeNode& node) {
   const TimePoint now = SteadyNow();
   GateStatus status = node.gate.Status();
--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -101,6 +101,9 @@
 // Passes on what is known of evacuations to a node that has opened a link.
 void SendEvacuations(EdgeNode& node, const std::string& to);
 
+// Keeps a link to a node that the roster or its Hello names.
+void AddNode(EdgeNode& node, const Hello& hello);
+
 // Sends the current status to every node, if it changed.
 void SendStatus(EdgeNode& node);
 
--- a/src/edge/quota_service.cc
+++ b/src/edge/quota_service.cc
@@ -82,8 +82,7 @@
     }
     for (WaitingRequest& request : state.waiting)
       admitted.push_back(std::move(request.done));
-    if (state.sent)
-      this->sent_by_sequence.erase(state.sent->sequence);
+    this->ForgetSentRequest(state);
     StopLending(this->lender, account);
     this->borrower.accounts.erase(account);
     row = this->accounts.erase(row);
@@ -185,8 +184,7 @@
     this->TickBy(row.waiting.front().since + kAnswerTimeout);
     return;
   }
-  if (row.sent)
-    this->sent_by_sequence.erase(row.sent->sequence);
+  this->ForgetSentRequest(row);
   const auto waiting = static_cast<std::uint32_t>(
       std::min<std::size_t>(row.waiting.size(), kMaxTokensPerFrame));
   const TokenAsk ask = AskFor(this->borrower, account, waiting, now);
@@ -201,12 +199,18 @@
     this->TickBy(now + kAnswerTimeout);
     return;
   }
-  this->sent_by_sequence.erase(request.sequence);
-  row.sent.reset();
+  this->ForgetSentRequest(row);
   this->BeginAlone(account, row, TokenRequestResult::kLinkLost);
   this->Serve(account);
 }
 
+void QuotaService::ForgetSentRequest(LimitedAccount& row) {
+  if (!row.sent)
+    return;
+  this->sent_by_sequence.erase(row.sent->sequence);
+  row.sent.reset();
+}
+
 // Callbacks may acquire, cancel and refund, so the row is found anew for each.
 void QuotaService::Serve(const std::string& account) {
   for (LimitedAccount* row = this->Find(account);
@@ -288,11 +292,13 @@
   if (row.sent->node != node)
     return;
   const TimePoint sent_at = row.sent->sent_at;
-  this->sent_by_sequence.erase(found);
-  row.sent.reset();
-  if (grant.is_lender) {
-    this->OnLenderAnswer(account, row, grant, sent_at);
-  } else if (row.lender == node) {
+  this->ForgetSentRequest(row);
+  const bool is_current = row.lender == node;
+  if (is_current && grant.is_lender)
+    row.answered_at = this->io.now();
+  if (grant.is_lender && (is_current || grant.tokens > 0)) {
+    this->OnLenderAnswer(account, row, grant, sent_at, is_current);
+  } else if (is_current) {
     this->BeginAlone(account, row, TokenRequestResult::kNotLender);
   } else {
     // Another lender has been selected since, and is asked now.
@@ -305,9 +311,9 @@
 void QuotaService::OnLenderAnswer(const std::string& account,
                                   LimitedAccount& row,
                                   const TokenGrantFrame& grant,
-                                  TimePoint sent_at) {
+                                  TimePoint sent_at,
+                                  bool is_current) {
   const TimePoint now = this->io.now();
-  row.answered_at = now;
   this->tokens_borrowed += grant.tokens;
   // Without a delay the requests that wait would ask again at once.
   const bool needs_delay = grant.tokens == 0 && grant.retry_after_ms == 0;
@@ -323,7 +329,9 @@
   }
   this->token_requests.Add(grant.tokens > 0 ? TokenRequestResult::kGranted
                                             : TokenRequestResult::kNoTokens);
-  this->EndAlone(account, row);
+  // A former lender's tokens are used, but the current one has not answered.
+  if (is_current)
+    this->EndAlone(account, row);
 }
 
 void QuotaService::ReturnLater(std::string_view account) {
@@ -394,8 +402,7 @@
     if (!row.sent || row.sent->node != node)
       continue;
     this->token_requests.Add(TokenRequestResult::kLinkLost);
-    this->sent_by_sequence.erase(row.sent->sequence);
-    row.sent.reset();
+    this->ForgetSentRequest(row);
   }
   this->SelectLenders();
 }
--- a/src/edge/quota_service.h
+++ b/src/edge/quota_service.h
@@ -70,7 +70,7 @@
   std::function<TimePoint()> now = SteadyNow;
 };
 
-// Where an account stands, for log lines.
+// Lender state of an account, for log lines.
 struct QuotaStanding {
   // Empty if there is none.
   std::string lender;
@@ -186,20 +186,22 @@
   void Complete(const LimitedAccount& row,
                 const Done& done,
                 const QuotaDecision& decision);
+  void ForgetSentRequest(LimitedAccount& row);
   void BeginAlone(std::string_view account,
                   LimitedAccount& row,
                   TokenRequestResult cause);
   void EndAlone(std::string_view account, LimitedAccount& row);
   void RemoveAccounts(const Limits& kept);
   void SelectLenders();
-  // Whether it has changed.
+  // Returns whether the lender has changed.
   bool SetLender(const std::string& account,
                  LimitedAccount& row,
                  std::string_view selected);
   void OnLenderAnswer(const std::string& account,
                       LimitedAccount& row,
                       const TokenGrantFrame& grant,
-                      TimePoint sent_at);
+                      TimePoint sent_at,
+                      bool is_current);
   // Returns tokens that expired unspent, unless a request for tokens that is
   // under way or about to be sent takes them back.
   void ReturnUnspent();
--- a/src/edge/roster.cc
+++ b/src/edge/roster.cc
@@ -73,8 +73,7 @@
         }
         for (const StoredRecord& record : page.records) {
           if (const auto hello = HelloOf(record)) {
-            node.links.Add(*hello);
-            node.quota.OnNodeKnown(hello->node);
+            AddNode(node, *hello);
           }
         }
         if (page.has_more && !page.records.empty()) {
--- a/tests/unit/quota_service_test.cc
+++ b/tests/unit/quota_service_test.cc
@@ -115,6 +115,24 @@
   }
 };
 
+// Guards against an answer of a former lender that is taken for one of the
+// current lender: the log of a refusal would name a lender that never answered,
+// and its refusal would keep the current one from being asked.
+Test(quota_service, an_answer_of_a_former_lender_does_not_count_as_current) {
+  BorrowerFixture node;
+  const auto waits = node.Acquire();
+  node.service.OnLinkUp("c-1", 2000);
+  cr_assert(node.service.StandingOf("shop").lender == "c-1");
+  node.Grant(node.sent.at(0), 0, 5000);
+  cr_assert_not(node.service.StandingOf("shop").answer_age.has_value());
+  cr_assert(node.IsWaiting(waits));
+  cr_assert_eq(node.sent.size(), 2U);
+  cr_assert(node.sent[1].node == "c-1");
+  node.Grant(node.sent[1], 1);
+  cr_assert(node.IsAdmitted(waits));
+  cr_assert(node.service.StandingOf("shop").answer_age.has_value());
+}
+
 // A fleet whose accounts have no limit sends and decides as before.
 Test(quota_service, without_limits_nothing_is_sent_and_all_is_admitted) {
   Fixture node;
