--- a/include/teaselspread/admission.h
+++ b/include/teaselspread/admission.h
@@ -249,8 +249,7 @@
 
 // Expected time to run all queued requests one after the other, at the usual
 // speed of the upstream and without long ones that are held back; more if the
-// pace starts them later than that. Not
-// thread safe.
+// pace starts them later than that. Not thread safe.
 [[nodiscard]] Duration QueuedTime(const Gatekeeper& gate, TimePoint now);
 
 // Drops the service times of all routes not in `routes`. Not thread safe.
--- a/include/teaselspread/placement.h
+++ b/include/teaselspread/placement.h
@@ -47,8 +47,8 @@
   double busy_factor = 0.3;
   // Part of an upstream's momentary slowness that counts against a request's
   // own run there; waiting times count all of it. With all of it here, too,
-  // slots of slowed upstreams stayed idle at peaks, while the requests that
-  // would have had them were late or refused elsewhere (shared_vm_test).
+  // slots of slowed upstreams remain idle at peak load while requests are
+  // refused elsewhere.
   double slow_run_weight = 0.2;
   // Maximum random addition to the cost, as a fraction of it, so that nodes
   // with the same figures do not all choose the same upstream.
--- a/include/teaselspread/quota.h
+++ b/include/teaselspread/quota.h
@@ -68,7 +68,8 @@
 
 struct TokenGrant {
   std::uint32_t tokens = 0;
-  // Time until the next token, if there is none now.
+  // Time until the next token if fewer than requested were lent, otherwise
+  // zero.
   Duration retry_after{};
 };
 
@@ -82,7 +83,8 @@
                               TimePoint now);
 
 // Returns tokens that a borrower has not spent. To be called before Lend for
-// the same request.
+// the same request. Does nothing if this node does not lend for `account`;
+// tokens beyond the bucket's capacity are dropped.
 void TakeBack(TokenLender& lender,
               std::string_view account,
               const AccountLimit& limit,
@@ -139,7 +141,8 @@
 
 // What to request from the lender while `waiting` requests wait for tokens: one
 // for each, and those that are expected within a token's lifetime. If none
-// waits, `wanted` is 0, and `unspent` may be returned alone.
+// waits, `wanted` is 0, and `unspent` may be returned alone. Removes the
+// unspent tokens from `borrower`; the caller sends them to the lender.
 [[nodiscard]] TokenAsk AskFor(TokenBorrower& borrower,
                               std::string_view account,
                               std::uint32_t waiting,
@@ -156,6 +159,8 @@
              TimePoint now);
 
 // A request that had been admitted was refused before it reached an upstream.
+// Precondition: Spend or SpendAlone admitted it, and it was not refunded
+// before.
 void Refund(TokenBorrower& borrower, std::string_view account, TimePoint now);
 
 // Accounts with tokens to return, which the next request for tokens would take
@@ -165,8 +170,8 @@
                                                         TimePoint now);
 
 // Decides without a lender: this node's equal share of the limit. It starts
-// with a share of 0.75 of the excess and half of the slack, rounded at random
-// so that few nodes have a token too many at a time, and grows after the time
+// with a part of the excess and the slack, rounded at random so that few nodes
+// have a token too many at a time, and grows after the time
 // in which a lost link is detected. It starts anew if a lender has answered
 // more than a window after the last call. `known_nodes`: from the NodeCensus,
 // with this one.
--- a/src/accounts/accounts.cc
+++ b/src/accounts/accounts.cc
@@ -37,8 +37,8 @@
   return static_cast<std::uint8_t>(static_cast<unsigned>(route_priority) + 1);
 }
 
-// Tie-break of a request whose route's priority alone counts. At the highest
-// priority it is that of nested calls, which such routes have always equalled.
+// Tie-break of a request whose route's priority alone counts. Routes of the
+// highest priority rank equal to nested calls.
 std::uint8_t DefaultTieBreak(Priority priority) {
   return priority == Priority::kInternal ? 0 : TieBreakOf(priority);
 }
--- a/src/admission/estimate.h
+++ b/src/admission/estimate.h
@@ -28,8 +28,8 @@
   Duration long_run_time{};
 };
 
-// Tells of queued requests, passed in queue order, which ones are held back:
-// long ones for which no slot of the cap is left.
+// Decides for queued requests, passed in queue order, whether they are held
+// back: long ones for which no slot of the cap is left.
 class HoldBack {
  public:
   explicit HoldBack(const Gatekeeper& gate);
--- a/src/edge/entry_answers.cc
+++ b/src/edge/entry_answers.cc
@@ -37,7 +37,7 @@
          kind == ErrorKind::kQueueFull || kind == ErrorKind::kQueueTimeout;
 }
 
-// Left out of the line without accounts, so that it is as it was before them.
+// Left out of the line if the configuration has no accounts.
 LogField AccountField(const Snapshot* snapshot, const AccountConfig* account) {
   return FieldIf(snapshot != nullptr && snapshot->has_accounts, "account",
                  account == nullptr ? std::string_view{} : account->name);
--- a/src/edge/frames.h
+++ b/src/edge/frames.h
@@ -215,7 +215,8 @@
   bool is_lender = false;
   // At most kMaxTokensPerFrame.
   std::uint32_t tokens = 0;
-  // Time until the next token if `tokens` is 0; at most kMaxQuotaRetryMs.
+  // Time until the next token if fewer than requested were lent, otherwise 0;
+  // at most kMaxQuotaRetryMs.
   std::uint32_t retry_after_ms = 0;
 };
 
--- a/src/quota/quota.cc
+++ b/src/quota/quota.cc
@@ -26,8 +26,7 @@
 // Time in which a lost link is detected. An own share grows only after it.
 constexpr Duration kDetection = std::chrono::seconds(1);
 // Requests that come together may take more than the burst, by this part of the
-// slack: a bucket of 5 tokens alone refuses 1 in 105 requests of an account
-// that sends 1/1.6 of its limit.
+// slack: a small bucket refuses random bursts of accounts below their limit.
 constexpr double kSlackForBurst = 0.25;
 // Time constant of the moving average of the demand.
 constexpr double kDemandSeconds = 1;
@@ -111,7 +110,8 @@
          bounds.slack * kSlackForOwnShares;
 }
 
-// A share below one token, given to as many nodes as have one together.
+// Rounds up with a probability equal to the fraction, so that the sum over all
+// nodes keeps its mean.
 double RoundAtRandom(double value, Rng& rng) {
   const double whole = std::floor(value);
   std::bernoulli_distribution has_one_more(value - whole);
--- a/tests/unit/slot_reserve_test.cc
+++ b/tests/unit/slot_reserve_test.cc
@@ -536,7 +536,7 @@
 }
 
 // Guards deployments without a reservation against any change: the digest is
-// that of a gate without the reservation, which knows no reservation.
+// that of the decisions before reservations existed.
 Test(slot_reserve, without_a_reservation_every_decision_is_as_before) {
   constexpr std::uint64_t kDigestBefore = 0x9f324c59d1142f91;
   cr_assert_eq(DigestOf({}), kDigestBefore, "%lx", DigestOf({}));
