--- a/tests/unit/shared_vm_test.cc
+++ b/tests/unit/shared_vm_test.cc
@@ -9,6 +9,7 @@
 #include <array>
 #include <cmath>
 #include <cstdint>
+#include <cstdio>
 #include <map>
 #include <memory>
 #include <numbers>
@@ -356,10 +357,11 @@
 }
 
 void Print(const char* use, const Outcome& outcome) {
-  cr_log_warn("%s: in time %.4f late %.4f refused %.4f, refusals by gates %.4f",
-              use, ShareOf(outcome.in_time, outcome),
-              ShareOf(outcome.late, outcome), ShareOf(outcome.refused, outcome),
-              ShareOf(outcome.gate_refusals, outcome));
+  std::printf(
+      "%s: in time %.4f late %.4f refused %.4f, refusals by gates %.4f\n", use,
+      ShareOf(outcome.in_time, outcome), ShareOf(outcome.late, outcome),
+      ShareOf(outcome.refused, outcome),
+      ShareOf(outcome.gate_refusals, outcome));
 }
 
 // Guards against requests that are late or refused at the peaks because slowed
