--- a/src/quota/quota.cc
+++ b/src/quota/quota.cc
@@ -132,9 +132,10 @@
   std::string_view lender;
   std::uint32_t most_mbit = 0;
   XXH64_hash_t most_weight = 0;
+  const XXH64_hash_t seed = XXH3_64bits(account.data(), account.size());
   for (const auto& [name, line_mbit] : reachable) {
-    const XXH64_hash_t weight = XXH3_64bits_withSeed(
-        name.data(), name.size(), XXH3_64bits(account.data(), account.size()));
+    const XXH64_hash_t weight =
+        XXH3_64bits_withSeed(name.data(), name.size(), seed);
     if (lender.empty() || std::tie(line_mbit, weight, name) >
                               std::tie(most_mbit, most_weight, lender)) {
       lender = name;
