--- a/src/edge/crash_evidence.cc
+++ b/src/edge/crash_evidence.cc
@@ -1,5 +1,6 @@
 #include "edge/crash_evidence.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <string>
@@ -31,6 +32,10 @@
 // upstream, so it is far longer than one takes to start again.
 constexpr Duration kFirstRefusal = std::chrono::seconds(60);
 
+// Log lines about abandoned runs at one crash; the newest are the likeliest
+// causes.
+constexpr std::size_t kMaxLoggedAbandoned = 16;
+
 // Notes hold the time that rows have left. A node that starts gets them later,
 // and would keep rows that have expired everywhere else.
 constexpr Duration kMaxNotesAge = std::chrono::minutes(2);
@@ -40,7 +45,7 @@
     kSignNames = {"not-listening", "no-connection", "another-process-answered"};
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(SuspectEvent::kCount)>
-    kEventNames = {"blamed", "received", "cleared", "refused"};
+    kEventNames = {"blamed", "received", "cleared", "refused", "abandoned"};
 
 void LogSuspect(std::string_view event,
                 Fingerprint fingerprint,
@@ -125,6 +130,15 @@
   this->broken_runs.emplace_back(now, fingerprint);
 }
 
+void CrashEvidence::OnAbandonedRun(AbandonedRun run) {
+  Abandon(this->abandoned, std::move(run));
+}
+
+void CrashEvidence::OnUpstreamAlive() {
+  if (!this->abandoned.runs.empty())
+    DropSurvived(this->abandoned, SteadyNow());
+}
+
 bool CrashEvidence::OnUpstreamGone(CrashSign sign,
                                    std::string_view instance,
                                    std::span<const Fingerprint> in_flight) {
@@ -135,6 +149,8 @@
       blamed_runs.push_back(fingerprint);
   }
   this->broken_runs.clear();
+  const std::vector<AbandonedRun> abandoned_runs =
+      TakeAbandoned(this->abandoned, now);
   if (blamed_runs.empty())
     return false;
   blamed_runs.insert(blamed_runs.end(), in_flight.begin(), in_flight.end());
@@ -147,7 +163,9 @@
       {{"instance", instance},
        {"sign", NameOf(sign)},
        {"requests_blamed", rows.size()},
+       {"abandoned", abandoned_runs.size()},
        {"rows", this->CountRows()}});
+  this->LogAbandoned(abandoned_runs, now);
   for (const SuspectRow& row : rows) {
     const auto crashed = CrashesOf(this->table, row.fingerprint, now);
     if (crashed >= kMinLoggedCrashes)
@@ -156,6 +174,21 @@
   return true;
 }
 
+void CrashEvidence::LogAbandoned(const std::vector<AbandonedRun>& runs,
+                                 TimePoint now) {
+  this->events.Add(SuspectEvent::kAbandoned, runs.size());
+  const std::size_t logged = std::min(runs.size(), kMaxLoggedAbandoned);
+  for (std::size_t i = runs.size() - logged; i < runs.size(); ++i) {
+    const AbandonedRun& run = runs[i];
+    Log(LogLevel::kInfo, "suspects", NameOf(SuspectEvent::kAbandoned),
+        {{"fingerprint", absl::StrFormat("%016x", run.fingerprint)},
+         {"crashes", CrashesOf(this->table, run.fingerprint, now)},
+         {"id", run.request_id},
+         {"before_ms", (now - run.abandoned_at) / std::chrono::milliseconds(1)},
+         {"left_ms", (run.deadline - now) / std::chrono::milliseconds(1)}});
+  }
+}
+
 void CrashEvidence::OnResponse(Fingerprint fingerprint,
                                std::string_view request_id,
                                int status) {
--- a/src/edge/crash_evidence.h
+++ b/src/edge/crash_evidence.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "edge/abandoned_runs.h"
 #include "edge/frames.h"
 #include "teaselspread/counters.h"
 #include "teaselspread/http.h"
@@ -37,6 +38,8 @@
   kCleared,
   // It was not sent to the upstream.
   kRefused,
+  // A run that had been abandoned when the upstream crashed.
+  kAbandoned,
   kCount,
 };
 
@@ -74,6 +77,13 @@
   // upstream turns out to be gone, the request may have crashed it.
   void OnBrokenRun(Fingerprint fingerprint, TimePoint started);
 
+  // Nobody waits for this run any more, but the upstream may still be working
+  // on it.
+  void OnAbandonedRun(AbandonedRun run);
+
+  // The upstream has responded to a request.
+  void OnUpstreamAlive();
+
   // The upstream's process `instance` is gone. It has crashed if connections
   // broke right before. Each request that ran on them is blamed, and each one
   // `in_flight` there: the connection of the request that crashed it may break
@@ -105,6 +115,7 @@
 
  private:
   void RefreshNotes(TimePoint now);
+  void LogAbandoned(const std::vector<AbandonedRun>& runs, TimePoint now);
 
   SuspectTable table;
   bool notes_outdated = false;
@@ -113,6 +124,7 @@
   std::vector<SuspectNote> relayed;
   // Runs whose connection broke recently.
   std::vector<std::pair<TimePoint, Fingerprint>> broken_runs;
+  AbandonedRuns abandoned;
   // Runs that started before this are blamed for that crash or cannot be.
   TimePoint last_crash_at;
 };
--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -203,6 +203,7 @@
       this->MarkUpstreamLost(CrashSign::kAnotherProcess);
     } else {
       OnUpstreamResponse(this->lease, now);
+      this->crash_evidence.OnUpstreamAlive();
       const HttpHeaders& sent = run.frame.request.headers;
       this->HearUpstream(FindHeader(sent, this->names.expected_instance),
                          FindHeader(sent, kHeaderRequestId),
@@ -241,7 +242,7 @@
   const auto found = this->runs.find(id);
   if (found == this->runs.end() || found->second.call == nullptr)
     return;
-  this->pool.Cancel(std::exchange(found->second.call, nullptr));
+  this->AbandonRun(found->second);
   ResultFrame frame;
   frame.call_id = id;
   frame.error = ErrorKind::kTimeout;
@@ -302,10 +303,20 @@
   // open, it would run the request although nobody waits for the response.
   if (!run.frame.idempotent && LoopClient::MayHaveSent(run.call))
     return;
-  this->pool.Cancel(std::exchange(run.call, nullptr));
+  this->AbandonRun(run);
   this->Finish(id, false, {});
 }
 
+void Gate::AbandonRun(GateRun& run) {
+  if (LoopClient::MayHaveSent(run.call)) {
+    const HttpHeaders& headers = run.frame.request.headers;
+    this->crash_evidence.OnAbandonedRun(
+        {run.fingerprint, std::string(FindHeader(headers, kHeaderRequestId)),
+         SteadyNow(), run.deadline});
+  }
+  this->pool.Cancel(std::exchange(run.call, nullptr));
+}
+
 LeaseState Gate::ServiceState(TimePoint now) const {
   const LeaseState state = StateOf(this->lease, now);
   if (state != LeaseState::kReady)
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -183,6 +183,8 @@
   void LogReservation();
   // Requests that may have reached the upstream and have no result yet.
   [[nodiscard]] std::vector<Fingerprint> RunsAtUpstream() const;
+  // Stops waiting for a response; the upstream may go on working.
+  void AbandonRun(GateRun& run);
   // Checks soon whether the upstream still listens. True if the check has
   // begun, so that its outcome is worth waiting for.
   bool CheckUpstreamListening();
