Crashing requests: a run that nobody waits for any more is blamed, too

What callers saw: a request that ends each upstream went on ending them (BUDGET: "sent to servers 8 times more; 13 ended in all"), while requests that merely ran beside it were blamed and refused in its place.

Cause: when a caller leaves or a deadline passes, the gate closes the connection and forgets the run, but the upstream may work on. A crash blamed only what was in flight or broke with it. With nothing in flight no crash was counted at all.

An end that was not announced counts as a crash if only such runs were left; also when the next thing heard is another process's heartbeat. A clean run clears as before.

Why it works: the request that ends an upstream is in flight or abandoned at that moment, so each crash now counts against it, and three are enough.

--- a/src/edge/crash_evidence.cc
+++ b/src/edge/crash_evidence.cc
@@ -42,7 +42,8 @@
 
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(CrashSign::kCount)>
-    kSignNames = {"not-listening", "no-connection", "another-process-answered"};
+    kSignNames = {"not-listening", "no-connection", "another-process-answered",
+                  "replaced"};
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(SuspectEvent::kCount)>
     kEventNames = {"blamed", "received", "cleared", "refused", "abandoned"};
@@ -139,8 +140,7 @@
     DropSurvived(this->abandoned, SteadyNow());
 }
 
-bool CrashEvidence::OnUpstreamGone(CrashSign sign,
-                                   std::string_view instance,
+bool CrashEvidence::OnUpstreamGone(const UpstreamEnd& end,
                                    std::span<const Fingerprint> in_flight) {
   const TimePoint now = SteadyNow();
   std::vector<Fingerprint> blamed_runs;
@@ -151,17 +151,21 @@
   this->broken_runs.clear();
   const std::vector<AbandonedRun> abandoned_runs =
       TakeAbandoned(this->abandoned, now);
-  if (blamed_runs.empty())
+  const bool crashed =
+      !blamed_runs.empty() || (!abandoned_runs.empty() && !end.announced);
+  if (!crashed)
     return false;
+  for (const AbandonedRun& run : abandoned_runs)
+    blamed_runs.push_back(run.fingerprint);
   blamed_runs.insert(blamed_runs.end(), in_flight.begin(), in_flight.end());
   this->last_crash_at = now;
   const auto rows = OnCrash(this->table, blamed_runs, now);
   this->notes_outdated = true;
-  this->crashes.Add(sign);
+  this->crashes.Add(end.sign);
   this->events.Add(SuspectEvent::kBlamed, rows.size());
   Log(LogLevel::kWarning, "gate", "upstream-crashed",
-      {{"instance", instance},
-       {"sign", NameOf(sign)},
+      {{"instance", end.instance},
+       {"sign", NameOf(end.sign)},
        {"requests_blamed", rows.size()},
        {"abandoned", abandoned_runs.size()},
        {"rows", this->CountRows()}});
--- a/src/edge/crash_evidence.h
+++ b/src/edge/crash_evidence.h
@@ -26,9 +26,19 @@
   kNotListening,
   kNoConnection,
   kAnotherProcess,
+  // Another process has sent a heartbeat from its address.
+  kReplaced,
   kCount,
 };
 
+// The end of an upstream's process, as this node noticed it.
+struct UpstreamEnd {
+  CrashSign sign = CrashSign::kNotListening;
+  std::string_view instance;
+  // It had said that it would leave.
+  bool announced = false;
+};
+
 enum class SuspectEvent : std::uint8_t {
   // A request that ran when the upstream crashed.
   kBlamed,
@@ -84,13 +94,14 @@
   // The upstream has responded to a request.
   void OnUpstreamAlive();
 
-  // The upstream's process `instance` is gone. It has crashed if connections
-  // broke right before. Each request that ran on them is blamed, and each one
-  // `in_flight` there: the connection of the request that crashed it may break
-  // last. Its caller would retry it, and it would crash one upstream after the
-  // other. True if requests were blamed.
-  bool OnUpstreamGone(CrashSign sign,
-                      std::string_view instance,
+  // The upstream's process is gone. It has crashed if connections broke right
+  // before, or if it ended unannounced while it may have worked on abandoned
+  // runs. Blamed is each request that ran on these connections, each one
+  // `in_flight` there, as the connection of the request that crashed it may
+  // break last, and each abandoned one. The cause must be among them: its
+  // caller would retry it, and it would crash one upstream after the other.
+  // True if requests were blamed.
+  bool OnUpstreamGone(const UpstreamEnd& end,
                       std::span<const Fingerprint> in_flight);
 
   // The upstream responded with `status` to the request.
@@ -109,6 +120,10 @@
   void Tick(TimePoint now);
 
   [[nodiscard]] std::size_t CountRows() const;
+  // Abandoned runs that can no longer be blamed, as there were too many.
+  [[nodiscard]] std::uint64_t CountDroppedRuns() const {
+    return this->abandoned.dropped;
+  }
 
   CounterTable<CrashSign> crashes;
   CounterTable<SuspectEvent> events;
--- a/src/edge/gate_upstream.cc
+++ b/src/edge/gate_upstream.cc
@@ -159,9 +159,13 @@
 
 HeartbeatResult Gate::OnHeartbeat(const UpstreamHeartbeat& heartbeat) {
   const std::optional<UpstreamHeartbeat> before = this->lease.current;
+  const bool announced =
+      before && HasAnnouncedLeave(this->lease, before->instance);
   const HeartbeatResult result =
       ApplyHeartbeat(this->lease, heartbeat, SteadyNow());
   if (before && IsAnotherProcess(*before, *this->lease.current)) {
+    this->crash_evidence.OnUpstreamGone(
+        {CrashSign::kReplaced, before->instance, announced}, {});
     this->process_since = SteadyNow();
     this->gatekeeper.speed = {};
     this->work_level = {};
@@ -292,7 +296,9 @@
   const std::vector<Fingerprint> in_flight = sign == CrashSign::kAnotherProcess
                                                  ? std::vector<Fingerprint>{}
                                                  : this->RunsAtUpstream();
-  if (this->crash_evidence.OnUpstreamGone(sign, instance, in_flight))
+  const UpstreamEnd end{sign, instance,
+                        HasAnnouncedLeave(this->lease, instance)};
+  if (this->crash_evidence.OnUpstreamGone(end, in_flight))
     this->on_status_change();
   OnUpstreamUnreachable(this->lease);
   Log(LogLevel::kWarning, "gate", "upstream-unreachable",
--- a/src/edge/metrics.cc
+++ b/src/edge/metrics.cc
@@ -90,6 +90,8 @@
   AppendValue(text, "suspect_rows", "", "", crashes.CountRows());
   AppendValue(text, "suspect_rows_reported", "", "",
               crashes.Reported(SteadyNow()).size());
+  AppendValue(text, "abandoned_runs_dropped_total", "", "",
+              crashes.CountDroppedRuns());
   AppendTable(text, "listener_total", "event", node.outbound.counters);
   AppendTable(text, "upstream_connections_total", "event",
               node.gate.pool.counters);
--- a/tests/unit/crash_evidence_test.cc
+++ b/tests/unit/crash_evidence_test.cc
@@ -14,6 +14,7 @@
 
 constexpr Fingerprint kBrokenFirst = 1;
 constexpr Fingerprint kBrokenLast = 2;
+constexpr Fingerprint kAbandoned = 3;
 
 // Crashes counted against the request, as reported to other nodes.
 std::uint32_t ReportedCrashes(CrashEvidence& evidence,
@@ -36,9 +37,9 @@
   evidence.OnBrokenRun(kBrokenFirst, started);
   const std::vector<Fingerprint> in_flight = {kBrokenLast};
   cr_assert(
-      evidence.OnUpstreamGone(CrashSign::kNotListening, "i-1", in_flight));
+      evidence.OnUpstreamGone({CrashSign::kNotListening, "i-1"}, in_flight));
   evidence.OnBrokenRun(kBrokenLast, started);
-  cr_assert_not(evidence.OnUpstreamGone(CrashSign::kNoConnection, "i-1", {}));
+  cr_assert_not(evidence.OnUpstreamGone({CrashSign::kNoConnection, "i-1"}, {}));
   cr_assert_eq(ReportedCrashes(evidence, kBrokenFirst), 1U);
   cr_assert_eq(ReportedCrashes(evidence, kBrokenLast), 1U);
 }
@@ -50,11 +51,52 @@
   CrashEvidence evidence;
   const std::vector<Fingerprint> in_flight = {kBrokenLast};
   cr_assert_not(
-      evidence.OnUpstreamGone(CrashSign::kNotListening, "i-1", in_flight));
+      evidence.OnUpstreamGone({CrashSign::kNotListening, "i-1"}, in_flight));
   evidence.OnBrokenRun(kBrokenFirst, SteadyNow());
   cr_assert(evidence.IsEmpty());
 }
 
+AbandonedRun AbandonedNow(Fingerprint fingerprint) {
+  const TimePoint now = SteadyNow();
+  return {fingerprint, "q-1", now, now + std::chrono::milliseconds(400)};
+}
+
+// Guards against a request whose callers leave before it crashes the upstream:
+// what runs beside it would be blamed in its place.
+Test(crash_evidence, an_abandoned_run_is_blamed_with_those_in_flight) {
+  CrashEvidence evidence;
+  evidence.SetOrigin(1);
+  evidence.OnAbandonedRun(AbandonedNow(kAbandoned));
+  evidence.OnBrokenRun(kBrokenFirst, SteadyNow());
+  cr_assert(evidence.OnUpstreamGone({CrashSign::kNotListening, "i-1"}, {}));
+  cr_assert_eq(ReportedCrashes(evidence, kAbandoned), 1U);
+  cr_assert_eq(ReportedCrashes(evidence, kBrokenFirst), 1U);
+}
+
+// Guards against taking a planned stop for a crash: callers left while the
+// upstream was leaving.
+Test(crash_evidence, an_announced_end_blames_no_abandoned_run) {
+  CrashEvidence evidence;
+  evidence.OnAbandonedRun(AbandonedNow(kAbandoned));
+  cr_assert_not(
+      evidence.OnUpstreamGone({CrashSign::kNoConnection, "i-1", true}, {}));
+  cr_assert(evidence.IsEmpty());
+  evidence.OnAbandonedRun(AbandonedNow(kAbandoned));
+  cr_assert(evidence.OnUpstreamGone({CrashSign::kReplaced, "i-1"}, {}));
+}
+
+// Guards against refusing a proper request whose callers often leave: it ran
+// beside three crashes, and a response shows that it is harmless.
+Test(crash_evidence, a_clean_run_clears_what_abandoned_runs_were_blamed_for) {
+  CrashEvidence evidence;
+  for (int i = 0; i < 3; ++i) {
+    evidence.OnAbandonedRun(AbandonedNow(kAbandoned));
+    (void)evidence.OnUpstreamGone({CrashSign::kNoConnection, "i-1"}, {});
+    evidence.OnResponse(kAbandoned, "q-2", 200);
+  }
+  cr_assert_not(evidence.Refuses(kAbandoned, "q-3"));
+}
+
 // Guards against rows that live on: a node that starts gets the notes of
 // the last change, however long ago, and takes their remaining time from then.
 Test(crash_evidence, expired_rows_are_not_reported) {
@@ -62,7 +104,7 @@
   const TimePoint now = SteadyNow();
   for (int i = 0; i < 3; ++i) {
     evidence.OnBrokenRun(kBrokenFirst, SteadyNow());
-    (void)evidence.OnUpstreamGone(CrashSign::kNotListening, "i-1", {});
+    (void)evidence.OnUpstreamGone({CrashSign::kNotListening, "i-1"}, {});
   }
   cr_assert_not(evidence.Reported(now).empty());
   evidence.Tick(now + std::chrono::minutes(3));
