Crashing requests: what waits at a gate is asked again before it starts

Cause: a gate refuses a request that has crashed three upstreams when it arrives. One that waited for a slot while the third crash became known started all the same, up to its whole deadline later, and ended one more.

Change: the gate asks again at the start and refuses it there; its slot goes to the next one.

Measured: gate::what_waits_is_not_started_once_it_is_refused failed before (the request ran), passes now.

--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -112,14 +112,8 @@
     this->Refuse(id, {id, kind, kMinRetryAfter});
     return;
   }
-  if (this->crash_evidence.Refuses(
-          held.fingerprint,
-          FindHeader(held.frame.request.headers, kHeaderRequestId))) {
-    this->gatekeeper.refusals.Add(ErrorKind::kCrashSuspect);
-    this->Refuse(id, {id, ErrorKind::kCrashSuspect,
-                      this->crash_evidence.RefusedFor(held.fingerprint)});
+  if (this->RefuseSuspect(id, held))
     return;
-  }
   const ArrivalResult arrived =
       Arrive(this->gatekeeper, arrival, now, this->rng);
   if (arrived.evicted)
@@ -136,6 +130,17 @@
     this->ScheduleExpiry();
 }
 
+bool Gate::RefuseSuspect(std::uint64_t id, const GateRun& run) {
+  const HttpHeaders& headers = run.frame.request.headers;
+  if (!this->crash_evidence.Refuses(run.fingerprint,
+                                    FindHeader(headers, kHeaderRequestId)))
+    return false;
+  this->gatekeeper.refusals.Add(ErrorKind::kCrashSuspect);
+  this->Refuse(id, {id, ErrorKind::kCrashSuspect,
+                    this->crash_evidence.RefusedFor(run.fingerprint)});
+  return true;
+}
+
 void Gate::Start(std::uint64_t id) {
   const auto found = this->runs.find(id);
   const TimePoint now = SteadyNow();
@@ -146,6 +151,12 @@
     return;
   }
   GateRun& run = found->second;
+  // What is known of it may have changed while it waited.
+  if (this->RefuseSuspect(id, run)) {
+    this->Apply(teaselspread::Finish(this->gatekeeper, id, Duration{0}, false,
+                                     now, this->rng));
+    return;
+  }
   run.started = now;
   ++this->starts;
   HttpRequest& request = run.frame.request;
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -228,6 +228,8 @@
   // The limit has changed: reports it, and applies it to what waits.
   void OnLimitSet();
   void MarkHeard();
+  // Refuses the request if it has crashed too many upstreams.
+  bool RefuseSuspect(std::uint64_t id, const GateRun& run);
   void Start(std::uint64_t id);
   void Finish(std::uint64_t id, bool counts, const ResultFrame& result);
   void OnCallEnd(std::uint64_t id, CallResult result);
