Crashing requests: a response that says it did not run clears no suspicion

Cause: the gate passes a 400 on to its caller even if the upstream says that it did not run the request, and counted it as a clean run, which ended the suspicion.

Measured: gate::a_response_without_a_run_clears_no_suspicion failed before, passes now.

--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -233,9 +233,11 @@
       frame.response = {};
     } else {
       counts = true;
-      this->crash_evidence.OnResponse(
-          run.fingerprint,
-          FindHeader(run.frame.request.headers, kHeaderRequestId), status);
+      if (!says_not_run) {
+        this->crash_evidence.OnResponse(
+            run.fingerprint,
+            FindHeader(run.frame.request.headers, kHeaderRequestId), status);
+      }
     }
   } else if (result.error == ErrorKind::kConnectFailed) {
     this->MarkUpstreamLost(CrashSign::kNoConnection);
--- a/tests/contract/gate_test.cc
+++ b/tests/contract/gate_test.cc
@@ -69,9 +69,9 @@
   std::optional<ResultFrame> served;
   std::optional<ResultFrame> refused;
   gate.Run(1, FrameFor("/view/1"),
-           [&](ResultFrame result) { served = result; });
+           [&](const ResultFrame& result) { served = result; });
   const RunFrame suspect = FrameFor("/view/poison");
-  gate.Run(2, suspect, [&](ResultFrame result) { refused = result; });
+  gate.Run(2, suspect, [&](const ResultFrame& result) { refused = result; });
   cr_assert_eq(CountWaiting(gate.AdmissionState()), 1);
   constexpr std::uint32_t kMinutes = 5;
   gate.crash_evidence.Merge("b-1", {{FingerprintOf(suspect.request, ""), 1,
@@ -87,5 +87,35 @@
   cr_assert_eq(gate.CountRunning(), 0U, "its slot is free");
 }
 
+// Guards against a request that goes on crashing upstreams because a response
+// which says that it did not run counts as proof that it is harmless.
+Test(gate, a_response_without_a_run_clears_no_suspicion) {
+  ScriptedPeer upstream([&](const RawSocket& socket, int) {
+    (void)ScriptedPeer::ReadHead(socket);
+    socket.Send(
+        "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nX-Not-Run: 1\r\n"
+        "X-Request-Id: q-/view/poison\r\n\r\n");
+    upstream.StaySilent(socket);
+  });
+  boost::asio::io_context io;
+  Gate gate(io, kNames, LeaseSettings{});
+  gate.SetUpstreamAddress(upstream.At());
+  gate.SetOrdersKnown();
+  (void)gate.OnHeartbeat(HeartbeatOf(1));
+  const RunFrame suspect = FrameFor("/view/poison");
+  const Fingerprint fingerprint = FingerprintOf(suspect.request, "");
+  constexpr std::uint32_t kMinutes = 5;
+  gate.crash_evidence.Merge("b-1", {{fingerprint, 1, 2, 0, kMinutes}});
+  std::optional<ResultFrame> result;
+  gate.Run(1, suspect, [&](const ResultFrame& frame) { result = frame; });
+  const TimePoint end = SteadyNow() + 3s;
+  while (!result && SteadyNow() < end)
+    io.run_for(10ms);
+  cr_assert(result.has_value() && result->has_response);
+  cr_assert_eq(result->response.status, 400);
+  gate.crash_evidence.Merge("b-2", {{fingerprint, 2, 1, 0, kMinutes}});
+  cr_assert(gate.crash_evidence.Refuses(fingerprint, "q-2"));
+}
+
 }  // namespace
 }  // namespace teaselspread
