Crashing requests: a run that timed out at its upstream is blamed for its crash

Cause: a 504 of the upstream ended the run for the gate; the upstream worked on, and crashed.

Change: such a run counts as abandoned.

Measured: gate::a_run_that_timed_out_at_the_upstream_is_blamed_for_its_crash failed before.

--- a/src/edge/abandoned_runs.h
+++ b/src/edge/abandoned_runs.h
@@ -1,6 +1,7 @@
 // Runs that the gate no longer waits for, since their callers have left or
-// their deadlines have passed, and that the upstream may still be working on.
-// If it crashes, one of them may be the cause.
+// their deadlines have passed, and that the upstream may still be working on,
+// even if it has responded with a time-out. If it crashes, one of them may be
+// the cause.
 //
 // Pure: the caller passes the time in. Not thread safe.
 #ifndef TEASELSPREAD_SRC_EDGE_ABANDONED_RUNS_H_
--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -31,6 +31,7 @@
 constexpr int kFirstRedirect = 300;
 constexpr int kHttpMisdirected = 421;
 constexpr int kHttpBadRequest = 400;
+constexpr int kHttpGatewayTimeout = 504;
 constexpr std::int64_t kMicrosPerMilli = 1000;
 
 std::uint32_t MillisOf(Duration span) {
@@ -233,11 +234,8 @@
       frame.response = {};
     } else {
       counts = true;
-      if (!says_not_run) {
-        this->crash_evidence.OnResponse(
-            run.fingerprint,
-            FindHeader(run.frame.request.headers, kHeaderRequestId), status);
-      }
+      if (!says_not_run)
+        this->RecordEvidence(run, status);
     }
   } else if (result.error == ErrorKind::kConnectFailed) {
     this->MarkUpstreamLost(CrashSign::kNoConnection);
@@ -321,15 +319,27 @@
 }
 
 void Gate::AbandonRun(GateRun& run) {
-  if (LoopClient::MayHaveSent(run.call)) {
-    const HttpHeaders& headers = run.frame.request.headers;
-    this->crash_evidence.OnAbandonedRun(
-        {run.fingerprint, std::string(FindHeader(headers, kHeaderRequestId)),
-         SteadyNow(), run.deadline});
-  }
+  if (LoopClient::MayHaveSent(run.call))
+    this->KeepAbandoned(run);
   this->pool.Cancel(std::exchange(run.call, nullptr));
 }
 
+void Gate::KeepAbandoned(const GateRun& run) {
+  const HttpHeaders& headers = run.frame.request.headers;
+  this->crash_evidence.OnAbandonedRun(
+      {run.fingerprint, std::string(FindHeader(headers, kHeaderRequestId)),
+       SteadyNow(), run.deadline});
+}
+
+// An upstream that responds at the deadline may go on working.
+void Gate::RecordEvidence(const GateRun& run, int status) {
+  const HttpHeaders& headers = run.frame.request.headers;
+  this->crash_evidence.OnResponse(
+      run.fingerprint, FindHeader(headers, kHeaderRequestId), status);
+  if (status == kHttpGatewayTimeout)
+    this->KeepAbandoned(run);
+}
+
 LeaseState Gate::ServiceState(TimePoint now) const {
   const LeaseState state = StateOf(this->lease, now);
   if (state != LeaseState::kReady)
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -185,6 +185,11 @@
   [[nodiscard]] std::vector<Fingerprint> RunsAtUpstream() const;
   // Stops waiting for a response; the upstream may go on working.
   void AbandonRun(GateRun& run);
+  // The upstream may still be working on a run that is over for this node.
+  void KeepAbandoned(const GateRun& run);
+  // What the status of its response says about a request that may crash
+  // upstreams.
+  void RecordEvidence(const GateRun& run, int status);
   // Checks soon whether the upstream still listens. True if the check has
   // begun, so that its outcome is worth waiting for.
   bool CheckUpstreamListening();
--- a/tests/contract/gate_test.cc
+++ b/tests/contract/gate_test.cc
@@ -117,5 +117,36 @@
   cr_assert(gate.crash_evidence.Refuses(fingerprint, "q-2"));
 }
 
+// Guards against a request that goes on crashing upstreams because its run had
+// been answered with a time-out right before: the upstream still worked on it.
+Test(gate, a_run_that_timed_out_at_the_upstream_is_blamed_for_its_crash) {
+  ScriptedPeer upstream([&](const RawSocket& socket, int) {
+    (void)ScriptedPeer::ReadHead(socket);
+    socket.Send(
+        "HTTP/1.1 504 Gateway Timeout\r\nContent-Length: 0\r\n"
+        "X-Signature: s\r\nX-Request-Id: q-/view/poison\r\n\r\n");
+    upstream.StaySilent(socket);
+  });
+  boost::asio::io_context io;
+  Gate gate(io, kNames, LeaseSettings{});
+  gate.SetUpstreamAddress(upstream.At());
+  gate.SetOrdersKnown();
+  UpstreamHeartbeat heartbeat = HeartbeatOf(1);
+  (void)gate.OnHeartbeat(heartbeat);
+  std::optional<ResultFrame> result;
+  gate.Run(1, FrameFor("/view/poison"),
+           [&](const ResultFrame& frame) { result = frame; });
+  const TimePoint end = SteadyNow() + 3s;
+  while (!result && SteadyNow() < end)
+    io.run_for(10ms);
+  cr_assert(result.has_value() && result->has_response);
+  cr_assert(gate.crash_evidence.IsEmpty());
+  // It has crashed, and another process has started.
+  heartbeat.instance = "i-2";
+  heartbeat.born_ms = 2;
+  (void)gate.OnHeartbeat(heartbeat);
+  cr_assert_eq(gate.crash_evidence.Reported(SteadyNow()).size(), 1U);
+}
+
 }  // namespace
 }  // namespace teaselspread
