--- a/tests/contract/gate_test.cc
+++ b/tests/contract/gate_test.cc
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <thread>
@@ -25,6 +26,8 @@
                                 "X-Instance", "X-Load",    "X-Warm-Up",
                                 "X-Limit",    "X-Leaving"};
 
+const std::string kPoison = "/view/poison";
+
 RunFrame FrameFor(const std::string& path) {
   RunFrame frame;
   frame.route = "r-view";
@@ -37,17 +40,55 @@
   return frame;
 }
 
-UpstreamHeartbeat HeartbeatOf(int slots) {
+UpstreamHeartbeat HeartbeatOf(const std::string& instance,
+                              std::int64_t born_ms) {
   UpstreamHeartbeat heartbeat;
-  heartbeat.instance = "i-1";
+  heartbeat.instance = instance;
   heartbeat.service = "desk";
   heartbeat.version = "v1";
-  heartbeat.slots = slots;
-  heartbeat.born_ms = 1;
+  heartbeat.slots = 1;
+  heartbeat.born_ms = born_ms;
   heartbeat.sequence = 1;
   return heartbeat;
 }
 
+// A gate that runs one request at a time at the upstream behind `address`.
+struct TestGate {
+  boost::asio::io_context io;
+  Gate gate{this->io, kNames, LeaseSettings{}};
+
+  explicit TestGate(const Address& address) {
+    this->gate.SetUpstreamAddress(address);
+    this->gate.SetOrdersKnown();
+    (void)this->gate.OnHeartbeat(HeartbeatOf("i-1", 1));
+  }
+
+  void RunUntil(const std::function<bool()>& done) {
+    const TimePoint end = SteadyNow() + 3s;
+    while (!done() && SteadyNow() < end)
+      this->io.run_for(10ms);
+  }
+
+  // The result of a request; nullopt if none came in time.
+  std::optional<ResultFrame> Run(const RunFrame& frame) {
+    std::optional<ResultFrame> result;
+    this->gate.Run(1, frame, [&](const ResultFrame& got) { result = got; });
+    this->RunUntil([&] { return result.has_value(); });
+    return result;
+  }
+};
+
+// Another node reports `crashes` upstreams that the request has crashed.
+void ReportCrashes(Gate& gate,
+                   const std::string& node,
+                   std::uint64_t origin,
+                   std::uint32_t crashes) {
+  constexpr std::uint32_t kMinutes = 5;
+  const Fingerprint fingerprint = FingerprintOf(FrameFor(kPoison).request, "");
+  gate.crash_evidence.Merge(node,
+                            {{fingerprint, origin, crashes, 0, kMinutes}});
+}
+
 // Guards against one more crash of an upstream: the request waited for a slot
 // when its third crash became known elsewhere, and started all the same.
 Test(gate, what_waits_is_not_started_once_it_is_refused) {
@@ -61,30 +102,22 @@
           "X-Request-Id: q-/view/1\r\n\r\n");
     }
   });
-  boost::asio::io_context io;
-  Gate gate(io, kNames, LeaseSettings{});
-  gate.SetUpstreamAddress(upstream.At());
-  gate.SetOrdersKnown();
-  (void)gate.OnHeartbeat(HeartbeatOf(1));
+  TestGate test(upstream.At());
   std::optional<ResultFrame> served;
   std::optional<ResultFrame> refused;
-  gate.Run(1, FrameFor("/view/1"),
-           [&](const ResultFrame& result) { served = result; });
-  const RunFrame suspect = FrameFor("/view/poison");
-  gate.Run(2, suspect, [&](const ResultFrame& result) { refused = result; });
-  cr_assert_eq(CountWaiting(gate.AdmissionState()), 1);
-  constexpr std::uint32_t kMinutes = 5;
-  gate.crash_evidence.Merge("b-1", {{FingerprintOf(suspect.request, ""), 1,
-                                     /*crashes=*/3, 0, kMinutes}});
-  const TimePoint end = SteadyNow() + 3s;
-  while (!(served && refused) && SteadyNow() < end)
-    io.run_for(10ms);
+  test.gate.Run(1, FrameFor("/view/1"),
+                [&](const ResultFrame& result) { served = result; });
+  test.gate.Run(2, FrameFor(kPoison),
+                [&](const ResultFrame& result) { refused = result; });
+  cr_assert_eq(CountWaiting(test.gate.AdmissionState()), 1);
+  ReportCrashes(test.gate, "b-1", 1, 3);
+  test.RunUntil([&] { return served && refused; });
   cr_assert(served.has_value() && served->has_response);
   cr_assert(refused.has_value());
   cr_assert_eq(refused->error, ErrorKind::kCrashSuspect);
   cr_assert_eq(refused->execution, Execution::kNotRun);
   cr_assert_eq(requests, 1);
-  cr_assert_eq(gate.CountRunning(), 0U, "its slot is free");
+  cr_assert_eq(test.gate.CountRunning(), 0U, "its slot is free");
 }
 
 // Guards against a request that goes on crashing upstreams because a response
@@ -97,24 +130,14 @@
         "X-Request-Id: q-/view/poison\r\n\r\n");
     upstream.StaySilent(socket);
   });
-  boost::asio::io_context io;
-  Gate gate(io, kNames, LeaseSettings{});
-  gate.SetUpstreamAddress(upstream.At());
-  gate.SetOrdersKnown();
-  (void)gate.OnHeartbeat(HeartbeatOf(1));
-  const RunFrame suspect = FrameFor("/view/poison");
-  const Fingerprint fingerprint = FingerprintOf(suspect.request, "");
-  constexpr std::uint32_t kMinutes = 5;
-  gate.crash_evidence.Merge("b-1", {{fingerprint, 1, 2, 0, kMinutes}});
-  std::optional<ResultFrame> result;
-  gate.Run(1, suspect, [&](const ResultFrame& frame) { result = frame; });
-  const TimePoint end = SteadyNow() + 3s;
-  while (!result && SteadyNow() < end)
-    io.run_for(10ms);
+  TestGate test(upstream.At());
+  ReportCrashes(test.gate, "b-1", 1, 2);
+  const auto result = test.Run(FrameFor(kPoison));
   cr_assert(result.has_value() && result->has_response);
   cr_assert_eq(result->response.status, 400);
-  gate.crash_evidence.Merge("b-2", {{fingerprint, 2, 1, 0, kMinutes}});
-  cr_assert(gate.crash_evidence.Refuses(fingerprint, "q-2"));
+  ReportCrashes(test.gate, "b-2", 2, 1);
+  const Fingerprint fingerprint = FingerprintOf(FrameFor(kPoison).request, "");
+  cr_assert(test.gate.crash_evidence.Refuses(fingerprint, "q-2"));
 }
 
 // Guards against a request that goes on crashing upstreams because its run had
@@ -127,25 +150,13 @@
         "X-Signature: s\r\nX-Request-Id: q-/view/poison\r\n\r\n");
     upstream.StaySilent(socket);
   });
-  boost::asio::io_context io;
-  Gate gate(io, kNames, LeaseSettings{});
-  gate.SetUpstreamAddress(upstream.At());
-  gate.SetOrdersKnown();
-  UpstreamHeartbeat heartbeat = HeartbeatOf(1);
-  (void)gate.OnHeartbeat(heartbeat);
-  std::optional<ResultFrame> result;
-  gate.Run(1, FrameFor("/view/poison"),
-           [&](const ResultFrame& frame) { result = frame; });
-  const TimePoint end = SteadyNow() + 3s;
-  while (!result && SteadyNow() < end)
-    io.run_for(10ms);
+  TestGate test(upstream.At());
+  const auto result = test.Run(FrameFor(kPoison));
   cr_assert(result.has_value() && result->has_response);
-  cr_assert(gate.crash_evidence.IsEmpty());
+  cr_assert(test.gate.crash_evidence.IsEmpty());
   // It has crashed, and another process has started.
-  heartbeat.instance = "i-2";
-  heartbeat.born_ms = 2;
-  (void)gate.OnHeartbeat(heartbeat);
-  cr_assert_eq(gate.crash_evidence.Reported(SteadyNow()).size(), 1U);
+  (void)test.gate.OnHeartbeat(HeartbeatOf("i-2", 2));
+  cr_assert_eq(test.gate.crash_evidence.Reported(SteadyNow()).size(), 1U);
 }
 
 }  // namespace
