Callers that have left: their requests are dropped when they are read

Cause: a node that is behind reads a request when its caller's close has arrived as well, and sent it on before it read the close.

Change: the listener looks for the close before it hands a request over, and drops the request. A close ended the connection before, too, also where the caller had only ended its own direction.

Measured: http_listener::a_request_whose_caller_has_left_is_not_handled failed before.

--- a/src/edge/http_listener.cc
+++ b/src/edge/http_listener.cc
@@ -1,5 +1,7 @@
 #include "edge/http_listener.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <deque>
@@ -37,9 +39,10 @@
 
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(ListenerEvent::kCount)>
-    kNames = {"accepted",      "request",        "bad-request",
-              "headers-large", "body-too-large", "header-timeout",
-              "idle-closed",   "caller-left",    "accept-failed"};
+    kNames = {"accepted",        "request",        "bad-request",
+              "headers-large",   "body-too-large", "header-timeout",
+              "idle-closed",     "caller-left",    "accept-failed",
+              "left-before-read"};
 
 struct Refusal {
   ErrorKind kind;
@@ -105,6 +108,9 @@
   void OnBytes(std::size_t bytes);
   void Parse();
   void DispatchRequest();
+  // Whether the close of the connection has arrived, which the loop has not
+  // processed yet.
+  [[nodiscard]] bool CallerHasClosed();
   void RefuseAndClose(boost::system::error_code error);
   void OnCallerDisconnected();
 
@@ -200,7 +206,19 @@
   }
 }
 
+bool HttpSession::CallerHasClosed() {
+  char byte = 0;
+  return ::recv(this->socket.native_handle(), &byte, 1,
+                MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void HttpSession::DispatchRequest() {
+  // On a busy node a request may be read after its caller has given up.
+  if (this->CallerHasClosed()) {
+    this->listener->counters.Add(ListenerEvent::kLeftBeforeRead);
+    this->OnCallerDisconnected();
+    return;
+  }
   auto& message = this->parser->get();
   ExchangePtr exchange(new Exchange);
   exchange->session = this;
--- a/src/edge/http_listener.h
+++ b/src/edge/http_listener.h
@@ -64,6 +64,8 @@
   kIdleClosed,
   kCallerDisconnected,
   kAcceptFailed,
+  // The caller had closed the connection when its request was read.
+  kLeftBeforeRead,
   kCount,
 };
 
--- a/tests/contract/http_listener_test.cc
+++ b/tests/contract/http_listener_test.cc
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <atomic>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <thread>
@@ -157,6 +159,29 @@
   server.RunOnLoop([&waiting] { waiting.clear(); });
 }
 
+// Guards against work for nobody on a busy node: when it reads a request, the
+// caller's close has arrived as well, and an upstream would run it all the
+// same.
+Test(http_listener, a_request_whose_caller_has_left_is_not_handled) {
+  std::atomic<int> handled{0};
+  Server server([&](const ExchangePtr&) { ++handled; });
+  // The loop can read nothing before both have arrived.
+  server.RunOnLoop([&] {
+    const RawSocket caller = RawSocket::ConnectTo(server.address.port);
+    caller.Send(GetText("/a"));
+    caller.EndAndWait();
+  });
+  std::uint64_t dropped = 0;
+  for (int i = 0; i < 500 && dropped == 0 && handled == 0; ++i) {
+    std::this_thread::sleep_for(Ms(2));
+    server.RunOnLoop([&] {
+      dropped = server.listener.counters.Get(ListenerEvent::kLeftBeforeRead);
+    });
+  }
+  cr_assert_eq(handled, 0);
+  cr_assert_eq(dropped, 1U);
+}
+
 // The process stops while two requests of one connection run. "Connection:
 // close" in the first response would abort the second request, which an
 // upstream is running already.
