--- a/tests/support/quota_fleet.h
+++ b/tests/support/quota_fleet.h
@@ -105,6 +105,10 @@
     this->UpdateAllLinks(detected_after);
   }
 
+  // From now on processes start without the roster. They know only nodes that
+  // open links to them, and admit no request before the grace period has ended.
+  void MakeRosterUnreadable() { this->roster_unreadable = true; }
+
   // Starts a process with the roster and no links; links follow.
   void Restart(int node, Duration linked_after) {
     this->Start(node);
@@ -184,6 +188,7 @@
   static constexpr TimePoint kEpoch{std::chrono::hours(1)};
   static constexpr Duration kAskTimeout = std::chrono::milliseconds(100);
   static constexpr Duration kTick = std::chrono::milliseconds(100);
+  static constexpr Duration kRosterGrace = std::chrono::seconds(2);
   static constexpr Duration kAskAgain = std::chrono::milliseconds(500);
   static constexpr std::string_view kAccount = "account-7";
   // Links are not lost and found by all nodes at the same moment.
@@ -202,6 +207,9 @@
 
   struct Node {
     bool up = false;
+    // Its process has not read the roster since its start.
+    bool without_roster = false;
+    TimePoint started;
     int incarnation = 0;
     TimePoint suspended_until;
     Duration clock_offset{};
@@ -273,8 +281,12 @@
     node.limit = this->options.limit;
     node.reaches.assign(this->nodes.size(), false);
     node.census.self = this->NameOf(index);
-    for (const std::string& name : this->names)
-      OnNodeKnown(node.census, name, this->now);
+    node.started = this->now;
+    node.without_roster = this->roster_unreadable;
+    if (!node.without_roster) {
+      for (const std::string& name : this->names)
+        OnNodeKnown(node.census, name, this->now);
+    }
     this->SelectLender(index);
   }
 
@@ -295,6 +307,8 @@
     for (int other = 0; other < this->options.nodes; ++other) {
       if (other == index)
         continue;
+      if (node.without_roster && this->Of(other).without_roster)
+        continue;
       const bool reaches = this->IsConnected(index, other) &&
                            this->now >= this->Of(other).suspended_until;
       node.reaches[static_cast<std::size_t>(other)] = reaches;
@@ -332,6 +346,8 @@
 
   void Arrive(int index) {
     Node& node = this->Of(index);
+    if (node.without_roster && this->now - node.started < kRosterGrace)
+      return;
     const QuotaDecision decision =
         Spend(node.borrower, kAccount, this->ClockOf(index));
     if (decision.outcome != QuotaOutcome::kMustBorrow) {
@@ -480,6 +496,7 @@
   // Nodes reach each other if these are equal.
   std::vector<int> separated;
   int groups = 0;
+  bool roster_unreadable = false;
   std::vector<TimePoint> runs;
   std::vector<TimePoint> refusals;
 };
--- /dev/null
+++ b/tests/unit/quota_roster_test.cc
@@ -0,0 +1,59 @@
+// The limit of an account while processes start that cannot read the roster.
+// Virtual clock, seeds.
+#include "support/quota_fleet.h"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+
+namespace teaselspread {
+namespace {
+
+using Ms = std::chrono::milliseconds;
+using Seconds = std::chrono::seconds;
+
+constexpr int kNodes = 85;
+constexpr int kKilled = 68;
+constexpr Duration kDown = Ms(300);
+constexpr Duration kLinkedAfter = Ms(100);
+constexpr double kTimesTheLimit = 3;
+
+double AllowedInWindow(const AccountLimit& limit) {
+  const QuotaBounds agreed;
+  const double window = std::chrono::duration<double>(agreed.window).count();
+  return (limit.per_second * window + limit.burst) * (1 + agreed.excess) +
+         agreed.slack;
+}
+
+// Four of five nodes end, and start while the store is silent.
+void KillMost(QuotaFleet& fleet) {
+  fleet.MakeRosterUnreadable();
+  for (int node = 0; node < kKilled; ++node) {
+    fleet.Kill(node, Ms(1));
+    fleet.At(fleet.Elapsed() + kDown,
+             [&fleet, node] { fleet.Restart(node, kLinkedAfter); });
+  }
+}
+
+// Guards against limits that are exceeded after most nodes have restarted while
+// the store is down: a node that knows few others takes a large share for its
+// own, and lends besides the lender that the others have.
+Test(quota_roster, nodes_that_know_few_others_keep_the_bound) {
+  for (const double per_second : {5.0, 110.0, 522.0}) {
+    const AccountLimit limit{per_second, per_second};
+    FleetOptions options;
+    options.limit = limit;
+    options.nodes = kNodes;
+    QuotaFleet fleet(options);
+    fleet.Apply({Seconds(2), Seconds(16), per_second * kTimesTheLimit});
+    fleet.At(Seconds(8), [&fleet] { KillMost(fleet); });
+    fleet.Run(Seconds(17));
+    const auto most = static_cast<double>(fleet.MostInWindow());
+    cr_expect_leq(most, AllowedInWindow(limit),
+                  "rate %.0f: %.0f in a window, allowed %.0f", per_second, most,
+                  AllowedInWindow(limit));
+  }
+}
+
+}  // namespace
+}  // namespace teaselspread
