--- a/tests/support/quota_fleet.h
+++ b/tests/support/quota_fleet.h
@@ -4,6 +4,7 @@
 #define TEASELSPREAD_TESTS_SUPPORT_QUOTA_FLEET_H_
 
 #include <algorithm>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -28,6 +29,14 @@
   double refused_by_gates = 0;
 };
 
+// The most requests of an account that may run in any window.
+inline double AllowedInWindow(const AccountLimit& limit) {
+  const QuotaBounds agreed;
+  const double window = std::chrono::duration<double>(agreed.window).count();
+  return (limit.per_second * window + limit.burst) * (1 + agreed.excess) +
+         agreed.slack;
+}
+
 // Load of the account between two times, as a Poisson process that arrives at
 // random nodes of those listed, or of all.
 struct FleetLoad {
--- a/tests/unit/quota_fleet_test.cc
+++ b/tests/unit/quota_fleet_test.cc
@@ -28,13 +28,6 @@
           .seed = seed};
 }
 
-double AllowedInWindow(const AccountLimit& limit) {
-  const QuotaBounds agreed;
-  const double window = std::chrono::duration<double>(agreed.window).count();
-  return (limit.per_second * window + limit.burst) * (1 + agreed.excess) +
-         agreed.slack;
-}
-
 void AssertBound(const QuotaFleet& fleet,
                  const AccountLimit& limit,
                  std::uint64_t seed,
--- a/tests/unit/quota_roster_test.cc
+++ b/tests/unit/quota_roster_test.cc
@@ -18,13 +18,6 @@
 constexpr Duration kLinkedAfter = Ms(100);
 constexpr double kTimesTheLimit = 3;
 
-double AllowedInWindow(const AccountLimit& limit) {
-  const QuotaBounds agreed;
-  const double window = std::chrono::duration<double>(agreed.window).count();
-  return (limit.per_second * window + limit.burst) * (1 + agreed.excess) +
-         agreed.slack;
-}
-
 // Four of five nodes end, and start while the store is silent.
 void KillMost(QuotaFleet& fleet) {
   fleet.MakeRosterUnreadable();
