Gate: only what has waited is asked again whether it crashes upstreams

Cause: a request that starts at once was looked up twice among the suspects, on arrival and at its start, and releasing the slot of a request that is not sent stood twice.

Change: the second look moves to where queued requests start; ReleaseSlot serves both places. Behaviour is the same.

--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -146,18 +146,11 @@
   const auto found = this->runs.find(id);
   const TimePoint now = SteadyNow();
   if (found == this->runs.end()) {
-    // Cancelled between the decision and now: releases the slot.
-    this->Apply(teaselspread::Finish(this->gatekeeper, id, Duration{0}, false,
-                                     now, this->rng));
+    // Cancelled between the decision and now.
+    this->ReleaseSlot(id);
     return;
   }
   GateRun& run = found->second;
-  // What is known of it may have changed while it waited.
-  if (this->RefuseSuspect(id, run)) {
-    this->Apply(teaselspread::Finish(this->gatekeeper, id, Duration{0}, false,
-                                     now, this->rng));
-    return;
-  }
   run.started = now;
   ++this->starts;
   HttpRequest& request = run.frame.request;
@@ -289,9 +282,23 @@
     done(RefusedFrame(id, refusal));
 }
 
+void Gate::StartQueued(std::uint64_t id) {
+  const auto found = this->runs.find(id);
+  if (found != this->runs.end() && this->RefuseSuspect(id, found->second)) {
+    this->ReleaseSlot(id);
+    return;
+  }
+  this->Start(id);
+}
+
+void Gate::ReleaseSlot(std::uint64_t id) {
+  this->Apply(teaselspread::Finish(this->gatekeeper, id, Duration{0}, false,
+                                   SteadyNow(), this->rng));
+}
+
 void Gate::Apply(const GateActions& actions) {
   for (const std::uint64_t id : actions.run)
-    this->Start(id);
+    this->StartQueued(id);
   for (const Refusal& refusal : actions.refused)
     this->Refuse(refusal.id, refusal);
   this->ScheduleExpiry();
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -236,6 +236,11 @@
   // Refuses the request if it has crashed too many upstreams.
   bool RefuseSuspect(std::uint64_t id, const GateRun& run);
   void Start(std::uint64_t id);
+  // Starts a request that has waited, unless it has become known meanwhile that
+  // it crashes upstreams.
+  void StartQueued(std::uint64_t id);
+  // Frees the slot of a request that was not sent.
+  void ReleaseSlot(std::uint64_t id);
   void Finish(std::uint64_t id, bool counts, const ResultFrame& result);
   void OnCallEnd(std::uint64_t id, CallResult result);
   void OnDeadline(std::uint64_t id);
