--- a/review/fleet.h
+++ b/review/fleet.h
@@ -3,7 +3,9 @@
 #ifndef TEASELSPREAD_REVIEW_FLEET_H_
 #define TEASELSPREAD_REVIEW_FLEET_H_
 
+#include <filesystem>
 #include <memory>
+#include <system_error>
 
 #include "review/stage.h"
 #include "standins/mesh_upstream.h"
@@ -37,6 +39,13 @@
 
 struct Fleet {
   explicit Fleet(const std::string& path) : record(path) {}
+  ~Fleet() {
+    this->nodes.clear();
+    std::error_code ignored;  // what is left does no harm
+    std::filesystem::remove_all(this->folder, ignored);
+  }
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
 
   Record record;
   std::string folder = TemporaryFolder();
