Review, case 1: count around the stop only, record every run

Cause: the script counted a lost upload wherever it came, and its record did not list what the targets ran.

Change: only uploads around the SIGTERM count; the record lists each run.

--- a/review/1/scenario.cc
+++ b/review/1/scenario.cc
@@ -111,6 +111,7 @@
 }
 
 int Judge(Stage& stage, Clock::time_point stopped) {
+  review::RecordRuns(stage.fleet);
   int lost = 0;
   int answered = 0;
   for (const Upload& upload : stage.uploads) {
@@ -118,7 +119,7 @@
     const bool planned = stopped != Clock::time_point{} &&
                          upload.sent > stopped &&
                          upload.begun < stopped + kGrace + Millis(1000);
-    if (!IsLost(upload))
+    if (!IsLost(upload) || !planned)
       continue;
     ++lost;
     stage.record.Line(
@@ -134,7 +135,7 @@
         std::to_string(
             std::chrono::duration_cast<Millis>(upload.ended - stopped)
                 .count()) +
-        " ms after SIGTERM" + (planned ? "" : " (not around the stop)"));
+        " ms after SIGTERM");
   }
   stage.record.Line("uploads " + std::to_string(stage.uploads.size()) +
                     ", answered " + std::to_string(answered) + ", lost " +
--- a/review/fleet.h
+++ b/review/fleet.h
@@ -71,6 +71,16 @@
   target.BeatTo(fleet.nodes.back()->admin);
 }
 
+// What the targets have run.
+inline void RecordRuns(Fleet& fleet) {
+  for (standin::MeshUpstream* target : fleet.targets) {
+    for (const standin::MeshRun& run : target->Runs()) {
+      if (run.id != "settle")
+        fleet.record.LineAt(run.arrived, "target: ran " + run.id);
+    }
+  }
+}
+
 inline bool Serves(const Node& node) {
   constexpr Millis kPatience{2000};
   const Answer read =
--- a/review/stage.h
+++ b/review/stage.h
@@ -56,6 +56,13 @@
     this->file << this->Now() << " ms  " << text << "\n" << std::flush;
   }
 
+  // A line about what happened at `when`.
+  void LineAt(Clock::time_point when, const std::string& text) {
+    const auto at = std::chrono::duration_cast<Millis>(when - this->start);
+    const std::scoped_lock lock(this->gate);
+    this->file << at.count() << " ms  " << text << "\n";
+  }
+
   [[nodiscard]] std::int64_t Now() const {
     return std::chrono::duration_cast<Millis>(Clock::now() - this->start)
         .count();
