Stop: log lines say how many requests are half received

Hypotheses for an upload that is sent whole and gets no answer when a node stops: 1. it was sent to an upstream, and its answer was lost at the exit of the process; 2. it was read and dropped before it became a request; 3. it was never read: the bytes stayed in the kernel. The logs had no line for such an upload in either of 1 and 2. 'intake-closed' and 'stopped' now count requests of which some bytes have been received, but not all.

Under 1 'open' would be 1, under 3 the connection would be reset.

--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -416,7 +416,8 @@
     return;
   node.intake_closed = true;
   Log(LogLevel::kInfo, "node", "intake-closed",
-      {{"open", node.outbound.CountPending()}});
+      {{"open", node.outbound.CountPending()},
+       {"partial", node.outbound.CountPartial()}});
   node.outbound.CloseIntake();
 }
 
@@ -546,7 +547,9 @@
   Tick(node);
   node.loop.run();
   Log(LogLevel::kInfo, "node", "stopped",
-      {{"log_lines_dropped", node.log.Dropped()}});
+      {{"open", node.outbound.CountPending()},
+       {"partial", node.outbound.CountPartial()},
+       {"log_lines_dropped", node.log.Dropped()}});
   node.log.Flush();
   return {};
 }
--- a/src/edge/http_listener.cc
+++ b/src/edge/http_listener.cc
@@ -93,6 +93,7 @@
   void DetachListener() { this->listener = nullptr; }
   void CheckTimeouts(TimePoint now);
   [[nodiscard]] std::size_t CountPending() const;
+  [[nodiscard]] bool IsReceiving() const { return this->in_request; }
   [[nodiscard]] bool Idle() const {
     return this->pending.empty() && !this->writing && !this->in_request;
   }
@@ -472,4 +473,10 @@
   return open;
 }
 
+std::size_t HttpListener::CountPartial() const {
+  return static_cast<std::size_t>(std::count_if(
+      this->sessions.begin(), this->sessions.end(),
+      [](const HttpSession* session) { return session->IsReceiving(); }));
+}
+
 }  // namespace teaselspread
--- a/src/edge/http_listener.h
+++ b/src/edge/http_listener.h
@@ -95,6 +95,9 @@
   // Number of requests that have no response yet.
   [[nodiscard]] std::size_t CountPending() const;
 
+  // Number of requests of which some bytes have been received, but not all.
+  [[nodiscard]] std::size_t CountPartial() const;
+
   // Number of open connections.
   [[nodiscard]] std::size_t CountSessions() const {
     return this->sessions.size();
