Stop: a request that is being received is answered or refused

Cause: HttpSession::last_request_received stood for three states: no request begins, the last one has been received, bytes are discarded. Closing the intake 2.3 s after the SIGTERM set it in the middle of a request, and its other bytes were discarded.

Change: the states have names (Intake). A request that has begun is received and answered, none after it. What is not whole 1 s before the process ends is refused with 503 (leaving, Retry-After), before anything ran; what is whole later than its route's aim before that time as well. So a caller that sends a byte now and then can't hold the stop. 'Expect: 100-continue' behind another request is answered when that has its response, and not only when more bytes come.

--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -27,6 +27,9 @@
 constexpr Duration kStopNotice = std::chrono::milliseconds(2300);
 // The process exits at least this long before the platform would kill it.
 constexpr Duration kStopReserve = std::chrono::milliseconds(700);
+// Requests that have not been received whole this long before the end of the
+// process are refused.
+constexpr Duration kPartialNotice = std::chrono::milliseconds(1000);
 // An upstream that sent no heartbeat is probed for this long after the node's
 // start; one that starts later sends heartbeats by itself.
 constexpr Duration kProbeWindow = std::chrono::milliseconds(1000);
@@ -392,6 +395,10 @@
       {{"why", why}, {"service", settings->service}});
 }
 
+TimePoint EndOf(const EdgeNode& node) {
+  return node.stop_began + node.settings.stop_grace - kStopReserve;
+}
+
 // A planned stop interrupts nothing: other nodes are notified first, callers
 // get time to go elsewhere, and running requests complete.
 void BeginStop(EdgeNode& node) {
@@ -419,6 +426,15 @@
       {{"open", node.outbound.CountPending()},
        {"partial", node.outbound.CountPartial()}});
   node.outbound.CloseIntake();
+  node.entry.SetEnd(EndOf(node));
+}
+
+// While there is time for their callers to read the response and to go
+// elsewhere.
+void RefusePartialRequests(EdgeNode& node) {
+  node.outbound.RefusePartialRequests([&node](const HttpRequest& head) {
+    return node.entry.RefusePartial(head);
+  });
 }
 
 // True when the process may end.
@@ -427,9 +443,11 @@
   if (passed < kStopNotice)
     return false;
   CloseIntake(node);
+  if (now >= EndOf(node) - kPartialNotice)
+    RefusePartialRequests(node);
   const bool idle = node.outbound.CountSessions() == 0 &&
                     node.gate.CountRunning() == 0 && node.remote_runs.empty();
-  return idle || passed >= node.settings.stop_grace - kStopReserve;
+  return idle || now >= EndOf(node);
 }
 
 void WaitForSignals(EdgeNode& node) {
--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -110,6 +110,10 @@
     this->RefuseImmediately(exchange, ErrorKind::kNoRoute);
     return;
   }
+  if (!this->MayRunBeforeEnd(*route)) {
+    this->RefuseImmediately(exchange, ErrorKind::kLeaving, "received-late");
+    return;
+  }
   const std::string_view request_id =
       FindHeader(request.headers, kHeaderRequestId);
   // With accounts a call that is not recognised would be refused, so those of
@@ -140,6 +144,12 @@
     this->BeginAttempts(id);
 }
 
+bool Entry::MayRunBeforeEnd(const RouteConfig& route) const {
+  const Duration needed =
+      route.aim > Duration::zero() ? route.aim : route.deadline;
+  return !this->end || SteadyNow() + needed <= *this->end;
+}
+
 void Entry::AcquireToken(std::uint64_t id) {
   PendingRequest& waiting = this->pending_requests.at(id);
   waiting.token = TokenState::kWaiting;
--- a/src/edge/entry.h
+++ b/src/edge/entry.h
@@ -142,8 +142,16 @@
     this->settings.service = std::move(service);
   }
 
+  // The process ends at that time: a request that is received from now on runs
+  // only if its route's aim, or its time-out without one, is met before.
+  void SetEnd(TimePoint process_end) { this->end = process_end; }
+
   void HandleRequest(const ExchangePtr& exchange);
 
+  // The response to a request that will not be received whole before the
+  // process ends.
+  [[nodiscard]] HttpResponse RefusePartial(const HttpRequest& head);
+
   // The result of a call over a link.
   void OnResult(ResultFrame result);
   // The link to `node` was lost.
@@ -172,6 +180,7 @@
   void ReleaseToken(std::uint64_t id, const PendingRequest& pending);
   // Sends an identified request for the first time, unless it is shed.
   void BeginAttempts(std::uint64_t id);
+  [[nodiscard]] bool MayRunBeforeEnd(const RouteConfig& route) const;
   void SetTimes(PendingRequest& pending);
   // When the response starts to lose value; none for routes without an aim.
   [[nodiscard]] static std::optional<TimePoint> AimOf(
@@ -208,6 +217,10 @@
   void RefuseImmediately(const ExchangePtr& exchange,
                          ErrorKind kind,
                          std::string_view cause = "");
+  // The response of RefuseImmediately; also logs the refusal.
+  [[nodiscard]] HttpResponse RefusalOf(const HttpRequest& request,
+                                       ErrorKind kind,
+                                       std::string_view cause);
   [[nodiscard]] std::vector<Candidate> CandidatesFor(PendingRequest& pending);
   [[nodiscard]] RunFrame FrameOf(std::uint64_t id,
                                  const PendingRequest& pending);
@@ -248,6 +261,8 @@
   double mean_transfer_bytes = 0;
   std::map<std::string, NodeHealth> node_health;
   std::map<std::string, RetryBudget> retry_budgets;
+  // When the process ends; none before it has begun to stop.
+  std::optional<TimePoint> end;
   // Processes that said in a response to this node that they leave.
   DepartureTable departures;
   Rng rng;
--- a/src/edge/entry_answers.cc
+++ b/src/edge/entry_answers.cc
@@ -140,8 +140,18 @@
 void Entry::RefuseImmediately(const ExchangePtr& exchange,
                               ErrorKind kind,
                               std::string_view cause) {
+  SendResponse(*exchange, this->RefusalOf(exchange->request, kind, cause));
+}
+
+HttpResponse Entry::RefusePartial(const HttpRequest& head) {
+  ++this->counters.requests;
+  return this->RefusalOf(head, ErrorKind::kLeaving, "not-received");
+}
+
+HttpResponse Entry::RefusalOf(const HttpRequest& request,
+                              ErrorKind kind,
+                              std::string_view cause) {
   this->counters.refusals.Add(kind);
-  const HttpRequest& request = exchange->request;
   const std::string_view request_id =
       FindHeader(request.headers, kHeaderRequestId);
   HttpResponse response =
@@ -156,7 +166,7 @@
        {"config", this->snapshot ? this->snapshot->version : 0},
        {"host", FindHeader(request.headers, "Host")},
        {"path", PathOf(request)}});
-  SendResponse(*exchange, response);
+  return response;
 }
 
 void Entry::ReportOutcome(const PendingRequest& pending,
--- a/src/edge/http_listener.cc
+++ b/src/edge/http_listener.cc
@@ -39,10 +39,19 @@
 
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(ListenerEvent::kCount)>
-    kNames = {"accepted",        "request",        "bad-request",
-              "headers-large",   "body-too-large", "header-timeout",
-              "idle-closed",     "caller-left",    "accept-failed",
-              "left-before-read"};
+    kNames = {"accepted",         "request",        "bad-request",
+              "headers-large",    "body-too-large", "header-timeout",
+              "idle-closed",      "caller-left",    "accept-failed",
+              "left-before-read", "partial-refused"};
+
+// What a connection still accepts.
+enum class Intake : std::uint8_t {
+  kOpen,
+  // The process stops: the request that has begun is received, none after it.
+  kLastRequest,
+  // Bytes are discarded.
+  kClosed,
+};
 
 struct Refusal {
   ErrorKind kind;
@@ -82,8 +91,10 @@
     this->Read();
   }
 
-  // Accepts no further request; closes the connection if it is idle.
+  // Accepts no request but one that has begun; closes an idle connection.
   void StopReceiving();
+  // Refuses the request that has not been received whole, if there is one.
+  void RefusePartial(const PartialHandler& refuse);
   // Writes the responses that are next in the order of the requests.
   void Flush();
   void QueueResponse(Exchange& exchange);
@@ -112,7 +123,10 @@
   // Whether the close of the connection has arrived, which the loop has not
   // processed yet.
   [[nodiscard]] bool CallerHasClosed();
-  void RefuseAndClose(boost::system::error_code error);
+  void SendContinueIfDue();
+  void RefuseInvalid(boost::system::error_code error);
+  // Responds in the order of the requests; discards what follows.
+  void RefuseAndClose(const HttpResponse& response);
   void OnCallerDisconnected();
 
   tcp::socket socket;
@@ -126,8 +140,7 @@
   bool in_request = false;
   bool reading = false;
   bool writing = false;
-  // No further request is accepted on this connection.
-  bool last_request_received = false;
+  Intake intake = Intake::kOpen;
   bool closed = false;
   bool continue_sent = false;
   bool lingering = false;
@@ -166,8 +179,7 @@
   this->buffer.commit(bytes);
   if (!this->lingering)
     this->last_active = SteadyNow();
-  if (this->last_request_received || this->listener == nullptr) {
-    // Bytes after the last accepted request are discarded.
+  if (this->intake == Intake::kClosed || this->listener == nullptr) {
     this->buffer.consume(this->buffer.size());
   } else {
     this->Parse();
@@ -176,7 +188,7 @@
 }
 
 void HttpSession::Parse() {
-  while (this->buffer.size() > 0 && !this->last_request_received &&
+  while (this->buffer.size() > 0 && this->intake != Intake::kClosed &&
          !this->closed && this->pending.size() < kMaxPipelined) {
     if (!this->in_request) {
       this->in_request = true;
@@ -188,25 +200,29 @@
     if (error == http::error::need_more)
       error = {};
     if (error) {
-      this->RefuseAndClose(error);
+      this->RefuseInvalid(error);
       return;
     }
     if (this->parser->is_done()) {
       this->DispatchRequest();
       continue;
     }
-    if (this->parser->is_header_done() && !this->continue_sent &&
-        this->parser->get()[http::field::expect] == "100-continue" &&
-        this->pending.empty()) {
-      this->continue_sent = true;
-      this->output += "HTTP/1.1 100 Continue\r\n\r\n";
-      this->Flush();
-    }
+    this->SendContinueIfDue();
     if (used == 0)
       return;
   }
 }
 
+void HttpSession::SendContinueIfDue() {
+  if (!this->in_request || this->continue_sent || !this->pending.empty() ||
+      !this->parser->is_header_done() ||
+      this->parser->get()[http::field::expect] != "100-continue")
+    return;
+  this->continue_sent = true;
+  this->output += "HTTP/1.1 100 Continue\r\n\r\n";
+  this->Flush();
+}
+
 bool HttpSession::CallerHasClosed() {
   char byte = 0;
   return ::recv(this->socket.native_handle(), &byte, 1,
@@ -230,23 +246,40 @@
   exchange->request.body = std::move(message.body());
   exchange->head_only = message.method() == http::verb::head;
   exchange->close_after = !message.keep_alive();
-  this->last_request_received = exchange->close_after;
+  if (exchange->close_after || this->intake == Intake::kLastRequest)
+    this->intake = Intake::kClosed;
   this->pending.push_back(exchange);
   this->listener->counters.Add(ListenerEvent::kRequest);
   this->NewParser();
   this->listener->on_request(exchange);
 }
 
-void HttpSession::RefuseAndClose(boost::system::error_code error) {
+void HttpSession::RefuseInvalid(boost::system::error_code error) {
   const Refusal refused = RefusalFor(error);
   this->listener->counters.Add(refused.event);
+  this->RefuseAndClose(ErrorResponse(Error{refused.kind, refused.message}));
+}
+
+void HttpSession::RefusePartial(const PartialHandler& refuse) {
+  if (this->intake == Intake::kClosed || !this->in_request)
+    return;
+  HttpRequest head;
+  if (this->parser->is_header_done()) {
+    head.target = std::string(this->parser->get().target());
+    head.headers = HeadersOf(this->parser->get());
+  }
+  this->listener->counters.Add(ListenerEvent::kPartialRefused);
+  this->RefuseAndClose(refuse(head));
+}
+
+void HttpSession::RefuseAndClose(const HttpResponse& response) {
   ExchangePtr exchange(new Exchange);
   exchange->session = this;
   exchange->close_after = true;
-  this->last_request_received = true;
+  this->intake = Intake::kClosed;
   this->in_request = false;
   this->pending.push_back(exchange);
-  SendResponse(*exchange, ErrorResponse(Error{refused.kind, refused.message}));
+  SendResponse(*exchange, response);
 }
 
 void HttpSession::QueueResponse(Exchange& exchange) {
@@ -254,11 +287,11 @@
   // carries "Connection: close"; an earlier one would abort the requests after
   // it, which are running already.
   const bool last = this->pending.empty() &&
-                    (this->last_request_received || !this->in_request);
+                    (this->intake == Intake::kClosed || !this->in_request);
   if (last && this->ClosingAfterResponses())
     exchange.close_after = true;
-  this->last_request_received =
-      this->last_request_received || exchange.close_after;
+  if (exchange.close_after)
+    this->intake = Intake::kClosed;
   const auto after =
       exchange.close_after ? AfterMessage::kClose : AfterMessage::kKeep;
   this->output += TextOf(exchange.response, after, exchange.head_only);
@@ -297,12 +330,14 @@
     this->Flush();
     return;
   }
-  if (this->last_request_received && this->pending.empty()) {
+  if (this->intake == Intake::kClosed && this->pending.empty()) {
     this->Linger();
     return;
   }
-  if (this->listener != nullptr && !this->last_request_received)
+  if (this->listener != nullptr && this->intake != Intake::kClosed) {
     this->Parse();
+    this->SendContinueIfDue();
+  }
   this->Read();
 }
 
@@ -321,10 +356,12 @@
 }
 
 void HttpSession::StopReceiving() {
-  const bool idle = this->Idle();
-  this->last_request_received = true;
-  if (idle)
+  if (this->Idle()) {
     this->Close();
+    return;
+  }
+  if (this->intake == Intake::kOpen)
+    this->intake = this->in_request ? Intake::kLastRequest : Intake::kClosed;
 }
 
 void HttpSession::OnCallerDisconnected() {
@@ -466,6 +503,13 @@
     session->StopReceiving();
 }
 
+void HttpListener::RefusePartialRequests(const PartialHandler& refuse) {
+  const std::vector<HttpSession*> open(this->sessions.begin(),
+                                       this->sessions.end());
+  for (HttpSession* session : open)
+    session->RefusePartial(refuse);
+}
+
 std::size_t HttpListener::CountPending() const {
   std::size_t open = 0;
   for (const HttpSession* session : this->sessions)
--- a/src/edge/http_listener.h
+++ b/src/edge/http_listener.h
@@ -44,6 +44,9 @@
 
 using ExchangePtr = boost::intrusive_ptr<Exchange>;
 using ExchangeHandler = std::function<void(const ExchangePtr&)>;
+// The response to a request that will not be received whole. It is given the
+// target and the headers, which are empty if not even those were received.
+using PartialHandler = std::function<HttpResponse(const HttpRequest& head)>;
 
 // Limits on the size of requests, and on the time that a caller may take to
 // send the headers or stay idle.
@@ -66,6 +69,8 @@
   kAcceptFailed,
   // The caller had closed the connection when its request was read.
   kLeftBeforeRead,
+  // The process stops, and the request had not been received whole in time.
+  kPartialRefused,
   kCount,
 };
 
@@ -88,10 +93,15 @@
   void CloseAfterResponses() { this->closing = true; }
 
   // Stops accepting connections and requests. Idle connections close at once,
-  // the others after their pending responses. Precondition: CloseAfterResponses
-  // was called.
+  // the others after their pending responses. A request of which some bytes
+  // have been received is received to its end. Precondition:
+  // CloseAfterResponses was called.
   void CloseIntake();
 
+  // Refuses every request that has not been received whole; its connection
+  // closes after the response. Precondition: CloseIntake was called.
+  void RefusePartialRequests(const PartialHandler& refuse);
+
   // Number of requests that have no response yet.
   [[nodiscard]] std::size_t CountPending() const;
 
--- a/tests/contract/http_listener_test.cc
+++ b/tests/contract/http_listener_test.cc
@@ -234,6 +234,151 @@
   server.RunOnLoop([&waiting] { waiting.clear(); });
 }
 
+// A request in two parts, and how the response to it begins after the second.
+struct SplitRequest {
+  const char* name;
+  std::string first;
+  std::string second;
+};
+
+const std::vector<SplitRequest> kSplitRequests = {
+    {"in the headers", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Le",
+     "ngth: 4\r\n\r\nabcd"},
+    {"before the body",
+     "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n", "abcd"},
+    {"in the body",
+     "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab", "cd"},
+    {"in a chunk",
+     "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nab",
+     "cd\r\n0\r\n\r\n"},
+    {"between chunks",
+     "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "4\r\nabcd\r\n",
+     "0\r\n\r\n"},
+    {"waiting to continue",
+     "POST /a HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+     "Content-Length: 4\r\n\r\n",
+     "abcd"},
+};
+
+// Waits for `condition`, which is asked on the loop; false after a second.
+bool WaitOnLoop(Server& server, const std::function<bool()>& condition) {
+  bool holds = false;
+  for (int i = 0; i < 500 && !holds; ++i) {
+    server.RunOnLoop([&] { holds = condition(); });
+    if (!holds)
+      std::this_thread::sleep_for(Ms(2));
+  }
+  return holds;
+}
+
+// Waits until the listener has received some bytes of a request.
+void WaitForPartial(Server& server) {
+  cr_assert(WaitOnLoop(
+      server, [&server] { return server.listener.CountPartial() == 1; }));
+}
+
+void CloseIntake(Server& server) {
+  server.RunOnLoop([&server] {
+    server.listener.CloseAfterResponses();
+    server.listener.CloseIntake();
+  });
+}
+
+// Guards against an upload that was being received when a node stopped, and
+// that was read to its end and never answered.
+Test(http_listener, a_request_that_has_begun_is_answered_after_the_intake) {
+  for (const SplitRequest& request : kSplitRequests) {
+    Server server([](const ExchangePtr& exchange) {
+      SendResponse(*exchange, TextResponse("got " + exchange->request.body));
+    });
+    const RawSocket caller = RawSocket::ConnectTo(server.address.port);
+    caller.Send(request.first);
+    WaitForPartial(server);
+    CloseIntake(server);
+    caller.Send(request.second + GetText("/not-accepted"));
+    const std::string got = caller.ReadUntil(
+        [](const std::string& text) { return text.ends_with("abcd"); },
+        Ms(1000));
+    cr_expect(got.find("got abcd") != std::string::npos, "cut %s: %s",
+              request.name, got.c_str());
+    cr_expect(got.find("Connection: close") != std::string::npos, "cut %s",
+              request.name);
+    cr_expect(server.listener.counters.Get(ListenerEvent::kRequest) == 1,
+              "cut %s: accepted another request", request.name);
+  }
+}
+
+// Guards against a second request of a connection that is lost when the process
+// stops while the first one runs.
+Test(http_listener, a_half_received_request_behind_another_is_answered) {
+  std::vector<ExchangePtr> waiting;
+  Server server(
+      [&waiting](const ExchangePtr& exchange) { waiting.push_back(exchange); });
+  const RawSocket caller = RawSocket::ConnectTo(server.address.port);
+  caller.Send(GetText("/1") + kSplitRequests[2].first);
+  WaitForPartial(server);
+  CloseIntake(server);
+  caller.Send(kSplitRequests[2].second);
+  const bool both =
+      WaitOnLoop(server, [&waiting] { return waiting.size() == 2; });
+  server.RunOnLoop([&waiting] {
+    for (const ExchangePtr& exchange : waiting)
+      SendResponse(*exchange, TextResponse("of " + exchange->request.target));
+  });
+  cr_expect(both, "the second request was not received");
+  const std::string got = caller.ReadToEnd();
+  const std::size_t close = got.find("Connection: close");
+  cr_expect(got.find("of /1") < close);
+  cr_expect(close < got.find("of /a"));
+  server.RunOnLoop([&waiting] { waiting.clear(); });
+}
+
+// Guards against a caller that waits in vain for leave to send its body, since
+// the request before it had no response yet when its headers were read.
+Test(http_listener, a_body_is_asked_for_after_the_response_before_it) {
+  std::vector<ExchangePtr> waiting;
+  Server server(
+      [&waiting](const ExchangePtr& exchange) { waiting.push_back(exchange); });
+  const RawSocket caller = RawSocket::ConnectTo(server.address.port);
+  caller.Send(GetText("/1") + kSplitRequests[5].first);
+  WaitForPartial(server);
+  server.RunOnLoop([&] { SendResponse(*waiting[0], TextResponse("first")); });
+  const std::string got = caller.ReadUntil(
+      [](const std::string& text) {
+        return text.find("100 Continue") != std::string::npos;
+      },
+      Ms(1000));
+  cr_assert(got.find("first") < got.find("100 Continue"));
+  cr_assert(got.find("100 Continue") != std::string::npos);
+  server.RunOnLoop([&waiting] { waiting.clear(); });
+}
+
+// Guards against a caller that sends a byte now and then and holds a stop up
+// until the process is killed, and whose request ends without a response.
+Test(http_listener, a_request_that_is_not_received_in_time_is_refused) {
+  for (const SplitRequest& request : kSplitRequests) {
+    std::atomic<int> handled{0};
+    Server server([&handled](const ExchangePtr&) { ++handled; });
+    const RawSocket caller = RawSocket::ConnectTo(server.address.port);
+    caller.Send(request.first);
+    WaitForPartial(server);
+    CloseIntake(server);
+    server.RunOnLoop([&server] {
+      server.listener.RefusePartialRequests([](const HttpRequest&) {
+        return ErrorResponse(Error{ErrorKind::kLeaving, "stops"});
+      });
+    });
+    caller.Send(request.second);
+    const std::string got = caller.ReadToEnd();
+    cr_expect(got.find("HTTP/1.1 503 ") != std::string::npos, "cut %s: %s",
+              request.name, got.c_str());
+    cr_expect(got.find("Connection: close") != std::string::npos, "cut %s",
+              request.name);
+    cr_expect_eq(handled, 0, "cut %s: ran", request.name);
+  }
+}
+
 // Headers that never end would keep a connection open for ever.
 Test(http_listener, drops_a_caller_that_does_not_finish_its_headers) {
   SessionLimits limits;
--- a/tests/process/edge_test.cc
+++ b/tests/process/edge_test.cc
@@ -9,6 +9,8 @@
 #include <thread>
 #include <vector>
 
+#include <absl/strings/str_replace.h>
+
 namespace teaselspread {
 namespace {
 
@@ -442,6 +444,47 @@
   cr_assert(cut <= 4, "%d requests were cut", cut.load());
 }
 
+std::string UploadHead(const std::string& id, std::size_t bytes) {
+  return "POST /load/x HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: " + id +
+         "\r\nX-Deadline-Ms: 8000\r\nContent-Length: " + std::to_string(bytes) +
+         "\r\n\r\n";
+}
+
+// Guards against an upload that is sent while a node stops and gets no answer,
+// and against a slow one that holds the stop up.
+Test(edge, an_upload_that_is_being_sent_when_a_node_stops_is_answered) {
+  EdgeFleet fleet(
+      absl::StrReplaceAll(ConfigText("00000001"),
+                          {{R"("priority":1)", R"("priority":1,"aimMs":500)"},
+                           {R"("timeoutMs":2000)", R"("timeoutMs":8000)"}}));
+  cr_assert(fleet.WaitUntilReady());
+  const std::string quick = NextRequestId();
+  const std::string slow = NextRequestId();
+  const RawSocket quick_caller =
+      RawSocket::ConnectTo(fleet.At(0).ports.outbound);
+  const RawSocket slow_caller =
+      RawSocket::ConnectTo(fleet.At(0).ports.outbound);
+  quick_caller.Send(UploadHead(quick, 4) + "ab");
+  slow_caller.Send(UploadHead(slow, 4) + "ab");
+  fleet.At(0).node->Signal(SIGTERM);
+  cr_assert(WaitUntil(
+      [&] {
+        return fleet.At(0).node->Output().find("event=intake-closed") !=
+               std::string::npos;
+      },
+      Ms(4000)));
+  quick_caller.Send("cd");
+  const std::string answer = quick_caller.ReadToEnd();
+  cr_expect(answer.starts_with("HTTP/1.1 200 "), "%s", answer.c_str());
+  const std::string refusal = slow_caller.ReadToEnd();
+  cr_expect(refusal.starts_with("HTTP/1.1 503 "), "%s", refusal.c_str());
+  cr_expect(refusal.find("Retry-After: ") != std::string::npos);
+  cr_expect(refusal.find(slow) != std::string::npos);
+  cr_expect_eq(CountRuns(fleet, quick), 1);
+  cr_expect_eq(CountRuns(fleet, slow), 0);
+  cr_expect_eq(fleet.At(0).node->WaitExit(Ms(6000)), 0);
+}
+
 // A move completes within some seconds, and the operator can read its result in
 // the store.
 Test(edge, a_good_move_is_completed_and_reported) {
