Account limits: a node that starts without the store learns the others from a peer

Cause: two seconds after its start a node without the roster took the nodes that had opened links to it for all. Those that started with it knew none of each other, so each knew the survivors only, selected another lender than they did, or itself, and worked its share out from 3 or 4 nodes. Evidence: lenders-selected with own=1 nodes=4 known_nodes=4 at restarted nodes beside known_nodes=15 at the survivors.

Change: a node without the roster asks a linked node for the list, from 0.5 s after its start with each tick, and opens links to all nodes in it. Until it knows the roster a node borrows, but neither lends nor spends an own share; after 60 s without any it goes on with the nodes it knows. A node that has left, or that was lost for long, is not listed, and a list replaces no known address.

A test was wrong: the end of quota_service::a_node_does_not_lend_before_it_knows_the_others had a node without roster and links admit after 2 s. That is the fault: as many such nodes as start admit a whole limit each, which the agreed bound forbids. In its place: refused up to 59 s, admitted after 60 s; and no own share without the roster. The model's nodes follow the product: its 2 s are gone as well.

--- a/include/teaselspread/node_census.h
+++ b/include/teaselspread/node_census.h
@@ -60,6 +60,9 @@
 // `node` announced that it leaves: it is not known until it is reached again.
 void OnNodeLeft(NodeCensus& census, std::string_view node, TimePoint now);
 
+// Whether `node` is reached or lost, but has neither left nor been dropped.
+[[nodiscard]] bool IsKnown(const NodeCensus& census, std::string_view node);
+
 // Known nodes, with this one. Drops those that have been lost for too long.
 [[nodiscard]] std::size_t CountKnown(NodeCensus& census, TimePoint now);
 
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -12,6 +12,7 @@
 
 #include "base/clock.h"
 #include "edge/frame_socket.h"
+#include "edge/node_list.h"
 #include "edge/order_copy.h"
 #include "edge/traffic_log.h"
 #include "teaselspread/logging.h"
@@ -274,11 +275,15 @@
   on.on_config = [&node](const std::string& peer, const ConfigFrame& copy) {
     if (const auto order = UnpackEvacuation(copy))
       ApplyEvacuationOrder(node, *order, OrderSource::kPeer);
+    else if (const auto nodes = UnpackNodeList(copy))
+      OnNodeList(node, peer, *nodes);
     else
       OnConfigCopy(node, peer, copy);
   };
-  on.on_token_request = [&node](const std::string&,
+  on.on_token_request = [&node](const std::string& peer,
                                 const TokenRequest& request) {
+    if (IsNodeListRequest(request))
+      SendNodeList(node, peer);
     return node.quota.OnTokenRequest(request);
   };
   on.on_token_grant = [&node](const std::string& peer,
@@ -478,6 +483,7 @@
       return;
     node.gate.Tick();
     node.quota.Tick();
+    RequestNodeListIfMissing(node);
     if (SteadyNow() - node.started < kProbeWindow ||
         node.gate.Limit().per_second)
       ProbeUpstream(node);
--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -109,6 +109,14 @@
 
 // Registers this node in the store and finds the other nodes there.
 void StartRoster(EdgeNode& node);
+// Asks a node for the list of nodes, if this one has not learned it. To be
+// called with each tick.
+void RequestNodeListIfMissing(EdgeNode& node);
+// Does nothing if this node has not learned the list itself.
+void SendNodeList(EdgeNode& node, const std::string& to);
+void OnNodeList(EdgeNode& node,
+                const std::string& from,
+                const std::vector<Hello>& nodes);
 
 }  // namespace teaselspread
 
--- a/src/edge/quota_service.cc
+++ b/src/edge/quota_service.cc
@@ -15,15 +15,17 @@
 constexpr Duration kAnswerTimeout = std::chrono::milliseconds(100);
 // A node that decides alone asks the lender again after this time.
 constexpr Duration kAskAgainAfter = std::chrono::milliseconds(500);
-// A node that cannot read the list of nodes lends after this time. Nodes that
-// run have opened links to it by then.
-constexpr Duration kRosterGrace = std::chrono::seconds(2);
 // Refunded tokens are returned together after this time, if no request for
 // tokens takes them back before. Less than a quarter of their lifetime.
 constexpr Duration kReturnDelay = std::chrono::milliseconds(50);
 // Retry-After of requests that came before the list of nodes was read.
 constexpr Duration kUnsettledRetryAfter = std::chrono::milliseconds(100);
 
+// A node that has learned the roster neither from the store nor from a peer
+// decides after this time with the nodes that it knows. The census forgets lost
+// nodes as late.
+constexpr Duration kRosterGrace = std::chrono::seconds(60);
+
 constexpr std::int64_t kMicrosPerMilli = 1000;
 
 // Rounded up, so that a token is there after the delay.
@@ -96,10 +98,6 @@
   return found == this->accounts.end() ? nullptr : &found->second;
 }
 
-bool QuotaService::IsSettled(TimePoint now) const {
-  return this->roster_read || now - this->started_at >= kRosterGrace;
-}
-
 void QuotaService::Acquire(std::uint64_t request,
                            std::string_view account,
                            Done done) {
@@ -148,7 +146,7 @@
     return this->DecideAsLender(account, row);
   if (row.alone_since && now < row.ask_again_at)
     return this->DecideAlone(account, row);
-  if (row.lender.empty() && this->IsSettled(now)) {
+  if (row.lender.empty() && this->roster_known) {
     this->BeginAlone(account, row, TokenRequestResult::kNoLender);
     return this->DecideAlone(account, row);
   }
@@ -157,6 +155,9 @@
 
 QuotaDecision QuotaService::DecideAlone(std::string_view account,
                                         LimitedAccount& row) {
+  // A share of the nodes that happen to be linked would be too large.
+  if (!this->roster_known)
+    return {QuotaOutcome::kDenied, kUnsettledRetryAfter};
   return SpendAlone(this->borrower, account, row.limit, this->known_nodes,
                     this->io.now(), this->rng);
 }
@@ -376,10 +377,10 @@
   this->RefreshCensus();
 }
 
-void QuotaService::OnRosterRead() {
-  if (this->roster_read)
+void QuotaService::OnRosterKnown() {
+  if (this->roster_known)
     return;
-  this->roster_read = true;
+  this->roster_known = true;
   this->SelectLenders();
 }
 
@@ -432,13 +433,12 @@
   }
   if (!this->self_leaving)
     nodes.push_back({this->self, this->self_mbit});
-  const bool settled = this->IsSettled(this->io.now());
   std::vector<std::string> waiting;
   std::size_t changed = 0;
   std::size_t own = 0;
   for (auto& [account, row] : this->accounts) {
     const std::string_view selected = LenderOf(account, nodes);
-    const bool too_early = selected == this->self && !settled;
+    const bool too_early = selected == this->self && !this->roster_known;
     const std::string_view now_lends = too_early ? "" : selected;
     changed += this->SetLender(account, row, now_lends) ? 1 : 0;
     own += now_lends == this->self ? 1 : 0;
@@ -500,10 +500,8 @@
     return;
   this->RefreshCensus();
   const TimePoint now = this->io.now();
-  const bool settles =
-      !this->roster_read && now - this->started_at >= kRosterGrace;
-  if (settles)
-    this->OnRosterRead();
+  if (now - this->started_at >= kRosterGrace)
+    this->OnRosterKnown();
   std::vector<std::string> to_serve;
   std::vector<std::string> unsettled;
   for (auto& [account, row] : this->accounts) {
--- a/src/edge/quota_service.h
+++ b/src/edge/quota_service.h
@@ -114,10 +114,18 @@
 
   // The node is part of the deployment, whether or not it is reached.
   void OnNodeKnown(std::string_view node);
-  // The list of the deployment's nodes has been read. Before, or for
-  // kRosterGrace after its start, this node does not lend: it would take itself
-  // for the only one, and so would every other that starts at that time.
-  void OnRosterRead();
+  // OnNodeKnown has been called for all nodes of the deployment. Before, this
+  // node neither lends nor spends a share of its own, which it would work out
+  // from the nodes that happen to be linked: the sum of such shares, over nodes
+  // that started together, is a multiple of the limit. Nodes that still learn
+  // no roster after kRosterGrace serve their accounts all the same.
+  void OnRosterKnown();
+  [[nodiscard]] bool IsRosterKnown() const { return this->roster_known; }
+  // Whether the node counts for the shares: it has neither left nor been lost
+  // for long.
+  [[nodiscard]] bool CountsNode(std::string_view node) const {
+    return IsKnown(this->census, node);
+  }
   // The link to the node is up, or its bandwidth has become known.
   void OnLinkUp(const std::string& node, std::uint32_t line_mbit);
   void OnLinkLost(const std::string& node);
@@ -169,7 +177,6 @@
   };
 
   [[nodiscard]] LimitedAccount* Find(std::string_view account);
-  [[nodiscard]] bool IsSettled(TimePoint now) const;
   [[nodiscard]] QuotaDecision Decide(std::string_view account,
                                      LimitedAccount& row);
   [[nodiscard]] QuotaDecision DecideAlone(std::string_view account,
@@ -226,7 +233,7 @@
   std::map<std::string, std::uint32_t, std::less<>> connected;
   std::set<std::string, std::less<>> leaving;
   bool self_leaving = false;
-  bool roster_read = false;
+  bool roster_known = false;
   TimePoint started_at;
   std::map<std::string, LimitedAccount, std::less<>> accounts;
   // Accounts of the token requests that have not been answered.
--- a/src/edge/roster.cc
+++ b/src/edge/roster.cc
@@ -3,6 +3,7 @@
 // record and opens a link, which introduces it to the other. So one read after
 // its own write is enough for every pair of nodes to know each other.
 #include <chrono>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -11,6 +12,7 @@
 
 #include "base/clock.h"
 #include "edge/edge_node.h"
+#include "edge/node_list.h"
 #include "teaselspread/backoff.h"
 #include "teaselspread/logging.h"
 #include "teaselspread/settings.h"
@@ -24,6 +26,8 @@
 // The records are read again at this interval, in case a link could not be
 // established when another node started.
 constexpr std::chrono::seconds kReadInterval{60};
+// A node without the roster asks others for it from this time after its start.
+constexpr std::chrono::milliseconds kNodeListRequestAfter{500};
 // Shorter interval while no link to another node is connected.
 constexpr std::chrono::seconds kIsolatedReadInterval{3};
 
@@ -80,13 +84,23 @@
           ReadPage(node, page.records.back().key);
           return;
         }
-        node.quota.OnRosterRead();
+        node.quota.OnRosterKnown();
         const bool isolated = IsIsolated(node);
         ScheduleTask(node, isolated ? kIsolatedReadInterval : kReadInterval,
                      ReadRoster);
       });
 }
 
+// The nodes that this one knows, with itself.
+std::vector<Hello> ListNodes(const EdgeNode& node) {
+  std::vector<Hello> nodes = {node.links.self};
+  for (const auto& [name, peer] : node.links.Peers()) {
+    if (node.quota.CountsNode(name))
+      nodes.push_back({name, peer.data_center, peer.link, peer.line_mbit});
+  }
+  return nodes;
+}
+
 void ReadRoster(EdgeNode& node) {
   ReadPage(node, "");
 }
@@ -114,4 +128,46 @@
   Register(node);
 }
 
+void RequestNodeListIfMissing(EdgeNode& node) {
+  if (node.quota.IsRosterKnown() ||
+      SteadyNow() - node.started < kNodeListRequestAfter)
+    return;
+  std::vector<std::string> nodes;
+  for (const auto& [name, peer] : node.links.Peers()) {
+    if (peer.connected)
+      nodes.push_back(name);
+  }
+  if (nodes.empty())
+    return;
+  std::uniform_int_distribution<std::size_t> any(0, nodes.size() - 1);
+  (void)node.links.RequestTokens(nodes[any(node.rng)], NodeListRequest());
+}
+
+void SendNodeList(EdgeNode& node, const std::string& to) {
+  if (!node.quota.IsRosterKnown())
+    return;
+  const std::vector<Hello> nodes = ListNodes(node);
+  Log(LogLevel::kInfo, "roster", "list-sent",
+      {{"node", to}, {"nodes", nodes.size()}});
+  node.links.SendToCaller(to, PackNodeList(nodes));
+}
+
+// The address of a node that is known may be newer than that in the list.
+void OnNodeList(EdgeNode& node,
+                const std::string& from,
+                const std::vector<Hello>& nodes) {
+  if (node.quota.IsRosterKnown())
+    return;
+  Log(LogLevel::kInfo, "roster", "list-received",
+      {{"node", from},
+       {"nodes", nodes.size()},
+       {"after_ms",
+        (SteadyNow() - node.started) / std::chrono::milliseconds(1)}});
+  for (const Hello& listed : nodes) {
+    if (node.links.Find(listed.node) == nullptr)
+      AddNode(node, listed);
+  }
+  node.quota.OnRosterKnown();
+}
+
 }  // namespace teaselspread
--- a/src/quota/node_census.cc
+++ b/src/quota/node_census.cc
@@ -79,6 +79,11 @@
     SetReach(census, row->second, NodeReach::kLeft, now);
 }
 
+bool IsKnown(const NodeCensus& census, std::string_view node) {
+  const auto row = census.rows.find(node);
+  return row != census.rows.end() && IsKnown(row->second.reach);
+}
+
 std::size_t CountKnown(NodeCensus& census, TimePoint now) {
   DropLost(census, now);
   return census.known;
--- a/tests/process/edge_test.cc
+++ b/tests/process/edge_test.cc
@@ -156,6 +156,25 @@
   }));
 }
 
+// Guards against nodes that start together while the store is down and stay
+// unknown to each other, so that each works out its shares without the others.
+Test(edge, nodes_that_start_without_the_store_learn_of_each_other) {
+  EdgeFleet fleet;
+  cr_assert(fleet.WaitUntilReady());
+  fleet.store.SetFault(StoreFault::kReset);
+  fleet.At(0).node->Signal(SIGKILL);
+  fleet.At(2).Restart();
+  fleet.At(0).Restart();
+  const auto links = [&fleet](std::size_t from, const std::string& to) {
+    return fleet.At(from).node->Output().find("event=link-up node=" + to) !=
+           std::string::npos;
+  };
+  const bool linked =
+      WaitUntil([&] { return links(0, "b-1") && links(2, "a-1"); }, Ms(4000));
+  fleet.store.SetFault(StoreFault::kNone);
+  cr_assert(linked);
+}
+
 // Guards against a delay before nodes connect to each other after all of them
 // restarted at once. Each VM has an upstream of one service only, so a node
 // without links refuses all its callers, and most of them retry only once: a
--- a/tests/support/quota_fleet.h
+++ b/tests/support/quota_fleet.h
@@ -115,7 +115,7 @@
   }
 
   // From now on processes start without the roster. They know only nodes that
-  // open links to them, and admit no request before the grace period has ended.
+  // open links to them, until one of those that has it sends them the list.
   void MakeRosterUnreadable() { this->roster_unreadable = true; }
 
   // Starts a process with the roster and no links; links follow.
@@ -197,7 +197,10 @@
   static constexpr TimePoint kEpoch{std::chrono::hours(1)};
   static constexpr Duration kAskTimeout = std::chrono::milliseconds(100);
   static constexpr Duration kTick = std::chrono::milliseconds(100);
-  static constexpr Duration kRosterGrace = std::chrono::seconds(2);
+  // From the list until links to the nodes that it names are open.
+  static constexpr Duration kListLinkDelay = std::chrono::milliseconds(5);
+  // From the link to a node with the roster until its list has arrived.
+  static constexpr Duration kListDelay = std::chrono::milliseconds(750);
   static constexpr Duration kAskAgain = std::chrono::milliseconds(500);
   static constexpr std::string_view kAccount = "account-7";
   // Links are not lost and found by all nodes at the same moment.
@@ -216,9 +219,8 @@
 
   struct Node {
     bool up = false;
-    // Its process has not read the roster since its start.
+    // Its process has not learned the roster since its start.
     bool without_roster = false;
-    TimePoint started;
     int incarnation = 0;
     TimePoint suspended_until;
     Duration clock_offset{};
@@ -290,7 +292,6 @@
     node.limit = this->options.limit;
     node.reaches.assign(this->nodes.size(), false);
     node.census.self = this->NameOf(index);
-    node.started = this->now;
     node.without_roster = this->roster_unreadable;
     if (!node.without_roster) {
       for (const std::string& name : this->names)
@@ -325,10 +326,23 @@
         OnNodeReached(node.census, this->NameOf(other), this->ClockOf(index));
       else
         OnNodeLost(node.census, this->NameOf(other), this->ClockOf(index));
+      if (reaches && node.without_roster)
+        this->ToNode(index, kListDelay, [this, index] { this->Learn(index); });
     }
     this->SelectLender(index);
   }
 
+  // A list of the nodes arrives, and links to all of them follow.
+  void Learn(int index) {
+    Node& node = this->Of(index);
+    if (!std::exchange(node.without_roster, false))
+      return;
+    for (const std::string& name : this->names)
+      OnNodeKnown(node.census, name, this->ClockOf(index));
+    this->SelectLender(index);
+    this->UpdateAllLinks(kListLinkDelay);
+  }
+
   void SelectLender(int index) {
     Node& node = this->Of(index);
     std::vector<QuotaNode> reachable;
@@ -341,7 +355,7 @@
     const int lender = static_cast<int>(
         std::find(this->names.begin(), this->names.end(), name) -
         this->names.begin());
-    if (lender == index)
+    if (lender == index && !node.without_roster)
       BeginLending(node.lent, kAccount, this->ClockOf(index));
     else
       StopLending(node.lent, kAccount);
@@ -355,8 +369,10 @@
 
   void Arrive(int index) {
     Node& node = this->Of(index);
-    if (node.without_roster && this->now - node.started < kRosterGrace)
+    if (node.without_roster && node.lender == index) {
+      this->refusals.push_back(this->now);
       return;
+    }
     const QuotaDecision decision =
         Spend(node.borrower, kAccount, this->ClockOf(index));
     if (decision.outcome != QuotaOutcome::kMustBorrow) {
@@ -425,7 +441,7 @@
                const TokenAsk& ask,
                int ask_id,
                TimePoint asked_at) {
-    if (this->Of(lender).lender != lender) {
+    if (this->Of(lender).lender != lender || this->Of(lender).without_roster) {
       this->Send(lender, borrower, [this, borrower, ask_id] {
         this->OnTimeout(borrower, ask_id);
       });
@@ -473,6 +489,10 @@
   void DecideAlone(int index) {
     Node& node = this->Of(index);
     const TimePoint clock = this->ClockOf(index);
+    if (node.without_roster) {
+      this->refusals.push_back(this->now);
+      return;
+    }
     this->Decide(index,
                  SpendAlone(node.borrower, kAccount, node.limit,
                             CountKnown(node.census, clock), clock, this->rng));
--- a/tests/unit/quota_service_test.cc
+++ b/tests/unit/quota_service_test.cc
@@ -26,7 +26,7 @@
 struct Fixture {
   explicit Fixture(const std::string& self = "a-1", std::uint32_t mbit = 100)
       : service({self, mbit}, QuotaBounds{}, this->Io()) {
-    this->service.OnRosterRead();
+    this->service.OnRosterKnown();
   }
 
   QuotaIo Io() {
@@ -246,7 +246,7 @@
   bounds.window = 100ms;
   Fixture node;
   QuotaService service({"a-1", 100}, bounds, node.Io());
-  service.OnRosterRead();
+  service.OnRosterKnown();
   service.OnLinkUp("b-1", 1000);
   service.SetLimits({{"shop", {100, 10}}});
   bool decided = false;
@@ -468,20 +468,57 @@
   service.OnNodeKnown("b-1");
   service.OnNodeKnown("c-1");
   service.OnNodeKnown("d-1");
-  service.OnRosterRead();
+  service.OnRosterKnown();
   cr_assert_eq(outcomes.size(), 2U);
   cr_assert_float_eq(service.Share(), 0.25, 1e-9);
-  // A store that cannot be read must not stop an account for ever.
+}
+
+// Guards against limits that are exceeded by the number of nodes that start
+// without the roster, and against an account that a store which cannot be read
+// stops for ever.
+Test(quota_service, without_the_roster_a_node_admits_nothing_for_a_minute) {
+  Fixture base;
   QuotaService alone({"a-1", 100}, QuotaBounds{}, base.Io());
   alone.SetLimits({{"shop", {1000, 100}}});
+  const auto admits = [&](std::uint64_t id) {
+    std::optional<QuotaOutcome> outcome;
+    alone.Acquire(id, "shop", [&](const QuotaDecision& decision) {
+      outcome = decision.outcome;
+    });
+    base.now += 100ms;
+    alone.Tick();
+    cr_assert(outcome.has_value());
+    return outcome == QuotaOutcome::kAdmitted;
+  };
   base.now += 2s;
   alone.Tick();
+  cr_expect_not(admits(1));
+  base.now += 57s;
+  alone.Tick();
+  cr_expect_not(admits(2));
+  base.now += 1s;
+  alone.Tick();
   base.now += 100ms;
-  bool admitted = false;
-  alone.Acquire(3, "shop", [&](const QuotaDecision& decision) {
-    admitted = decision.outcome == QuotaOutcome::kAdmitted;
-  });
-  cr_assert(admitted);
+  cr_expect(admits(3));
+}
+
+// Guards against a share of a limit that a node works out from the few nodes
+// that are linked to it, when the lender that it selects is not theirs.
+Test(quota_service, without_the_roster_a_node_spends_no_own_share) {
+  Fixture base;
+  QuotaService service({"a-1", 100}, QuotaBounds{}, base.Io());
+  service.OnLinkUp("b-1", 1000);
+  service.SetLimits({{"shop", {1000, 100}}});
+  std::vector<QuotaOutcome> outcomes;
+  for (std::uint64_t id = 1; id <= 20; ++id) {
+    service.Acquire(id, "shop", [&](const QuotaDecision& decision) {
+      outcomes.push_back(decision.outcome);
+    });
+  }
+  service.OnTokenGrant("b-1", {base.sent.at(0).request.sequence, false, 0, 0});
+  cr_assert_eq(outcomes.size(), 20U);
+  for (const QuotaOutcome outcome : outcomes)
+    cr_expect(outcome == QuotaOutcome::kDenied);
 }
 
 // A new version of the configuration lowers or removes a limit while requests
@@ -553,7 +590,7 @@
       running->OnLinkUp(name, 100);
       service->OnLinkUp(other, 100);
     }
-    service->OnRosterRead();
+    service->OnRosterKnown();
     service->SetLimits({{"shop", {100, 10}}});
     this->nodes[name] = std::move(service);
   }
