Leaves: nodes remember for each other which upstreams leave

Cause: the node beside it was killed after the acknowledgement, and its new process took a heartbeat that had been sent before the leave for news. Evidence: upstream-state to=leaving sequence=7 in the first process, from=none to=ready sequence=8 in the second, at the moment at which the late heartbeat arrived; the health check's 503s in between led to nothing, and the other nodes sent again only from then on.

Change: a node that learns of a leave tells the nodes linked to it before it acknowledges. A notice is a frame that a node of the release before ignores. It ends by itself: a repeated one renews nothing.

Failed before, on: edge::a_restarted_node_is_reminded_of_a_leave (two kills, the store resetting).

--- a/src/edge/departures.h
+++ b/src/edge/departures.h
@@ -1,5 +1,5 @@
-// Upstream processes that said in a response, which this node has passed on,
-// that they leave.
+// Upstream processes of which this node knows that they leave: they said so in
+// a response that it has passed on, or the node beside them was told.
 //
 // The gate beside such a process refuses requests for it. But a node that is
 // restarted forgets that, and takes the process for ready again if a late
@@ -13,16 +13,22 @@
 #include <deque>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "teaselspread/types.h"
 
 namespace teaselspread {
 
 struct Departure {
+  // The node beside it; empty if not known.
+  std::string node;
   std::string instance;
-  // Distinguishes processes of the same name; 0 if not known.
+  // Distinguishes processes of the same name: the low bits of `born_ms`; 0 if
+  // not known.
   std::uint32_t process_stamp = 0;
-  TimePoint heard_at;
+  // When the process started; 0 if only the stamp is known.
+  std::int64_t born_ms = 0;
+  TimePoint heard_at{};
 };
 
 struct DepartureTable {
@@ -30,14 +36,17 @@
   std::deque<Departure> departures;
 };
 
-// Ignores an empty `instance`.
-void RecordDeparture(DepartureTable& table,
-                     std::string_view instance,
-                     std::uint32_t process_stamp,
-                     TimePoint now);
+// Sets `heard_at`, which is the first time that the process was named. Ignores
+// an empty `instance`.
+void RecordDeparture(DepartureTable& table, Departure departure, TimePoint now);
 
-// Whether the process has said so. One of that name that started at another
-// time has not; where a start time is not known, the names decide.
+[[nodiscard]] std::vector<Departure> DeparturesInForce(
+    const DepartureTable& table,
+    TimePoint now);
+
+// Whether the process has said so.
+// One of that name that started at another time has not; where a start time is
+// not known, the names decide.
 [[nodiscard]] bool HasLeft(const DepartureTable& table,
                            std::string_view instance,
                            std::uint32_t process_stamp,
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -11,6 +11,7 @@
 #include <xxhash.h>
 
 #include "base/clock.h"
+#include "edge/departure_exchange.h"
 #include "edge/frame_socket.h"
 #include "edge/node_list.h"
 #include "edge/order_copy.h"
@@ -263,6 +264,7 @@
     AddNode(node, hello);
     UpdateQuotaPeer(node, hello.node);
     SendEvacuations(node, hello.node);
+    SendDepartures(node, hello.node);
   };
   on.on_config_request = [&node](const std::string& peer,
                                  std::uint64_t digest) {
@@ -275,6 +277,8 @@
   on.on_config = [&node](const std::string& peer, const ConfigFrame& copy) {
     if (const auto order = UnpackEvacuation(copy))
       ApplyEvacuationOrder(node, *order, OrderSource::kPeer);
+    else if (const auto departure = UnpackDeparture(copy))
+      OnDepartureNotice(node, *departure);
     else if (const auto nodes = UnpackNodeList(copy))
       OnNodeList(node, peer, *nodes);
     else
@@ -558,6 +562,9 @@
     RefreshVersions(node);
     SendStatus(node);
   };
+  node.gate.on_departure = [&node](const LeaveCall& call) {
+    AnnounceDeparture(node, call);
+  };
   node.started = SteadyNow();
   node.traffic_logged_at = node.started;
   node.settings_modified_ns = ModifiedAtNanos(node.settings_file);
--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -522,7 +522,8 @@
                            ResultFrame result) {
   if (FindHeader(result.response.headers, this->names.leaving) ==
       kLeavingValue) {
-    RecordDeparture(this->departures, pending.instance, pending.process_stamp,
+    RecordDeparture(this->departures,
+                    {pending.node, pending.instance, pending.process_stamp},
                     SteadyNow());
   }
   const bool failed = result.response.status >= kFirstServerError;
--- a/src/edge/entry.h
+++ b/src/edge/entry.h
@@ -164,6 +164,8 @@
   EntryCounters counters;
   std::map<std::string, LatencyHistogram> latency_by_route;
   ShortageTable shortage;
+  // Processes that get no requests, whatever their gate reports.
+  DepartureTable departures;
 
  private:
   // Adds a request that IdentifyCaller has accepted to the pending ones.
@@ -263,8 +265,6 @@
   std::map<std::string, RetryBudget> retry_budgets;
   // When the process ends; none before it has begun to stop.
   std::optional<TimePoint> end;
-  // Processes that said in a response to this node that they leave.
-  DepartureTable departures;
   Rng rng;
 };
 
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -102,6 +102,9 @@
   [[nodiscard]] HeartbeatResult OnHeartbeat(const UpstreamHeartbeat& heartbeat);
   // False when the process does not hold the lease.
   bool OnUpstreamLeaving(const LeaveCall& call);
+  // Another node remembers that the process beside this one leaves. False if
+  // this was known.
+  bool RecallDeparture(const LeaveCall& call);
 
   // The operators take the upstream out of service, or put it back. It then
   // counts as slow after its start until a heartbeat says otherwise.
@@ -148,6 +151,8 @@
 
   // Called when more than the load may have changed in Status().
   std::function<void()> on_status_change = [] {};
+  // The upstream's process has announced that it leaves, for the first time.
+  std::function<void(const LeaveCall&)> on_departure = [](const LeaveCall&) {};
 
   [[nodiscard]] const NamedLimit& Limit() const {
     return this->gatekeeper.limit;
--- a/src/edge/gate_upstream.cc
+++ b/src/edge/gate_upstream.cc
@@ -172,6 +172,8 @@
     this->ForgetLimit();
   }
   this->ApplyLease();
+  if (result == HeartbeatResult::kAccepted && heartbeat.leaving && !announced)
+    this->on_departure({heartbeat.instance, heartbeat.born_ms});
   this->on_status_change();
   return result;
 }
@@ -186,13 +188,27 @@
 }
 
 bool Gate::OnUpstreamLeaving(const LeaveCall& call) {
+  LeaveCall named = call;
+  const auto& held = this->lease.current;
+  if (named.born_ms == 0 && held && held->instance == named.instance)
+    named.born_ms = held->born_ms;
   const bool known =
       OnLeave(this->lease, call.instance, call.born_ms, SteadyNow());
   this->ApplyLease();
+  this->on_departure(named);
   this->on_status_change();
   return known;
 }
 
+bool Gate::RecallDeparture(const LeaveCall& call) {
+  if (HasAnnouncedLeave(this->lease, call.instance, call.born_ms))
+    return false;
+  (void)OnLeave(this->lease, call.instance, call.born_ms, SteadyNow());
+  this->ApplyLease();
+  this->on_status_change();
+  return true;
+}
+
 // Responses of a process that no longer holds the lease say nothing of the one
 // that does, which may have the same name.
 void Gate::HearUpstream(std::string_view instance,
--- a/src/upstream/upstream_lease.cc
+++ b/src/upstream/upstream_lease.cc
@@ -40,6 +40,9 @@
     if (process.instance != heartbeat.instance ||
         now - process.left_at > kMaxHeartbeatDelay)
       continue;
+    // One known from its health check alone may be the process that left.
+    if (heartbeat.sequence == 0 && heartbeat.born_ms == 0)
+      return true;
     if (process.born_ms == 0 && heartbeat.sequence > 1)
       process.born_ms = heartbeat.born_ms;
     if (process.born_ms == heartbeat.born_ms)
@@ -124,6 +127,20 @@
                      });
 }
 
+bool HasAnnouncedLeave(const UpstreamLease& lease,
+                       std::string_view instance,
+                       std::int64_t born_ms) {
+  const auto& held = lease.current;
+  if (held && held->leaving && held->instance == instance &&
+      (held->born_ms == born_ms || held->born_ms == 0 || born_ms == 0))
+    return true;
+  return std::any_of(lease.left_processes.begin(), lease.left_processes.end(),
+                     [&](const LeftProcess& process) {
+                       return process.instance == instance &&
+                              process.born_ms == born_ms;
+                     });
+}
+
 bool IsAnotherProcess(const UpstreamHeartbeat& before,
                       const UpstreamHeartbeat& after) {
   return before.instance != after.instance ||
--- a/tests/process/edge_test.cc
+++ b/tests/process/edge_test.cc
@@ -370,6 +370,38 @@
   cr_assert(failed == 0);
 }
 
+// Guards against requests that reach an upstream after its leave was
+// acknowledged, when the node beside it is killed twice, forgets the leave, and
+// receives a heartbeat that was sent before.
+Test(edge, a_restarted_node_is_reminded_of_a_leave) {
+  EdgeFleet fleet;
+  cr_assert(fleet.WaitUntilReady());
+  EdgeVm& leaving = fleet.At(0);
+  leaving.upstream.BeSilent();
+  std::this_thread::sleep_for(Ms(200));
+  cr_assert(leaving.upstream.Leave(leaving.ports.admin));
+  fleet.store.SetFault(StoreFault::kReset);
+  for (int restarts = 0; restarts < 2; ++restarts) {
+    std::this_thread::sleep_for(Ms(300));
+    leaving.Restart();
+    (void)WaitUntil(
+        [&leaving] {
+          return leaving.node->Output().find("event=departure-recalled") !=
+                 std::string::npos;
+        },
+        Ms(3000));
+  }
+  (void)leaving.upstream.Beat(leaving.ports.admin);
+  const std::size_t before = leaving.upstream.Runs().size();
+  for (int i = 0; i < 60; ++i) {
+    const HttpResponse response =
+        SendRequest(fleet.At(i % 3), "GET", "/view/1", NextRequestId());
+    cr_expect_eq(response.status, 200, "%d: %d", i, response.status);
+  }
+  fleet.store.SetFault(StoreFault::kNone);
+  cr_expect_eq(leaving.upstream.Runs().size(), before);
+}
+
 // An upstream ends without a leave call. Its port refuses connections, which
 // proves that nothing ran, so even a non-idempotent request is sent elsewhere.
 Test(edge, requests_to_a_dead_upstream_are_served_elsewhere) {
--- a/tests/unit/upstream_lease_test.cc
+++ b/tests/unit/upstream_lease_test.cc
@@ -45,6 +45,17 @@
   cr_assert(StateOf(lease, kStart + Ms(10)) == LeaseState::kReady);
 }
 
+// Guards against a leaving process that is taken for ready, since its health
+// check still says so and names no start time.
+Test(upstream_lease, a_leave_holds_against_the_health_check) {
+  UpstreamLease lease;
+  cr_assert_not(OnLeave(lease, "i-1", 5000, kStart));
+  cr_expect(ApplyHeartbeat(lease, MakeHeartbeat("i-1", 0, 0), kStart) ==
+            HeartbeatResult::kAlreadyLeaving);
+  cr_expect(ApplyHeartbeat(lease, MakeHeartbeat("i-2", 0, 0), kStart) ==
+            HeartbeatResult::kAccepted);
+}
+
 // Leave calls may give only the name of the process, not its start time.
 Test(upstream_lease, a_leave_without_start_time_holds_too) {
   UpstreamLease lease;
