Stop: requests that wait are answered before the process ends

Cause: the request waited for an upstream, with a deadline after the end of the process.

Change: from the SIGTERM on no deadline is later than 0.2 s before the process ends. Gates then refuse at once what can't run until then, and what is left gets its final answer before its connection closes.

Failed before, on: edge::requests_that_wait_when_a_node_stops_are_answered.

--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -421,6 +421,7 @@
   node.quota.BeginLeaving();
   node.gate.LeaveNode();
   node.outbound.CloseAfterResponses();
+  node.entry.BeginStop(EndOf(node));
   SendStatus(node);
 }
 
@@ -435,7 +436,7 @@
       {{"open", node.outbound.CountPending()},
        {"partial", node.outbound.CountPartial()}});
   node.outbound.CloseIntake();
-  node.entry.SetEnd(EndOf(node));
+  node.entry.RefuseLateRequests();
 }
 
 // While there is time for their callers to read the response and to go
--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -30,6 +30,9 @@
 // Weight of the newest request in the moving average of TransferBytes.
 constexpr double kNewestSizeWeight = 0.01;
 constexpr int kFirstServerError = 500;
+// Requests that are still pending this long before the process ends get their
+// final response, so that it reaches the caller.
+constexpr Duration kLastAnswerTime = std::chrono::milliseconds(200);
 // Stands for a rate of zero, so that expected waits are finite.
 constexpr double kMinStartsPerSecond = 0.01;
 
@@ -147,7 +150,7 @@
 bool Entry::MayRunBeforeEnd(const RouteConfig& route) const {
   const Duration needed =
       route.aim > Duration::zero() ? route.aim : route.deadline;
-  return !this->end || SteadyNow() + needed <= *this->end;
+  return !this->refuses_late || SteadyNow() + needed <= *this->end;
 }
 
 void Entry::AcquireToken(std::uint64_t id) {
@@ -199,11 +202,7 @@
   }
   this->SetTimes(pending);
   pending.timer = std::make_unique<boost::asio::steady_timer>(this->loop);
-  pending.timer->expires_after(pending.deadline - SteadyNow());
-  pending.timer->async_wait([this, id](boost::system::error_code error) {
-    if (!error)
-      this->OnDeadline(id);
-  });
+  this->StartTimer(id, pending);
   exchange->on_caller_disconnected = [this, id] {
     this->OnCallerDisconnected(id);
   };
@@ -213,6 +212,22 @@
   return id;
 }
 
+void Entry::StartTimer(std::uint64_t id, PendingRequest& pending) {
+  if (this->end)
+    pending.deadline = std::min(pending.deadline, *this->end - kLastAnswerTime);
+  pending.timer->expires_after(pending.deadline - SteadyNow());
+  pending.timer->async_wait([this, id](boost::system::error_code error) {
+    if (!error)
+      this->OnDeadline(id);
+  });
+}
+
+void Entry::BeginStop(TimePoint process_end) {
+  this->end = process_end;
+  for (auto& [id, pending] : this->pending_requests)
+    this->StartTimer(id, pending);
+}
+
 void Entry::BeginAttempts(std::uint64_t id) {
   const auto found = this->pending_requests.find(id);
   if (found == this->pending_requests.end())
--- a/src/edge/entry.h
+++ b/src/edge/entry.h
@@ -142,9 +142,12 @@
     this->settings.service = std::move(service);
   }
 
-  // The process ends at that time: a request that is received from now on runs
-  // only if its route's aim, or its time-out without one, is met before.
-  void SetEnd(TimePoint process_end) { this->end = process_end; }
+  // The process stops, and closes all connections at `process_end`: no request
+  // waits or runs until then, whatever its deadline.
+  void BeginStop(TimePoint process_end);
+  // From now on a request runs only if its route's aim, or its time-out without
+  // one, is met before the end. Precondition: BeginStop was called.
+  void RefuseLateRequests() { this->refuses_late = true; }
 
   void HandleRequest(const ExchangePtr& exchange);
 
@@ -184,6 +187,8 @@
   void BeginAttempts(std::uint64_t id);
   [[nodiscard]] bool MayRunBeforeEnd(const RouteConfig& route) const;
   void SetTimes(PendingRequest& pending);
+  // Ends the request at its deadline, or shortly before the process ends.
+  void StartTimer(std::uint64_t id, PendingRequest& pending);
   // When the response starts to lose value; none for routes without an aim.
   [[nodiscard]] static std::optional<TimePoint> AimOf(
       const PendingRequest& pending);
@@ -265,6 +270,7 @@
   std::map<std::string, RetryBudget> retry_budgets;
   // When the process ends; none before it has begun to stop.
   std::optional<TimePoint> end;
+  bool refuses_late = false;
   Rng rng;
 };
 
--- a/tests/process/edge_test.cc
+++ b/tests/process/edge_test.cc
@@ -495,6 +495,14 @@
   cr_assert(cut <= 4, "%d requests were cut", cut.load());
 }
 
+// A configuration whose time-outs are longer than a stop takes.
+std::string LongTimeouts() {
+  return absl::StrReplaceAll(
+      ConfigText("00000001"),
+      {{R"("priority":1)", R"("priority":1,"aimMs":500)"},
+       {R"("timeoutMs":2000)", R"("timeoutMs":8000)"}});
+}
+
 std::string UploadHead(const std::string& id, std::size_t bytes) {
   return "POST /load/x HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: " + id +
          "\r\nX-Deadline-Ms: 8000\r\nContent-Length: " + std::to_string(bytes) +
@@ -504,10 +512,7 @@
 // Guards against an upload that is sent while a node stops and gets no answer,
 // and against a slow one that holds the stop up.
 Test(edge, an_upload_that_is_being_sent_when_a_node_stops_is_answered) {
-  EdgeFleet fleet(
-      absl::StrReplaceAll(ConfigText("00000001"),
-                          {{R"("priority":1)", R"("priority":1,"aimMs":500)"},
-                           {R"("timeoutMs":2000)", R"("timeoutMs":8000)"}}));
+  EdgeFleet fleet(LongTimeouts());
   cr_assert(fleet.WaitUntilReady());
   const std::string quick = NextRequestId();
   const std::string slow = NextRequestId();
@@ -536,6 +541,28 @@
   cr_expect_eq(fleet.At(0).node->WaitExit(Ms(6000)), 0);
 }
 
+// Guards against requests that wait for an upstream when a node stops and whose
+// connections end without a response.
+Test(edge, requests_that_wait_when_a_node_stops_are_answered) {
+  EdgeFleet fleet(LongTimeouts());
+  cr_assert(fleet.WaitUntilReady());
+  fleet.At(1).upstream.SetWork(Ms(7000));
+  std::vector<RawSocket> callers;
+  constexpr int kCallers = 12;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.push_back(RawSocket::ConnectTo(fleet.At(0).ports.outbound));
+    callers.back().Send(UploadHead(NextRequestId(), 4) + "abcd");
+  }
+  std::this_thread::sleep_for(Ms(300));
+  fleet.At(0).node->Signal(SIGTERM);
+  for (const RawSocket& caller : callers) {
+    const std::string answer = caller.ReadUntil(
+        [](const std::string& text) { return !text.empty(); }, Ms(7000));
+    cr_expect(answer.starts_with("HTTP/1.1 "), "'%s'", answer.c_str());
+  }
+  cr_expect_eq(fleet.At(0).node->WaitExit(Ms(6000)), 0);
+}
+
 // A move completes within some seconds, and the operator can read its result in
 // the store.
 Test(edge, a_good_move_is_completed_and_reported) {
--- a/tests/unit/node_list_test.cc
+++ b/tests/unit/node_list_test.cc
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include <absl/strings/str_cat.h>
+
 namespace teaselspread {
 namespace {
 
@@ -40,8 +42,8 @@
        {"", " ", "c-1", "c-1 c nowhere 10", "c-1 c 127.0.0.1:99999 10",
         "c-1 c 127.0.0.1:7380 -1", " c 127.0.0.1:7380 10",
         "c-1 c 127.0.0.1:7380 10 more"}) {
-    const auto nodes =
-        UnpackNodeList(ListOf(line + "\na-1 a 127.0.0.1:7380 10\n" + line));
+    const auto nodes = UnpackNodeList(
+        ListOf(absl::StrCat(line, "\na-1 a 127.0.0.1:7380 10\n", line)));
     cr_assert(nodes.has_value());
     cr_expect_eq(nodes->size(), 1U, "'%s'", line.c_str());
   }
@@ -51,7 +53,7 @@
 Test(node_list, takes_a_bounded_number_of_nodes) {
   std::string text;
   for (std::size_t i = 0; i <= kMaxListedNodes; ++i)
-    text += "n-" + std::to_string(i) + " a 127.0.0.1:7380 10\n";
+    absl::StrAppend(&text, "n-", i, " a 127.0.0.1:7380 10\n");
   cr_assert_eq(UnpackNodeList(ListOf(text))->size(), kMaxListedNodes);
 }
 
