Exceptions: one of a request ends its connection, any other is logged before the end

Found on reading the diff: the loop that went on after any exception would have left timers unset (Tick sets its own anew at its end), so the process would have lived without leases and stops. KnowsLeave in place of a second HasAnnouncedLeave.

--- a/include/teaselspread/upstream_lease.h
+++ b/include/teaselspread/upstream_lease.h
@@ -101,11 +101,10 @@
 // name, has announced that it leaves.
 [[nodiscard]] bool HasAnnouncedLeave(const UpstreamLease& lease,
                                      std::string_view instance);
-// The same for the process of that name that started at `born_ms`, as OnLeave
-// was told.
-[[nodiscard]] bool HasAnnouncedLeave(const UpstreamLease& lease,
-                                     std::string_view instance,
-                                     std::int64_t born_ms);
+// Whether OnLeave with these arguments would change nothing.
+[[nodiscard]] bool KnowsLeave(const UpstreamLease& lease,
+                              std::string_view instance,
+                              std::int64_t born_ms);
 
 // Whether the heartbeats come from different processes. One known from its
 // health check alone has no start time yet. Thread safe.
--- a/src/edge/departures.h
+++ b/src/edge/departures.h
@@ -40,13 +40,14 @@
 // an empty `instance`.
 void RecordDeparture(DepartureTable& table, Departure departure, TimePoint now);
 
+// Departures that have not been forgotten.
 [[nodiscard]] std::vector<Departure> DeparturesInForce(
     const DepartureTable& table,
     TimePoint now);
 
-// Whether the process has said so.
-// One of that name that started at another time has not; where a start time is
-// not known, the names decide.
+// Whether a departure of the process is in force. One of that name that started
+// at another time has not left; where a start time is not known, the names
+// decide.
 [[nodiscard]] bool HasLeft(const DepartureTable& table,
                            std::string_view instance,
                            std::uint32_t process_stamp,
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -548,16 +548,17 @@
   return {};
 }
 
-// A fault in the handling of one connection must not end all others.
-void RunLoop(boost::asio::io_context& loop) {
-  while (true) {
-    try {
-      loop.run();
-      return;
-    } catch (const std::exception& thrown) {
-      Log(LogLevel::kError, "node", "handler-threw",
-          {{"message", thrown.what()}});
-    }
+// Handlers of a connection catch what concerns it alone. After any other
+// exception a timer may not be set again, so the process ends, and the log says
+// why.
+void RunLoop(EdgeNode& node) {
+  try {
+    node.loop.run();
+  } catch (const std::exception& thrown) {
+    Log(LogLevel::kError, "node", "handler-threw",
+        {{"message", thrown.what()}});
+    node.log.Flush();
+    throw;
   }
 }
 
@@ -591,7 +592,7 @@
   node.orders.Start();
   StartRoster(node);
   Tick(node);
-  RunLoop(node.loop);
+  RunLoop(node);
   Log(LogLevel::kInfo, "node", "stopped",
       {{"open", node.outbound.CountPending()},
        {"partial", node.outbound.CountPartial()},
--- a/src/edge/gate_upstream.cc
+++ b/src/edge/gate_upstream.cc
@@ -208,7 +208,7 @@
 }
 
 bool Gate::RecallDeparture(const LeaveCall& call) {
-  if (HasAnnouncedLeave(this->lease, call.instance, call.born_ms))
+  if (KnowsLeave(this->lease, call.instance, call.born_ms))
     return false;
   (void)OnLeave(this->lease, call.instance, call.born_ms, SteadyNow());
   this->ApplyLease();
--- a/src/edge/http_listener.cc
+++ b/src/edge/http_listener.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <deque>
+#include <exception>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -18,6 +19,7 @@
 #include "edge/endpoint.h"
 #include "edge/http_text.h"
 #include "http/beast_convert.h"
+#include "teaselspread/logging.h"
 
 namespace teaselspread {
 namespace {
@@ -117,6 +119,7 @@
 
   void NewParser();
   void Read();
+  void OnBytesOrDisconnect(std::size_t bytes);
   void OnBytes(std::size_t bytes);
   void Parse();
   void DispatchRequest();
@@ -171,10 +174,21 @@
           self->OnCallerDisconnected();
           return;
         }
-        self->OnBytes(bytes);
+        self->OnBytesOrDisconnect(bytes);
       });
 }
 
+// What one caller sends must not end the process.
+void HttpSession::OnBytesOrDisconnect(std::size_t bytes) {
+  try {
+    this->OnBytes(bytes);
+  } catch (const std::exception& thrown) {
+    Log(LogLevel::kError, "requests", "request-threw",
+        {{"message", thrown.what()}});
+    this->OnCallerDisconnected();
+  }
+}
+
 void HttpSession::OnBytes(std::size_t bytes) {
   this->buffer.commit(bytes);
   if (!this->lingering)
--- a/src/upstream/upstream_lease.cc
+++ b/src/upstream/upstream_lease.cc
@@ -127,9 +127,9 @@
                      });
 }
 
-bool HasAnnouncedLeave(const UpstreamLease& lease,
-                       std::string_view instance,
-                       std::int64_t born_ms) {
+bool KnowsLeave(const UpstreamLease& lease,
+                std::string_view instance,
+                std::int64_t born_ms) {
   const auto& held = lease.current;
   if (held && held->leaving && held->instance == instance &&
       (held->born_ms == born_ms || held->born_ms == 0 || born_ms == 0))
