--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -238,14 +238,19 @@
   on.on_caller_disconnected = [&node](FrameSocket* from) {
     OnRemoteCallerGone(node, from);
   };
-  on.on_result = [&node](const std::string&, ResultFrame result) {
-    node.entry.OnResult(std::move(result));
+  on.on_result = [&node](const std::string& name, ResultFrame result) {
+    node.entry.OnResult(name, std::move(result));
+  };
+  on.on_calls_lost = [&node](const std::string& name, const CallIds& calls) {
+    node.entry.OnCallsLost(name, calls);
+  };
+  on.on_calls_silent = [&node](const std::string& name, const CallIds& calls) {
+    node.entry.OnCallsSilent(name, calls);
   };
   on.on_link_lost = [&node](const std::string& name) {
     RefreshVersions(node);
     node.versions.ForgetNode(name);
     RemovePeerShortage(node.entry.shortage, name);
-    node.entry.OnLinkLost(name);
     node.quota.OnLinkLost(name);
     ChooseReaderRole(node);
     OnPeerLost(node, name);
--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -29,7 +29,6 @@
 constexpr std::size_t kHeaderBytes = 500;
 // Weight of the newest request in the moving average of TransferBytes.
 constexpr double kNewestSizeWeight = 0.01;
-constexpr int kFirstServerError = 500;
 // Requests that are still pending this long before the process ends get their
 // final response, so that it reaches the caller.
 constexpr Duration kLastAnswerTime = std::chrono::milliseconds(200);
@@ -171,8 +170,8 @@
 }
 
 void Entry::ReleaseToken(std::uint64_t id, const PendingRequest& pending) {
-  const bool may_have_reached =
-      pending.in_flight || pending.attempts > 0 || pending.may_have_run;
+  const bool may_have_reached = pending.in_flight || !pending.silent.empty() ||
+                                pending.attempts > 0 || pending.may_have_run;
   if (pending.token == TokenState::kWaiting)
     this->quota.Cancel(id, pending.account->name);
   else if (pending.token == TokenState::kHeld && !may_have_reached)
@@ -234,7 +233,7 @@
     return;
   OnFirstAttempt(this->BudgetOf(found->second.service));
   if (!this->ShedForDependency(id, found->second))
-    this->Attempt(id);
+    this->TryNext(id);
 }
 
 void Entry::SetTimes(PendingRequest& pending) {
@@ -357,7 +356,7 @@
   return candidates;
 }
 
-void Entry::Attempt(std::uint64_t id) {
+void Entry::TryNext(std::uint64_t id) {
   const auto found = this->pending_requests.find(id);
   if (found == this->pending_requests.end())
     return;
@@ -487,40 +486,44 @@
 void Entry::SendTo(std::uint64_t id,
                    PendingRequest& pending,
                    const Candidate& chosen) {
-  pending.node = std::string(chosen.node);
-  pending.version = this->VersionOf(chosen);
-  pending.instance = this->InstanceOf(pending.node);
-  pending.process_stamp = this->ProcessStampOf(pending.node);
-  pending.at_own_gate = chosen.distance == Distance::kOwnVm;
+  pending.attempt.node = std::string(chosen.node);
+  pending.attempt.version = this->VersionOf(chosen);
+  pending.attempt.instance = this->InstanceOf(pending.attempt.node);
+  pending.attempt.process_stamp = this->ProcessStampOf(pending.attempt.node);
+  pending.attempt.at_own_gate = chosen.distance == Distance::kOwnVm;
   pending.in_flight = true;
-  pending.sent_at = SteadyNow();
+  pending.attempt.sent_at = SteadyNow();
   RunFrame frame = this->FrameOf(id, pending);
-  if (pending.at_own_gate) {
+  if (pending.attempt.at_own_gate) {
     this->gate.Run(id, std::move(frame), [this](ResultFrame result) {
-      const std::uint64_t call = result.call_id;
-      this->HandleResult(call, std::move(result));
+      this->OnResult(this->settings.vm, std::move(result));
     });
     return;
   }
-  frame.instance = pending.instance;
-  if (!this->links.Run(pending.node, frame)) {
+  frame.instance = pending.attempt.instance;
+  if (!this->links.Run(pending.attempt.node, frame)) {
     pending.in_flight = false;
-    pending.tried.push_back(pending.node);
+    pending.tried.push_back(pending.attempt.node);
     pending.last_error = ErrorKind::kPeerUnreachable;
-    this->Attempt(id);
+    this->TryNext(id);
   }
 }
 
-void Entry::OnResult(ResultFrame result) {
+void Entry::OnResult(const std::string& node, ResultFrame result) {
   const std::uint64_t id = result.call_id;
-  this->HandleResult(id, std::move(result));
+  this->HandleResult(id, node, std::move(result));
 }
 
-void Entry::HandleResult(std::uint64_t id, ResultFrame result) {
+void Entry::HandleResult(std::uint64_t id,
+                         const std::string& node,
+                         ResultFrame result) {
   const auto found = this->pending_requests.find(id);
-  if (found == this->pending_requests.end() || !found->second.in_flight)
+  if (found == this->pending_requests.end())
     return;
   PendingRequest& pending = found->second;
+  const bool is_current = pending.in_flight && pending.attempt.node == node;
+  if (!is_current && !this->ResumeSilent(id, pending, node, result))
+    return;
   pending.in_flight = false;
   pending.run_time = Duration(result.upstream_time_us);
   if (result.has_response) {
@@ -538,18 +541,26 @@
   if (FindHeader(result.response.headers, this->names.leaving) ==
       kLeavingValue) {
     RecordDeparture(this->departures,
-                    {pending.node, pending.instance, pending.process_stamp},
+                    {pending.attempt.node, pending.attempt.instance,
+                     pending.attempt.process_stamp},
                     SteadyNow());
   }
-  const bool failed = result.response.status >= kFirstServerError;
-  this->RecordOutcome(pending.node, failed);
-  this->ReportOutcome(pending, failed, Duration(result.upstream_time_us));
+  const bool failed = IsFailure(result.response);
+  this->RecordOutcome(pending.attempt.node, failed);
+  this->ReportOutcome(pending, pending.attempt, failed,
+                      Duration(result.upstream_time_us));
   ++pending.attempts;
   pending.may_have_run = true;
   if (failed && this->MayRetry(pending, ErrorKind::kUpstreamFailed, false)) {
     pending.has_response = true;
     pending.response = std::move(result.response);
-    this->Attempt(id);
+    this->TryNext(id);
+    return;
+  }
+  if (failed && !pending.silent.empty()) {
+    pending.has_response = true;
+    pending.response = std::move(result.response);
+    this->EndUnserved(id, ErrorKind::kUpstreamFailed, kEntryRetryAfter);
     return;
   }
   this->ForwardResponse(id, std::move(result.response));
@@ -560,7 +571,7 @@
 void Entry::HandleRefusal(std::uint64_t id,
                           PendingRequest& pending,
                           ResultFrame& result) {
-  pending.tried.push_back(pending.node);
+  pending.tried.push_back(pending.attempt.node);
   pending.last_error = result.error;
   const Duration retry_after = std::chrono::milliseconds(result.retry_after_ms);
   // The first upstream that has room again serves the caller. A suspect is
@@ -573,7 +584,7 @@
   const bool reached_upstream = result.error == ErrorKind::kUpstreamShed;
   if (reached_upstream) {
     ++pending.attempts;
-    this->RecordOutcome(pending.node, true);
+    this->RecordOutcome(pending.attempt.node, true);
   }
   const bool time_left = pending.deadline - SteadyNow() > kMinAttemptTime;
   // A gate that refuses a suspect knows more than the others: asking those
@@ -584,7 +595,7 @@
                              ? this->MayRetry(pending, result.error, true)
                              : may_ask_another;
   if (may_retry) {
-    this->Attempt(id);
+    this->TryNext(id);
     return;
   }
   this->EndUnserved(id, result.error, pending.retry_after);
@@ -593,25 +604,27 @@
 void Entry::HandleFailure(std::uint64_t id,
                           PendingRequest& pending,
                           ResultFrame& result) {
-  this->RecordOutcome(pending.node, true);
-  this->ReportOutcome(pending, true, Duration(result.upstream_time_us));
-  pending.tried.push_back(pending.node);
+  this->RecordOutcome(pending.attempt.node, true);
+  this->ReportOutcome(pending, pending.attempt, true,
+                      Duration(result.upstream_time_us));
+  pending.tried.push_back(pending.attempt.node);
   pending.last_error = result.error;
   ++pending.attempts;
   pending.may_have_run = true;
   if (this->MayRetry(pending, result.error, false)) {
-    this->Attempt(id);
+    this->TryNext(id);
     return;
   }
   this->EndUnserved(id, result.error, kEntryRetryAfter);
 }
 
 bool Entry::MayRetry(PendingRequest& pending, ErrorKind kind, bool not_run) {
-  if (pending.attempts >= pending.route->max_attempts)
+  const auto made = pending.attempts + static_cast<int>(pending.silent.size());
+  if (made >= pending.route->max_attempts)
     return false;
-  if (std::find(pending.tried.begin(), pending.tried.end(), pending.node) ==
-      pending.tried.end())
-    pending.tried.push_back(pending.node);
+  if (std::find(pending.tried.begin(), pending.tried.end(),
+                pending.attempt.node) == pending.tried.end())
+    pending.tried.push_back(pending.attempt.node);
   const CrashEvidence& evidence = this->gate.crash_evidence;
   const bool may_crash_another =
       !not_run && !evidence.IsEmpty() &&
@@ -620,7 +633,7 @@
   failed.kind = may_crash_another ? ErrorKind::kCrashSuspect : kind;
   failed.not_run = not_run;
   failed.idempotent = pending.route->idempotent;
-  failed.attempts_made = pending.attempts;
+  failed.attempts_made = made;
   // Picks a version anew, so that most retries go where most requests go: while
   // a move runs, the failure may be the new version's fault.
   pending.picked = this->versions.Pick(pending.service);
@@ -637,33 +650,15 @@
   return IsRetry(reason);
 }
 
-void Entry::OnLinkLost(const std::string& node) {
-  std::vector<std::uint64_t> request_ids;
-  for (const auto& [id, pending] : this->pending_requests) {
-    if (pending.in_flight && !pending.at_own_gate && pending.node == node)
-      request_ids.push_back(id);
-  }
-  for (const std::uint64_t id : request_ids) {
-    ResultFrame result;
-    result.call_id = id;
-    result.error = ErrorKind::kPeerUnreachable;
-    result.execution = Execution::kUnknown;
-    this->HandleResult(id, std::move(result));
-  }
-}
-
 void Entry::OnDeadline(std::uint64_t id) {
   const auto found = this->pending_requests.find(id);
   if (found == this->pending_requests.end())
     return;
   PendingRequest& pending = found->second;
   if (pending.in_flight) {
-    if (pending.at_own_gate)
-      this->gate.Cancel(id);
-    else
-      this->links.Cancel(pending.node, id);
-    this->RecordOutcome(pending.node, true);
-    this->ReportOutcome(pending, true, SteadyNow() - pending.sent_at);
+    const Attempt& attempt = pending.attempt;
+    this->RecordOutcome(attempt.node, true);
+    this->ReportOutcome(pending, attempt, true, SteadyNow() - attempt.sent_at);
   }
   this->SendError(id, ErrorKind::kTimeout, kEntryRetryAfter);
 }
@@ -676,12 +671,7 @@
     return;
   PendingRequest& pending = found->second;
   ++this->counters.callers_left;
-  if (pending.in_flight) {
-    if (pending.at_own_gate)
-      this->gate.Cancel(id);
-    else
-      this->links.Cancel(pending.node, id);
-  }
+  this->CancelAttempts(id, pending);
   this->ReleaseToken(id, pending);
   this->LogDecision(pending, "caller-left", ErrorKind::kCancelled, 0);
   this->pending_requests.erase(found);
--- a/src/edge/entry.h
+++ b/src/edge/entry.h
@@ -43,6 +43,19 @@
 // What a request has of the tokens of its account's limit.
 enum class TokenState : std::uint8_t { kNone, kWaiting, kHeld };
 
+// One attempt to have a request run.
+struct Attempt {
+  // Empty before the first attempt.
+  std::string node;
+  // Version of that node's upstream, as known when the request was sent.
+  std::string version;
+  // Its process; empty if it is the one on this VM.
+  std::string instance;
+  std::uint32_t process_stamp = 0;
+  bool at_own_gate = false;
+  TimePoint sent_at;
+};
+
 // One request of a caller until its final response.
 struct PendingRequest {
   ExchangePtr exchange;
@@ -60,21 +73,17 @@
   // Estimate of how long the caller waited before it sent this request.
   Duration time_waited{};
   std::unique_ptr<boost::asio::steady_timer> timer;
-  // Node of the current or last attempt; empty before the first.
-  std::string node;
-  // Version of that node's upstream, as known when the request was sent.
-  std::string version;
-  // Its process; empty if it is the one on this VM.
-  std::string instance;
-  std::uint32_t process_stamp = 0;
-  bool at_own_gate = false;
+  // The current or last attempt.
+  Attempt attempt;
+  // The current attempt has no result yet.
   bool in_flight = false;
-  TimePoint sent_at;
+  // Earlier attempts whose links fell silent; their results may still arrive.
+  std::vector<Attempt> silent;
   // Time at the upstream of the last result, as its gate measured it.
   Duration run_time{};
   // Nodes that refused the request or failed to run it.
   std::vector<std::string> tried;
-  // Attempts that reached an upstream, or may have.
+  // Attempts that reached an upstream, or may have, and have ended.
   int attempts = 0;
   int refusals = 0;
   // Identifies the request among suspects; none before it is needed.
@@ -96,6 +105,9 @@
   HttpResponse response;
 };
 
+// Whether an upstream failed to serve the request. Thread safe.
+[[nodiscard]] bool IsFailure(const HttpResponse& response);
+
 // Recent failures of one node's upstream, for this node's requests.
 struct NodeHealth {
   double failure_ratio = 0;
@@ -155,10 +167,13 @@
   // process ends.
   [[nodiscard]] HttpResponse RefusePartial(const HttpRequest& head);
 
-  // The result of a call over a link.
-  void OnResult(ResultFrame result);
-  // The link to `node` was lost.
-  void OnLinkLost(const std::string& node);
+  // The result of a call over the link to `node`.
+  void OnResult(const std::string& node, ResultFrame result);
+  // These calls to `node` get no result.
+  void OnCallsLost(const std::string& node, const CallIds& calls);
+  // The link of these calls to `node` is silent. Sends the idempotent ones
+  // elsewhere as well, within the retry budget; the first response counts.
+  void OnCallsSilent(const std::string& node, const CallIds& calls);
 
   [[nodiscard]] std::size_t CountPending() const {
     return this->pending_requests.size();
@@ -192,7 +207,7 @@
   // When the response starts to lose value; none for routes without an aim.
   [[nodiscard]] static std::optional<TimePoint> AimOf(
       const PendingRequest& pending);
-  void Attempt(std::uint64_t id);
+  void TryNext(std::uint64_t id);
   // Refuses part of the requests whose route calls a service that lacks
   // capacity. True when this request was refused.
   bool ShedForDependency(std::uint64_t id, PendingRequest& pending);
@@ -202,7 +217,22 @@
   void SendTo(std::uint64_t id,
               PendingRequest& pending,
               const Candidate& chosen);
-  void HandleResult(std::uint64_t id, ResultFrame result);
+  void HandleResult(std::uint64_t id,
+                    const std::string& node,
+                    ResultFrame result);
+  // Makes the earlier attempt at `node` the current one. False if there is
+  // none, or if the current one goes on: the earlier one has not served the
+  // request.
+  bool ResumeSilent(std::uint64_t id,
+                    PendingRequest& pending,
+                    const std::string& node,
+                    const ResultFrame& result);
+  void RecordUnserved(PendingRequest& pending,
+                      const Attempt& attempt,
+                      const ResultFrame& result);
+  void RetryBesideSilent(std::uint64_t id, const std::string& node);
+  void CancelAttempt(std::uint64_t id, const Attempt& attempt);
+  void CancelAttempts(std::uint64_t id, const PendingRequest& pending);
   void HandleResponse(std::uint64_t id,
                       PendingRequest& pending,
                       ResultFrame result);
@@ -217,8 +247,8 @@
   void OnCallerDisconnected(std::uint64_t id);
   void ForwardResponse(std::uint64_t id, HttpResponse response);
   void SendError(std::uint64_t id, ErrorKind kind, Duration retry_after);
-  // No attempt is left: forwards a failed response of an earlier attempt, or
-  // sends the error.
+  // No further attempt is made: waits for earlier ones whose links are silent;
+  // if there are none, forwards a failed response or sends the error.
   void EndUnserved(std::uint64_t id, ErrorKind kind, Duration retry_after);
   // `cause` is only logged.
   void RefuseImmediately(const ExchangePtr& exchange,
@@ -236,6 +266,7 @@
   [[nodiscard]] const std::string& VersionOf(const Candidate& chosen) const;
   // Records the outcome of an attempt as evidence about the upstream's version.
   void ReportOutcome(const PendingRequest& pending,
+                     const Attempt& attempt,
                      bool failed,
                      Duration run_time);
   void RecordOutcome(const std::string& node, bool failed);
--- a/src/edge/entry_answers.cc
+++ b/src/edge/entry_answers.cc
@@ -86,6 +86,7 @@
   RemoveHopHeaders(response.headers);
   this->CountDemand(pending, false);
   this->LogDecision(pending, "answered", ErrorKind::kInternal, response.status);
+  this->CancelAttempts(id, pending);
   const ExchangePtr exchange = pending.exchange;
   this->pending_requests.erase(found);
   SendResponse(*exchange, response);
@@ -112,6 +113,7 @@
   if (kind != ErrorKind::kQuotaExceeded)
     this->CountDemand(pending, IsCapacityRefusal(kind));
   this->LogDecision(pending, "refused", kind, response.status);
+  this->CancelAttempts(id, pending);
   const ExchangePtr exchange = pending.exchange;
   this->pending_requests.erase(found);
   SendResponse(*exchange, response);
@@ -121,6 +123,11 @@
                         ErrorKind kind,
                         Duration retry_after) {
   PendingRequest& pending = this->pending_requests.at(id);
+  if (!pending.silent.empty()) {
+    pending.last_error = kind;
+    pending.retry_after = retry_after;
+    return;
+  }
   if (pending.has_response)
     this->ForwardResponse(id, std::move(pending.response));
   else
@@ -170,9 +177,10 @@
 }
 
 void Entry::ReportOutcome(const PendingRequest& pending,
+                          const Attempt& attempt,
                           bool failed,
                           Duration run_time) {
-  const Peer* peer = this->links.Find(pending.node);
+  const Peer* peer = this->links.Find(attempt.node);
   const GateStatus own = this->gate.Status();
   const GateStatus& seen = peer == nullptr ? own : peer->status;
   TrialResponse trial_response;
@@ -181,7 +189,7 @@
   trial_response.bad = failed;
   trial_response.timed = seen.warm_up_ms == 0;
   trial_response.latency = run_time;
-  this->versions.OnResponse(pending.service, pending.version, trial_response);
+  this->versions.OnResponse(pending.service, attempt.version, trial_response);
 }
 
 void Entry::RecordOutcome(const std::string& node, bool failed) {
@@ -209,7 +217,7 @@
                         int status) {
   const TimePoint now = SteadyNow();
   const Duration age = now - pending.exchange->received_at;
-  const Peer* peer = this->links.Find(pending.node);
+  const Peer* peer = this->links.Find(pending.attempt.node);
   const GateStatus seen = peer == nullptr ? this->gate.Status() : peer->status;
   const Duration seen_age =
       peer == nullptr ? Duration{0} : now - peer->status_received_at;
@@ -220,6 +228,9 @@
     speed_percent = PercentAt(speed, now);
     speed_age_ms = (now - speed.reported_at).count() / kMicrosPerMilli;
   }
+  std::optional<std::uint32_t> silent;
+  if (!pending.silent.empty())
+    silent = static_cast<std::uint32_t>(pending.silent.size());
   const QuotaFields quota_fields =
       kind == ErrorKind::kQuotaExceeded
           ? QuotaFieldsOf(this->quota.StandingOf(pending.account->name))
@@ -235,8 +246,8 @@
        quota_fields.alone,
        {"config", pending.snapshot->version},
        {"to", pending.service},
-       {"version", pending.version},
-       {"node", pending.node},
+       {"version", pending.attempt.version},
+       {"node", pending.attempt.node},
        {"instance", seen.instance},
        {"load", seen.running + seen.waiting},
        {"slots", seen.slots},
@@ -248,6 +259,7 @@
        {"spent_ms", pending.time_waited.count() / kMicrosPerMilli},
        {"attempts", pending.attempts},
        {"refusals", pending.refusals},
+       {"silent", silent},
        {"retry", pending.retry_reason ? NameOf(*pending.retry_reason) : ""},
        {"other_versions", pending.other_versions},
        {"shed_percent", std::lround(pending.shed_ratio * kPercent)},
--- a/src/edge/frame_socket.cc
+++ b/src/edge/frame_socket.cc
@@ -1,8 +1,11 @@
 #include "edge/frame_socket.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
+#include <chrono>
 #include <utility>
 
 #include <boost/asio/write.hpp>
@@ -21,7 +24,8 @@
 constexpr std::size_t kReadBytes = 32768;
 // The connection ends if sent bytes stay unacknowledged for this long. Without
 // the limit, a connection to a VM without power stays open for many minutes.
-constexpr int kUserTimeoutMs = 3000;
+constexpr auto kUserTimeout =
+    std::chrono::duration_cast<std::chrono::milliseconds>(kBusyLinkTimeout);
 constexpr unsigned kBitsPerByte = 8;
 
 std::size_t DecodeLength(const char* bytes) {
@@ -34,7 +38,7 @@
 void SetOptions(tcp::socket& socket) {
   boost::system::error_code ignored;  // a failed socket errs at its next use
   socket.set_option(tcp::no_delay(true), ignored);
-  const int timeout = kUserTimeoutMs;
+  const int timeout = static_cast<int>(kUserTimeout.count());
   ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
                sizeof timeout);
 }
@@ -114,7 +118,7 @@
         self->buffer.commit(bytes);
         self->times.last_received = SteadyNow();
         self->times.response_due_since = TimePoint{};
-        self->handlers.on_received(bytes);
+        self->handlers.on_received(self.get(), bytes);
         self->ParseFrames();
         if (!self->closed)
           self->Read();
@@ -145,6 +149,14 @@
   }
 }
 
+std::size_t FrameSocket::UnacknowledgedBytes() {
+  int bytes = 0;
+  if (this->closed ||
+      ::ioctl(this->socket.native_handle(), SIOCOUTQ, &bytes) != 0)
+    return 0;
+  return static_cast<std::size_t>(bytes);
+}
+
 void FrameSocket::Fail() {
   if (this->closed)
     return;
--- a/src/edge/frame_socket.h
+++ b/src/edge/frame_socket.h
@@ -2,7 +2,9 @@
 #ifndef TEASELSPREAD_SRC_EDGE_FRAME_SOCKET_H_
 #define TEASELSPREAD_SRC_EDGE_FRAME_SOCKET_H_
 
+#include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -26,7 +28,7 @@
   std::function<void(FrameSocket*)> on_closed;
   std::function<void(std::size_t bytes)> on_sent;
   std::function<void(FrameSocket*, FrameKind, std::size_t bytes)> on_queued;
-  std::function<void(std::size_t bytes)> on_received;
+  std::function<void(FrameSocket*, std::size_t bytes)> on_received;
 };
 
 // Not thread safe.
@@ -56,6 +58,9 @@
   [[nodiscard]] std::size_t UnsentBytes() const {
     return this->output.size() + this->write_buffer.size();
   }
+  // Bytes that the kernel has accepted and the other end has not acknowledged;
+  // 0 if the kernel does not say.
+  [[nodiscard]] std::size_t UnacknowledgedBytes();
 
   // The node at the other end; empty on an accepted socket until its Hello has
   // arrived.
@@ -65,6 +70,8 @@
   // Whether the other end is in another data centre; false until known.
   bool in_other_data_center = false;
   LinkTimes times;
+  // On a connection that this node opened: calls whose results are due on it.
+  std::set<std::uint64_t> calls;
   // On an accepted socket: what its caller has received of the status.
   StatusReader status_reader;
   // On an accepted socket: the upstream's speed as its caller assumes it.
--- a/src/edge/link_health.h
+++ b/src/edge/link_health.h
@@ -1,4 +1,7 @@
-// When to send a ping on a link, and when to close it as failed.
+// When to send a ping on a link, when to stop using it, and when to close it.
+//
+// Silence alone ends no call: on a full line a sound link is silent for as long
+// as its bytes queue there.
 //
 // Pure: the caller passes the time in. Thread safe.
 #ifndef TEASELSPREAD_SRC_EDGE_LINK_HEALTH_H_
@@ -13,15 +16,19 @@
 
 namespace teaselspread {
 
-// A ping is sent on a link on which nothing was received for this long; a node
-// that has not responded kPingTimeout after that counts as unreachable.
+// A ping is sent on a link on which nothing was received for this long. If
+// there is no response kPingTimeout after that, the link counts as silent: it
+// is not used any more, and a connection that may replace it is opened.
 inline constexpr Duration kPingAfter = std::chrono::milliseconds(500);
 inline constexpr Duration kPingTimeout = std::chrono::milliseconds(700);
 // The end that opened a link sends at least this often, however much it
-// receives. The accepting end closes links on which nothing was received for
-// kCallerTimeout, so that sockets of stopped nodes do not accumulate.
+// receives. Either end closes links on which nothing was received for
+// kLinkTimeout, so that sockets of stopped nodes do not accumulate. The
+// accepting end waits for kBusyLinkTimeout while calls are in flight; the end
+// that opened the link waits for them until their deadlines.
 inline constexpr Duration kMaxSendInterval = std::chrono::milliseconds(2400);
-inline constexpr Duration kCallerTimeout = std::chrono::seconds(5);
+inline constexpr Duration kLinkTimeout = std::chrono::seconds(5);
+inline constexpr Duration kBusyLinkTimeout = std::chrono::seconds(15);
 
 // A link whose response has been due for this long counts as unresponsive: new
 // requests go elsewhere. Lost packets are retransmitted after some 200 ms, so
@@ -46,7 +53,18 @@
          now - times.response_due_since > kUnresponsiveAfter;
 }
 
-enum class LinkAction : std::uint8_t { kNone, kPing, kClose };
+enum class LinkAction : std::uint8_t { kNone, kPing, kMarkSilent, kClose };
+
+// Of a connection that this node opened.
+enum class LinkState : std::uint8_t {
+  // No status has been received yet.
+  kConnecting,
+  kUp,
+  // Nothing was received within kPingTimeout of a ping.
+  kSilent,
+  // Another connection has taken its place; only results are awaited.
+  kReplaced,
+};
 
 // Pings on links that are not in use are spread out to about one in this time,
 // up to kMaxPingAfter: a node holds a link to every other one. More than the
@@ -74,26 +92,46 @@
       kPingAfter, kMaxPingAfter);
 }
 
-// For the end that opened the link; `up` once it has received a status.
+// For the end that opened the link. Thread safe.
 [[nodiscard]] inline LinkAction CheckOpened(const LinkTimes& times,
-                                            bool up,
+                                            LinkState state,
+                                            bool has_calls,
                                             TimePoint now,
                                             Duration ping_after = kPingAfter) {
   const bool response_due = times.response_due_since != TimePoint{};
-  if (response_due && now - times.response_due_since > kPingTimeout)
-    return LinkAction::kClose;
-  const bool ping_due =
-      now - times.last_received > ping_after ||
+  const bool timed_out =
+      response_due && now - times.response_due_since > kPingTimeout;
+  const bool must_send =
       now - times.last_sent > std::max(ping_after, kMaxSendInterval);
-  return up && !response_due && ping_due ? LinkAction::kPing
-                                         : LinkAction::kNone;
+  switch (state) {
+    case LinkState::kConnecting:
+      return timed_out ? LinkAction::kClose : LinkAction::kNone;
+    case LinkState::kUp:
+      if (timed_out)
+        return LinkAction::kMarkSilent;
+      return !response_due &&
+                     (must_send || now - times.last_received > ping_after)
+                 ? LinkAction::kPing
+                 : LinkAction::kNone;
+    case LinkState::kSilent:
+      if (!has_calls && now - times.last_received > kLinkTimeout)
+        return LinkAction::kClose;
+      break;
+    case LinkState::kReplaced:
+      if (!has_calls)
+        return LinkAction::kClose;
+      break;
+  }
+  return must_send ? LinkAction::kPing : LinkAction::kNone;
 }
 
-// For the end that accepted the link.
+// For the end that accepted the link. Thread safe.
 [[nodiscard]] inline LinkAction CheckAccepted(const LinkTimes& times,
+                                              bool has_calls,
                                               TimePoint now) {
-  return now - times.last_received > kCallerTimeout ? LinkAction::kClose
-                                                    : LinkAction::kNone;
+  const Duration limit = has_calls ? kBusyLinkTimeout : kLinkTimeout;
+  return now - times.last_received > limit ? LinkAction::kClose
+                                           : LinkAction::kNone;
 }
 
 }  // namespace teaselspread
--- a/src/edge/links.cc
+++ b/src/edge/links.cc
@@ -1,5 +1,6 @@
 #include "edge/links.h"
 
+#include <algorithm>
 #include <array>
 #include <random>
 #include <utility>
@@ -22,18 +23,12 @@
 using SocketPtr = boost::intrusive_ptr<FrameSocket>;
 
 constexpr std::chrono::milliseconds kTickInterval{100};
-// Initial and maximum delay between attempts to connect to a node.
-constexpr Duration kMinRetryDelay = std::chrono::milliseconds(100);
-constexpr Duration kMaxRetryDelay = std::chrono::seconds(1);
-// A connection attempt that is still pending after this long may have been sent
-// to a VM without power. It gets no response, or one only a second after the VM
-// is back.
-constexpr Duration kStaleAttemptAfter = std::chrono::milliseconds(100);
-
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(LinkEvent::kCount)>
-    kNames = {"opened", "accepted",        "connect-failed", "lost",
-              "silent", "frames-received", "bytes-sent",     "bytes-received"};
+    kNames = {"opened",        "accepted",        "connect-failed",
+              "lost",          "silent",          "responded",
+              "replaced",      "frames-received", "bytes-sent",
+              "bytes-received"};
 
 bool UpstreamChanged(const GateStatus& a, const GateStatus& b) {
   return a.state != b.state || a.instance != b.instance ||
@@ -76,8 +71,8 @@
 }
 
 std::string_view NameOf(LinkEndReason end) {
-  static constexpr std::array<std::string_view, 3> kEndNames = {
-      "closed", "silent", "moved"};
+  static constexpr std::array<std::string_view, 4> kEndNames = {
+      "closed", "silent", "moved", "not-needed"};
   return kEndNames.at(static_cast<std::size_t>(end));
 }
 
@@ -90,28 +85,17 @@
 
 Links::~Links() {
   *this->alive = false;
-  for (auto& [name, peer] : this->peers) {
-    if (peer.socket == nullptr)
-      continue;
-    peer.socket->Close();
-    intrusive_ptr_release(peer.socket);
-  }
-  for (FrameSocket* caller : this->callers) {
-    caller->Close();
-    intrusive_ptr_release(caller);
+  std::set<FrameSocket*> all = this->callers;
+  all.merge(this->replaced);
+  for (const auto& [name, peer] : this->peers)
+    all.insert({peer.socket, peer.attempt});
+  all.erase(nullptr);
+  for (FrameSocket* socket : all) {
+    socket->Close();
+    intrusive_ptr_release(socket);
   }
 }
 
-Result<Address> Links::Listen(const Address& address) {
-  auto bound = ListenOn(this->acceptor, address);
-  if (!bound)
-    return bound;
-  this->self.link = *bound;
-  this->Accept();
-  this->Tick();
-  return bound;
-}
-
 FrameSocketHandlers Links::SocketHandlers() {
   const auto lives = this->alive;
   FrameSocketHandlers on;
@@ -132,194 +116,44 @@
       (far ? this->frames_far : this->frames_near).Add(kind);
     });
   };
-  on.on_received = [this, lives](std::size_t bytes) {
-    IfAlive(lives,
-            [&] { this->counters.Add(LinkEvent::kBytesReceived, bytes); });
+  on.on_received = [this, lives](FrameSocket* from, std::size_t bytes) {
+    IfAlive(lives, [&] {
+      this->counters.Add(LinkEvent::kBytesReceived, bytes);
+      this->OnReceived(from);
+    });
   };
   return on;
 }
 
-void Links::Accept() {
-  this->acceptor.async_accept([this, lives = this->alive](
-                                  boost::system::error_code error,
-                                  tcp::socket socket) {
-    if (!*lives || error == asio::error::operation_aborted)
-      return;
-    if (!error) {
-      auto* caller = new FrameSocket(std::move(socket), this->SocketHandlers());
-      intrusive_ptr_add_ref(caller);
-      this->callers.insert(caller);
-      this->counters.Add(LinkEvent::kAccepted);
-      caller->Start();
-      caller->Send(this->StatusFrame(kAllStatusParts, false));
-      MarkSent(this->status_feed, caller->status_reader,
-               TopicsCarried(kAllTopics, false), SteadyNow());
-    }
-    this->Accept();
-  });
-}
-
-void Links::Add(const Hello& node) {
-  if (node.node == this->self.node)
-    return;
-  // The address comes from another process. If it is no IP number it has no
-  // endpoint, and every attempt to connect would fail.
-  if (const auto endpoint = TcpEndpointOf(node.link); !endpoint) {
-    Log(LogLevel::kWarning, "links", "node-refused",
-        {{"node", node.node}, {"message", endpoint.error().message}});
-    return;
-  }
-  const auto [found, added] = this->peers.try_emplace(node.node);
-  Peer& peer = found->second;
-  peer.node = node.node;
-  peer.data_center = node.data_center;
-  // 0 if the node is known from the store, which does not hold the bandwidth.
-  if (node.line_mbit > 0)
-    peer.line_mbit = node.line_mbit;
-  peer.backoff.base = kMinRetryDelay;
-  peer.backoff.cap = kMaxRetryDelay;
-  const bool address_changed = !added && peer.link != node.link;
-  peer.link = node.link;
-  if (address_changed && peer.socket != nullptr) {
-    const SocketPtr old(peer.socket);
-    old->Close();
-    this->OnClosed(old.get(), LinkEndReason::kAddressChanged);
-    return;
-  }
-  // The node may have just come back. Requests for it are refused until this
-  // end has a link to it, so the backoff ends here, and an attempt that may
-  // have been sent while the node was down is replaced. An attempt that the
-  // node has accepted is kept: it only lacks the first status.
-  if (peer.socket != nullptr && !peer.socket->Connected() &&
-      SteadyNow() - peer.socket->times.response_due_since >
-          kStaleAttemptAfter) {
-    peer.socket->Close();
-    intrusive_ptr_release(std::exchange(peer.socket, nullptr));
-  }
-  if (peer.socket == nullptr) {
-    Reset(peer.backoff);
-    this->Connect(peer);
-  }
-}
-
-void Links::Remove(const std::string& node) {
-  const auto found = this->peers.find(node);
-  if (found == this->peers.end())
-    return;
-  FrameSocket* socket = std::exchange(found->second.socket, nullptr);
-  if (socket != nullptr) {
-    socket->Close();
-    intrusive_ptr_release(socket);
-    this->handlers.on_link_lost(node);
-  }
-  this->peers.erase(node);
-}
-
 Peer* Links::Find(const std::string& node) {
   const auto found = this->peers.find(node);
   return found == this->peers.end() ? nullptr : &found->second;
 }
 
-void Links::Connect(Peer& peer) {
-  auto* socket =
-      new FrameSocket(tcp::socket(this->loop), this->SocketHandlers());
-  intrusive_ptr_add_ref(socket);
-  socket->node = peer.node;
-  socket->is_initiator = true;
-  socket->in_other_data_center = peer.data_center != this->self.data_center;
-  socket->times.response_due_since = SteadyNow();
-  peer.socket = socket;
-  peer.connected = false;
-  socket->Connect(*TcpEndpointOf(peer.link),
-                  [this, lives = this->alive, socket, name = peer.node] {
-                    if (!*lives)
-                      return;
-                    this->counters.Add(LinkEvent::kOpened);
-                    socket->Send(this->self);
-                    socket->Start();
-                    socket->times.response_due_since = SteadyNow();
-                  });
-}
-
-void Links::Retry(const std::string& node) {
-  Peer* peer = this->Find(node);
-  if (peer == nullptr)
-    return;
-  const Duration wait = NextDelay(peer->backoff, this->rng);
-  auto timer = std::make_shared<asio::steady_timer>(this->loop);
-  timer->expires_after(wait);
-  timer->async_wait([this, lives = this->alive, timer,
-                     node](boost::system::error_code error) {
-    if (error || !*lives)
-      return;
-    Peer* waiting = this->Find(node);
-    if (waiting != nullptr && waiting->socket == nullptr)
-      this->Connect(*waiting);
-  });
-}
-
-void Links::OnClosed(FrameSocket* socket, LinkEndReason end) {
-  const SocketPtr keep(socket);
-  if (this->callers.erase(socket) > 0) {
-    intrusive_ptr_release(socket);
-    this->handlers.on_caller_disconnected(socket);
-    return;
-  }
-  Peer* peer = this->Find(socket->node);
-  if (peer == nullptr || peer->socket != socket)
-    return;
-  peer->socket = nullptr;
-  intrusive_ptr_release(socket);
-  const bool was_connected = std::exchange(peer->connected, false);
-  peer->in_flight = 0;
-  peer->sent_since_status = 0;
-  peer->speed = {};
-  this->counters.Add(was_connected ? LinkEvent::kLost
-                                   : LinkEvent::kConnectFailed);
-  const std::string name = peer->node;
-  if (was_connected) {
-    Log(LogLevel::kWarning, "links", "link-lost",
-        {{"node", name},
-         {"reason", NameOf(end)},
-         {"unsent", socket->UnsentBytes()}});
-    this->handlers.on_link_lost(name);
-  }
-  this->Retry(name);
-}
-
 void Links::OnFrame(FrameSocket* from, LinkFrame frame) {
   this->counters.Add(LinkEvent::kFramesReceived);
   if (from->is_initiator)
-    this->HandleServerFrame(from->node, std::move(frame));
+    this->HandleServerFrame(from, std::move(frame));
   else
     this->HandleCallerFrame(from, std::move(frame));
 }
 
-void Links::HandleServerFrame(const std::string& name, LinkFrame frame) {
-  Peer* peer = this->Find(name);
+// On a connection that another one has replaced, only results are of use.
+void Links::HandleServerFrame(FrameSocket* from, LinkFrame frame) {
+  Peer* peer = this->Find(from->node);
   if (peer == nullptr)
     return;
+  if (from == peer->attempt && std::holds_alternative<Status>(frame))
+    this->UseAttempt(*peer);
+  if (auto* result = std::get_if<ResultFrame>(&frame)) {
+    this->HandleResult(*peer, from, std::move(*result));
+    return;
+  }
+  if (from != peer->socket)
+    return;
+  const std::string name = peer->node;
   if (auto* status_frame = std::get_if<Status>(&frame)) {
-    if (!peer->connected)
-      Log(LogLevel::kInfo, "links", "link-up", {{"node", name}});
-    const bool has_load = Has(*status_frame, StatusPart::kLoad);
-    const std::uint8_t parts = status_frame->parts;
-    const GateStatus before = peer->status;
-    ApplyStatus(peer->status, std::move(*status_frame));
-    const bool changed =
-        !peer->connected || UpstreamChanged(before, peer->status);
-    if (IsAnotherProcess(before, peer->status))
-      peer->speed = {};
-    peer->connected = true;
-    Reset(peer->backoff);
-    peer->sent_since_status = has_load ? 0 : peer->sent_since_status;
-    peer->status_received_at = SteadyNow();
-    this->handlers.on_status(name, changed, parts);
-  } else if (auto* result = std::get_if<ResultFrame>(&frame)) {
-    if (peer->in_flight > 0)
-      --peer->in_flight;
-    ApplyLoad(*peer, result->load);
-    this->handlers.on_result(name, std::move(*result));
+    this->HandleStatus(*peer, std::move(*status_frame));
   } else if (const auto* load = std::get_if<LoadFrame>(&frame)) {
     ApplyLoad(*peer, *load);
   } else if (const auto* speed = std::get_if<SpeedFrame>(&frame)) {
@@ -338,11 +172,51 @@
   }
 }
 
+void Links::HandleStatus(Peer& peer, Status frame) {
+  const bool has_load = Has(frame, StatusPart::kLoad);
+  const std::uint8_t parts = frame.parts;
+  const GateStatus before = peer.status;
+  ApplyStatus(peer.status, std::move(frame));
+  const bool changed = !peer.connected || UpstreamChanged(before, peer.status);
+  if (IsAnotherProcess(before, peer.status))
+    peer.speed = {};
+  peer.connected = true;
+  Reset(peer.backoff);
+  peer.sent_since_status = has_load ? 0 : peer.sent_since_status;
+  peer.status_received_at = SteadyNow();
+  this->handlers.on_status(std::string(peer.node), changed, parts);
+}
+
+void Links::HandleResult(Peer& peer, FrameSocket* from, ResultFrame result) {
+  const std::string name = peer.node;
+  this->EndCall(peer, *from, result.call_id);
+  if (from == peer.socket)
+    ApplyLoad(peer, result.load);
+  this->handlers.on_result(name, std::move(result));
+}
+
+void Links::EndCall(Peer& peer, FrameSocket& socket, std::uint64_t call) {
+  if (socket.calls.erase(call) > 0 && peer.in_flight > 0)
+    --peer.in_flight;
+}
+
+FrameSocket* Links::SocketOf(const Peer& peer, std::uint64_t call) const {
+  if (peer.socket != nullptr && peer.socket->calls.contains(call))
+    return peer.socket;
+  const auto found = std::find_if(
+      this->replaced.begin(), this->replaced.end(), [&](FrameSocket* socket) {
+        return socket->node == peer.node && socket->calls.contains(call);
+      });
+  return found == this->replaced.end() ? nullptr : *found;
+}
+
 void Links::HandleCallerFrame(FrameSocket* from, LinkFrame frame) {
   if (auto* run = std::get_if<RunFrame>(&frame)) {
     from->status_reader.last_request_at = SteadyNow();
+    from->calls.insert(run->call_id);
     this->handlers.on_run(from, std::move(*run));
   } else if (const auto* cancel = std::get_if<CancelFrame>(&frame)) {
+    from->calls.erase(cancel->call_id);
     this->handlers.on_cancel(from, cancel->call_id);
   } else if (const auto* ping = std::get_if<PingFrame>(&frame)) {
     from->Send(PongFrame{ping->sequence});
@@ -361,10 +235,6 @@
   }
 }
 
-bool Links::IsLinkUnresponsive(const Peer& peer, TimePoint now) {
-  return peer.socket == nullptr || IsUnresponsive(peer.socket->times, now);
-}
-
 void Links::SetStatus(const GateStatus& new_status) {
   if (new_status == this->status)
     return;
@@ -458,28 +328,21 @@
     return false;
   ++peer->in_flight;
   ++peer->sent_since_status;
+  peer->socket->calls.insert(frame.call_id);
   peer->socket->Send(frame);
-  this->SendPing(*peer);
+  if (peer->socket->times.response_due_since == TimePoint{})
+    this->SendPing(*peer->socket);
   return true;
 }
 
-// A run may take long, so a missing result does not show that the link failed;
-// a missing response to a ping does.
-void Links::SendPing(Peer& peer) {
-  if (peer.socket->times.response_due_since != TimePoint{})
-    return;
-  peer.socket->times.response_due_since = SteadyNow();
-  peer.socket->Send(PingFrame{peer.next_ping_sequence++});
-}
-
 void Links::Cancel(const std::string& node, std::uint64_t call) {
   Peer* peer = this->Find(node);
-  if (peer == nullptr || !peer->connected)
+  FrameSocket* socket = peer == nullptr ? nullptr : this->SocketOf(*peer, call);
+  if (socket == nullptr)
     return;
   // No result is sent for a cancelled call.
-  if (peer->in_flight > 0)
-    --peer->in_flight;
-  peer->socket->Send(CancelFrame{call});
+  this->EndCall(*peer, *socket, call);
+  socket->Send(CancelFrame{call});
 }
 
 void Links::RequestConfig(const std::string& node, std::uint64_t digest) {
@@ -524,59 +387,10 @@
   if (!this->callers.contains(to))
     return;
   this->SendSpeedIfChanged(*to, SteadyNow());
+  to->calls.erase(result.call_id);
   to->Send(result);
 }
 
-// In the order of `peers`.
-std::vector<Duration> Links::PingDelays(TimePoint now) const {
-  std::set<std::string_view> suspected;
-  std::size_t near_links = 0;
-  for (const auto& [name, peer] : this->peers) {
-    near_links += peer.data_center == this->self.data_center ? 1 : 0;
-    if (peer.connected && IsLinkUnresponsive(peer, now))
-      suspected.insert(peer.data_center);
-  }
-  std::vector<Duration> delays;
-  delays.reserve(this->peers.size());
-  for (const auto& [name, peer] : this->peers) {
-    LinkUse use;
-    use.similar_links = peer.data_center == this->self.data_center
-                            ? near_links
-                            : this->peers.size() - near_links;
-    use.has_requests_in_flight = peer.in_flight > 0;
-    use.data_center_suspected = suspected.contains(peer.data_center);
-    delays.push_back(PingAfter(use));
-  }
-  return delays;
-}
-
-void Links::CheckTimeouts() {
-  const TimePoint now = SteadyNow();
-  const std::vector<Duration> ping_delays = this->PingDelays(now);
-  auto ping_after = ping_delays.begin();
-  std::vector<SocketPtr> timed_out;
-  for (auto& [name, peer] : this->peers) {
-    const Duration delay = *ping_after++;
-    if (peer.socket == nullptr)
-      continue;
-    const LinkAction action =
-        CheckOpened(peer.socket->times, peer.connected, now, delay);
-    if (action == LinkAction::kClose)
-      timed_out.emplace_back(peer.socket);
-    else if (action == LinkAction::kPing)
-      this->SendPing(peer);
-  }
-  for (FrameSocket* caller : this->callers) {
-    if (CheckAccepted(caller->times, now) == LinkAction::kClose)
-      timed_out.emplace_back(caller);
-  }
-  for (const SocketPtr& socket : timed_out) {
-    this->counters.Add(LinkEvent::kTimedOut);
-    socket->Close();
-    this->OnClosed(socket.get(), LinkEndReason::kTimedOut);
-  }
-}
-
 void Links::Tick() {
   this->tick.expires_after(kTickInterval);
   this->tick.async_wait([this](boost::system::error_code error) {
--- a/src/edge/links.h
+++ b/src/edge/links.h
@@ -21,8 +21,10 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
 
 #include "edge/frames.h"
+#include "edge/link_health.h"
 #include "edge/status_feed.h"
 #include "teaselspread/backoff.h"
 #include "teaselspread/counters.h"
@@ -38,6 +40,9 @@
   kConnectFailed,
   kLost,
   kTimedOut,
+  // A silent link responded, or was replaced by another connection.
+  kResponded,
+  kReplaced,
   kFramesReceived,
   kBytesSent,
   kBytesReceived,
@@ -55,6 +60,8 @@
   kTimedOut,
   // The node now accepts links on another address.
   kAddressChanged,
+  // The link that it was to replace responds again.
+  kNotNeeded,
 };
 
 // Stable name for logs. Thread safe.
@@ -71,7 +78,13 @@
   std::uint32_t line_mbit = 0;
   // The link that this node opened; null while there is none.
   FrameSocket* socket = nullptr;
+  // A connection that becomes the link when its first status arrives; null if
+  // there is none.
+  FrameSocket* attempt = nullptr;
+  // There is a link, and it is not silent.
   bool connected = false;
+  // When bytes were last received on a link that has fallen silent.
+  TimePoint silent_since;
   GateStatus status;
   TimePoint status_received_at;
   // Speed of its upstream's process, as it was told over this link.
@@ -88,6 +101,8 @@
   std::uint32_t config_request_sequence = 0;
 };
 
+using CallIds = std::vector<std::uint64_t>;
+
 struct LinkHandlers {
   // A request for the own gate; respond with SendResult on the same socket.
   std::function<void(FrameSocket*, RunFrame)> on_run;
@@ -95,10 +110,18 @@
   // The socket of a caller closed; it may have requests in flight here.
   std::function<void(FrameSocket*)> on_caller_disconnected;
   std::function<void(const std::string& node, ResultFrame)> on_result;
-  // The link to `node` closed; calls in flight on it will get no result.
+  // The link to `node` closed or fell silent. Calls that are in flight may
+  // still get their results.
   std::function<void(const std::string& node)> on_link_lost;
-  // `upstream_changed`: the link came up, or the upstream's state, identity or
-  // slots changed. `parts`: bits of StatusPart that were received.
+  // These calls to `node` will get no result.
+  std::function<void(const std::string& node, const CallIds& calls)>
+      on_calls_lost;
+  // The link of these calls to `node` is silent. Called repeatedly while it is.
+  std::function<void(const std::string& node, const CallIds& calls)>
+      on_calls_silent = [](const std::string&, const CallIds&) {};
+  // `upstream_changed`: the link came up or responds again, or the upstream's
+  // state, identity or slots changed. `parts`: bits of StatusPart that were
+  // received.
   std::function<
       void(const std::string& node, bool upstream_changed, std::uint8_t parts)>
       on_status;
@@ -118,7 +141,8 @@
   std::function<void(const std::string& node, const TokenGrantFrame&)>
       on_token_grant;
   // The node begins a planned stop.
-  std::function<void(const std::string& node)> on_node_leaving;
+  std::function<void(const std::string& node)> on_node_leaving =
+      [](const std::string&) {};
 };
 
 // Not thread safe.
@@ -134,7 +158,7 @@
 
   // Keeps a link open to this node; a new address replaces the old one.
   void Add(const Hello& node);
-  // Closes the link and removes the node.
+  // Closes all connections to the node and removes it.
   void Remove(const std::string& node);
 
   // Sends what changed to the callers, each part when it is due there
@@ -186,14 +210,38 @@
  private:
   friend class FrameSocket;
 
+  struct DueAction {
+    boost::intrusive_ptr<FrameSocket> socket;
+    LinkAction action;
+  };
+
   void Accept();
   void Tick();
   void Connect(Peer& peer);
+  // Opens a connection to a node that has no responsive link.
+  void ConnectIfNeeded(const std::string& node);
   void Retry(const std::string& node);
   void OnFrame(FrameSocket* from, LinkFrame frame);
+  void OnReceived(FrameSocket* from);
   void OnClosed(FrameSocket* socket, LinkEndReason end);
+  void OnAttemptClosed(Peer& peer);
+  void OnLinkClosed(Peer& peer, FrameSocket& socket, LinkEndReason end);
+  // Its calls will get no result.
+  void LoseCalls(FrameSocket& socket);
+  void CloseSocket(FrameSocket* socket, LinkEndReason end);
   [[nodiscard]] FrameSocketHandlers SocketHandlers();
-  void HandleServerFrame(const std::string& node, LinkFrame frame);
+  void HandleServerFrame(FrameSocket* from, LinkFrame frame);
+  void HandleResult(Peer& peer, FrameSocket* from, ResultFrame result);
+  void HandleStatus(Peer& peer, Status frame);
+  // The first status has arrived on the attempt.
+  void UseAttempt(Peer& peer);
+  void MarkSilent(Peer& peer);
+  void OnLinkResponds(Peer& peer);
+  void EndCall(Peer& peer, FrameSocket& socket, std::uint64_t call);
+  // The connection on which the result of the call is due; null if there is
+  // none.
+  [[nodiscard]] FrameSocket* SocketOf(const Peer& peer,
+                                      std::uint64_t call) const;
   void HandleCallerFrame(FrameSocket* from, LinkFrame frame);
   void SendDueStatus();
   // To be called before a result or a load is sent to `caller`.
@@ -202,8 +250,11 @@
   // The status for a caller that evaluates moves, or for another one.
   [[nodiscard]] Status StatusFrame(std::uint8_t parts, bool evaluator) const;
   void CheckTimeouts();
+  [[nodiscard]] std::vector<DueAction> DueActions(TimePoint now) const;
+  void Perform(LinkAction action, FrameSocket* socket);
+  void ReportSilentCalls();
   [[nodiscard]] std::vector<Duration> PingDelays(TimePoint now) const;
-  void SendPing(Peer& peer);
+  void SendPing(FrameSocket& socket);
 
   boost::asio::io_context& loop;
   LinkHandlers handlers;
@@ -211,6 +262,9 @@
   boost::asio::steady_timer tick;
   std::map<std::string, Peer> peers;
   std::set<FrameSocket*> callers;
+  // Silent connections that another one has replaced, until no call is in
+  // flight on them.
+  std::set<FrameSocket*> replaced;
   GateStatus status;
   StatusFeed status_feed;
   std::set<std::string, std::less<>> move_evaluators;
--- a/tests/contract/links_test.cc
+++ b/tests/contract/links_test.cc
@@ -14,6 +14,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "base/clock.h"
+#include "contract/frame_reader.h"
 #include "contract/raw_socket.h"
 #include "teaselspread/upstream_speed.h"
 
@@ -200,6 +201,141 @@
   return on;
 }
 
+void SendFrame(const RawSocket& socket, const LinkFrame& frame) {
+  socket.Send(EncodeLinkFrame(frame));
+}
+
+ResultFrame ResultOf(std::uint64_t call) {
+  ResultFrame result;
+  result.call_id = call;
+  result.has_response = true;
+  return result;
+}
+
+constexpr std::uint64_t kCall = 7;
+// Longer than the ping interval and the time-out of a ping together.
+constexpr auto kLongSilence = 1600ms;
+
+// A node with one call at a peer that follows a script.
+struct CallingNode {
+  boost::asio::io_context io;
+  int results = 0;
+  int silent_reports = 0;
+  bool link_lost = false;
+  CallIds lost;
+  std::unique_ptr<Links> links;
+
+  explicit CallingNode(const ScriptedPeer& peer) {
+    LinkHandlers on = QuietHandlers();
+    on.on_result = [this](const std::string&, const ResultFrame& result) {
+      this->results += result.call_id == kCall ? 1 : 0;
+    };
+    on.on_link_lost = [this](const std::string&) { this->link_lost = true; };
+    on.on_calls_lost = [this](const std::string&, const CallIds& calls) {
+      this->lost = calls;
+    };
+    on.on_calls_silent = [this](const std::string&, const CallIds& calls) {
+      this->silent_reports += calls == CallIds{kCall} ? 1 : 0;
+    };
+    this->links = std::make_unique<Links>(this->io, on);
+    this->links->self = {"a-1", "a", {}};
+    cr_assert(this->links->Listen({"127.0.0.1", 0}).has_value());
+    this->links->Add(Hello{"b-1", "b", peer.At()});
+    cr_assert(this->RunUntil([this] { return this->Target().connected; }));
+    RunFrame run;
+    run.call_id = kCall;
+    cr_assert(this->links->Run("b-1", run));
+  }
+
+  [[nodiscard]] const Peer& Target() const { return *this->links->Find("b-1"); }
+
+  bool RunUntil(const std::function<bool()>& condition) {
+    const auto end = std::chrono::steady_clock::now() + 10s;
+    while (!condition() && std::chrono::steady_clock::now() < end)
+      this->io.run_for(5ms);
+    return condition();
+  }
+};
+
+// Guards against a request that fails because its link was silent for a second,
+// as it is behind uploads on a full line, though its upstream was at work.
+Test(links, a_call_outlives_the_silence_of_its_link) {
+  ScriptedPeer peer([&peer](const RawSocket& socket, int number) {
+    if (number == 0) {
+      SendFrame(socket, Status{kAllStatusParts, {}});
+      std::this_thread::sleep_for(kLongSilence);
+      SendFrame(socket, ResultOf(kCall));
+    }
+    peer.StaySilent(socket);
+  });
+  CallingNode node(peer);
+  cr_assert(node.RunUntil([&] { return node.results > 0 || node.link_lost; }));
+  cr_expect(node.link_lost, "the link was in use for all of the silence");
+  cr_assert(node.RunUntil([&] { return node.results > 0; }));
+  cr_expect(node.lost.empty());
+  cr_expect_gt(node.silent_reports, 0);
+  cr_expect(node.Target().connected);
+  cr_expect_eq(node.Target().in_flight, 0U);
+}
+
+// Guards against a request that fails because another connection has replaced
+// its silent one.
+Test(links, a_call_outlives_the_replacement_of_its_link) {
+  ScriptedPeer peer([&peer](const RawSocket& socket, int number) {
+    SendFrame(socket, Status{kAllStatusParts, {}});
+    if (number == 0) {
+      std::this_thread::sleep_for(kLongSilence);
+      SendFrame(socket, ResultOf(kCall));
+    }
+    peer.StaySilent(socket);
+  });
+  CallingNode node(peer);
+  cr_assert(node.RunUntil([&] { return peer.Accepted() == 2; }));
+  cr_assert(node.RunUntil([&] { return node.Target().connected; }));
+  cr_expect_eq(node.results, 0);
+  cr_assert(node.RunUntil([&] { return node.results > 0; }));
+  cr_expect(node.lost.empty());
+  cr_expect_eq(node.results, 1);
+  cr_expect_eq(node.Target().in_flight, 0U);
+}
+
+// Guards against upstreams that go on with a request that nobody waits for any
+// more, since the cancel was sent on the wrong connection.
+Test(links, a_cancel_is_sent_on_the_connection_of_its_call) {
+  std::atomic<bool> cancelled{false};
+  ScriptedPeer peer([&](const RawSocket& socket, int number) {
+    SendFrame(socket, Status{kAllStatusParts, {}});
+    FrameReader reader{socket, {}};
+    if (number == 0) {
+      const auto cancel = reader.Next<CancelFrame>();
+      cancelled = cancel && cancel->call_id == kCall;
+    }
+    peer.StaySilent(socket);
+  });
+  CallingNode node(peer);
+  cr_assert(node.RunUntil([&] { return peer.Accepted() == 2; }));
+  cr_assert(node.RunUntil([&] { return node.Target().connected; }));
+  node.links->Cancel("b-1", kCall);
+  cr_assert(node.RunUntil([&] { return cancelled.load(); }));
+  cr_expect_eq(node.Target().in_flight, 0U);
+}
+
+// Guards against a request that waits for a result until its deadline although
+// its connection has ended.
+Test(links, the_calls_of_a_silent_link_are_lost_when_it_ends) {
+  ScriptedPeer peer([](const RawSocket& socket, int number) {
+    if (number > 0)
+      return;
+    SendFrame(socket, Status{kAllStatusParts, {}});
+    std::this_thread::sleep_for(kLongSilence);
+  });
+  CallingNode node(peer);
+  cr_assert(node.RunUntil([&] { return !node.lost.empty(); }));
+  cr_expect(node.lost == CallIds{kCall});
+  cr_expect_gt(node.silent_reports, 0);
+  cr_expect_eq(node.Target().in_flight, 0U);
+}
+
 // A request that waits for tokens must not wait for anything but the answer,
 // and a link must not end because of the frames.
 Test(links, a_token_request_is_answered_and_a_leave_arrives) {
--- a/tests/process/edge_test.cc
+++ b/tests/process/edge_test.cc
@@ -563,6 +563,49 @@
   cr_expect_eq(fleet.At(0).node->WaitExit(Ms(6000)), 0);
 }
 
+// Guards against a request that fails because its gate's node did not run for a
+// while, though the upstream answered.
+Test(edge, a_request_outlives_a_pause_of_its_gate) {
+  EdgeFleet fleet(LongTimeouts());
+  cr_assert(fleet.WaitUntilReady());
+  fleet.At(1).upstream.SetWork(Ms(600));
+  const std::string id = NextRequestId();
+  const RawSocket caller = RawSocket::ConnectTo(fleet.At(0).ports.outbound);
+  caller.Send(UploadHead(id, 4) + "abcd");
+  cr_assert(WaitUntil([&] { return CountRuns(fleet, id) == 1; }));
+  fleet.At(1).node->Signal(SIGSTOP);
+  std::this_thread::sleep_for(Ms(2000));
+  fleet.At(1).node->Signal(SIGCONT);
+  const std::string answer = caller.ReadUntil(
+      [](const std::string& text) { return !text.empty(); }, Ms(4000));
+  cr_expect(answer.starts_with("HTTP/1.1 200 "), "'%s'\n%s", answer.c_str(),
+            fleet.WaitForLogs(id).c_str());
+  cr_expect_eq(CountRuns(fleet, id), 1);
+}
+
+// Guards against a read that waits for a node that does not run, although
+// another upstream could serve it.
+Test(edge, a_read_is_served_elsewhere_while_its_gate_pauses) {
+  EdgeFleet fleet(LongTimeouts());
+  cr_assert(fleet.WaitUntilReady());
+  for (const int vm : {0, 2})
+    fleet.At(vm).upstream.SetWork(Ms(600));
+  const std::string id = NextRequestId();
+  const RawSocket caller = RawSocket::ConnectTo(fleet.At(1).ports.outbound);
+  caller.Send("GET /view/x HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: " + id +
+              "\r\nX-Deadline-Ms: 8000\r\n\r\n");
+  cr_assert(WaitUntil([&] { return CountRuns(fleet, id) == 1; }));
+  EdgeVm& paused =
+      fleet.At(0).upstream.CountRuns(id) == 1 ? fleet.At(0) : fleet.At(2);
+  paused.node->Signal(SIGSTOP);
+  const std::string answer = caller.ReadUntil(
+      [](const std::string& text) { return !text.empty(); }, Ms(4000));
+  paused.node->Signal(SIGCONT);
+  cr_expect(answer.starts_with("HTTP/1.1 200 "), "'%s'\n%s", answer.c_str(),
+            fleet.WaitForLogs(id).c_str());
+  cr_expect_eq(CountRuns(fleet, id), 2);
+}
+
 // A move completes within some seconds, and the operator can read its result in
 // the store.
 Test(edge, a_good_move_is_completed_and_reported) {
