Stop: a node ends when its callers have the results of their calls

What callers saw: an upload on its way to a gate over a full line got 502, "unknown", when the gate's process ended as idle 2.3 s after its SIGTERM. It never ran, and could not be repeated.

Cause: a stop looked at what runs, and not at what is on its way on a link, nor at results that are on their way back.

The node ends when its callers have closed theirs, or at the end of its grace period as before. What arrives until then is refused as not run and goes elsewhere.

--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -425,6 +425,7 @@
       {{"open", node.entry.CountPending()},
        {"running", node.gate.CountRunning()}});
   node.quota.BeginLeaving();
+  node.links.BeginStop();
   node.gate.LeaveNode();
   node.outbound.CloseAfterResponses();
   node.entry.BeginStop(EndOf(node));
@@ -461,8 +462,11 @@
   CloseIntake(node);
   if (now >= EndOf(node) - kPartialNotice)
     RefusePartialRequests(node);
+  // A caller closes its link once it has the results of all its calls, so until
+  // then a request or a result may still be on its way.
   const bool idle = node.outbound.CountSessions() == 0 &&
-                    node.gate.CountRunning() == 0 && node.remote_runs.empty();
+                    node.gate.CountRunning() == 0 && node.remote_runs.empty() &&
+                    node.links.CountCallers() == 0;
   return idle || now >= EndOf(node);
 }
 
@@ -601,6 +605,8 @@
   Log(LogLevel::kInfo, "node", "stopped",
       {{"open", node.outbound.CountPending()},
        {"partial", node.outbound.CountPartial()},
+       {"callers", node.links.CountCallers()},
+       {"runs", node.remote_runs.size()},
        {"log_lines_dropped", node.log.Dropped()}});
   node.log.Flush();
   return {};
--- a/src/edge/frames.h
+++ b/src/edge/frames.h
@@ -165,9 +165,15 @@
   std::uint32_t sequence = 0;
 };
 struct PongFrame {
+  // Of the ping; kStoppingPong if it answers none.
   std::uint32_t sequence = 0;
 };
 
+// A pong that says that the sender stops: the receiver closes the link once it
+// has the results of its calls. Nodes of earlier releases, which would end the
+// link on a frame of another kind, ignore it.
+inline constexpr std::uint32_t kStoppingPong = 0xffffffff;
+
 // Requests the configuration that the receiver holds.
 struct ConfigRequest {
   // Digest of the record that the sender holds; 0 for none.
--- a/src/edge/link_connections.cc
+++ b/src/edge/link_connections.cc
@@ -50,6 +50,12 @@
   return bound;
 }
 
+void Links::BeginStop() {
+  boost::system::error_code ignored;  // it may be closed already
+  this->acceptor.close(ignored);
+  this->SendToCallers(PongFrame{kStoppingPong});
+}
+
 void Links::Accept() {
   this->acceptor.async_accept([this, lives = this->alive](
                                   boost::system::error_code error,
@@ -178,6 +184,7 @@
 void Links::UseAttempt(Peer& peer) {
   FrameSocket* old = peer.socket;
   peer.socket = std::exchange(peer.attempt, nullptr);
+  peer.stopping_since = TimePoint{};
   Log(LogLevel::kInfo, "links", "link-up", {{"node", peer.node}});
   if (old == nullptr)
     return;
@@ -269,7 +276,8 @@
   peer.speed = {};
   this->counters.Add(LinkEvent::kLost);
   const std::string name = peer.node;
-  Log(LogLevel::kWarning, "links", "link-lost",
+  Log(end == LinkEndReason::kDrained ? LogLevel::kInfo : LogLevel::kWarning,
+      "links", "link-lost",
       {{"node", name},
        {"reason", NameOf(end)},
        {"unsent", socket.UnsentBytes()},
@@ -366,6 +374,7 @@
     if (!socket->Closed())
       this->Perform(action, socket.get());
   }
+  this->CloseDrained(now);
   this->ReportSilentCalls();
 }
 
@@ -385,6 +394,17 @@
   }
 }
 
+void Links::CloseDrained(TimePoint now) {
+  std::vector<FrameSocket*> drained;
+  for (const auto& [name, peer] : this->peers) {
+    if (peer.connected &&
+        IsDrained(peer.stopping_since, !peer.socket->calls.empty(), now))
+      drained.push_back(peer.socket);
+  }
+  for (FrameSocket* socket : drained)
+    this->CloseSocket(socket, LinkEndReason::kDrained);
+}
+
 void Links::ReportSilentCalls() {
   std::vector<SocketPtr> silent(this->replaced.begin(), this->replaced.end());
   for (const auto& [name, peer] : this->peers) {
--- a/src/edge/link_health.h
+++ b/src/edge/link_health.h
@@ -30,6 +30,11 @@
 inline constexpr Duration kLinkTimeout = std::chrono::seconds(5);
 inline constexpr Duration kBusyLinkTimeout = std::chrono::seconds(15);
 
+// A link to a node that stops is closed this long after the node said so, once
+// no call is in flight on it: until then its status still counts, and the node
+// waits for the close before it ends.
+inline constexpr Duration kStoppingLinkTime = std::chrono::seconds(2);
+
 // A link whose response has been due for this long counts as unresponsive: new
 // requests go elsewhere. Lost packets are retransmitted after some 200 ms, so
 // most links recover. Without this limit a disconnected data centre would get
@@ -134,6 +139,15 @@
                                            : LinkAction::kNone;
 }
 
+// Whether the link to a node that began to stop at `stopping_since` has served
+// its purpose. Thread safe.
+[[nodiscard]] inline bool IsDrained(TimePoint stopping_since,
+                                    bool has_calls,
+                                    TimePoint now) {
+  return stopping_since != TimePoint{} && !has_calls &&
+         now - stopping_since > kStoppingLinkTime;
+}
+
 }  // namespace teaselspread
 
 #endif  // TEASELSPREAD_SRC_EDGE_LINK_HEALTH_H_
--- a/src/edge/links.cc
+++ b/src/edge/links.cc
@@ -71,8 +71,8 @@
 }
 
 std::string_view NameOf(LinkEndReason end) {
-  static constexpr std::array<std::string_view, 4> kEndNames = {
-      "closed", "silent", "moved", "not-needed"};
+  static constexpr std::array<std::string_view, 5> kEndNames = {
+      "closed", "silent", "moved", "drained", "not-needed"};
   return kEndNames.at(static_cast<std::size_t>(end));
 }
 
@@ -163,7 +163,9 @@
   } else if (std::holds_alternative<ConfigBusy>(frame)) {
     this->handlers.on_config_busy(name);
   } else if (const auto* pong = std::get_if<PongFrame>(&frame)) {
-    if (pong->sequence == peer->config_request_sequence)
+    if (pong->sequence == kStoppingPong)
+      peer->stopping_since = SteadyNow();
+    else if (pong->sequence == peer->config_request_sequence)
       this->handlers.on_config_busy(name);
   } else if (const auto* grant = std::get_if<TokenGrantFrame>(&frame)) {
     this->handlers.on_token_grant(name, *grant);
--- a/src/edge/links.h
+++ b/src/edge/links.h
@@ -60,6 +60,8 @@
   kTimedOut,
   // The node now accepts links on another address.
   kAddressChanged,
+  // The node stops, and no call was in flight.
+  kDrained,
   // The link that it was to replace responds again.
   kNotNeeded,
 };
@@ -85,6 +87,8 @@
   bool connected = false;
   // When bytes were last received on a link that has fallen silent.
   TimePoint silent_since;
+  // When the node said that it stops; the epoch if it did not.
+  TimePoint stopping_since;
   GateStatus status;
   TimePoint status_received_at;
   // Speed of its upstream's process, as it was told over this link.
@@ -156,6 +160,15 @@
   // Errors: kSettings when the address cannot be bound.
   [[nodiscard]] Result<Address> Listen(const Address& address);
 
+  // The node stops: no new connection is accepted, and callers close theirs
+  // once they have the results of their calls.
+  void BeginStop();
+
+  // Connections that other nodes opened.
+  [[nodiscard]] std::size_t CountCallers() const {
+    return this->callers.size();
+  }
+
   // Keeps a link open to this node; a new address replaces the old one.
   void Add(const Hello& node);
   // Closes all connections to the node and removes it.
@@ -252,6 +265,8 @@
   void CheckTimeouts();
   [[nodiscard]] std::vector<DueAction> DueActions(TimePoint now) const;
   void Perform(LinkAction action, FrameSocket* socket);
+  // Closes links to nodes that stop, if no call is in flight on them.
+  void CloseDrained(TimePoint now);
   void ReportSilentCalls();
   [[nodiscard]] std::vector<Duration> PingDelays(TimePoint now) const;
   void SendPing(FrameSocket& socket);
--- a/tests/unit/link_health_test.cc
+++ b/tests/unit/link_health_test.cc
@@ -104,6 +104,16 @@
   cr_assert(kMaxSendInterval * 2 < kLinkTimeout);
 }
 
+// Guards against a stopping node whose callers close their links before they
+// have the results, or never.
+Test(link_health, a_link_to_a_stopping_node_ends_after_its_last_call) {
+  const TimePoint later = kStart + kStoppingLinkTime + Ms(1);
+  cr_assert_not(IsDrained(TimePoint{}, false, later));
+  cr_assert_not(IsDrained(kStart, false, kStart + Ms(1)));
+  cr_assert_not(IsDrained(kStart, true, later));
+  cr_assert(IsDrained(kStart, false, later));
+}
+
 // A data centre is disconnected. Until its links are closed, requests would
 // still be sent there, and those that may not run twice end as "outcome
 // unknown".
