Stop: callers close their links after one second, not two

The close is counted from the moment at which the word of the stop arrives. A node gets hardly any requests of its own one second after its readiness is gone, so its status tells little by then.

--- a/src/edge/link_health.h
+++ b/src/edge/link_health.h
@@ -33,7 +33,7 @@
 // A link to a node that stops is closed this long after the node said so, once
 // no call is in flight on it: until then its status still counts, and the node
 // waits for the close before it ends.
-inline constexpr Duration kStoppingLinkTime = std::chrono::seconds(2);
+inline constexpr Duration kStoppingLinkTime = std::chrono::seconds(1);
 
 // A link whose response has been due for this long counts as unresponsive: new
 // requests go elsewhere. Lost packets are retransmitted after some 200 ms, so
