Links: the speed of an upstream ends with the link that told it, also if that is replaced

A link that replaces a silent one kept the speed of the upstream from before. The node beside it reports a speed only if it differs from what that link was told, and a new link was told none: an upstream that was slow and is not any more would have counted as slow for good.

Test: links::a_speed_ends_with_the_link_that_told_it failed before.

--- a/src/edge/link_connections.cc
+++ b/src/edge/link_connections.cc
@@ -185,6 +185,7 @@
   FrameSocket* old = peer.socket;
   peer.socket = std::exchange(peer.attempt, nullptr);
   peer.stopping_since = TimePoint{};
+  peer.speed = {};
   Log(LogLevel::kInfo, "links", "link-up", {{"node", peer.node}});
   if (old == nullptr)
     return;
--- a/src/edge/links.h
+++ b/src/edge/links.h
@@ -119,7 +119,7 @@
   std::function<void(const std::string& node)> on_link_lost;
   // These calls to `node` will get no result.
   std::function<void(const std::string& node, const CallIds& calls)>
-      on_calls_lost;
+      on_calls_lost = [](const std::string&, const CallIds&) {};
   // The link of these calls to `node` is silent. Called repeatedly while it is.
   std::function<void(const std::string& node, const CallIds& calls)>
       on_calls_silent = [](const std::string&, const CallIds&) {};
--- a/tests/contract/links_test.cc
+++ b/tests/contract/links_test.cc
@@ -299,6 +299,22 @@
   cr_expect_eq(node.Target().in_flight, 0U);
 }
 
+// Guards against a process that is taken for slow since a link before said so.
+Test(links, a_speed_ends_with_the_link_that_told_it) {
+  ScriptedPeer peer([&peer](const RawSocket& socket, int number) {
+    SendFrame(socket, Status{kAllStatusParts, {}});
+    if (number == 0)
+      SendFrame(socket, SpeedFrame{250});
+    peer.StaySilent(socket);
+  });
+  CallingNode node(peer);
+  cr_assert(
+      node.RunUntil([&] { return node.Target().speed.reported.has_value(); }));
+  cr_assert(node.RunUntil([&] { return node.link_lost; }));
+  cr_assert(node.RunUntil([&] { return node.Target().connected; }));
+  cr_expect_not(node.Target().speed.reported.has_value());
+}
+
 // Guards against upstreams that go on with a request that nobody waits for any
 // more, since the cancel was sent on the wrong connection.
 Test(links, a_cancel_is_sent_on_the_connection_of_its_call) {
