Tests: a restarted node may be reminded of a leave before it has asked its upstream

The test waited until the restarted node had registered its upstream. Since other nodes remind it that this upstream leaves; if the reminder comes before the health check, the upstream is never registered. That is right: it leaves.

--- a/tests/process/leaving_responses_test.cc
+++ b/tests/process/leaving_responses_test.cc
@@ -82,8 +82,14 @@
   std::this_thread::sleep_for(kDrain);
   const auto bound_from = Clock::now();
   leaving.Restart();
-  cr_assert(
-      WaitUntil([&] { return leaving.Metric("teaselspread_gate_slots") > 0; }));
+  // The node asks the upstream, unless another node has reminded it before that
+  // the upstream leaves.
+  cr_assert(WaitUntil([&] {
+              return leaving.Metric("teaselspread_gate_slots") > 0 ||
+                     leaving.node->Output().find("event=departure-recalled") !=
+                         std::string::npos;
+            }),
+            "%s", leaving.node->Output().c_str());
   const auto until = Clock::now() + Ms(2000);
   while (Clock::now() < until) {
     const HttpResponse response =
