--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -511,12 +511,6 @@
 
 void Entry::OnResult(const std::string& node, ResultFrame result) {
   const std::uint64_t id = result.call_id;
-  this->HandleResult(id, node, std::move(result));
-}
-
-void Entry::HandleResult(std::uint64_t id,
-                         const std::string& node,
-                         ResultFrame result) {
   const auto found = this->pending_requests.find(id);
   if (found == this->pending_requests.end())
     return;
@@ -551,19 +545,18 @@
                       Duration(result.upstream_time_us));
   ++pending.attempts;
   pending.may_have_run = true;
-  if (failed && this->MayRetry(pending, ErrorKind::kUpstreamFailed, false)) {
-    pending.has_response = true;
-    pending.response = std::move(result.response);
-    this->TryNext(id);
+  if (!failed) {
+    this->ForwardResponse(id, std::move(result.response));
     return;
   }
-  if (failed && !pending.silent.empty()) {
-    pending.has_response = true;
-    pending.response = std::move(result.response);
+  const bool retries =
+      this->MayRetry(pending, ErrorKind::kUpstreamFailed, false);
+  pending.has_response = true;
+  pending.response = std::move(result.response);
+  if (retries)
+    this->TryNext(id);
+  else
     this->EndUnserved(id, ErrorKind::kUpstreamFailed, kEntryRetryAfter);
-    return;
-  }
-  this->ForwardResponse(id, std::move(result.response));
 }
 
 // The request did not run. A gate's refusal did not reach the upstream, so the
--- a/src/edge/entry.h
+++ b/src/edge/entry.h
@@ -167,7 +167,7 @@
   // process ends.
   [[nodiscard]] HttpResponse RefusePartial(const HttpRequest& head);
 
-  // The result of a call over the link to `node`.
+  // The result of a request that was sent to `node`, which may be this one.
   void OnResult(const std::string& node, ResultFrame result);
   // These calls to `node` get no result.
   void OnCallsLost(const std::string& node, const CallIds& calls);
@@ -217,9 +217,6 @@
   void SendTo(std::uint64_t id,
               PendingRequest& pending,
               const Candidate& chosen);
-  void HandleResult(std::uint64_t id,
-                    const std::string& node,
-                    ResultFrame result);
   // Makes the earlier attempt at `node` the current one. False if there is
   // none, or if the current one goes on: the earlier one has not served the
   // request.
--- a/src/edge/entry_answers.cc
+++ b/src/edge/entry_answers.cc
@@ -123,11 +123,8 @@
                         ErrorKind kind,
                         Duration retry_after) {
   PendingRequest& pending = this->pending_requests.at(id);
-  if (!pending.silent.empty()) {
-    pending.last_error = kind;
-    pending.retry_after = retry_after;
+  if (!pending.silent.empty())
     return;
-  }
   if (pending.has_response)
     this->ForwardResponse(id, std::move(pending.response));
   else
--- a/src/edge/entry_links.cc
+++ b/src/edge/entry_links.cc
@@ -27,7 +27,7 @@
     result.call_id = id;
     result.error = ErrorKind::kPeerUnreachable;
     result.execution = Execution::kUnknown;
-    this->HandleResult(id, node, std::move(result));
+    this->OnResult(node, std::move(result));
   }
 }
 
--- a/src/edge/frame_socket.h
+++ b/src/edge/frame_socket.h
@@ -70,7 +70,7 @@
   // Whether the other end is in another data centre; false until known.
   bool in_other_data_center = false;
   LinkTimes times;
-  // On a connection that this node opened: calls whose results are due on it.
+  // Calls in flight, by the id that the end which opened the connection gave.
   std::set<std::uint64_t> calls;
   // On an accepted socket: what its caller has received of the status.
   StatusReader status_reader;
--- a/src/edge/link_connections.cc
+++ b/src/edge/link_connections.cc
@@ -306,11 +306,8 @@
 
 // A run may take long, so a missing result does not show that the link failed;
 // a missing response to a ping does. One that is due already stays due.
-void Links::SendPing(FrameSocket& socket) {
-  Peer& peer = this->peers.at(socket.node);
-  if (TimePoint& due_since = socket.times.response_due_since;
-      due_since == TimePoint{})
-    due_since = SteadyNow();
+void Links::SendPing(Peer& peer, FrameSocket& socket) {
+  MarkResponseDue(socket.times, SteadyNow());
   socket.Send(PingFrame{peer.next_ping_sequence++});
 }
 
@@ -384,7 +381,7 @@
     case LinkAction::kNone:
       break;
     case LinkAction::kPing:
-      this->SendPing(*socket);
+      this->SendPing(this->peers.at(socket->node), *socket);
       break;
     case LinkAction::kMarkSilent:
       this->MarkSilent(this->peers.at(socket->node));
--- a/src/edge/link_health.h
+++ b/src/edge/link_health.h
@@ -51,6 +51,12 @@
   TimePoint response_due_since;
 };
 
+// A frame was sent to which the other end responds. Not thread safe.
+inline void MarkResponseDue(LinkTimes& times, TimePoint now) {
+  if (times.response_due_since == TimePoint{})
+    times.response_due_since = now;
+}
+
 // Thread safe.
 [[nodiscard]] inline bool IsUnresponsive(const LinkTimes& times,
                                          TimePoint now) {
--- a/src/edge/links.cc
+++ b/src/edge/links.cc
@@ -333,7 +333,7 @@
   peer->socket->calls.insert(frame.call_id);
   peer->socket->Send(frame);
   if (peer->socket->times.response_due_since == TimePoint{})
-    this->SendPing(*peer->socket);
+    this->SendPing(*peer, *peer->socket);
   return true;
 }
 
@@ -352,11 +352,8 @@
   if (peer == nullptr || !peer->connected)
     return;
   peer->socket->Send(ConfigRequest{digest});
-  peer->config_request_sequence = peer->next_ping_sequence++;
-  peer->socket->Send(PingFrame{peer->config_request_sequence});
-  if (TimePoint& due_since = peer->socket->times.response_due_since;
-      due_since == TimePoint{})
-    due_since = SteadyNow();
+  peer->config_request_sequence = peer->next_ping_sequence;
+  this->SendPing(*peer, *peer->socket);
 }
 
 bool Links::RequestTokens(const std::string& node,
@@ -366,9 +363,7 @@
     return false;
   peer->socket->Send(request);
   // The answer comes at once, so its absence shows that the link failed.
-  if (TimePoint& due_since = peer->socket->times.response_due_since;
-      due_since == TimePoint{})
-    due_since = SteadyNow();
+  MarkResponseDue(peer->socket->times, SteadyNow());
   return true;
 }
 
--- a/src/edge/links.h
+++ b/src/edge/links.h
@@ -269,7 +269,7 @@
   void CloseDrained(TimePoint now);
   void ReportSilentCalls();
   [[nodiscard]] std::vector<Duration> PingDelays(TimePoint now) const;
-  void SendPing(FrameSocket& socket);
+  void SendPing(Peer& peer, FrameSocket& socket);
 
   boost::asio::io_context& loop;
   LinkHandlers handlers;
