Tests: clients that misuse a door, beside ordinary traffic, within the memory of the machine

Beside each client, ordinary callers send requests to that node and to another, half of them on new connections, and the readiness check is asked four times a second.

The stand-in of an upstream keeps at most 1 MiB of each body that it records, and the length of the whole.

--- a/standins/mesh_upstream.h
+++ b/standins/mesh_upstream.h
@@ -35,11 +35,16 @@
   std::string work_percent{};
 };
 
+// Longer bodies of requests that it ran are recorded in part.
+constexpr std::size_t kMaxRecordedBody = std::size_t{1} << 20U;
+
 // One request that it ran.
 struct MeshRun {
   std::string id;
   std::string target;
+  // At most kMaxRecordedBody of its body, and the length of the whole.
   std::string body;
+  std::size_t body_bytes = 0;
   std::string caller_service;
   std::string deadline;
   std::chrono::steady_clock::time_point arrived;
@@ -227,7 +232,8 @@
     const std::scoped_lock lock(this->gate);
     this->runs.push_back(
         {id, std::string(request.target().data(), request.target().size()),
-         request.body(), HeaderOf(request, "X-Caller-Service"),
+         request.body().substr(0, kMaxRecordedBody), request.body().size(),
+         HeaderOf(request, "X-Caller-Service"),
          HeaderOf(request, "X-Deadline-Ms"), std::chrono::steady_clock::now(),
          HeaderOf(request, "X-Tenant"), HeaderOf(request, "Authorization"),
          std::move(header_names)});
--- /dev/null
+++ b/tests/process/hostile_clients_test.cc
@@ -0,0 +1,435 @@
+// Clients that do not keep to the limits, or hardly, beside ordinary traffic:
+// no process may end, none may pass the memory of its machine, and ordinary
+// callers are served. Each test plays one client against one node.
+#include "process/hostile_client.h"
+
+#include <sys/resource.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "edge/frames.h"
+#include "process/edge_fleet.h"
+#include "process/memory_watch.h"
+#include "process/ordinary_traffic.h"
+
+#include <criterion/criterion.h>
+
+namespace teaselspread {
+namespace {
+
+using Ms = std::chrono::milliseconds;
+
+constexpr std::size_t kMaxBody = std::size_t{64} << 20U;
+constexpr Ms kPlayTime{6000};
+// Descriptors of a process on its machine.
+constexpr std::size_t kDescriptors = 4100;
+// More connections than a process has descriptors.
+constexpr std::size_t kCrowd = 4200;
+// Fraction of the ordinary requests that have to be served.
+constexpr double kServedRatio = 0.9;
+// Time after which a node that the client has left serves as before.
+constexpr Ms kRecovery{3000};
+
+// Memory of each node's machine, in MB; most have the least.
+std::size_t MachineMb() {
+  constexpr std::size_t kLeastMb = 160;
+  const char* set = std::getenv("TEASELSPREAD_MACHINE_MB");
+  return set == nullptr ? kLeastMb : std::strtoul(set, nullptr, 10);
+}
+
+std::size_t MachineBytes() {
+  return MachineMb() * 1'000'000;
+}
+
+std::string ConfigWithLargeBodies() {
+  std::string text = ConfigText("00000001");
+  const std::string before = R"("maxBodyBytes":1000000)";
+  text.replace(text.find(before), before.size(),
+               R"("maxBodyBytes":)" + std::to_string(kMaxBody));
+  return text;
+}
+
+// Room for as many sockets as the largest client has.
+void RaiseDescriptorLimit() {
+  rlimit descriptors{};
+  ::getrlimit(RLIMIT_NOFILE, &descriptors);
+  descriptors.rlim_cur = descriptors.rlim_max;
+  ::setrlimit(RLIMIT_NOFILE, &descriptors);
+}
+
+// Nodes on machines of MachineMb and kDescriptors. The client misuses node 0,
+// which has links to the other two.
+struct WatchedFleet {
+  EdgeFleet fleet;
+  std::unique_ptr<MemoryWatch> watch;
+
+  WatchedFleet() : fleet(ConfigWithLargeBodies()) {
+    RaiseDescriptorLimit();
+    for (const auto& vm : this->fleet.vms) {
+      const rlimit descriptors{kDescriptors, kDescriptors};
+      ::prlimit(vm->node->Pid(), RLIMIT_NOFILE, &descriptors, nullptr);
+    }
+    cr_assert(this->fleet.WaitUntilReady());
+    std::vector<WatchedProcess> processes;
+    for (const auto& vm : this->fleet.vms) {
+      const EdgePorts& ports = vm->ports;
+      processes.push_back({vm->node->Pid(),
+                           {ports.outbound, ports.readiness, ports.admin,
+                            ports.metrics, ports.link}});
+    }
+    this->watch =
+        std::make_unique<MemoryWatch>(std::move(processes), MachineBytes());
+  }
+
+  [[nodiscard]] EdgeVm& Misused() { return this->fleet.At(0); }
+  [[nodiscard]] EdgeVm& Other() { return this->fleet.At(2); }
+};
+
+std::uint16_t PortOf(const EdgePorts& ports, Door door) {
+  switch (door) {
+    case Door::kOutbound:
+      return ports.outbound;
+    case Door::kReadiness:
+      return ports.readiness;
+    case Door::kAdmin:
+      return ports.admin;
+    case Door::kMetrics:
+      return ports.metrics;
+    case Door::kLink:
+      return ports.link;
+  }
+  return 0;
+}
+
+void ExpectServed(const char* when,
+                  const std::string& node,
+                  const OrdinaryOutcome& outcome) {
+  std::string failures;
+  for (const auto& [status, count] : outcome.failures)
+    failures += " " + std::to_string(status) + ":" + std::to_string(count);
+  std::printf("  %s, node %s: %zu of %zu ordinary requests served;%s\n", when,
+              node.c_str(), outcome.served, outcome.requests, failures.c_str());
+  cr_expect_geq(outcome.ServedRatio(), kServedRatio, "%s, node %s: %zu of %zu",
+                when, node.c_str(), outcome.served, outcome.requests);
+}
+
+void ExpectWithinMemory(WatchedFleet& watched) {
+  for (const WatchedProcess& process : watched.watch->Stop()) {
+    std::printf("  peak %zu MB\n", process.peak_bytes / 1'000'000);
+    cr_expect(!process.ended_for_memory, "%zu MB",
+              process.peak_bytes / 1'000'000);
+  }
+}
+
+void ExpectRecovery(WatchedFleet& watched) {
+  EdgeVm& node = watched.Misused();
+  cr_expect(WaitUntil([&] { return node.Ready(); }, kRecovery));
+  std::this_thread::sleep_for(kRecovery);
+  OrdinaryTraffic after(node);
+  std::this_thread::sleep_for(Ms(1000));
+  ExpectServed("afterwards", node.name, after.Stop());
+  const std::size_t resident = ResidentBytes(node.node->Pid());
+  cr_expect_leq(resident, MachineBytes() / 2, "%zu MB are not given back",
+                resident / 1'000'000);
+}
+
+void Play(const HostileClient& client) {
+  WatchedFleet watched;
+  EdgeVm& misused = watched.Misused();
+  OrdinaryTraffic at_misused(misused);
+  OrdinaryTraffic at_other(watched.Other());
+  ReadinessProbe probe(misused);
+  const double used_before = ProcessorSeconds(misused.node->Pid());
+  std::printf("%s\n", client.name.c_str());
+  {
+    HostilePlay play(client, PortOf(misused.ports, client.door));
+    play.Run(kPlayTime);
+  }
+  std::printf("  %.1f s of processor time\n",
+              ProcessorSeconds(misused.node->Pid()) - used_before);
+  const double ready = probe.Stop();
+  std::printf("  ready at %.2f of the checks\n", ready);
+  cr_expect_geq(ready, kServedRatio);
+  ExpectServed("meanwhile", misused.name, at_misused.Stop());
+  ExpectServed("meanwhile", watched.Other().name, at_other.Stop());
+  ExpectRecovery(watched);
+  ExpectWithinMemory(watched);
+}
+
+std::string HeadOf(const std::string& method,
+                   const std::string& path,
+                   const std::string& fields) {
+  return method + " " + path +
+         " HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: hostile\r\n"
+         "X-Deadline-Ms: 2000\r\n" +
+         fields + "\r\n";
+}
+
+std::string Repeated(const std::string& text, std::size_t count) {
+  std::string all;
+  all.reserve(text.size() * count);
+  for (std::size_t i = 0; i < count; ++i)
+    all += text;
+  return all;
+}
+
+std::string LengthField(std::size_t bytes) {
+  return "Content-Length: " + std::to_string(bytes) + "\r\n";
+}
+
+// A body with a length, of which `sent` bytes are sent.
+HostileClient BodyWithLength(const std::string& path,
+                             std::size_t connections,
+                             std::size_t length,
+                             std::size_t sent) {
+  HostileClient client;
+  client.name = "bodies of " + std::to_string(length) + " at " + path;
+  client.connections = connections;
+  client.head = HeadOf("POST", path, LengthField(length));
+  client.unit = std::string(65536, 'b');
+  client.unit_bytes = sent;
+  return client;
+}
+
+// A body of chunks of `chunk` bytes.
+HostileClient BodyInChunks(const std::string& path,
+                           std::size_t connections,
+                           std::size_t chunk,
+                           std::size_t chunks) {
+  char size[32];
+  std::snprintf(size, sizeof size, "%zx\r\n", chunk);
+  const std::string one = size + std::string(chunk, 'c') + "\r\n";
+  HostileClient client;
+  client.name = "chunks of " + std::to_string(chunk) + " at " + path;
+  client.connections = connections;
+  client.head = HeadOf("POST", path, "Transfer-Encoding: chunked\r\n");
+  client.unit = Repeated(one, std::max<std::size_t>(65536 / one.size(), 1));
+  client.unit_bytes = chunks == kUnlimited ? kUnlimited : one.size() * chunks;
+  client.tail = "0\r\n\r\n";
+  return client;
+}
+
+// What goes on without end after `head`.
+HostileClient Endless(const std::string& name,
+                      const std::string& head,
+                      const std::string& unit) {
+  HostileClient client;
+  client.name = name;
+  client.connections = 8;
+  client.head = head;
+  client.unit = unit;
+  client.unit_bytes = kUnlimited;
+  return client;
+}
+
+std::string ManyFields() {
+  constexpr std::size_t kFields = 3900;
+  return Repeated("a:\r\n", kFields);
+}
+
+// Requests that are sent ahead by a client that reads no response.
+HostileClient AheadWithoutReading(const std::string& path, Door door) {
+  HostileClient client = Endless("requests ahead at " + path, "",
+                                 Repeated(HeadOf("GET", path, ""), 100));
+  client.door = door;
+  return client;
+}
+
+// Sends the request as an ordinary client; the status.
+int SendLegalBody(const EdgeVm& vm, const std::string& framing) {
+  const RawSocket caller = RawSocket::ConnectTo(vm.ports.outbound);
+  const bool chunked = framing == "chunks";
+  const HostileClient body =
+      chunked ? BodyInChunks("/load/x", 1, 65536, kMaxBody / 65536)
+              : BodyWithLength("/load/x", 1, kMaxBody, kMaxBody);
+  std::string bytes = body.head;
+  bytes += Repeated(body.unit, body.unit_bytes / body.unit.size());
+  bytes += body.tail;
+  caller.Send(bytes);
+  const std::string got = caller.ReadUntil([](const std::string& response) {
+    return response.find("\r\n\r\n") != std::string::npos;
+  });
+  return got.size() < 12 ? 0 : std::atoi(got.c_str() + 9);
+}
+
+void ExpectLegalBodyServed(std::size_t node, const std::string& framing) {
+  WatchedFleet watched;
+  EdgeVm& works = watched.fleet.At(1);
+  cr_expect_eq(SendLegalBody(watched.fleet.At(node), framing), 200, "%s",
+               watched.fleet.WaitForLogs("hostile").c_str());
+  const auto runs = works.upstream.Runs();
+  cr_assert(!runs.empty());
+  cr_expect_eq(runs.back().body_bytes, kMaxBody);
+  ExpectWithinMemory(watched);
+}
+
+// Guards against a node that runs out of memory by one request inside the
+// limits.
+Test(hostile_clients, the_largest_body_is_served_by_the_own_gate) {
+  ExpectLegalBodyServed(1, "length");
+}
+Test(hostile_clients, the_largest_body_is_served_by_another_gate) {
+  ExpectLegalBodyServed(0, "length");
+}
+Test(hostile_clients, the_largest_body_in_chunks_is_served) {
+  ExpectLegalBodyServed(0, "chunks");
+}
+
+// Guards against bodies inside the limits that together take more memory than
+// the machine has.
+Test(hostile_clients, two_of_the_largest_bodies) {
+  Play(BodyWithLength("/load/x", 2, kMaxBody, kMaxBody));
+}
+Test(hostile_clients, eight_of_the_largest_bodies) {
+  Play(BodyWithLength("/load/x", 8, kMaxBody, kMaxBody));
+}
+Test(hostile_clients, eight_of_the_largest_bodies_in_chunks) {
+  Play(BodyInChunks("/load/x", 8, 65536, kMaxBody / 65536));
+}
+Test(hostile_clients, bodies_of_2_mb) {
+  Play(BodyWithLength("/load/x", 64, 2'000'000, 2'000'000));
+}
+Test(hostile_clients, bodies_in_chunks_of_one_byte) {
+  Play(BodyInChunks("/load/x", 8, 1, kMaxBody));
+}
+Test(hostile_clients, uploads_sent_ahead) {
+  const std::string upload = HeadOf("POST", "/load/x", LengthField(4'000'000)) +
+                             std::string(4'000'000, 'u');
+  HostileClient client = Endless("uploads ahead", "", upload);
+  client.unit_bytes = 32 * upload.size();
+  client.connections = 4;
+  Play(client);
+}
+
+// Guards against bodies that stop or are sent slowly: they keep their memory
+// for ever.
+Test(hostile_clients, large_bodies_that_stop_half_way) {
+  Play(BodyWithLength("/load/x", 8, kMaxBody, std::size_t{40} << 20U));
+}
+Test(hostile_clients, many_bodies_that_stop_half_way) {
+  Play(BodyWithLength("/load/x", 320, 1'000'000, 900'000));
+}
+Test(hostile_clients, bodies_sent_slowly) {
+  HostileClient client = BodyWithLength("/load/x", 320, kMaxBody, kMaxBody);
+  client.name += ", slowly";
+  client.bytes_per_step = 2000;
+  Play(client);
+}
+
+// Guards against bodies beyond the limit, or where none is expected: the node
+// keeps what it will never use.
+Test(hostile_clients, chunks_beyond_the_limit) {
+  Play(BodyInChunks("/nowhere/x", 8, 65536, kUnlimited));
+}
+Test(hostile_clients, a_length_far_beyond_the_limit) {
+  Play(BodyWithLength("/load/x", 8, 9'000'000'000'000, kUnlimited));
+}
+Test(hostile_clients, bodies_without_a_route) {
+  Play(BodyWithLength("/nowhere/x", 8, kMaxBody, kMaxBody));
+}
+Test(hostile_clients, bodies_at_the_readiness_check) {
+  HostileClient client = BodyWithLength("/ready", 8, kMaxBody, kMaxBody);
+  client.door = Door::kReadiness;
+  Play(client);
+}
+Test(hostile_clients, bodies_at_the_admin_address) {
+  HostileClient client =
+      BodyWithLength("/instances/x/heartbeat", 8, kMaxBody, kMaxBody);
+  client.door = Door::kAdmin;
+  Play(client);
+}
+Test(hostile_clients, bodies_at_the_metrics) {
+  HostileClient client = BodyWithLength("/metrics", 8, kMaxBody, kMaxBody);
+  client.door = Door::kMetrics;
+  Play(client);
+}
+
+// Guards against framing without end, which no limit on bodies covers.
+Test(hostile_clients, a_chunk_extension_without_end) {
+  Play(Endless(
+      "chunk extension",
+      HeadOf("POST", "/load/x", "Transfer-Encoding: chunked\r\n") + "1;x=",
+      std::string(65536, 'y')));
+}
+Test(hostile_clients, trailers_without_end) {
+  Play(Endless("trailers",
+               HeadOf("POST", "/load/x", "Transfer-Encoding: chunked\r\n") +
+                   "1\r\nb\r\n0\r\n",
+               Repeated("x: y\r\n", 10'000)));
+}
+
+// Guards against heads of many short fields, which take far more memory than
+// their bytes.
+Test(hostile_clients, many_fields_with_the_body_outstanding) {
+  HostileClient client;
+  client.name = "many fields, no body";
+  client.connections = 960;
+  client.head = HeadOf("POST", "/load/x", LengthField(1000) + ManyFields());
+  Play(client);
+}
+Test(hostile_clients, many_fields_sent_ahead) {
+  HostileClient client =
+      Endless("many fields ahead", "", HeadOf("GET", "/view/x", ManyFields()));
+  client.unit_bytes = 32 * client.unit.size();
+  client.connections = 16;
+  Play(client);
+}
+
+// Guards against responses that pile up behind a client that does not read.
+Test(hostile_clients, requests_ahead_on_a_route) {
+  Play(AheadWithoutReading("/view/x", Door::kOutbound));
+}
+Test(hostile_clients, requests_ahead_without_a_route) {
+  Play(AheadWithoutReading("/nowhere/x", Door::kOutbound));
+}
+Test(hostile_clients, requests_ahead_at_the_readiness_check) {
+  Play(AheadWithoutReading("/ready", Door::kReadiness));
+}
+Test(hostile_clients, requests_ahead_at_the_admin_address) {
+  Play(AheadWithoutReading("/nowhere", Door::kAdmin));
+}
+Test(hostile_clients, requests_ahead_at_the_metrics) {
+  Play(AheadWithoutReading("/metrics", Door::kMetrics));
+}
+
+// Guards against crowds that take all descriptors of the process.
+Test(hostile_clients, a_silent_crowd_at_the_outbound_address) {
+  HostileClient client;
+  client.name = "silent crowd";
+  client.connections = kCrowd;
+  Play(client);
+}
+Test(hostile_clients, a_silent_crowd_at_the_readiness_check) {
+  HostileClient client;
+  client.name = "silent crowd at the readiness check";
+  client.door = Door::kReadiness;
+  client.connections = kCrowd;
+  Play(client);
+}
+Test(hostile_clients, a_crowd_that_sends_heads_slowly) {
+  HostileClient client;
+  client.name = "slow heads";
+  client.connections = kCrowd;
+  client.head = HeadOf("GET", "/view/x", "X-Fill: " + std::string(8000, 'f'));
+  client.bytes_per_step = 1;
+  Play(client);
+}
+
+// Guards against connections to the link port that send a large frame without
+// having said which node they are.
+Test(hostile_clients, a_large_frame_of_nobody) {
+  std::string head = EncodeLinkFrame(PingFrame{1});
+  head[0] = '\x03';
+  head[1] = '\xB0';
+  HostileClient client = Endless("large frame", head, std::string(65536, 'l'));
+  client.unit_bytes = 60'000'000;
+  client.door = Door::kLink;
+  Play(client);
+}
+
+}  // namespace
+}  // namespace teaselspread
