Bodies: each request's body is held once

Cause: a request inside the limits (one body of 64 MiB) took its node past the 160 MB of most machines, and it was ended: its caller and all others got no answer. The entry kept the body for retries, copied it into the frame, into the frame's bytes and into the socket's output; the gate held it in the growing buffer of the link, in the decoded frame and in the text for the upstream.

Change: the body of a request is one object, shared by the entry, the gate's run and the connections that send it (RequestBody); links and calls write it from there. A frame of more than 128 KB is received into memory of its own length, which its body takes over. The bytes on the wire are the same.

--- a/src/edge/crash_evidence.cc
+++ b/src/edge/crash_evidence.cc
@@ -78,15 +78,21 @@
 
 Fingerprint FingerprintOf(const HttpRequest& request,
                           std::string_view caller_service) {
+  return FingerprintOf(request, request.body, caller_service);
+}
+
+Fingerprint FingerprintOf(const HttpRequest& request,
+                          std::string_view body,
+                          std::string_view caller_service) {
   const std::uint64_t caller =
       XXH3_64bits(caller_service.data(), caller_service.size());
   const std::string host = absl::AsciiStrToLower(
       std::string(WithoutPort(FindHeader(request.headers, "Host"))));
   const std::uint64_t source =
       XXH3_64bits_withSeed(host.data(), host.size(), caller);
-  const std::uint64_t body =
-      XXH3_64bits_withSeed(request.body.data(), request.body.size(), source);
-  return FingerprintOf(request.method, request.target, body);
+  const std::uint64_t contents =
+      XXH3_64bits_withSeed(body.data(), body.size(), source);
+  return FingerprintOf(request.method, request.target, contents);
 }
 
 std::string_view NameOf(CrashSign sign) {
--- a/src/edge/crash_evidence.h
+++ b/src/edge/crash_evidence.h
@@ -58,6 +58,11 @@
 [[nodiscard]] Fingerprint FingerprintOf(const HttpRequest& request,
                                         std::string_view caller_service);
 
+// The same for a request whose body is held apart. Thread safe.
+[[nodiscard]] Fingerprint FingerprintOf(const HttpRequest& request,
+                                        std::string_view body,
+                                        std::string_view caller_service);
+
 // Stable names for logs and metrics. Thread safe.
 [[nodiscard]] std::string_view NameOf(CrashSign sign);
 [[nodiscard]] std::string_view NameOf(SuspectEvent event);
--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -185,6 +185,7 @@
   const std::uint64_t id = this->next_id++;
   PendingRequest pending;
   pending.exchange = exchange;
+  pending.body = MakeRequestBody(std::exchange(exchange->request.body, {}));
   pending.snapshot = this->snapshot;
   pending.route = &route;
   pending.service = route.service;
@@ -394,7 +395,8 @@
 Fingerprint Entry::FingerprintOfPending(PendingRequest& pending) const {
   if (!pending.fingerprint) {
     pending.fingerprint =
-        FingerprintOf(pending.exchange->request, this->settings.service);
+        FingerprintOf(pending.exchange->request, BytesOf(pending.body),
+                      this->settings.service);
   }
   return *pending.fingerprint;
 }
@@ -423,7 +425,7 @@
   const double response_bytes = known == this->mean_response_bytes.end()
                                     ? kDefaultResponseBytes
                                     : known->second;
-  return pending.exchange->request.body.size() + kHeaderBytes +
+  return BytesOf(pending.body).size() + kHeaderBytes +
          static_cast<std::size_t>(response_bytes);
 }
 
@@ -467,7 +469,7 @@
         std::max<std::int64_t>(to_aim.count() / kMicrosPerMilli, 0));
   }
   frame.request = pending.exchange->request;
-  frame.request.hold = nullptr;
+  frame.body = pending.body;
   RemoveHopHeaders(frame.request.headers);
   SetHeader(frame.request.headers, this->names.caller_service,
             this->settings.service);
--- a/src/edge/entry.h
+++ b/src/edge/entry.h
@@ -59,6 +59,8 @@
 // One request of a caller until its final response.
 struct PendingRequest {
   ExchangePtr exchange;
+  // Body of the request; the exchange no longer has it.
+  RequestBodyPtr body;
   SnapshotPtr snapshot;
   const RouteConfig* route = nullptr;
   std::string service;
--- a/src/edge/frame_socket.cc
+++ b/src/edge/frame_socket.cc
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -22,6 +23,13 @@
 using Self = boost::intrusive_ptr<FrameSocket>;
 
 constexpr std::size_t kReadBytes = 32768;
+// Frames from this length on are received into memory of their own, which their
+// body takes over. In the buffer, which doubles as it grows, they would take a
+// multiple of their length.
+constexpr std::size_t kLargeFrameBytes = 131072;
+// Bodies from this length on are sent from where they are. Shorter ones are
+// copied, which costs less than another buffer in each write.
+constexpr std::size_t kMinSharedBody = 16384;
 // The connection ends if sent bytes stay unacknowledged for this long. Without
 // the limit, a connection to a VM without power stays open for many minutes.
 constexpr auto kUserTimeout =
@@ -78,8 +86,29 @@
   if (this->closed)
     return;
   this->handlers.on_queued(this, kind, bytes.size());
+  this->Queue(bytes, nullptr);
+}
+
+void FrameSocket::SendRun(const RunFrame& frame) {
+  if (BytesOf(frame.body).size() < kMinSharedBody) {
+    this->Send(frame);
+    return;
+  }
+  if (this->closed)
+    return;
+  const std::string bytes = EncodeWithoutBody(frame);
+  this->handlers.on_queued(this, FrameKind::kRun,
+                           bytes.size() + frame.body->bytes.size());
+  this->Queue(bytes, frame.body);
+}
+
+void FrameSocket::Queue(std::string_view bytes, RequestBodyPtr body) {
   this->times.last_sent = SteadyNow();
-  this->output += bytes;
+  this->unsent_bytes += bytes.size() + BytesOf(body).size();
+  if (this->output.empty() || this->output.back().body)
+    this->output.emplace_back();
+  this->output.back().bytes += bytes;
+  this->output.back().body = std::move(body);
   if (this->connected)
     this->Flush();
 }
@@ -88,9 +117,15 @@
   if (this->writing || this->output.empty() || this->closed)
     return;
   this->writing = true;
-  this->write_buffer = std::exchange(this->output, {});
+  this->being_written = std::exchange(this->output, {});
+  std::vector<asio::const_buffer> buffers;
+  for (const Piece& piece : this->being_written) {
+    buffers.push_back(asio::buffer(piece.bytes));
+    if (piece.body)
+      buffers.push_back(asio::buffer(piece.body->bytes));
+  }
   asio::async_write(
-      this->socket, asio::buffer(this->write_buffer),
+      this->socket, buffers,
       [self = Self(this)](boost::system::error_code error, std::size_t bytes) {
         self->writing = false;
         if (self->closed)
@@ -99,7 +134,8 @@
           self->Fail();
           return;
         }
-        self->write_buffer.clear();
+        self->being_written.clear();
+        self->unsent_bytes -= bytes;
         self->handlers.on_sent(bytes);
         self->Flush();
       });
@@ -126,7 +162,14 @@
 }
 
 void FrameSocket::ParseFrames() {
-  while (!this->closed && this->buffer.size() >= kFrameLengthBytes) {
+  while (!this->closed) {
+    if (this->large_frame_length > 0) {
+      if (!this->CollectLargeFrame())
+        return;
+      continue;
+    }
+    if (this->buffer.size() < kFrameLengthBytes)
+      return;
     const auto* bytes = static_cast<const char*>(this->buffer.cdata().data());
     const std::size_t length = DecodeLength(bytes);
     if (length > kMaxLinkFrame) {
@@ -135,18 +178,42 @@
       this->Fail();
       return;
     }
+    if (length >= kLargeFrameBytes) {
+      this->buffer.consume(kFrameLengthBytes);
+      this->large_frame_length = length;
+      this->large_frame.reserve(length);
+      continue;
+    }
     if (this->buffer.size() < kFrameLengthBytes + length)
       return;
     auto frame = DecodeLinkFrame({bytes + kFrameLengthBytes, length});
     this->buffer.consume(kFrameLengthBytes + length);
-    if (!frame) {
-      Log(LogLevel::kWarning, "links", "frame-refused",
-          {{"node", this->node}, {"message", frame.error().message}});
-      this->Fail();
-      return;
-    }
-    this->handlers.on_frame(this, std::move(*frame));
+    this->HandleFrame(std::move(frame));
+  }
+}
+
+bool FrameSocket::CollectLargeFrame() {
+  const std::size_t missing =
+      this->large_frame_length - this->large_frame.size();
+  const std::size_t taken = std::min(missing, this->buffer.size());
+  this->large_frame.append(
+      static_cast<const char*>(this->buffer.cdata().data()), taken);
+  this->buffer.consume(taken);
+  if (taken < missing)
+    return false;
+  this->large_frame_length = 0;
+  this->HandleFrame(DecodeOwnedLinkFrame(std::exchange(this->large_frame, {})));
+  return true;
+}
+
+void FrameSocket::HandleFrame(Result<LinkFrame> frame) {
+  if (!frame) {
+    Log(LogLevel::kWarning, "links", "frame-refused",
+        {{"node", this->node}, {"message", frame.error().message}});
+    this->Fail();
+    return;
   }
+  this->handlers.on_frame(this, std::move(*frame));
 }
 
 std::size_t FrameSocket::UnacknowledgedBytes() {
--- a/src/edge/frame_socket.h
+++ b/src/edge/frame_socket.h
@@ -6,6 +6,8 @@
 #include <functional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -46,6 +48,8 @@
   void Send(const LinkFrame& frame) {
     this->SendEncoded(KindOf(frame), EncodeLinkFrame(frame));
   }
+  // As Send, but a large body is not copied.
+  void SendRun(const RunFrame& frame);
   // Precondition: `bytes` come from EncodeLinkFrame for a frame of this kind.
   void SendEncoded(FrameKind kind, std::string_view bytes);
   // No handler is called afterwards.
@@ -55,9 +59,7 @@
   // Whether the connection is established.
   [[nodiscard]] bool Connected() const { return this->connected; }
   // Bytes that the kernel has not accepted yet.
-  [[nodiscard]] std::size_t UnsentBytes() const {
-    return this->output.size() + this->write_buffer.size();
-  }
+  [[nodiscard]] std::size_t UnsentBytes() const { return this->unsent_bytes; }
   // Bytes that the kernel has accepted and the other end has not acknowledged;
   // 0 if the kernel does not say.
   [[nodiscard]] std::size_t UnacknowledgedBytes();
@@ -78,16 +80,31 @@
   SpeedFactor told_speed;
 
  private:
+  // Bytes to be sent, and a body to be sent behind them; null for none.
+  struct Piece {
+    std::string bytes;
+    RequestBodyPtr body;
+  };
+
   void Read();
   void ParseFrames();
+  // Moves received bytes to `large_frame`. False if bytes are missing.
+  bool CollectLargeFrame();
+  void HandleFrame(Result<LinkFrame> frame);
+  void Queue(std::string_view bytes, RequestBodyPtr body);
   void Flush();
   void Fail();
 
   boost::asio::ip::tcp::socket socket;
   FrameSocketHandlers handlers;
   boost::beast::flat_buffer buffer;
-  std::string output;
-  std::string write_buffer;
+  // A frame of more than kLargeFrameBytes, while it is being received, and its
+  // length; 0 for none.
+  std::string large_frame;
+  std::size_t large_frame_length = 0;
+  std::vector<Piece> output;
+  std::vector<Piece> being_written;
+  std::size_t unsent_bytes = 0;
   bool connected = false;
   bool writing = false;
   bool closed = false;
--- a/src/edge/frames.cc
+++ b/src/edge/frames.cc
@@ -89,7 +89,10 @@
   codec(value.call_id, value.route, value.priority, value.idempotent);
   codec(value.deadline_ms, value.aim_ms, value.instance);
   codec(value.request.method, value.request.target, value.request.headers);
-  codec(value.request.body);
+  if constexpr (C::kWriting)
+    codec.Tail(BodyOf(value));
+  else
+    codec.Tail(value.request.body);
 }
 template <class C>
 void Fields(C& codec, FieldsOf<C, ResultFrame> value) {
@@ -99,7 +102,8 @@
   codec.Enum(value.error, ErrorKind::kInternal);
   codec.Enum(value.execution, Execution::kUnknown);
   codec.NonNegative(value.response.status);
-  codec(value.response.headers, value.response.body);
+  codec(value.response.headers);
+  codec.Tail(value.response.body);
 }
 template <class C>
 void Fields(C& codec, FieldsOf<C, CancelFrame> value) {
@@ -180,6 +184,50 @@
   }
 }
 
+// The string that ends the frame; null if none does.
+std::string* TailOf(LinkFrame& frame) {
+  if (auto* run = std::get_if<RunFrame>(&frame))
+    return &run->request.body;
+  if (auto* result = std::get_if<ResultFrame>(&frame))
+    return &result->response.body;
+  return nullptr;
+}
+
+// The tail's bytes are not written if `detaches_tail`, but its length counts.
+std::string Encode(const LinkFrame& frame, bool detaches_tail) {
+  std::ostringstream stream;
+  constexpr std::array<char, kFrameLengthBytes> kNoLength{};
+  stream.write(kNoLength.data(), kNoLength.size());
+  std::size_t detached = 0;
+  {
+    wire::Writer writer(stream);
+    writer.detaches_tail = detaches_tail;
+    writer(static_cast<std::uint8_t>(frame.index()));
+    std::visit([&writer](const auto& value) { writer(value); }, frame);
+    detached = writer.detached_tail_bytes;
+  }
+  std::string bytes = std::move(stream).str();
+  auto length =
+      static_cast<std::uint32_t>(bytes.size() + detached - kFrameLengthBytes);
+  for (std::size_t i = kFrameLengthBytes; i-- > 0; length >>= kBitsPerByte)
+    bytes[i] = static_cast<char>(length & 0xFFU);
+  return bytes;
+}
+
+// Reads `frame` but for its tail, and returns the tail's length.
+std::size_t ReadBeforeTail(std::string_view bytes, LinkFrame& frame) {
+  io::stream<io::array_source> stream(bytes.data(), bytes.size());
+  wire::Reader reader(stream);
+  reader.leaves_tail = true;
+  std::uint8_t index = 0;
+  reader(index);
+  ReadAlternative(reader, index, frame);
+  const auto at = static_cast<std::uint64_t>(stream.tellg());
+  if (bytes.size() - at != reader.left_tail_bytes)
+    throw cereal::Exception("another length than the frame's");
+  return reader.left_tail_bytes;
+}
+
 }  // namespace
 
 std::uint8_t ChangedParts(const GateStatus& a, const GateStatus& b) {
@@ -250,19 +298,11 @@
 }
 
 std::string EncodeLinkFrame(const LinkFrame& frame) {
-  std::ostringstream stream;
-  constexpr std::array<char, kFrameLengthBytes> kNoLength{};
-  stream.write(kNoLength.data(), kNoLength.size());
-  {
-    wire::Writer writer(stream);
-    writer(static_cast<std::uint8_t>(frame.index()));
-    std::visit([&writer](const auto& value) { writer(value); }, frame);
-  }
-  std::string bytes = std::move(stream).str();
-  auto length = static_cast<std::uint32_t>(bytes.size() - kFrameLengthBytes);
-  for (std::size_t i = kFrameLengthBytes; i-- > 0; length >>= kBitsPerByte)
-    bytes[i] = static_cast<char>(length & 0xFFU);
-  return bytes;
+  return Encode(frame, false);
+}
+
+std::string EncodeWithoutBody(const RunFrame& frame) {
+  return Encode(frame, true);
 }
 
 Result<LinkFrame> DecodeLinkFrame(std::string_view bytes) {
@@ -281,4 +321,18 @@
   }
 }
 
+Result<LinkFrame> DecodeOwnedLinkFrame(std::string bytes) {
+  try {
+    LinkFrame frame;
+    const std::size_t tail_bytes = ReadBeforeTail(bytes, frame);
+    if (std::string* tail = TailOf(frame)) {
+      bytes.erase(0, bytes.size() - tail_bytes);
+      *tail = std::move(bytes);
+    }
+    return frame;
+  } catch (const cereal::Exception& error) {
+    return Fail(ErrorKind::kFrameMalformed, error.what());
+  }
+}
+
 }  // namespace teaselspread
--- a/src/edge/frames.h
+++ b/src/edge/frames.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "edge/request_body.h"
 #include "teaselspread/error.h"
 #include "teaselspread/http.h"
 #include "teaselspread/shortage.h"
@@ -140,8 +141,16 @@
   // Only the upstream process of this identity may run the request.
   std::string instance;
   HttpRequest request;
+  // Body of `request`, which then has none itself; null if it has.
+  RequestBodyPtr body;
 };
 
+// The view lives as long as the frame. Not thread safe.
+[[nodiscard]] inline std::string_view BodyOf(const RunFrame& frame) {
+  return frame.body ? BytesOf(frame.body)
+                    : std::string_view(frame.request.body);
+}
+
 struct ResultFrame {
   std::uint64_t call_id = 0;
   // The upstream responded; otherwise `error` holds the reason.
@@ -290,13 +299,21 @@
 // headers.
 inline constexpr std::size_t kMaxLinkFrame = (64U << 20) + (1U << 20);
 
-// The frame with its length prefix. Thread safe.
+// The frame with its length prefix. Not thread safe.
 [[nodiscard]] std::string EncodeLinkFrame(const LinkFrame& frame);
 
+// The same without the bytes of the request's body, which ends the frame. Not
+// thread safe.
+[[nodiscard]] std::string EncodeWithoutBody(const RunFrame& frame);
+
 // `bytes` excludes the length prefix. Errors: kFrameMalformed for anything that
 // the encoder does not write. Thread safe.
 [[nodiscard]] Result<LinkFrame> DecodeLinkFrame(std::string_view bytes);
 
+// The same; a body that ends the frame takes over the memory of `bytes`. Thread
+// safe.
+[[nodiscard]] Result<LinkFrame> DecodeOwnedLinkFrame(std::string bytes);
+
 }  // namespace teaselspread
 
 #endif  // TEASELSPREAD_SRC_EDGE_FRAMES_H_
--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -98,11 +98,14 @@
   arrival.tie_break = order.tie_break;
   arrival.deadline = run.deadline;
   arrival.aim = now + std::chrono::milliseconds(frame.aim_ms);
-  arrival.body_bytes = frame.request.body.size();
+  arrival.body_bytes = BodyOf(frame).size();
   run.frame = std::move(frame);
-  const HttpRequest& request = run.frame.request;
-  run.fingerprint = FingerprintOf(
-      request, FindHeader(request.headers, this->names.caller_service));
+  HttpRequest& request = run.frame.request;
+  if (!run.frame.body)
+    run.frame.body = MakeRequestBody(std::exchange(request.body, {}));
+  run.fingerprint =
+      FingerprintOf(request, BodyOf(run.frame),
+                    FindHeader(request.headers, this->names.caller_service));
   const bool wrong_instance =
       !run.frame.instance.empty() && this->lease.current &&
       run.frame.instance != this->lease.current->instance;
@@ -170,10 +173,10 @@
     if (!error)
       this->OnDeadline(id);
   });
-  run.call = this->pool.Call(request, request_id, max_idle,
-                             [this, id](CallResult result) {
-                               this->OnCallEnd(id, std::move(result));
-                             });
+  run.call = this->pool.CallWithBody(request, run.frame.body, request_id,
+                                     max_idle, [this, id](CallResult result) {
+                                       this->OnCallEnd(id, std::move(result));
+                                     });
 }
 
 void Gate::OnCallEnd(std::uint64_t id, CallResult result) {
--- a/src/edge/http_text.cc
+++ b/src/edge/http_text.cc
@@ -42,11 +42,16 @@
 }  // namespace
 
 std::string TextOf(const HttpRequest& request, std::string_view host) {
+  return HeadTextOf(request, host, request.body.size()) + request.body;
+}
+
+std::string HeadTextOf(const HttpRequest& request,
+                       std::string_view host,
+                       std::size_t body_bytes) {
   HttpHeaders headers = request.headers;
   RemoveHopHeaders(headers);
   std::string text;
-  text.reserve(kFramingBytes + request.target.size() + HeaderBytes(headers) +
-               request.body.size());
+  text.reserve(kFramingBytes + request.target.size() + HeaderBytes(headers));
   text += request.method;
   text += ' ';
   text += request.target;
@@ -59,10 +64,9 @@
   AppendHeaders(text, headers);
   const bool may_omit_length =
       request.method == "GET" || request.method == "HEAD";
-  if (!may_omit_length || !request.body.empty())
-    AppendLength(text, request.body.size());
+  if (!may_omit_length || body_bytes > 0)
+    AppendLength(text, body_bytes);
   text += "\r\n";
-  text += request.body;
   return text;
 }
 
--- a/src/edge/http_text.h
+++ b/src/edge/http_text.h
@@ -2,6 +2,8 @@
 #ifndef TEASELSPREAD_SRC_EDGE_HTTP_TEXT_H_
 #define TEASELSPREAD_SRC_EDGE_HTTP_TEXT_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -17,6 +19,11 @@
 [[nodiscard]] std::string TextOf(const HttpRequest& request,
                                  std::string_view host);
 
+// The same up to the body, which has `body_bytes`. Thread safe.
+[[nodiscard]] std::string HeadTextOf(const HttpRequest& request,
+                                     std::string_view host,
+                                     std::size_t body_bytes);
+
 // A response with a Content-Length. `head_only` omits the body, as required
 // for the response to a HEAD request. Thread safe.
 [[nodiscard]] std::string TextOf(const HttpResponse& response,
--- a/src/edge/links.cc
+++ b/src/edge/links.cc
@@ -331,7 +331,7 @@
   ++peer->in_flight;
   ++peer->sent_since_status;
   peer->socket->calls.insert(frame.call_id);
-  peer->socket->Send(frame);
+  peer->socket->SendRun(frame);
   if (peer->socket->times.response_due_since == TimePoint{})
     this->SendPing(*peer, *peer->socket);
   return true;
--- a/src/edge/loop_client.cc
+++ b/src/edge/loop_client.cc
@@ -85,6 +85,7 @@
 
   void Open(const Address& to);
   void Begin(std::string text,
+             RequestBodyPtr body,
              std::string id,
              bool head,
              CallHandler handler,
@@ -129,6 +130,8 @@
   boost::beast::flat_buffer buffer;
   std::optional<Parser> parser;
   std::string request_text;
+  // Sent behind `request_text`; null for none.
+  RequestBodyPtr request_body;
   std::string request_id;
   CallHandler done;
   std::function<void()> on_response_bytes;
@@ -170,11 +173,13 @@
 }
 
 void LoopConnection::Begin(std::string text,
+                           RequestBodyPtr body,
                            std::string id,
                            bool head,
                            CallHandler handler,
                            std::function<void()> on_bytes) {
   this->request_text = std::move(text);
+  this->request_body = std::move(body);
   this->request_id = std::move(id);
   this->head_only = head;
   this->done = std::move(handler);
@@ -198,10 +203,14 @@
 
 void LoopConnection::Write() {
   this->writing = true;
+  const std::string_view body = BytesOf(this->request_body);
+  const std::array<asio::const_buffer, 2> buffers = {
+      asio::buffer(this->request_text), asio::buffer(body.data(), body.size())};
   asio::async_write(
-      this->socket, asio::buffer(this->request_text),
+      this->socket, buffers,
       [self = Self(this)](boost::system::error_code error, std::size_t) {
         self->writing = false;
+        self->request_body = nullptr;
         if (self->closed)
           return;
         // A failed write does not end the call: a response that explains the
@@ -468,8 +477,31 @@
                                  Duration reuse_within,
                                  CallHandler done,
                                  std::function<void()> on_bytes) {
-  std::string text = TextOf(request, ToString(this->address));
-  const bool head = request.method == "HEAD";
+  return this->Begin(TextOf(request, ToString(this->address)), nullptr,
+                     request.method == "HEAD", std::move(request_id),
+                     reuse_within, std::move(done), std::move(on_bytes));
+}
+
+LoopConnection* LoopClient::CallWithBody(const HttpRequest& request,
+                                         RequestBodyPtr body,
+                                         std::string request_id,
+                                         Duration reuse_within,
+                                         CallHandler done,
+                                         std::function<void()> on_bytes) {
+  const std::size_t body_bytes = BytesOf(body).size();
+  return this->Begin(HeadTextOf(request, ToString(this->address), body_bytes),
+                     std::move(body), request.method == "HEAD",
+                     std::move(request_id), reuse_within, std::move(done),
+                     std::move(on_bytes));
+}
+
+LoopConnection* LoopClient::Begin(std::string text,
+                                  RequestBodyPtr body,
+                                  bool head_only,
+                                  std::string request_id,
+                                  Duration reuse_within,
+                                  CallHandler done,
+                                  std::function<void()> on_bytes) {
   LoopConnection* connection = this->TakeIdle(reuse_within);
   const bool fresh = connection == nullptr;
   this->counters.Add(fresh ? CallEvent::kOpened : CallEvent::kReused);
@@ -478,8 +510,8 @@
     intrusive_ptr_add_ref(connection);
     this->all.insert(connection);
   }
-  connection->Begin(std::move(text), std::move(request_id), head,
-                    std::move(done), std::move(on_bytes));
+  connection->Begin(std::move(text), std::move(body), std::move(request_id),
+                    head_only, std::move(done), std::move(on_bytes));
   if (fresh)
     connection->Open(this->address);
   return connection;
--- a/src/edge/loop_client.h
+++ b/src/edge/loop_client.h
@@ -14,6 +14,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "edge/request_body.h"
 #include "teaselspread/counters.h"
 #include "teaselspread/error.h"
 #include "teaselspread/http.h"
@@ -79,6 +80,15 @@
                        CallHandler done,
                        std::function<void()> on_bytes = nullptr);
 
+  // The same for a request whose body is held apart; null for none.
+  // Precondition: `request` itself has none.
+  LoopConnection* CallWithBody(const HttpRequest& request,
+                               RequestBodyPtr body,
+                               std::string request_id,
+                               Duration reuse_within,
+                               CallHandler done,
+                               std::function<void()> on_bytes = nullptr);
+
   // Closes the connection of a call; `done` is not called. Precondition:
   // `done` was not called yet.
   void Cancel(LoopConnection* call);
@@ -103,6 +113,14 @@
   friend class LoopConnection;
 
   LoopConnection* TakeIdle(Duration reuse_within);
+  // Sends `text` and, unless it is null, `body` behind it.
+  LoopConnection* Begin(std::string text,
+                        RequestBodyPtr body,
+                        bool head_only,
+                        std::string request_id,
+                        Duration reuse_within,
+                        CallHandler done,
+                        std::function<void()> on_bytes);
   void EndLargestAboveLimit();
 
   boost::asio::io_context& loop;
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -14,6 +14,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <type_traits>
 #include <variant>
 #include <vector>
@@ -48,6 +49,20 @@
     this->PutSize(static_cast<std::uint32_t>(std::max(value, 0)));
   }
 
+  // A string that ends the message. If `detaches_tail` is set, its length is
+  // written, and its bytes are left to the caller, which sends them behind the
+  // others.
+  void Tail(std::string_view value) {
+    this->PutSize(value.size());
+    if (this->detaches_tail)
+      this->detached_tail_bytes = value.size();
+    else
+      this->archive(cereal::binary_data(value.data(), value.size()));
+  }
+
+  bool detaches_tail = false;
+  std::size_t detached_tail_bytes = 0;
+
  private:
   void PutSize(std::uint64_t size) {
     for (; size >= kVarintContinuationBit; size >>= kVarintBits)
@@ -113,6 +128,18 @@
     value = static_cast<int>(std::min(this->GetSize(), kMax));
   }
 
+  // See Writer::Tail. If `leaves_tail` is set, only the length is read, and the
+  // bytes are left in the stream.
+  void Tail(std::string& value) {
+    if (this->leaves_tail)
+      this->left_tail_bytes = this->GetSize();
+    else
+      this->Get(value);
+  }
+
+  bool leaves_tail = false;
+  std::uint64_t left_tail_bytes = 0;
+
  private:
   std::uint64_t GetSize() {
     std::uint64_t size = 0;
