Callers: one account of memory for the requests of all connections

Cause: no two connections shared a bound. Eight bodies of 64 MiB, 64 of 2 MB, 320 that stopped at 900 KB of 1 MB, heads of 3,900 short fields, a chunk extension or trailers without end each took a node past the 160 MB of most machines within a second; it was ended, with the requests of all its callers.

Change: MemoryAccount counts heads (by what they take, not by their bytes), bodies, declared or received, and read buffers, from the connection until the last holder of a body. A request that finds no room is refused at once with 503 and Retry-After; it has not run. Holders of more than 256 KB or 2 MB have lower bounds, so ordinary requests always find room. Before a refusal, the slow request that holds most makes room. Unparsed bytes are bounded by maxHeaderBytes for chunk lines and trailers too. A body in chunks gets its memory once. The allocator returns large blocks at once, small ones after a large drop. Sessions are a module of their own; idle ones keep 4 KB in place of 16.

--- a/include/teaselspread/edge.h
+++ b/include/teaselspread/edge.h
@@ -53,6 +53,10 @@
   // Bandwidth of the VM's network line in Mbit/s; 0 when unknown. In each data
   // centre the nodes with the most bandwidth read the store for the others.
   double line_mbit = 0;
+  // Memory of the VM for this process in MB, and the descriptors that it may
+  // open; 0 for what the kernel reports.
+  double memory_mb = 0;
+  double max_fds = 0;
   // Interval of the upstream's heartbeats.
   Duration heartbeat = std::chrono::milliseconds(1500);
   // Time from the stop signal until the process is killed.
--- a/include/teaselspread/error.h
+++ b/include/teaselspread/error.h
@@ -73,6 +73,8 @@
   // numbers of the other kinds.
   kUnauthorized,
   kQuotaExceeded,
+  // The caller did not send the request in time.
+  kRequestTimeout,
   kCount,
 };
 
--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -57,6 +57,7 @@
     {K::kInternal, "internal", 500, E::kUnknown, false, false},
     {K::kUnauthorized, "unauthorized", 401, E::kNotRun, false, false},
     {K::kQuotaExceeded, "quota-exceeded", 429, E::kNotRun, true, false},
+    {K::kRequestTimeout, "request-timeout", 408, E::kNotRun, false, false},
 }};
 
 constexpr bool TableIsInOrder() {
--- /dev/null
+++ b/src/edge/caller_limits.h
@@ -0,0 +1,42 @@
+// Decisions about what a connection of a caller may hold, and how slowly it may
+// send or read. Free functions on plain values; the caller tells the time.
+#ifndef TEASELSPREAD_SRC_EDGE_CALLER_LIMITS_H_
+#define TEASELSPREAD_SRC_EDGE_CALLER_LIMITS_H_
+
+#include <chrono>
+#include <cstddef>
+
+#include "teaselspread/types.h"
+
+namespace teaselspread {
+
+// Bytes of one request, or of responses, that move in one direction.
+struct Transfer {
+  TimePoint started;
+  TimePoint last_moved;
+  std::size_t bytes = 0;
+};
+
+// Records that `bytes` have moved. Not thread safe on the same transfer.
+inline void OnMoved(Transfer& transfer, std::size_t bytes, TimePoint now) {
+  transfer.bytes += bytes;
+  transfer.last_moved = now;
+}
+
+// Whether the transfer may be ended to free its memory, if that is short: it
+// has paused, or is far slower than a line of 10 Mbit/s. Thread safe.
+[[nodiscard]] bool IsSlow(const Transfer& transfer, TimePoint now);
+
+// Whether the transfer is ended in any case: no byte has moved for `timeout`,
+// or hardly any since its start. Thread safe.
+[[nodiscard]] bool HasStalled(const Transfer& transfer,
+                              Duration timeout,
+                              TimePoint now);
+
+// Memory that a head of `fields` takes, which came in `bytes`. Short fields
+// take far more than their bytes. Thread safe.
+[[nodiscard]] std::size_t HeadMemory(std::size_t fields, std::size_t bytes);
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_SRC_EDGE_CALLER_LIMITS_H_
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -14,6 +14,7 @@
 #include "base/clock.h"
 #include "edge/departure_exchange.h"
 #include "edge/frame_socket.h"
+#include "edge/machine_limits.h"
 #include "edge/node_list.h"
 #include "edge/order_copy.h"
 #include "edge/traffic_log.h"
@@ -450,7 +451,7 @@
 // elsewhere.
 void RefusePartialRequests(EdgeNode& node) {
   node.outbound.RefusePartialRequests([&node](const HttpRequest& head) {
-    return node.entry.RefusePartial(head);
+    return node.entry.RefusePartial(head, ErrorKind::kLeaving);
   });
 }
 
@@ -498,6 +499,8 @@
       return;
     node.gate.Tick();
     node.quota.Tick();
+    if (node.memory.HasDropped())
+      ReturnFreeMemory();
     RequestNodeListIfMissing(node);
     if (SteadyNow() - node.started < kProbeWindow ||
         node.gate.Limit().per_second)
@@ -617,6 +620,7 @@
 EdgeNode::EdgeNode(const EdgeSettings& edge_settings,
                    const AdapterFactory& make_adapter)
     : settings(edge_settings),
+      memory(BoundsFor(ReadMachineLimits(this->settings).memory_bytes)),
       loop(1),
       adapter(MakeAdapter(make_adapter,
                           this->loop,
@@ -663,6 +667,13 @@
       [this](const std::set<std::string, std::less<>>& keys,
              std::uint64_t revision) { OnOrdersRead(*this, keys, revision); });
   this->gate.SetWaitingSettings(edge_settings.waiting);
+  this->memory.make_room = [this] {
+    return this->outbound.EndLargestSlowRequest();
+  };
+  this->outbound.memory = &this->memory;
+  this->outbound.refuse = [this](const HttpRequest& head, ErrorKind kind) {
+    return this->entry.RefusePartial(head, kind);
+  };
   this->links.self.node = edge_settings.vm;
   this->links.self.data_center = edge_settings.data_center;
   this->links.self.line_mbit =
@@ -760,6 +771,7 @@
   if (!settings)
     return tl::make_unexpected(settings.error());
   std::signal(SIGPIPE, SIG_IGN);
+  ReturnLargeBlocks();
   const auto node = std::make_unique<EdgeNode>(*settings, make_adapter);
   node->settings_file = settings_file;
   StartLogging({settings->vm, settings->data_center}, settings->log_level,
--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -16,6 +16,7 @@
 #include "edge/http_listener.h"
 #include "edge/links.h"
 #include "edge/log_writer.h"
+#include "edge/memory_account.h"
 #include "edge/move_reporter.h"
 #include "edge/quota_service.h"
 #include "edge/store_calls.h"
@@ -40,6 +41,8 @@
 
   EdgeSettings settings;
   std::string settings_file;
+  // Outlives the handlers of the loop, whose requests are counted in it.
+  MemoryAccount memory;
   boost::asio::io_context loop;
   CounterTable<StoreCall> store_calls;
   EdgeAdapter adapter;
--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -185,7 +185,8 @@
   const std::uint64_t id = this->next_id++;
   PendingRequest pending;
   pending.exchange = exchange;
-  pending.body = MakeRequestBody(std::exchange(exchange->request.body, {}));
+  pending.body = MakeRequestBody(std::exchange(exchange->request.body, {}),
+                                 std::move(exchange->body_memory));
   pending.snapshot = this->snapshot;
   pending.route = &route;
   pending.service = route.service;
--- a/src/edge/entry.h
+++ b/src/edge/entry.h
@@ -165,9 +165,9 @@
 
   void HandleRequest(const ExchangePtr& exchange);
 
-  // The response to a request that will not be received whole before the
-  // process ends.
-  [[nodiscard]] HttpResponse RefusePartial(const HttpRequest& head);
+  // The response to a request that will not be received whole, for `kind`.
+  [[nodiscard]] HttpResponse RefusePartial(const HttpRequest& head,
+                                           ErrorKind kind);
 
   // The result of a request that was sent to `node`, which may be this one.
   void OnResult(const std::string& node, ResultFrame result);
--- a/src/edge/entry_answers.cc
+++ b/src/edge/entry_answers.cc
@@ -25,6 +25,8 @@
 constexpr double kNewestOutcomeWeight = 0.15;
 // Weight of the newest response in the mean bytes of a route's responses.
 constexpr double kNewestResponseWeight = 0.1;
+// The memory is held by other requests, most of which take longer than others.
+constexpr Duration kMemoryRetryAfter = std::chrono::milliseconds(500);
 
 std::string FormatSeconds(Duration span) {
   return absl::StrFormat("%.3f",
@@ -89,7 +91,7 @@
   this->CancelAttempts(id, pending);
   const ExchangePtr exchange = pending.exchange;
   this->pending_requests.erase(found);
-  SendResponse(*exchange, response);
+  SendResponse(*exchange, std::move(response));
 }
 
 // For most refusals `kind` means "not run", which must hold for every attempt.
@@ -116,7 +118,7 @@
   this->CancelAttempts(id, pending);
   const ExchangePtr exchange = pending.exchange;
   this->pending_requests.erase(found);
-  SendResponse(*exchange, response);
+  SendResponse(*exchange, std::move(response));
 }
 
 void Entry::EndUnserved(std::uint64_t id,
@@ -147,9 +149,9 @@
   SendResponse(*exchange, this->RefusalOf(exchange->request, kind, cause));
 }
 
-HttpResponse Entry::RefusePartial(const HttpRequest& head) {
+HttpResponse Entry::RefusePartial(const HttpRequest& head, ErrorKind kind) {
   ++this->counters.requests;
-  return this->RefusalOf(head, ErrorKind::kLeaving, "not-received");
+  return this->RefusalOf(head, kind, "not-received");
 }
 
 HttpResponse Entry::RefusalOf(const HttpRequest& request,
@@ -158,8 +160,10 @@
   this->counters.refusals.Add(kind);
   const std::string_view request_id =
       FindHeader(request.headers, kHeaderRequestId);
+  const Duration retry_after =
+      kind == ErrorKind::kMemoryBudget ? kMemoryRetryAfter : kEntryRetryAfter;
   HttpResponse response =
-      MakeErrorResponse(kind, JitteredRetryAfter(kEntryRetryAfter, this->rng));
+      MakeErrorResponse(kind, JitteredRetryAfter(retry_after, this->rng));
   if (!request_id.empty())
     SetHeader(response.headers, kHeaderRequestId, request_id);
   Log(LogLevel::kInfo, "requests", "refused",
--- a/src/edge/http_listener.h
+++ b/src/edge/http_listener.h
@@ -17,6 +17,7 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include "edge/memory_account.h"
 #include "teaselspread/counters.h"
 #include "teaselspread/error.h"
 #include "teaselspread/http.h"
@@ -30,6 +31,9 @@
 struct Exchange
     : boost::intrusive_ref_counter<Exchange, boost::thread_unsafe_counter> {
   HttpRequest request;
+  // Counts the body of the request, and its head and response.
+  MemoryHold body_memory;
+  MemoryHold head_memory;
   // When the first bytes of the request were read.
   TimePoint received_at;
   // Called at most once, if the caller disconnects before the response is sent.
@@ -47,6 +51,9 @@
 // The response to a request that will not be received whole. It is given the
 // target and the headers, which are empty if not even those were received.
 using PartialHandler = std::function<HttpResponse(const HttpRequest& head)>;
+// The same for a request that the listener refuses for `kind`.
+using RefusalHandler =
+    std::function<HttpResponse(const HttpRequest& head, ErrorKind kind)>;
 
 // Limits on the size of requests, and on the time that a caller may take to
 // send the headers or stay idle.
@@ -71,6 +78,8 @@
   kLeftBeforeRead,
   // The process stops, and the request had not been received whole in time.
   kPartialRefused,
+  // A request had no room in the memory, or had to make room for others.
+  kNoMemory,
   kCount,
 };
 
@@ -108,12 +117,21 @@
   // Number of requests of which some bytes have been received, but not all.
   [[nodiscard]] std::size_t CountPartial() const;
 
+  // Ends the slow request that holds most memory; false if none is slow.
+  bool EndLargestSlowRequest();
+
   // Number of open connections.
   [[nodiscard]] std::size_t CountSessions() const {
     return this->sessions.size();
   }
 
   SessionLimits limits;
+  // Counts what callers make this process hold; none without. Set it before
+  // Listen. It must outlive the loop's handlers.
+  MemoryAccount* memory = nullptr;
+  RefusalHandler refuse = [](const HttpRequest&, ErrorKind kind) {
+    return ErrorResponse(Error{kind, std::string(NameOf(kind))});
+  };
   CounterTable<ListenerEvent> counters;
 
  private:
@@ -131,7 +149,7 @@
 
 // Sends the response of one exchange; does nothing if a response was sent or
 // the caller has disconnected. Not thread safe.
-void SendResponse(Exchange& exchange, const HttpResponse& response);
+void SendResponse(Exchange& exchange, HttpResponse response);
 
 }  // namespace teaselspread
 
--- /dev/null
+++ b/src/edge/http_session.cc
@@ -0,0 +1,445 @@
+#include "edge/http_session.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <exception>
+#include <iterator>
+#include <memory>
+#include <utility>
+
+#include <boost/asio/write.hpp>
+
+#include "base/clock.h"
+#include "edge/http_text.h"
+#include "http/beast_convert.h"
+#include "teaselspread/logging.h"
+
+namespace teaselspread {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+// A head of usual size. Each connection keeps a buffer of this size.
+constexpr std::size_t kHeadReadBytes = 4096;
+constexpr std::size_t kBodyReadBytes = 32768;
+// A body in chunks from this length on gets memory for the largest body.
+constexpr std::size_t kReserveFrom = std::size_t{1} << 20U;
+// Maximum number of pending requests of one connection. Reading pauses at this
+// limit, so that further requests wait in the caller's buffers and not here.
+constexpr std::size_t kMaxPipelined = 32;
+// Long enough for a caller in another data centre to read its response.
+constexpr std::chrono::milliseconds kLingerTime{1000};
+
+struct RefusalReason {
+  ErrorKind kind;
+  ListenerEvent event;
+  const char* message;
+};
+
+RefusalReason ReasonFor(boost::system::error_code error) {
+  if (error == http::error::header_limit)
+    return {ErrorKind::kHeadersTooLarge, ListenerEvent::kHeadersTooLarge,
+            "the headers are too large"};
+  if (error == http::error::body_limit)
+    return {ErrorKind::kBodyTooLarge, ListenerEvent::kBodyTooLarge,
+            "the body is too large"};
+  return {ErrorKind::kBadRequest, ListenerEvent::kBadRequest,
+          "no valid HTTP request"};
+}
+
+}  // namespace
+
+HttpSession::HttpSession(tcp::socket connected, HttpListener& owner)
+    : socket(std::move(connected)),
+      listener(&owner),
+      request_memory(owner.memory) {
+  this->last_active = SteadyNow();
+}
+
+void HttpSession::NewParser() {
+  this->parser.emplace();
+  this->parser->eager(true);
+  const SessionLimits& limits = this->listener->limits;
+  this->parser->header_limit(
+      static_cast<std::uint32_t>(limits.max_header_bytes));
+  this->parser->body_limit(limits.max_body_bytes);
+  this->in_request = false;
+  this->continue_sent = false;
+  this->head_memory = 0;
+  this->FreeUnusedBuffer();
+  this->request_memory.ShrinkTo(this->RequestMemory());
+}
+
+void HttpSession::FreeUnusedBuffer() {
+  // A read in progress writes into the buffer.
+  if (this->reading || this->buffer.size() > 0 ||
+      this->buffer.capacity() <= kHeadReadBytes)
+    return;
+  this->buffer.clear();
+  this->buffer.shrink_to_fit();
+}
+
+std::size_t HttpSession::RequestMemory() const {
+  const std::size_t buffered =
+      this->buffer.capacity() > kHeadReadBytes ? this->buffer.capacity() : 0;
+  if (!this->in_request || !this->parser->is_header_done())
+    return buffered;
+  const std::uint64_t declared = this->parser->content_length().value_or(0);
+  const std::size_t received = this->parser->get().body().size();
+  return buffered + this->head_memory +
+         std::max<std::size_t>(declared, received);
+}
+
+bool HttpSession::HoldRequest() {
+  if (this->head_memory == 0 && this->parser->is_header_done()) {
+    const auto& fields = this->parser->get().base();
+    const auto count =
+        static_cast<std::size_t>(std::distance(fields.begin(), fields.end()));
+    this->head_memory = HeadMemory(count, this->receiving.bytes);
+  }
+  this->growing = true;
+  const bool held = this->request_memory.GrowTo(this->RequestMemory());
+  this->growing = false;
+  return held;
+}
+
+void HttpSession::ReserveForChunks() {
+  if (!this->parser->is_header_done() || this->parser->content_length())
+    return;
+  std::string& body = this->parser->get().body();
+  const std::size_t longest = this->listener->limits.max_body_bytes;
+  if (body.size() >= kReserveFrom && body.capacity() < longest)
+    body.reserve(longest);
+}
+
+bool HttpSession::IsSlowRequest(TimePoint now) const {
+  return this->in_request && !this->growing && !this->closed &&
+         this->intake != Intake::kClosed && IsSlow(this->receiving, now);
+}
+
+void HttpSession::Read() {
+  if (this->reading || this->closed || this->pending.size() >= kMaxPipelined)
+    return;
+  this->reading = true;
+  const bool in_body = this->in_request && this->parser->is_header_done();
+  this->socket.async_read_some(
+      this->buffer.prepare(in_body ? kBodyReadBytes : kHeadReadBytes),
+      [self = Self(this)](boost::system::error_code error, std::size_t bytes) {
+        self->reading = false;
+        if (self->closed)
+          return;
+        if (error) {
+          self->OnCallerDisconnected();
+          return;
+        }
+        self->OnBytesOrDisconnect(bytes);
+      });
+}
+
+// What one caller sends must not end the process.
+void HttpSession::OnBytesOrDisconnect(std::size_t bytes) {
+  try {
+    this->OnBytes(bytes);
+  } catch (const std::exception& thrown) {
+    Log(LogLevel::kError, "requests", "request-threw",
+        {{"message", thrown.what()}});
+    this->OnCallerDisconnected();
+  }
+}
+
+void HttpSession::OnBytes(std::size_t bytes) {
+  this->buffer.commit(bytes);
+  if (!this->lingering)
+    this->last_active = SteadyNow();
+  if (this->intake == Intake::kClosed || this->listener == nullptr) {
+    this->buffer.consume(this->buffer.size());
+  } else {
+    this->Parse();
+  }
+  this->Read();
+}
+
+void HttpSession::Parse() {
+  while (this->buffer.size() > 0 && this->intake != Intake::kClosed &&
+         !this->closed && this->pending.size() < kMaxPipelined) {
+    if (!this->in_request) {
+      this->in_request = true;
+      const TimePoint now = SteadyNow();
+      this->receiving = {now, now, 0};
+    }
+    boost::system::error_code error;
+    const std::size_t used = this->parser->put(this->buffer.data(), error);
+    this->buffer.consume(used);
+    OnMoved(this->receiving, used, SteadyNow());
+    if (error == http::error::need_more)
+      error = {};
+    if (error) {
+      this->RefuseInvalid(error);
+      return;
+    }
+    this->ReserveForChunks();
+    if (!this->HoldRequest()) {
+      this->RefuseForMemory();
+      return;
+    }
+    if (this->parser->is_done()) {
+      this->DispatchRequest();
+      continue;
+    }
+    this->SendContinueIfDue();
+    if (used > 0)
+      continue;
+    // What cannot be parsed yet is part of a head, of the line before a chunk
+    // or of a trailer. Only the length of a head is limited by the parser.
+    if (this->buffer.size() > this->listener->limits.max_header_bytes)
+      this->RefuseInvalid(http::error::header_limit);
+    return;
+  }
+}
+
+void HttpSession::SendContinueIfDue() {
+  if (!this->in_request || this->continue_sent || !this->pending.empty() ||
+      !this->parser->is_header_done() ||
+      this->parser->get()[http::field::expect] != "100-continue")
+    return;
+  this->continue_sent = true;
+  this->output += "HTTP/1.1 100 Continue\r\n\r\n";
+  this->Flush();
+}
+
+bool HttpSession::CallerHasClosed() {
+  char byte = 0;
+  return ::recv(this->socket.native_handle(), &byte, 1,
+                MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+void HttpSession::DispatchRequest() {
+  // On a busy node a request may be read after its caller has given up.
+  if (this->CallerHasClosed()) {
+    this->listener->counters.Add(ListenerEvent::kLeftBeforeRead);
+    this->OnCallerDisconnected();
+    return;
+  }
+  auto& message = this->parser->get();
+  ExchangePtr exchange(new Exchange);
+  exchange->session = this;
+  exchange->received_at = this->receiving.started;
+  exchange->body_memory = this->request_memory.Split(message.body().size());
+  exchange->head_memory = this->request_memory.Split(this->head_memory);
+  exchange->request.method = std::string(message.method_string());
+  exchange->request.target = std::string(message.target());
+  exchange->request.headers = HeadersOf(message);
+  exchange->request.body = std::move(message.body());
+  exchange->head_only = message.method() == http::verb::head;
+  exchange->close_after = !message.keep_alive();
+  if (exchange->close_after || this->intake == Intake::kLastRequest)
+    this->intake = Intake::kClosed;
+  this->pending.push_back(exchange);
+  this->listener->counters.Add(ListenerEvent::kRequest);
+  this->NewParser();
+  this->listener->on_request(exchange);
+}
+
+void HttpSession::RefuseInvalid(boost::system::error_code error) {
+  const RefusalReason refused = ReasonFor(error);
+  this->listener->counters.Add(refused.event);
+  this->RefuseAndClose(ErrorResponse(Error{refused.kind, refused.message}));
+}
+
+HttpRequest HttpSession::HeadReceived() const {
+  HttpRequest head;
+  if (this->parser->is_header_done()) {
+    head.target = std::string(this->parser->get().target());
+    head.headers = HeadersOf(this->parser->get());
+  }
+  return head;
+}
+
+void HttpSession::RefusePartial(const PartialHandler& refuse) {
+  if (this->intake == Intake::kClosed || !this->in_request)
+    return;
+  this->listener->counters.Add(ListenerEvent::kPartialRefused);
+  this->RefuseAndClose(refuse(this->HeadReceived()));
+}
+
+void HttpSession::RefuseReceiving(ErrorKind kind) {
+  this->RefuseAndClose(this->listener->refuse(this->HeadReceived(), kind));
+}
+
+void HttpSession::RefuseForMemory() {
+  this->listener->counters.Add(ListenerEvent::kNoMemory);
+  this->RefuseReceiving(ErrorKind::kMemoryBudget);
+}
+
+void HttpSession::RefuseAndClose(const HttpResponse& response) {
+  ExchangePtr exchange(new Exchange);
+  exchange->session = this;
+  exchange->close_after = true;
+  this->intake = Intake::kClosed;
+  this->buffer.consume(this->buffer.size());
+  this->NewParser();
+  this->pending.push_back(exchange);
+  SendResponse(*exchange, response);
+}
+
+void HttpSession::QueueResponse(Exchange& exchange) {
+  // While the process stops, only the last pending response of a connection
+  // carries "Connection: close"; an earlier one would abort the requests after
+  // it, which are running already.
+  const bool last = this->pending.empty() &&
+                    (this->intake == Intake::kClosed || !this->in_request);
+  if (last && this->ClosingAfterResponses())
+    exchange.close_after = true;
+  if (exchange.close_after)
+    this->intake = Intake::kClosed;
+  const auto after =
+      exchange.close_after ? AfterMessage::kClose : AfterMessage::kKeep;
+  this->output += TextOf(exchange.response, after, exchange.head_only);
+  exchange.session = nullptr;
+}
+
+void HttpSession::Flush() {
+  while (!this->pending.empty() && this->pending.front()->responded) {
+    const ExchangePtr exchange = this->pending.front();
+    this->pending.pop_front();
+    this->QueueResponse(*exchange);
+  }
+  if (this->writing || this->output.empty() || this->closed)
+    return;
+  this->writing = true;
+  auto text = std::make_unique<std::string>(std::move(this->output));
+  this->output.clear();
+  const auto view = asio::buffer(*text);
+  asio::async_write(this->socket, view,
+                    [self = Self(this), text = std::move(text)](
+                        boost::system::error_code error, std::size_t) {
+                      self->writing = false;
+                      self->OnWritten(error);
+                    });
+}
+
+void HttpSession::OnWritten(boost::system::error_code error) {
+  if (this->closed)
+    return;
+  if (error) {
+    this->OnCallerDisconnected();
+    return;
+  }
+  this->last_active = SteadyNow();
+  if (!this->output.empty()) {
+    this->Flush();
+    return;
+  }
+  if (this->intake == Intake::kClosed && this->pending.empty()) {
+    this->Linger();
+    return;
+  }
+  if (this->listener != nullptr && this->intake != Intake::kClosed) {
+    this->Parse();
+    this->SendContinueIfDue();
+  }
+  this->Read();
+}
+
+// Closing a socket with unread bytes sends a reset, which may discard the
+// response before the caller has read it. So only the sending direction is shut
+// down, and received bytes are dropped until the caller closes or kLingerTime
+// has passed.
+void HttpSession::Linger() {
+  if (this->lingering)
+    return;
+  this->lingering = true;
+  this->last_active = SteadyNow();
+  boost::system::error_code ignored;  // the peer may have closed already
+  this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+  this->Read();
+}
+
+void HttpSession::StopReceiving() {
+  if (this->Idle()) {
+    this->Close();
+    return;
+  }
+  if (this->intake == Intake::kOpen)
+    this->intake = this->in_request ? Intake::kLastRequest : Intake::kClosed;
+}
+
+void HttpSession::OnCallerDisconnected() {
+  if (this->closed)
+    return;
+  const auto abandoned = std::move(this->pending);
+  this->pending.clear();
+  if (this->listener != nullptr && !abandoned.empty())
+    this->listener->counters.Add(ListenerEvent::kCallerDisconnected);
+  const Self keep(this);
+  for (const ExchangePtr& exchange : abandoned) {
+    exchange->session = nullptr;
+    if (exchange->responded)
+      continue;
+    exchange->caller_disconnected = true;
+    if (exchange->on_caller_disconnected)
+      std::exchange(exchange->on_caller_disconnected, nullptr)();
+  }
+  this->Close();
+}
+
+void HttpSession::Close() {
+  if (this->closed)
+    return;
+  this->closed = true;
+  boost::system::error_code ignored;  // the peer may have closed already
+  this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+  this->socket.close(ignored);
+  for (const ExchangePtr& exchange : this->pending)
+    exchange->session = nullptr;
+  this->pending.clear();
+  if (this->listener != nullptr) {
+    this->listener->sessions.erase(this);
+    intrusive_ptr_release(this);
+  }
+}
+
+void HttpSession::CheckTimeouts(TimePoint now) {
+  const SessionLimits& limits = this->listener->limits;
+  if (this->lingering) {
+    if (now - this->last_active > kLingerTime)
+      this->Close();
+    return;
+  }
+  const bool headers_incomplete =
+      this->in_request && !this->parser->is_header_done();
+  if (headers_incomplete &&
+      now - this->receiving.started > limits.header_timeout) {
+    this->listener->counters.Add(ListenerEvent::kHeaderTimeout);
+    this->Close();
+    return;
+  }
+  if (this->Idle() && now - this->last_active > limits.idle_timeout) {
+    this->listener->counters.Add(ListenerEvent::kIdleClosed);
+    this->Close();
+  }
+}
+
+std::size_t HttpSession::CountPending() const {
+  return static_cast<std::size_t>(std::count_if(
+      this->pending.begin(), this->pending.end(),
+      [](const ExchangePtr& exchange) { return !exchange->responded; }));
+}
+
+void SendResponse(Exchange& exchange, HttpResponse response) {
+  if (exchange.responded || exchange.caller_disconnected ||
+      exchange.session == nullptr)
+    return;
+  exchange.responded = true;
+  exchange.on_caller_disconnected = nullptr;
+  exchange.close_after = exchange.close_after || response.close;
+  exchange.head_memory.GrowAnywayTo(exchange.head_memory.Bytes() +
+                                    response.body.size());
+  exchange.response = std::move(response);
+  exchange.session->Flush();
+}
+
+}  // namespace teaselspread
--- /dev/null
+++ b/src/edge/http_session.h
@@ -0,0 +1,135 @@
+// One connection of a caller: reads requests, and writes the responses in the
+// order of the requests. Part of HttpListener.
+//
+// Everything here must be used on the thread that runs the loop.
+#ifndef TEASELSPREAD_SRC_EDGE_HTTP_SESSION_H_
+#define TEASELSPREAD_SRC_EDGE_HTTP_SESSION_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include "edge/caller_limits.h"
+#include "edge/http_listener.h"
+#include "edge/memory_account.h"
+
+namespace teaselspread {
+
+// What a connection still accepts.
+enum class Intake : std::uint8_t {
+  kOpen,
+  // The process stops: the request that has begun is received, none after it.
+  kLastRequest,
+  // Bytes are discarded.
+  kClosed,
+};
+
+// One connection of a caller.
+class HttpSession
+    : public boost::intrusive_ref_counter<HttpSession,
+                                          boost::thread_unsafe_counter> {
+ public:
+  HttpSession(boost::asio::ip::tcp::socket connected, HttpListener& owner);
+
+  void Start() {
+    this->NewParser();
+    this->Read();
+  }
+
+  // Accepts no request but one that has begun; closes an idle connection.
+  void StopReceiving();
+  // Refuses the request that has not been received whole, if there is one.
+  void RefusePartial(const PartialHandler& refuse);
+  // Writes the responses that are next in the order of the requests.
+  void Flush();
+  void QueueResponse(Exchange& exchange);
+  void OnWritten(boost::system::error_code error);
+  void Linger();
+  void Close();
+  void DetachListener() { this->listener = nullptr; }
+  void CheckTimeouts(TimePoint now);
+  [[nodiscard]] std::size_t CountPending() const;
+  // Whether a request is being received, and so slowly that it may be ended to
+  // make room for others.
+  [[nodiscard]] bool IsSlowRequest(TimePoint now) const;
+  // Memory of the request that is being received.
+  [[nodiscard]] std::size_t RequestBytesHeld() const {
+    return this->request_memory.Bytes();
+  }
+  // Refuses the request that is being received.
+  void RefuseForMemory();
+  [[nodiscard]] bool IsReceiving() const { return this->in_request; }
+  [[nodiscard]] bool Idle() const {
+    return this->pending.empty() && !this->writing && !this->in_request;
+  }
+  [[nodiscard]] bool ClosingAfterResponses() const {
+    return this->listener == nullptr || this->listener->closing;
+  }
+
+ private:
+  using Self = boost::intrusive_ptr<HttpSession>;
+
+  void NewParser();
+  void Read();
+  void OnBytesOrDisconnect(std::size_t bytes);
+  void OnBytes(std::size_t bytes);
+  void Parse();
+  void DispatchRequest();
+  // Whether the close of the connection has arrived, which the loop has not
+  // processed yet.
+  [[nodiscard]] bool CallerHasClosed();
+  void SendContinueIfDue();
+  void RefuseInvalid(boost::system::error_code error);
+  void RefuseReceiving(ErrorKind kind);
+  // The request that is being received, without its body; empty before its head
+  // has been received.
+  [[nodiscard]] HttpRequest HeadReceived() const;
+  // Takes the memory of the request that is being received; false if there is
+  // none left.
+  [[nodiscard]] bool HoldRequest();
+  [[nodiscard]] std::size_t RequestMemory() const;
+  // A body in chunks, whose length is not known, would be copied each time that
+  // its memory grows.
+  void ReserveForChunks();
+  void FreeUnusedBuffer();
+  // Responds in the order of the requests; discards what follows.
+  void RefuseAndClose(const HttpResponse& response);
+  void OnCallerDisconnected();
+
+  boost::asio::ip::tcp::socket socket;
+  HttpListener* listener;
+  boost::beast::flat_buffer buffer;
+  std::optional<
+      boost::beast::http::request_parser<boost::beast::http::string_body>>
+      parser;
+  // Memory of the parsed head; 0 before it has been received.
+  std::size_t head_memory = 0;
+  MemoryHold request_memory;
+  // The request that is being received.
+  Transfer receiving;
+  // The request takes memory at the moment, so it is not ended to free any.
+  bool growing = false;
+  std::deque<ExchangePtr> pending;
+  std::string output;
+  TimePoint last_active;
+  bool in_request = false;
+  bool reading = false;
+  bool writing = false;
+  Intake intake = Intake::kOpen;
+  bool closed = false;
+  bool continue_sent = false;
+  bool lingering = false;
+};
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_SRC_EDGE_HTTP_SESSION_H_
--- /dev/null
+++ b/src/edge/machine_limits.cc
@@ -0,0 +1,53 @@
+#include "edge/machine_limits.h"
+
+#include <malloc.h>
+#include <sys/resource.h>
+#include <sys/sysinfo.h>
+
+namespace teaselspread {
+namespace {
+
+constexpr std::size_t kBytesPerMb = 1'000'000;
+// Blocks from this size on are mapped on their own, larger than the bodies of
+// most uploads.
+constexpr int kMappedBlockBytes = 256 * 1024;
+constexpr int kTrimBytes = 1024 * 1024;
+
+std::size_t ReportedMemory() {
+  struct sysinfo machine {};
+  if (::sysinfo(&machine) != 0)
+    return 0;
+  return std::size_t{machine.totalram} * machine.mem_unit;
+}
+
+std::size_t ReportedDescriptors() {
+  rlimit descriptors{};
+  if (::getrlimit(RLIMIT_NOFILE, &descriptors) != 0)
+    return 0;
+  return descriptors.rlim_cur;
+}
+
+}  // namespace
+
+MachineLimits ReadMachineLimits(const EdgeSettings& settings) {
+  MachineLimits limits;
+  limits.memory_bytes =
+      settings.memory_mb > 0
+          ? static_cast<std::size_t>(settings.memory_mb) * kBytesPerMb
+          : ReportedMemory();
+  limits.descriptors = settings.max_fds > 0
+                           ? static_cast<std::size_t>(settings.max_fds)
+                           : ReportedDescriptors();
+  return limits;
+}
+
+void ReturnLargeBlocks() {
+  ::mallopt(M_MMAP_THRESHOLD, kMappedBlockBytes);
+  ::mallopt(M_TRIM_THRESHOLD, kTrimBytes);
+}
+
+void ReturnFreeMemory() {
+  ::malloc_trim(0);
+}
+
+}  // namespace teaselspread
--- a/src/edge/request_body.h
+++ b/src/edge/request_body.h
@@ -12,22 +12,28 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include "edge/memory_account.h"
+
 namespace teaselspread {
 
 // Does not change once it is shared. Not thread safe.
 struct RequestBody
     : boost::intrusive_ref_counter<RequestBody, boost::thread_unsafe_counter> {
-  explicit RequestBody(std::string all) : bytes(std::move(all)) {}
+  RequestBody(std::string all, MemoryHold counted)
+      : bytes(std::move(all)), memory(std::move(counted)) {}
 
   std::string bytes;
+  MemoryHold memory;
 };
 
 using RequestBodyPtr = boost::intrusive_ptr<const RequestBody>;
 
 // Null for an empty body. Not thread safe.
-[[nodiscard]] inline RequestBodyPtr MakeRequestBody(std::string bytes) {
-  return bytes.empty() ? RequestBodyPtr()
-                       : RequestBodyPtr(new RequestBody(std::move(bytes)));
+[[nodiscard]] inline RequestBodyPtr MakeRequestBody(std::string bytes,
+                                                    MemoryHold memory = {}) {
+  if (bytes.empty())
+    return {};
+  return RequestBodyPtr(new RequestBody(std::move(bytes), std::move(memory)));
 }
 
 // The view lives as long as the body. Not thread safe.
--- a/tests/process/edge_fleet.h
+++ b/tests/process/edge_fleet.h
@@ -3,6 +3,7 @@
 #ifndef TEASELSPREAD_TESTS_PROCESS_EDGE_FLEET_H_
 #define TEASELSPREAD_TESTS_PROCESS_EDGE_FLEET_H_
 
+#include <cstddef>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
@@ -29,6 +30,9 @@
 struct EdgeVmOptions {
   std::string agreed = "graceS=6";
   int line_mbit = 0;
+  // 0 for what the kernel reports.
+  std::size_t memory_mb = 0;
+  std::size_t max_fds = 0;
 };
 
 // One VM: an upstream and the node beside it, which can be restarted.
@@ -58,7 +62,9 @@
          << "upstream: " << at(this->upstream.Port())
          << "store: " << at(store_port) << "heartbeat: 1500ms\n"
          << "agreed: " << node_options.agreed
-         << "\nline_mbit: " << node_options.line_mbit << "\n";
+         << "\nline_mbit: " << node_options.line_mbit
+         << "\nmemory_mb: " << node_options.memory_mb
+         << "\nmax_fds: " << node_options.max_fds << "\n";
     file.close();
     this->Start();
     this->upstream.BeatTo(this->ports.admin);
--- a/tests/process/hostile_clients_test.cc
+++ b/tests/process/hostile_clients_test.cc
@@ -67,7 +67,9 @@
   EdgeFleet fleet;
   std::unique_ptr<MemoryWatch> watch;
 
-  WatchedFleet() : fleet(ConfigWithLargeBodies()) {
+  WatchedFleet()
+      : fleet(ConfigWithLargeBodies(),
+              {.memory_mb = MachineMb(), .max_fds = kDescriptors}) {
     RaiseDescriptorLimit();
     for (const auto& vm : this->fleet.vms) {
       const rlimit descriptors{kDescriptors, kDescriptors};
--- /dev/null
+++ b/tests/unit/caller_limits_test.cc
@@ -0,0 +1,71 @@
+// When a connection is too slow, on a virtual clock.
+#include "edge/caller_limits.h"
+
+#include <criterion/criterion.h>
+
+namespace teaselspread {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{seconds(1000)};
+constexpr Duration kTimeout = seconds(15);
+
+struct Outcome {
+  bool was_slow = false;
+  bool stalled = false;
+};
+
+// Sends `bytes` each `interval` until `total` are sent or `until` has passed.
+Outcome Send(std::size_t bytes,
+             Duration interval,
+             std::size_t total,
+             Duration until) {
+  Transfer transfer{kStart, kStart, 0};
+  Outcome outcome;
+  for (TimePoint now = kStart; now <= kStart + until; now += milliseconds(10)) {
+    outcome.was_slow = outcome.was_slow || IsSlow(transfer, now);
+    outcome.stalled = outcome.stalled || HasStalled(transfer, kTimeout, now);
+    if (transfer.bytes < total && now - transfer.last_moved >= interval)
+      OnMoved(transfer, bytes, now);
+    if (transfer.bytes >= total)
+      break;
+  }
+  return outcome;
+}
+
+// Guards against a bound that ends the largest body on the slowest line, which
+// takes 54 s at 10 Mbit/s.
+Test(caller_limits, a_body_on_the_slowest_line_is_not_slow) {
+  constexpr std::size_t kBytesPerStep = 12'500;
+  const Outcome outcome = Send(kBytesPerStep, milliseconds(10),
+                               std::size_t{64} << 20U, seconds(60));
+  cr_expect(!outcome.was_slow);
+  cr_expect(!outcome.stalled);
+}
+
+Test(caller_limits, a_body_that_stops_is_slow_and_then_ended) {
+  const Outcome soon = Send(900'000, milliseconds(10), SIZE_MAX, seconds(0));
+  cr_expect(!soon.was_slow);
+  Transfer stopped{kStart, kStart + milliseconds(20), 900'000};
+  cr_expect(!IsSlow(stopped, kStart + milliseconds(400)));
+  cr_expect(IsSlow(stopped, kStart + milliseconds(600)));
+  cr_expect(!HasStalled(stopped, kTimeout, kStart + seconds(15)));
+  cr_expect(HasStalled(stopped, kTimeout, kStart + seconds(16)));
+}
+
+// Guards against a body that never pauses and never ends.
+Test(caller_limits, a_body_of_single_bytes_is_ended) {
+  const Outcome outcome = Send(1, milliseconds(400), SIZE_MAX, seconds(17));
+  cr_expect(outcome.was_slow);
+  cr_expect(outcome.stalled);
+}
+
+Test(caller_limits, short_fields_count_more_than_their_bytes) {
+  cr_expect_geq(HeadMemory(3900, 16'384), 3900U * 200);
+  cr_expect_leq(HeadMemory(12, 600), 8192U);
+}
+
+}  // namespace
+}  // namespace teaselspread
