Callers: requests wait while the responses before them are not read

Cause: a connection's limit of 32 pending requests did not count responses that were ready and not written, so a caller that sends requests ahead and reads nothing made the node hold any number of responses: over 160 MB within 6 s at a path without a route, at the admin and the metrics address (each ended), 107 MB at the readiness check, and most of a core for requests that nobody waits for.

Change: the next request of a connection is received when less than 64 KB of responses are unsent and less than 256 KB of bodies pending; until then it waits in the caller's buffers. Unsent responses count in the memory account, and those that are read slowly make room for others. Writes tell their progress.

--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -667,9 +667,7 @@
       [this](const std::set<std::string, std::less<>>& keys,
              std::uint64_t revision) { OnOrdersRead(*this, keys, revision); });
   this->gate.SetWaitingSettings(edge_settings.waiting);
-  this->memory.make_room = [this] {
-    return this->outbound.EndLargestSlowRequest();
-  };
+  this->memory.make_room = [this] { return this->outbound.EndLargestSlow(); };
   this->outbound.memory = &this->memory;
   this->outbound.refuse = [this](const HttpRequest& head, ErrorKind kind) {
     return this->entry.RefusePartial(head, kind);
--- a/src/edge/http_listener.cc
+++ b/src/edge/http_listener.cc
@@ -106,18 +106,20 @@
     session->RefusePartial(refuse);
 }
 
-bool HttpListener::EndLargestSlowRequest() {
+bool HttpListener::EndLargestSlow() {
   const TimePoint now = SteadyNow();
   HttpSession* largest = nullptr;
+  std::size_t most = 0;
   for (HttpSession* session : this->sessions) {
-    if (session->IsSlowRequest(now) &&
-        (largest == nullptr ||
-         session->RequestBytesHeld() > largest->RequestBytesHeld()))
-      largest = session;
+    const std::size_t bytes = session->SlowBytes(now);
+    if (bytes <= most)
+      continue;
+    largest = session;
+    most = bytes;
   }
   if (largest == nullptr)
     return false;
-  largest->RefuseForMemory();
+  largest->EndSlow(now);
   return true;
 }
 
--- a/src/edge/http_listener.h
+++ b/src/edge/http_listener.h
@@ -38,6 +38,8 @@
   TimePoint received_at;
   // Called at most once, if the caller disconnects before the response is sent.
   std::function<void()> on_caller_disconnected;
+  // Length of the request's body, which a handler may have moved.
+  std::size_t body_bytes = 0;
   bool responded = false;
   bool caller_disconnected = false;
   bool head_only = false;
@@ -117,8 +119,9 @@
   // Number of requests of which some bytes have been received, but not all.
   [[nodiscard]] std::size_t CountPartial() const;
 
-  // Ends the slow request that holds most memory; false if none is slow.
-  bool EndLargestSlowRequest();
+  // Ends the request or response that holds most memory of those that callers
+  // send or read slowly; false if there are none.
+  bool EndLargestSlow();
 
   // Number of open connections.
   [[nodiscard]] std::size_t CountSessions() const {
--- a/src/edge/http_session.cc
+++ b/src/edge/http_session.cc
@@ -8,7 +8,7 @@
 #include <memory>
 #include <utility>
 
-#include <boost/asio/write.hpp>
+#include <boost/asio/buffer.hpp>
 
 #include "base/clock.h"
 #include "edge/http_text.h"
@@ -30,6 +30,10 @@
 // Maximum number of pending requests of one connection. Reading pauses at this
 // limit, so that further requests wait in the caller's buffers and not here.
 constexpr std::size_t kMaxPipelined = 32;
+// The same for bytes of bodies that are pending, and of responses that the
+// caller has not read.
+constexpr std::size_t kMaxPendingBodyBytes = std::size_t{256} << 10U;
+constexpr std::size_t kMaxUnsentBytes = std::size_t{64} << 10U;
 // Long enough for a caller in another data centre to read its response.
 constexpr std::chrono::milliseconds kLingerTime{1000};
 
@@ -55,7 +59,8 @@
 HttpSession::HttpSession(tcp::socket connected, HttpListener& owner)
     : socket(std::move(connected)),
       listener(&owner),
-      request_memory(owner.memory) {
+      request_memory(owner.memory),
+      unsent_memory(owner.memory) {
   this->last_active = SteadyNow();
 }
 
@@ -115,13 +120,55 @@
     body.reserve(longest);
 }
 
-bool HttpSession::IsSlowRequest(TimePoint now) const {
+bool HttpSession::ReceivesSlowly(TimePoint now) const {
   return this->in_request && !this->growing && !this->closed &&
          this->intake != Intake::kClosed && IsSlow(this->receiving, now);
 }
 
+bool HttpSession::IsReadSlowly(TimePoint now) const {
+  return this->writing && !this->growing && !this->closed &&
+         IsSlow(this->sending, now);
+}
+
+std::size_t HttpSession::SlowBytes(TimePoint now) const {
+  std::size_t bytes = 0;
+  if (this->ReceivesSlowly(now))
+    bytes += this->request_memory.Bytes();
+  if (this->IsReadSlowly(now))
+    bytes += this->unsent_memory.Bytes();
+  return bytes;
+}
+
+void HttpSession::EndSlow(TimePoint now) {
+  if (!this->IsReadSlowly(now)) {
+    this->RefuseForMemory();
+    return;
+  }
+  this->listener->counters.Add(ListenerEvent::kNoMemory);
+  this->OnCallerDisconnected();
+}
+
+bool HttpSession::MayBeginRequest() const {
+  return this->pending.size() < kMaxPipelined &&
+         this->pending_body_bytes < kMaxPendingBodyBytes &&
+         this->UnsentBytes() < kMaxUnsentBytes;
+}
+
+// What is written exists already; others make room for it if they can.
+void HttpSession::CountUnsent() {
+  this->growing = true;
+  const std::size_t unsent = this->UnsentBytes();
+  if (!this->unsent_memory.GrowTo(unsent))
+    this->unsent_memory.GrowAnywayTo(unsent);
+  this->unsent_memory.ShrinkTo(unsent);
+  this->growing = false;
+}
+
 void HttpSession::Read() {
-  if (this->reading || this->closed || this->pending.size() >= kMaxPipelined)
+  if (this->reading || this->closed)
+    return;
+  // One read tells whether the caller disconnects while it waits.
+  if (!this->in_request && !this->MayBeginRequest() && this->buffer.size() > 0)
     return;
   this->reading = true;
   const bool in_body = this->in_request && this->parser->is_header_done();
@@ -164,7 +211,7 @@
 
 void HttpSession::Parse() {
   while (this->buffer.size() > 0 && this->intake != Intake::kClosed &&
-         !this->closed && this->pending.size() < kMaxPipelined) {
+         !this->closed && (this->in_request || this->MayBeginRequest())) {
     if (!this->in_request) {
       this->in_request = true;
       const TimePoint now = SteadyNow();
@@ -237,6 +284,8 @@
   exchange->close_after = !message.keep_alive();
   if (exchange->close_after || this->intake == Intake::kLastRequest)
     this->intake = Intake::kClosed;
+  exchange->body_bytes = exchange->request.body.size();
+  this->pending_body_bytes += exchange->body_bytes;
   this->pending.push_back(exchange);
   this->listener->counters.Add(ListenerEvent::kRequest);
   this->NewParser();
@@ -302,37 +351,52 @@
 }
 
 void HttpSession::Flush() {
-  while (!this->pending.empty() && this->pending.front()->responded) {
+  while (!this->pending.empty() && this->pending.front()->responded &&
+         this->UnsentBytes() < kMaxUnsentBytes) {
     const ExchangePtr exchange = this->pending.front();
     this->pending.pop_front();
+    this->pending_body_bytes -= exchange->body_bytes;
     this->QueueResponse(*exchange);
   }
   if (this->writing || this->output.empty() || this->closed)
     return;
   this->writing = true;
-  auto text = std::make_unique<std::string>(std::move(this->output));
-  this->output.clear();
-  const auto view = asio::buffer(*text);
-  asio::async_write(this->socket, view,
-                    [self = Self(this), text = std::move(text)](
-                        boost::system::error_code error, std::size_t) {
-                      self->writing = false;
-                      self->OnWritten(error);
-                    });
-}
-
-void HttpSession::OnWritten(boost::system::error_code error) {
-  if (this->closed)
-    return;
-  if (error) {
-    this->OnCallerDisconnected();
-    return;
-  }
+  this->being_written = std::exchange(this->output, {});
+  const TimePoint now = SteadyNow();
+  this->sending = {now, now, 0};
+  this->CountUnsent();
+  this->WriteSome();
+}
+
+void HttpSession::WriteSome() {
+  const std::string_view left =
+      std::string_view(this->being_written).substr(this->sending.bytes);
+  this->socket.async_write_some(
+      asio::buffer(left.data(), left.size()),
+      [self = Self(this)](boost::system::error_code error, std::size_t bytes) {
+        if (self->closed)
+          return;
+        if (error) {
+          self->OnCallerDisconnected();
+          return;
+        }
+        OnMoved(self->sending, bytes, SteadyNow());
+        if (self->sending.bytes < self->being_written.size())
+          self->WriteSome();
+        else
+          self->OnWritten();
+      });
+}
+
+void HttpSession::OnWritten() {
+  this->writing = false;
+  this->being_written = {};
+  this->sending = {};
+  this->CountUnsent();
   this->last_active = SteadyNow();
-  if (!this->output.empty()) {
-    this->Flush();
+  this->Flush();
+  if (this->writing)
     return;
-  }
   if (this->intake == Intake::kClosed && this->pending.empty()) {
     this->Linger();
     return;
--- a/src/edge/http_session.h
+++ b/src/edge/http_session.h
@@ -52,21 +52,18 @@
   // Writes the responses that are next in the order of the requests.
   void Flush();
   void QueueResponse(Exchange& exchange);
-  void OnWritten(boost::system::error_code error);
+  void WriteSome();
+  void OnWritten();
   void Linger();
   void Close();
   void DetachListener() { this->listener = nullptr; }
   void CheckTimeouts(TimePoint now);
   [[nodiscard]] std::size_t CountPending() const;
-  // Whether a request is being received, and so slowly that it may be ended to
-  // make room for others.
-  [[nodiscard]] bool IsSlowRequest(TimePoint now) const;
-  // Memory of the request that is being received.
-  [[nodiscard]] std::size_t RequestBytesHeld() const {
-    return this->request_memory.Bytes();
-  }
-  // Refuses the request that is being received.
-  void RefuseForMemory();
+  // Memory of a request that is received slowly and of responses that are read
+  // slowly; 0 if there are none.
+  [[nodiscard]] std::size_t SlowBytes(TimePoint now) const;
+  // Ends what SlowBytes counts.
+  void EndSlow(TimePoint now);
   [[nodiscard]] bool IsReceiving() const { return this->in_request; }
   [[nodiscard]] bool Idle() const {
     return this->pending.empty() && !this->writing && !this->in_request;
@@ -88,6 +85,19 @@
   // processed yet.
   [[nodiscard]] bool CallerHasClosed();
   void SendContinueIfDue();
+  // Whether a request is received, or a response read, so slowly that it may be
+  // ended to make room for others.
+  [[nodiscard]] bool ReceivesSlowly(TimePoint now) const;
+  [[nodiscard]] bool IsReadSlowly(TimePoint now) const;
+  // Whether the next request may be received. If not, it waits in the caller's
+  // buffers.
+  [[nodiscard]] bool MayBeginRequest() const;
+  [[nodiscard]] std::size_t UnsentBytes() const {
+    return this->output.size() + this->being_written.size() -
+           this->sending.bytes;
+  }
+  void CountUnsent();
+  void RefuseForMemory();
   void RefuseInvalid(boost::system::error_code error);
   void RefuseReceiving(ErrorKind kind);
   // The request that is being received, without its body; empty before its head
@@ -119,7 +129,13 @@
   // The request takes memory at the moment, so it is not ended to free any.
   bool growing = false;
   std::deque<ExchangePtr> pending;
+  // Bytes of the bodies of `pending`.
+  std::size_t pending_body_bytes = 0;
   std::string output;
+  std::string being_written;
+  // Of `being_written`.
+  Transfer sending;
+  MemoryHold unsent_memory;
   TimePoint last_active;
   bool in_request = false;
   bool reading = false;
