Callers: bodies that stop and responses that nobody reads have a time-out

Cause: only heads and idle connections had one. A body that stopped, or came a byte at a time, and a response that was not read kept their connection and its memory for ever; bytes behind a refused request were read and dropped as fast as they came.

Change: a body of which no byte came for idleTimeoutMs, or fewer than 16 KiB a second after that, gets 408 (not run), a response that is read as slowly ends its connection. Both are far from the slowest line: 64 MiB at 10 Mbit/s take 54 s (caller_limits_test). At most 1 MiB is read and dropped behind a last request; the rest waits in the caller's buffers until the connection closes.

--- a/src/edge/caller_limits.cc
+++ b/src/edge/caller_limits.cc
@@ -6,9 +6,9 @@
 // A pause after which a transfer counts as slow. Longer than the round trips
 // and the scheduling of a busy caller.
 constexpr Duration kPause = std::chrono::milliseconds(500);
-constexpr std::size_t kSlowBytesPerSecond = 256 * 1024;
+constexpr std::size_t kSlowBytesPerSecond = std::size_t{256} << 10U;
 // Below this a body of the usual limit takes more than an hour.
-constexpr std::size_t kMinBytesPerSecond = 16 * 1024;
+constexpr std::size_t kMinBytesPerSecond = std::size_t{16} << 10U;
 // A field is held by the parser, by the request and by its copy for an
 // upstream, each time as an object beside its text.
 constexpr std::size_t kFieldMemory = 256;
--- a/src/edge/http_listener.cc
+++ b/src/edge/http_listener.cc
@@ -25,7 +25,8 @@
     kNames = {"accepted",         "request",         "bad-request",
               "headers-large",    "body-too-large",  "header-timeout",
               "idle-closed",      "caller-left",     "accept-failed",
-              "left-before-read", "partial-refused", "no-memory"};
+              "left-before-read", "partial-refused", "no-memory",
+              "body-timeout",     "read-timeout"};
 
 }  // namespace
 
--- a/src/edge/http_listener.h
+++ b/src/edge/http_listener.h
@@ -82,6 +82,9 @@
   kPartialRefused,
   // A request had no room in the memory, or had to make room for others.
   kNoMemory,
+  // A body came too slowly, or a response was read too slowly.
+  kBodyTimeout,
+  kReadTimeout,
   kCount,
 };
 
--- a/src/edge/http_session.cc
+++ b/src/edge/http_session.cc
@@ -36,6 +36,10 @@
 constexpr std::size_t kMaxUnsentBytes = std::size_t{64} << 10U;
 // Long enough for a caller in another data centre to read its response.
 constexpr std::chrono::milliseconds kLingerTime{1000};
+// Bytes that are read and dropped behind the last request: the rest of most
+// uploads, so that their callers come to read the response. Further ones wait
+// in the caller's buffers until the connection closes.
+constexpr std::size_t kMaxDiscardedBytes = std::size_t{1} << 20U;
 
 struct RefusalReason {
   ErrorKind kind;
@@ -165,7 +169,7 @@
 }
 
 void HttpSession::Read() {
-  if (this->reading || this->closed)
+  if (this->reading || this->closed || this->discarded > kMaxDiscardedBytes)
     return;
   // One read tells whether the caller disconnects while it waits.
   if (!this->in_request && !this->MayBeginRequest() && this->buffer.size() > 0)
@@ -202,6 +206,7 @@
   if (!this->lingering)
     this->last_active = SteadyNow();
   if (this->intake == Intake::kClosed || this->listener == nullptr) {
+    this->discarded += bytes;
     this->buffer.consume(this->buffer.size());
   } else {
     this->Parse();
@@ -481,6 +486,18 @@
     this->Close();
     return;
   }
+  // A request waits for its caller only while the connection is being read.
+  if (this->in_request && this->reading &&
+      HasStalled(this->receiving, limits.idle_timeout, now)) {
+    this->listener->counters.Add(ListenerEvent::kBodyTimeout);
+    this->RefuseReceiving(ErrorKind::kRequestTimeout);
+    return;
+  }
+  if (this->writing && HasStalled(this->sending, limits.idle_timeout, now)) {
+    this->listener->counters.Add(ListenerEvent::kReadTimeout);
+    this->OnCallerDisconnected();
+    return;
+  }
   if (this->Idle() && now - this->last_active > limits.idle_timeout) {
     this->listener->counters.Add(ListenerEvent::kIdleClosed);
     this->Close();
--- a/src/edge/http_session.h
+++ b/src/edge/http_session.h
@@ -126,6 +126,8 @@
   MemoryHold request_memory;
   // The request that is being received.
   Transfer receiving;
+  // Bytes received since the intake was closed.
+  std::size_t discarded = 0;
   // The request takes memory at the moment, so it is not ended to free any.
   bool growing = false;
   std::deque<ExchangePtr> pending;
--- a/tests/contract/http_listener_test.cc
+++ b/tests/contract/http_listener_test.cc
@@ -390,5 +390,110 @@
   cr_assert(server.listener.counters.Get(ListenerEvent::kHeaderTimeout) == 1);
 }
 
+// Guards against a body that stops half-way and keeps its memory for ever. Its
+// caller learns that the request has not run.
+Test(http_listener, a_body_that_stops_is_refused) {
+  for (const char* framing : {"Content-Length: 9\r\n\r\nhalf",
+                              "Transfer-Encoding: chunked\r\n\r\n9\r\nhalf"}) {
+    SessionLimits limits;
+    limits.idle_timeout = Ms(100);
+    std::atomic<int> handled{0};
+    Server server([&handled](const ExchangePtr&) { ++handled; }, limits);
+    const RawSocket caller = RawSocket::ConnectTo(server.address.port);
+    caller.Send(std::string("POST /a HTTP/1.1\r\nHost: h\r\n") + framing);
+    const std::string got = caller.ReadToEnd();
+    cr_expect(got.starts_with("HTTP/1.1 408 "), "%s: %s", framing, got.c_str());
+    cr_expect_eq(handled, 0);
+  }
+}
+
+// Guards against responses that pile up behind a caller that does not read, and
+// against a connection that waits for it for ever.
+Test(http_listener, a_caller_that_does_not_read_is_not_served_further) {
+  constexpr int kAhead = 300;
+  SessionLimits limits;
+  limits.idle_timeout = Ms(300);
+  std::atomic<int> handled{0};
+  Server server(
+      [&handled](const ExchangePtr& exchange) {
+        ++handled;
+        SendResponse(*exchange, TextResponse(std::string(1'000'000, 'r')));
+      },
+      limits);
+  const RawSocket caller = RawSocket::ConnectTo(server.address.port);
+  std::string ahead;
+  for (int i = 0; i < kAhead; ++i)
+    ahead += GetText("/a");
+  caller.Send(ahead);
+  cr_assert(caller.Fd() >= 0);
+  const auto read_timeouts = [&server] {
+    return server.listener.counters.Get(ListenerEvent::kReadTimeout);
+  };
+  for (int i = 0; i < 500 && read_timeouts() == 0; ++i)
+    std::this_thread::sleep_for(Ms(10));
+  cr_expect_eq(read_timeouts(), 1U);
+  // The kernel takes some responses.
+  cr_expect_leq(handled, 30);
+}
+
+// Guards against a limit on requests ahead that loses some of those of a caller
+// that does read.
+Test(http_listener, requests_ahead_are_all_served_to_a_caller_that_reads) {
+  constexpr std::size_t kAhead = 300;
+  Server server([](const ExchangePtr& exchange) {
+    SendResponse(*exchange, TextResponse(std::string(30'000, 'r')));
+  });
+  const RawSocket caller = RawSocket::ConnectTo(server.address.port);
+  std::string ahead;
+  for (std::size_t i = 0; i < kAhead; ++i)
+    ahead += GetText("/a");
+  caller.Send(ahead);
+  const std::string got = caller.ReadUntil(
+      [](const std::string& bytes) { return bytes.size() >= kAhead * 30'000; });
+  std::size_t responses = 0;
+  for (std::size_t at = got.find("HTTP/1.1 200"); at != std::string::npos;
+       at = got.find("HTTP/1.1 200", at + 1))
+    ++responses;
+  cr_expect_eq(responses, kAhead);
+}
+
+// Guards against one request inside the limits that takes the memory of others,
+// and against a refusal of the one that finds room.
+Test(http_listener, a_body_without_room_is_refused_and_the_next_one_served) {
+  Server server([](const ExchangePtr& exchange) {
+    SendResponse(*exchange, TextResponse("fine"));
+  });
+  MemoryAccount account({100'000, 100'000, 100'000});
+  server.RunOnLoop([&] { server.listener.memory = &account; });
+  const auto post = [&server](std::size_t bytes) {
+    const RawSocket caller = RawSocket::ConnectTo(server.address.port);
+    caller.Send(
+        "POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+        "Content-Length: " +
+        std::to_string(bytes) + "\r\n\r\n" + std::string(bytes, 'b'));
+    return caller.ReadToEnd();
+  };
+  cr_expect(post(200'000).starts_with("HTTP/1.1 503 "));
+  cr_expect(post(50'000).starts_with("HTTP/1.1 200 "));
+  cr_expect(post(50'000).starts_with("HTTP/1.1 200 "));
+  for (int i = 0; i < 200 && account.Used() > 0; ++i)
+    std::this_thread::sleep_for(Ms(10));
+  server.RunOnLoop([&] { cr_expect_eq(account.Used(), 0U); });
+}
+
+// Guards against chunk lines and trailers without end, which no limit on heads
+// or bodies covers.
+Test(http_listener, framing_without_end_is_refused) {
+  for (const char* endless : {"1;x=", "1\r\nb\r\n0\r\nx: "}) {
+    Server server([](const ExchangePtr&) {});
+    const RawSocket caller = RawSocket::ConnectTo(server.address.port);
+    caller.Send(std::string("POST /a HTTP/1.1\r\nHost: h\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n") +
+                endless + std::string(100'000, 'y'));
+    const std::string got = caller.ReadToEnd();
+    cr_expect(got.starts_with("HTTP/1.1 4"), "%s: %s", endless, got.c_str());
+  }
+}
+
 }  // namespace
 }  // namespace teaselspread
--- a/tests/unit/caller_limits_test.cc
+++ b/tests/unit/caller_limits_test.cc
@@ -63,7 +63,7 @@
 }
 
 Test(caller_limits, short_fields_count_more_than_their_bytes) {
-  cr_expect_geq(HeadMemory(3900, 16'384), 3900U * 200);
+  cr_expect_geq(HeadMemory(3900, 16'384), 780'000U);
   cr_expect_leq(HeadMemory(12, 600), 8192U);
 }
 
