Callers: bodies that are not needed are refused at their head

Cause: a body was received whole before the path, the method or the address was looked at. Eight bodies of 64 MiB at the readiness check, the admin or the metrics address ended the node (each over 160 MB within a second); without a route they took all that the memory account gives.

Change: the readiness check and the metrics take bodies of up to 4 KB, the upstream's calls of up to 64 KB. On the outbound address a request with a body of more than 64 KB is looked at when its head has been received: without a configuration, without a route or when its time is past the stop, it gets its final response then, with Connection: close. Shorter bodies are received as before, and their connection stays open.

--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -46,6 +46,10 @@
 // Fraction of the slack on requests to a slow upstream that its gate uses. The
 // rest is for requests that take unequally long from the gate to the upstream.
 constexpr double kUsedSlack = 0.5;
+// Bodies of requests to the readiness and the metrics address, which need none,
+// and of the upstream's calls, which have some hundred bytes.
+constexpr std::size_t kMaxCheckBody = std::size_t{4} << 10U;
+constexpr std::size_t kMaxAdminBody = std::size_t{64} << 10U;
 // Marks ids of remote runs at the gate, apart from those of the entry.
 constexpr std::uint64_t kRemoteRunBit = std::uint64_t{1} << 63U;
 
@@ -669,6 +673,12 @@
   this->gate.SetWaitingSettings(edge_settings.waiting);
   this->memory.make_room = [this] { return this->outbound.EndLargestSlow(); };
   this->outbound.memory = &this->memory;
+  this->outbound.check_head = [this](const HttpRequest& head) {
+    return this->entry.CheckHead(head);
+  };
+  this->readiness.limits.max_body_bytes = kMaxCheckBody;
+  this->metrics.limits.max_body_bytes = kMaxCheckBody;
+  this->admin.limits.max_body_bytes = kMaxAdminBody;
   this->outbound.refuse = [this](const HttpRequest& head, ErrorKind kind) {
     return this->entry.RefusePartial(head, kind);
   };
--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -100,22 +100,14 @@
 
 void Entry::HandleRequest(const ExchangePtr& exchange) {
   ++this->counters.requests;
-  if (!this->snapshot) {
-    this->RefuseImmediately(exchange, ErrorKind::kNotReady);
-    return;
-  }
   const HttpRequest& request = exchange->request;
-  const RouteConfig* route =
-      MatchRoute(*this->snapshot, FindHeader(request.headers, "Host"),
-                 request.method, PathOf(request));
-  if (route == nullptr) {
-    this->RefuseImmediately(exchange, ErrorKind::kNoRoute);
-    return;
-  }
-  if (!this->MayRunBeforeEnd(*route)) {
-    this->RefuseImmediately(exchange, ErrorKind::kLeaving, "received-late");
+  const auto found = this->FindRoute(request);
+  if (!found) {
+    this->RefuseImmediately(exchange, found.error().kind,
+                            found.error().message);
     return;
   }
+  const RouteConfig* const route = *found;
   const std::string_view request_id =
       FindHeader(request.headers, kHeaderRequestId);
   // With accounts a call that is not recognised would be refused, so those of
@@ -146,6 +138,19 @@
     this->BeginAttempts(id);
 }
 
+Result<const RouteConfig*> Entry::FindRoute(const HttpRequest& request) const {
+  if (!this->snapshot)
+    return Fail(ErrorKind::kNotReady, "");
+  const RouteConfig* route =
+      MatchRoute(*this->snapshot, FindHeader(request.headers, "Host"),
+                 request.method, PathOf(request));
+  if (route == nullptr)
+    return Fail(ErrorKind::kNoRoute, "");
+  if (!this->MayRunBeforeEnd(*route))
+    return Fail(ErrorKind::kLeaving, "received-late");
+  return route;
+}
+
 bool Entry::MayRunBeforeEnd(const RouteConfig& route) const {
   const Duration needed =
       route.aim > Duration::zero() ? route.aim : route.deadline;
--- a/src/edge/entry.h
+++ b/src/edge/entry.h
@@ -165,6 +165,13 @@
 
   void HandleRequest(const ExchangePtr& exchange);
 
+  // Why a request with this head would be refused whatever its body, as far as
+  // the configuration and a stop of the process decide that.
+  [[nodiscard]] std::optional<ErrorKind> CheckHead(const HttpRequest& head) {
+    const auto route = this->FindRoute(head);
+    return route ? std::nullopt : std::optional(route.error().kind);
+  }
+
   // The response to a request that will not be received whole, for `kind`.
   [[nodiscard]] HttpResponse RefusePartial(const HttpRequest& head,
                                            ErrorKind kind);
@@ -188,6 +195,10 @@
   DepartureTable departures;
 
  private:
+  // The route of the request. Errors: kNotReady, kNoRoute, kLeaving; with the
+  // cause, if it is logged.
+  [[nodiscard]] Result<const RouteConfig*> FindRoute(
+      const HttpRequest& request) const;
   // Adds a request that IdentifyCaller has accepted to the pending ones.
   // `calling_route`: route of the request that made it; empty if it is no
   // nested call. Returns its id.
--- a/src/edge/http_listener.h
+++ b/src/edge/http_listener.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -53,7 +54,12 @@
 // The response to a request that will not be received whole. It is given the
 // target and the headers, which are empty if not even those were received.
 using PartialHandler = std::function<HttpResponse(const HttpRequest& head)>;
-// The same for a request that the listener refuses for `kind`.
+// Why a request should not be received further, if there is a reason; given its
+// head.
+using HeadHandler =
+    std::function<std::optional<ErrorKind>(const HttpRequest& head)>;
+// The same as PartialHandler for a request that the listener refuses for
+// `kind`.
 using RefusalHandler =
     std::function<HttpResponse(const HttpRequest& head, ErrorKind kind)>;
 
@@ -135,6 +141,10 @@
   // Counts what callers make this process hold; none without. Set it before
   // Listen. It must outlive the loop's handlers.
   MemoryAccount* memory = nullptr;
+  // Asked once about each request with a large body, before that is received.
+  HeadHandler check_head = [](const HttpRequest&) {
+    return std::optional<ErrorKind>();
+  };
   RefusalHandler refuse = [](const HttpRequest&, ErrorKind kind) {
     return ErrorResponse(Error{kind, std::string(NameOf(kind))});
   };
--- a/src/edge/http_session.cc
+++ b/src/edge/http_session.cc
@@ -25,6 +25,9 @@
 // A head of usual size. Each connection keeps a buffer of this size.
 constexpr std::size_t kHeadReadBytes = 4096;
 constexpr std::size_t kBodyReadBytes = 32768;
+// Requests with longer bodies are refused before they are received, if they can
+// be. Others are, after that, on a connection that stays open.
+constexpr std::size_t kCheckedBodyBytes = std::size_t{64} << 10U;
 // A body in chunks from this length on gets memory for the largest body.
 constexpr std::size_t kReserveFrom = std::size_t{1} << 20U;
 // Maximum number of pending requests of one connection. Reading pauses at this
@@ -77,6 +80,7 @@
   this->parser->body_limit(limits.max_body_bytes);
   this->in_request = false;
   this->continue_sent = false;
+  this->head_checked = false;
   this->head_memory = 0;
   this->FreeUnusedBuffer();
   this->request_memory.ShrinkTo(this->RequestMemory());
@@ -115,6 +119,20 @@
   return held;
 }
 
+bool HttpSession::CheckHeadOnce() {
+  if (this->head_checked || !this->parser->is_header_done())
+    return true;
+  const std::size_t received = this->parser->get().body().size();
+  const std::uint64_t declared = this->parser->content_length().value_or(0);
+  if (std::max<std::size_t>(received, declared) <= kCheckedBodyBytes)
+    return true;
+  this->head_checked = true;
+  const auto reason = this->listener->check_head(this->HeadReceived());
+  if (reason)
+    this->RefuseReceiving(*reason);
+  return !reason;
+}
+
 void HttpSession::ReserveForChunks() {
   if (!this->parser->is_header_done() || this->parser->content_length())
     return;
@@ -232,6 +250,8 @@
       this->RefuseInvalid(error);
       return;
     }
+    if (!this->CheckHeadOnce())
+      return;
     this->ReserveForChunks();
     if (!this->HoldRequest()) {
       this->RefuseForMemory();
@@ -306,6 +326,7 @@
 HttpRequest HttpSession::HeadReceived() const {
   HttpRequest head;
   if (this->parser->is_header_done()) {
+    head.method = std::string(this->parser->get().method_string());
     head.target = std::string(this->parser->get().target());
     head.headers = HeadersOf(this->parser->get());
   }
--- a/src/edge/http_session.h
+++ b/src/edge/http_session.h
@@ -103,6 +103,8 @@
   // The request that is being received, without its body; empty before its head
   // has been received.
   [[nodiscard]] HttpRequest HeadReceived() const;
+  // False if the request, which has a large body, has been refused.
+  [[nodiscard]] bool CheckHeadOnce();
   // Takes the memory of the request that is being received; false if there is
   // none left.
   [[nodiscard]] bool HoldRequest();
@@ -145,6 +147,7 @@
   Intake intake = Intake::kOpen;
   bool closed = false;
   bool continue_sent = false;
+  bool head_checked = false;
   bool lingering = false;
 };
 
