Links: large frames need a Hello and memory

Cause: a connection to the link port could name a frame of up to 65 MB without having said which node it is; eight of them that sent 60 MB each ended the node. Runs of other nodes took memory at their gate without a bound, and a failed accept was repeated at once, which takes a whole core while descriptors are short.

Change: before its Hello a connection sends frames of at most 64 KB, and at most 64 connections are without one. Bodies of runs are counted in the memory account. A run without room is dropped as its bytes come, and its entry told at once that it has not run, so that it goes elsewhere; the link stays. Frames of other kinds always find room. A failed accept is repeated after 20 ms.

--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -673,6 +673,7 @@
   this->gate.SetWaitingSettings(edge_settings.waiting);
   this->memory.make_room = [this] { return this->outbound.EndLargestSlow(); };
   this->outbound.memory = &this->memory;
+  this->links.memory = &this->memory;
   this->outbound.check_head = [this](const HttpRequest& head) {
     return this->entry.CheckHead(head);
   };
--- a/src/edge/endpoint.h
+++ b/src/edge/endpoint.h
@@ -2,6 +2,8 @@
 #ifndef TEASELSPREAD_SRC_EDGE_ENDPOINT_H_
 #define TEASELSPREAD_SRC_EDGE_ENDPOINT_H_
 
+#include <chrono>
+
 #include <boost/asio/ip/tcp.hpp>
 
 #include "teaselspread/error.h"
@@ -9,6 +11,11 @@
 
 namespace teaselspread {
 
+// Pause after a connection could not be accepted, mostly for lack of
+// descriptors. Without it the next attempt fails at once, and the loop takes
+// all of the processor.
+inline constexpr std::chrono::milliseconds kAcceptRetry{20};
+
 // Errors: kSettings when the host is no IP number. Thread safe.
 [[nodiscard]] Result<boost::asio::ip::tcp::endpoint> TcpEndpointOf(
     const Address& address);
--- a/src/edge/frame_socket.cc
+++ b/src/edge/frame_socket.cc
@@ -54,9 +54,12 @@
 }  // namespace
 
 FrameSocket::FrameSocket(tcp::socket from, FrameSocketHandlers on)
-    : socket(std::move(from)), handlers(std::move(on)) {
+    : socket(std::move(from)),
+      handlers(std::move(on)),
+      large_frame_memory(this->handlers.memory) {
   this->times.last_received = SteadyNow();
   this->times.last_sent = this->times.last_received;
+  this->opened_at = this->times.last_received;
 }
 
 void FrameSocket::Connect(const tcp::endpoint& to,
@@ -163,6 +166,11 @@
 
 void FrameSocket::ParseFrames() {
   while (!this->closed) {
+    if (this->skipped_bytes > 0) {
+      if (!this->SkipLargeFrame())
+        return;
+      continue;
+    }
     if (this->large_frame_length > 0) {
       if (!this->CollectLargeFrame())
         return;
@@ -172,16 +180,17 @@
       return;
     const auto* bytes = static_cast<const char*>(this->buffer.cdata().data());
     const std::size_t length = DecodeLength(bytes);
-    if (length > kMaxLinkFrame) {
+    if (length > this->MaxFrame()) {
       Log(LogLevel::kWarning, "links", "frame-too-long",
           {{"node", this->node}, {"bytes", length}});
       this->Fail();
       return;
     }
     if (length >= kLargeFrameBytes) {
+      if (this->buffer.size() < kFrameLengthBytes + kCallIdBytes)
+        return;
       this->buffer.consume(kFrameLengthBytes);
-      this->large_frame_length = length;
-      this->large_frame.reserve(length);
+      this->BeginLargeFrame(length);
       continue;
     }
     if (this->buffer.size() < kFrameLengthBytes + length)
@@ -192,6 +201,34 @@
   }
 }
 
+std::size_t FrameSocket::MaxFrame() const {
+  const bool unknown = !this->is_initiator && this->node.empty();
+  return unknown ? kMaxFrameBeforeHello : kMaxLinkFrame;
+}
+
+void FrameSocket::BeginLargeFrame(std::size_t length) {
+  const auto* bytes = static_cast<const char*>(this->buffer.cdata().data());
+  const auto call = CallOfRun({bytes, kCallIdBytes});
+  const bool held = this->large_frame_memory.GrowTo(length);
+  if (!held && call) {
+    this->skipped_bytes = length;
+    this->handlers.on_run_skipped(this, *call);
+    return;
+  }
+  // Only runs can be refused.
+  this->large_frame_memory.GrowAnywayTo(length);
+  this->large_frame_length = length;
+  this->large_frame.reserve(length);
+}
+
+bool FrameSocket::SkipLargeFrame() {
+  const std::size_t dropped =
+      std::min(this->skipped_bytes, this->buffer.size());
+  this->buffer.consume(dropped);
+  this->skipped_bytes -= dropped;
+  return this->skipped_bytes == 0;
+}
+
 bool FrameSocket::CollectLargeFrame() {
   const std::size_t missing =
       this->large_frame_length - this->large_frame.size();
@@ -202,7 +239,13 @@
   if (taken < missing)
     return false;
   this->large_frame_length = 0;
-  this->HandleFrame(DecodeOwnedLinkFrame(std::exchange(this->large_frame, {})));
+  auto frame = DecodeOwnedLinkFrame(std::exchange(this->large_frame, {}));
+  MemoryHold memory = std::move(this->large_frame_memory);
+  if (auto* run = frame ? std::get_if<RunFrame>(&*frame) : nullptr) {
+    run->body = MakeRequestBody(std::exchange(run->request.body, {}),
+                                std::move(memory));
+  }
+  this->HandleFrame(std::move(frame));
   return true;
 }
 
--- a/src/edge/frame_socket.h
+++ b/src/edge/frame_socket.h
@@ -31,6 +31,10 @@
   std::function<void(std::size_t bytes)> on_sent;
   std::function<void(FrameSocket*, FrameKind, std::size_t bytes)> on_queued;
   std::function<void(FrameSocket*, std::size_t bytes)> on_received;
+  // There is no memory for the frame of this call, which is not delivered.
+  std::function<void(FrameSocket*, std::uint64_t call)> on_run_skipped;
+  // Counts large frames; null for no bound.
+  MemoryAccount* memory = nullptr;
 };
 
 // Not thread safe.
@@ -72,6 +76,7 @@
   // Whether the other end is in another data centre; false until known.
   bool in_other_data_center = false;
   LinkTimes times;
+  TimePoint opened_at;
   // Calls in flight, by the id that the end which opened the connection gave.
   std::set<std::uint64_t> calls;
   // On an accepted socket: what its caller has received of the status.
@@ -88,8 +93,14 @@
 
   void Read();
   void ParseFrames();
+  [[nodiscard]] std::size_t MaxFrame() const;
+  // Precondition: kCallIdBytes of it have been received.
+  void BeginLargeFrame(std::size_t length);
   // Moves received bytes to `large_frame`. False if bytes are missing.
   bool CollectLargeFrame();
+  // Drops received bytes of a frame for which there was no memory. False if
+  // bytes are missing.
+  bool SkipLargeFrame();
   void HandleFrame(Result<LinkFrame> frame);
   void Queue(std::string_view bytes, RequestBodyPtr body);
   void Flush();
@@ -102,6 +113,9 @@
   // length; 0 for none.
   std::string large_frame;
   std::size_t large_frame_length = 0;
+  MemoryHold large_frame_memory;
+  // Bytes of a frame that are still to be dropped.
+  std::size_t skipped_bytes = 0;
   std::vector<Piece> output;
   std::vector<Piece> being_written;
   std::size_t unsent_bytes = 0;
--- a/src/edge/frames.h
+++ b/src/edge/frames.h
@@ -298,6 +298,10 @@
 // Maximum frame length: the largest body that a configuration may allow, plus
 // headers.
 inline constexpr std::size_t kMaxLinkFrame = (64U << 20) + (1U << 20);
+// Maximum on a connection whose other end has not said which node it is.
+inline constexpr std::size_t kMaxFrameBeforeHello = std::size_t{64} << 10U;
+// Bytes of a frame that suffice for CallOfRun.
+inline constexpr std::size_t kCallIdBytes = 16;
 
 // The frame with its length prefix. Not thread safe.
 [[nodiscard]] std::string EncodeLinkFrame(const LinkFrame& frame);
@@ -314,6 +318,10 @@
 // safe.
 [[nodiscard]] Result<LinkFrame> DecodeOwnedLinkFrame(std::string bytes);
 
+// The call of the run frame that begins so; none for another frame. Thread
+// safe.
+[[nodiscard]] std::optional<std::uint64_t> CallOfRun(std::string_view bytes);
+
 }  // namespace teaselspread
 
 #endif  // TEASELSPREAD_SRC_EDGE_FRAMES_H_
--- a/src/edge/link_connections.cc
+++ b/src/edge/link_connections.cc
@@ -28,6 +28,9 @@
 // to a VM without power. It gets no response, or one only a second after the VM
 // is back.
 constexpr Duration kStaleAttemptAfter = std::chrono::milliseconds(100);
+// Connections whose other ends have not said which nodes they are. Nodes say so
+// at once.
+constexpr std::size_t kMaxUnknownCallers = 64;
 constexpr std::int64_t kMicrosPerMilli = 1000;
 
 std::int64_t MillisSince(TimePoint then) {
@@ -62,20 +65,46 @@
                                   tcp::socket socket) {
     if (!*lives || error == asio::error::operation_aborted)
       return;
-    if (!error) {
-      auto* caller = new FrameSocket(std::move(socket), this->SocketHandlers());
-      intrusive_ptr_add_ref(caller);
-      this->callers.insert(caller);
-      this->counters.Add(LinkEvent::kAccepted);
-      caller->Start();
-      caller->Send(this->StatusFrame(kAllStatusParts, false));
-      MarkSent(this->status_feed, caller->status_reader,
-               TopicsCarried(kAllTopics, false), SteadyNow());
+    if (error) {
+      this->AcceptLater();
+      return;
     }
+    auto* caller = new FrameSocket(std::move(socket), this->SocketHandlers());
+    intrusive_ptr_add_ref(caller);
+    this->callers.insert(caller);
+    this->counters.Add(LinkEvent::kAccepted);
+    caller->Start();
+    caller->Send(this->StatusFrame(kAllStatusParts, false));
+    MarkSent(this->status_feed, caller->status_reader,
+             TopicsCarried(kAllTopics, false), SteadyNow());
+    this->LimitUnknownCallers();
     this->Accept();
   });
 }
 
+void Links::AcceptLater() {
+  this->accept_retry.expires_after(kAcceptRetry);
+  this->accept_retry.async_wait(
+      [this, lives = this->alive](boost::system::error_code error) {
+        if (*lives && !error)
+          this->Accept();
+      });
+}
+
+void Links::LimitUnknownCallers() {
+  FrameSocket* oldest = nullptr;
+  std::size_t unknown = 0;
+  for (FrameSocket* caller : this->callers) {
+    if (!caller->node.empty())
+      continue;
+    ++unknown;
+    if (oldest == nullptr || caller->opened_at < oldest->opened_at)
+      oldest = caller;
+  }
+  if (unknown > kMaxUnknownCallers)
+    this->CloseSocket(oldest, LinkEndReason::kNotNeeded);
+}
+
 void Links::Add(const Hello& node) {
   if (node.node == this->self.node)
     return;
--- a/src/edge/links.cc
+++ b/src/edge/links.cc
@@ -23,6 +23,8 @@
 using SocketPtr = boost::intrusive_ptr<FrameSocket>;
 
 constexpr std::chrono::milliseconds kTickInterval{100};
+// The memory is held by other requests, most of which take longer than others.
+constexpr std::uint32_t kMemoryRetryAfterMs = 500;
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(LinkEvent::kCount)>
     kNames = {"opened",        "accepted",        "connect-failed",
@@ -81,6 +83,7 @@
       handlers(std::move(on)),
       acceptor(io),
       tick(io),
+      accept_retry(io),
       rng(std::random_device{}()) {}
 
 Links::~Links() {
@@ -105,6 +108,10 @@
   on.on_closed = [this, lives](FrameSocket* socket) {
     IfAlive(lives, [&] { this->OnClosed(socket, LinkEndReason::kClosed); });
   };
+  on.on_run_skipped = [this, lives](FrameSocket* from, std::uint64_t call) {
+    IfAlive(lives, [&] { this->RefuseForMemory(from, call); });
+  };
+  on.memory = this->memory;
   on.on_sent = [this, lives](std::size_t bytes) {
     IfAlive(lives, [&] { this->counters.Add(LinkEvent::kBytesSent, bytes); });
   };
@@ -215,6 +222,10 @@
 void Links::HandleCallerFrame(FrameSocket* from, LinkFrame frame) {
   if (auto* run = std::get_if<RunFrame>(&frame)) {
     from->status_reader.last_request_at = SteadyNow();
+    if (!this->HoldBody(*run)) {
+      this->RefuseForMemory(from, run->call_id);
+      return;
+    }
     from->calls.insert(run->call_id);
     this->handlers.on_run(from, std::move(*run));
   } else if (const auto* cancel = std::get_if<CancelFrame>(&frame)) {
@@ -237,6 +248,32 @@
   }
 }
 
+bool Links::HoldBody(RunFrame& run) {
+  if (run.request.body.empty())
+    return true;
+  MemoryHold body_memory(this->memory);
+  if (!body_memory.GrowTo(run.request.body.size()))
+    return false;
+  run.body = MakeRequestBody(std::exchange(run.request.body, {}),
+                             std::move(body_memory));
+  return true;
+}
+
+void Links::RefuseForMemory(FrameSocket* to, std::uint64_t call) {
+  Log(LogLevel::kWarning, "links", "run-refused",
+      {{"node", to->node},
+       {"call", call},
+       {"reason", NameOf(ErrorKind::kMemoryBudget)},
+       {"held_bytes", this->memory->Used()}});
+  ResultFrame result;
+  result.call_id = call;
+  result.error = ErrorKind::kMemoryBudget;
+  result.execution = Execution::kNotRun;
+  result.retry_after_ms = kMemoryRetryAfterMs;
+  result.load = LoadOf(this->status);
+  to->Send(result);
+}
+
 void Links::SetStatus(const GateStatus& new_status) {
   if (new_status == this->status)
     return;
--- a/src/edge/links.h
+++ b/src/edge/links.h
@@ -210,6 +210,9 @@
   [[nodiscard]] Peer* Find(const std::string& node);
 
   Hello self;
+  // Counts the bodies of runs that other nodes send; null for no bound. Set it
+  // before Listen. It must outlive the loop's handlers.
+  MemoryAccount* memory = nullptr;
   CounterTable<LinkEvent> counters;
   // Bytes and frames sent, by kind of frame, to nodes of the own data centre
   // and to those of other data centres.
@@ -229,6 +232,7 @@
   };
 
   void Accept();
+  void AcceptLater();
   void Tick();
   void Connect(Peer& peer);
   // Opens a connection to a node that has no responsive link.
@@ -256,6 +260,13 @@
   [[nodiscard]] FrameSocket* SocketOf(const Peer& peer,
                                       std::uint64_t call) const;
   void HandleCallerFrame(FrameSocket* from, LinkFrame frame);
+  // Takes memory for the run's body, unless it is counted already; false if
+  // there is none.
+  [[nodiscard]] bool HoldBody(RunFrame& run);
+  void RefuseForMemory(FrameSocket* to, std::uint64_t call);
+  // Closes the oldest of too many connections whose other ends have not said
+  // which nodes they are.
+  void LimitUnknownCallers();
   void SendDueStatus();
   // To be called before a result or a load is sent to `caller`.
   void SendSpeedIfChanged(FrameSocket& caller, TimePoint now);
@@ -275,6 +286,7 @@
   LinkHandlers handlers;
   boost::asio::ip::tcp::acceptor acceptor;
   boost::asio::steady_timer tick;
+  boost::asio::steady_timer accept_retry;
   std::map<std::string, Peer> peers;
   std::set<FrameSocket*> callers;
   // Silent connections that another one has replaced, until no call is in
--- a/tests/contract/links_test.cc
+++ b/tests/contract/links_test.cc
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -405,5 +406,75 @@
   cr_assert(run_until([&] { return lost; }));
 }
 
+// A node whose memory for bodies is 100 KB, and a caller that has a link to it.
+struct FullNode {
+  boost::asio::io_context io;
+  MemoryAccount account{{100'000, 100'000, 100'000}};
+  std::vector<RunFrame> runs;
+  std::unique_ptr<Links> links;
+  std::thread thread;
+  std::optional<RawSocket> link;
+
+  FullNode() {
+    LinkHandlers on = QuietHandlers();
+    on.on_run = [this](FrameSocket*, RunFrame run) {
+      this->runs.push_back(std::move(run));
+    };
+    this->links = std::make_unique<Links>(this->io, on);
+    this->links->memory = &this->account;
+    this->links->self = {"b-1", "b", {}};
+    const auto bound = this->links->Listen({"127.0.0.1", 0});
+    this->thread = std::thread([this] { this->io.run(); });
+    this->link.emplace(RawSocket::ConnectTo(bound->port));
+  }
+  ~FullNode() {
+    this->io.stop();
+    this->thread.join();
+  }
+  FullNode(const FullNode&) = delete;
+  FullNode& operator=(const FullNode&) = delete;
+
+  void SendRun(std::uint64_t call, std::size_t body_bytes) const {
+    RunFrame run;
+    run.call_id = call;
+    run.request.method = "POST";
+    run.request.body = std::string(body_bytes, 'b');
+    SendFrame(*this->link, run);
+  }
+};
+
+// Guards against a gate that takes more bodies than its VM has memory, and
+// against one that closes the link of a sound node, with all its calls.
+Test(links, a_run_without_room_is_refused_as_not_run_and_the_next_one_taken) {
+  FullNode node;
+  FrameReader reader{*node.link, {}};
+  SendFrame(*node.link, Hello{"a-1", "a", {"127.0.0.1", 9}, 0});
+  for (const std::size_t bytes : {120'000, 1'000'000}) {
+    node.SendRun(bytes, bytes);
+    const auto refused = reader.Next<ResultFrame>();
+    cr_assert(refused.has_value());
+    cr_expect_eq(refused->call_id, bytes);
+    cr_expect(refused->error == ErrorKind::kMemoryBudget);
+    cr_expect(refused->execution == Execution::kNotRun);
+  }
+  node.SendRun(3, 50'000);
+  SendFrame(*node.link, PingFrame{1});
+  cr_assert(reader.Next<PongFrame>().has_value());
+  node.io.stop();
+  cr_assert_eq(node.runs.size(), 1U);
+  cr_expect_eq(node.runs.front().call_id, 3U);
+  cr_expect_eq(BodyOf(node.runs.front()).size(), 50'000U);
+  cr_expect_eq(node.account.Used(), 50'000U);
+}
+
+// Guards against memory that anybody can take who reaches the link's port.
+Test(links, a_large_frame_before_the_hello_ends_the_connection) {
+  FullNode node;
+  node.SendRun(1, 1'000'000);
+  (void)node.link->ReadToEnd();
+  node.io.stop();
+  cr_expect(node.runs.empty());
+}
+
 }  // namespace
 }  // namespace teaselspread
