Listener: ending one session may end others, so loops keep them alive

A time-out, a stop or a refusal writes a response, and memory for it may be made by ending a slow connection. They hold references now, and a closed session has no time-outs.

--- a/src/edge/http_listener.cc
+++ b/src/edge/http_listener.cc
@@ -132,29 +132,27 @@
   this->sweep.async_wait([this](boost::system::error_code error) {
     if (error)
       return;
-    const std::vector<HttpSession*> open(this->sessions.begin(),
-                                         this->sessions.end());
     const TimePoint now = SteadyNow();
-    for (HttpSession* session : open)
+    for (const SessionPtr& session : this->OpenSessions())
       session->CheckTimeouts(now);
     this->Sweep();
   });
 }
 
+std::vector<HttpListener::SessionPtr> HttpListener::OpenSessions() const {
+  return {this->sessions.begin(), this->sessions.end()};
+}
+
 void HttpListener::CloseIntake() {
   boost::system::error_code ignored;  // it may be closed already
   this->accept_retry.cancel();
   this->acceptor.close(ignored);
-  const std::vector<HttpSession*> open(this->sessions.begin(),
-                                       this->sessions.end());
-  for (HttpSession* session : open)
+  for (const SessionPtr& session : this->OpenSessions())
     session->StopReceiving();
 }
 
 void HttpListener::RefusePartialRequests(const PartialHandler& refuse) {
-  const std::vector<HttpSession*> open(this->sessions.begin(),
-                                       this->sessions.end());
-  for (HttpSession* session : open)
+  for (const SessionPtr& session : this->OpenSessions())
     session->RefusePartial(refuse);
 }
 
--- a/src/edge/http_listener.h
+++ b/src/edge/http_listener.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -157,6 +158,7 @@
 
  private:
   friend class HttpSession;
+  using SessionPtr = boost::intrusive_ptr<HttpSession>;
 
   void Accept();
   void AcceptLater();
@@ -165,6 +167,8 @@
   // looks at.
   bool CloseDispensable();
   void Sweep();
+  // Keeps them alive: what is done to one may end others, to free memory.
+  [[nodiscard]] std::vector<SessionPtr> OpenSessions() const;
 
   boost::asio::ip::tcp::acceptor acceptor;
   boost::asio::steady_timer sweep;
--- a/src/edge/http_session.cc
+++ b/src/edge/http_session.cc
@@ -346,7 +346,7 @@
 }
 
 void HttpSession::RefusePartial(const PartialHandler& refuse) {
-  if (this->intake == Intake::kClosed || !this->in_request)
+  if (this->closed || this->intake == Intake::kClosed || !this->in_request)
     return;
   this->listener->counters.Add(ListenerEvent::kPartialRefused);
   this->RefuseAndClose(refuse(this->HeadReceived()));
@@ -461,6 +461,8 @@
 }
 
 void HttpSession::StopReceiving() {
+  if (this->closed)
+    return;
   if (this->Idle()) {
     this->Close();
     return;
@@ -505,6 +507,8 @@
 }
 
 void HttpSession::CheckTimeouts(TimePoint now) {
+  if (this->closed)
+    return;
   const SessionLimits& limits = this->listener->limits;
   if (this->lingering) {
     if (now - this->last_active > kLingerTime)
