Callers: fewer requests ahead while capacity is short; tests of mixed clients

Cause: each connection had 32 requests pending, which compete one to one with the first requests of others.

Change: while the node refuses requests for lack of capacity, fewer requests of one connection are received before the first has its response: half as many four times a second down to 4, one more at each tick without refusals. The others wait in their caller's buffers. In calm nothing changes, nor for callers with up to 4 requests ahead.

--- a/src/edge/caller_limits.cc
+++ b/src/edge/caller_limits.cc
@@ -18,6 +18,8 @@
 constexpr std::size_t kMinOutbound = 64;
 // Descriptors that a platform keeps for files.
 constexpr std::size_t kFiles = 200;
+// Pending requests of one connection that are always allowed.
+constexpr std::size_t kMinPipelined = 4;
 // A field is held by the parser, by the request and by its copy for an
 // upstream, each time as an object beside its text.
 constexpr std::size_t kFieldMemory = 256;
@@ -44,6 +46,13 @@
              timeout + TimeAt(kMinBytesPerSecond, transfer.bytes);
 }
 
+void AdjustDepth(PipelineDepth& depth, std::uint64_t refusals) {
+  if (refusals > 0)
+    depth.requests = std::max(depth.requests / 2, kMinPipelined);
+  else
+    depth.requests = std::min(depth.requests + 1, kMaxPipelined);
+}
+
 Dispensable DispensableAs(const ConnectionState& state, TimePoint now) {
   if (state.busy || (state.used && state.receives_head))
     return Dispensable::kNo;
--- a/src/edge/caller_limits.h
+++ b/src/edge/caller_limits.h
@@ -11,6 +11,10 @@
 
 namespace teaselspread {
 
+// Maximum number of pending requests of one connection. Reading pauses at this
+// limit, so that further requests wait in the caller's buffers and not here.
+inline constexpr std::size_t kMaxPipelined = 32;
+
 // Bytes of one request, or of responses, that move in one direction.
 struct Transfer {
   TimePoint started;
@@ -34,6 +38,17 @@
                               Duration timeout,
                               TimePoint now);
 
+// How many requests of one connection may be pending. Those that a caller sends
+// ahead compete with the first requests of others, so there are fewer while
+// requests are refused for lack of capacity.
+struct PipelineDepth {
+  std::size_t requests = kMaxPipelined;
+};
+
+// To be called a few times a second, with the capacity refusals since the last
+// call. Not thread safe on the same depth.
+void AdjustDepth(PipelineDepth& depth, std::uint64_t refusals);
+
 // A connection that may be closed in favour of a new one, in the order in which
 // they are.
 enum class Dispensable : std::uint8_t {
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -488,6 +488,12 @@
   });
 }
 
+void AdjustPipelining(EdgeNode& node) {
+  const std::uint64_t refusals = CapacityRefusals(node.entry.counters);
+  AdjustDepth(node.outbound.depth, refusals - node.capacity_refusals);
+  node.capacity_refusals = refusals;
+}
+
 void ServeWithoutOrdersIfDue(EdgeNode& node) {
   if (node.gate.OrdersKnown() || node.first_config_at == TimePoint{} ||
       SteadyNow() - node.first_config_at < kOrdersGrace)
@@ -515,6 +521,7 @@
     StepMoves(node);
     FetchNewerConfig(node);
     ServeWithoutOrdersIfDue(node);
+    AdjustPipelining(node);
     LogTrafficIfDue(node, SteadyNow());
     if (ModifiedAtNanos(node.settings_file) != node.settings_modified_ns)
       ReloadSettings(node, "file");
--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -75,6 +75,8 @@
   // Since when this node has been one of those that evaluate moves; the epoch
   // while it is not.
   TimePoint evaluates_since;
+  // At the last tick; see CapacityRefusals.
+  std::uint64_t capacity_refusals = 0;
   bool intake_closed = false;
   bool stopping = false;
   TimePoint stop_began;
--- a/src/edge/entry.h
+++ b/src/edge/entry.h
@@ -124,6 +124,10 @@
   std::uint64_t callers_left = 0;
 };
 
+// Requests that were refused since their service had no capacity for them in
+// time. Thread safe.
+[[nodiscard]] std::uint64_t CapacityRefusals(const EntryCounters& counters);
+
 struct EntrySettings {
   std::string vm;
   std::string data_center;
--- a/src/edge/entry_answers.cc
+++ b/src/edge/entry_answers.cc
@@ -2,6 +2,8 @@
 // log lines that follow from it.
 #include "edge/entry.h"
 
+#include <algorithm>
+#include <array>
 #include <cmath>
 #include <string>
 #include <utility>
@@ -34,9 +36,13 @@
 }
 
 // The service had no capacity for the request in time.
+constexpr std::array<ErrorKind, 3> kCapacityRefusals = {
+    ErrorKind::kDeadlineTooShort, ErrorKind::kQueueFull,
+    ErrorKind::kQueueTimeout};
+
 bool IsCapacityRefusal(ErrorKind kind) {
-  return kind == ErrorKind::kDeadlineTooShort ||
-         kind == ErrorKind::kQueueFull || kind == ErrorKind::kQueueTimeout;
+  return std::find(kCapacityRefusals.begin(), kCapacityRefusals.end(), kind) !=
+         kCapacityRefusals.end();
 }
 
 // Left out of the line if the configuration has no accounts.
@@ -74,6 +80,13 @@
 
 }  // namespace
 
+std::uint64_t CapacityRefusals(const EntryCounters& counters) {
+  std::uint64_t refused = 0;
+  for (const ErrorKind kind : kCapacityRefusals)
+    refused += counters.refusals.Get(kind);
+  return refused;
+}
+
 void Entry::ForwardResponse(std::uint64_t id, HttpResponse response) {
   const auto found = this->pending_requests.find(id);
   PendingRequest& pending = found->second;
--- a/src/edge/http_listener.h
+++ b/src/edge/http_listener.h
@@ -19,6 +19,7 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include "edge/caller_limits.h"
 #include "edge/memory_account.h"
 #include "teaselspread/counters.h"
 #include "teaselspread/error.h"
@@ -141,6 +142,7 @@
   }
 
   SessionLimits limits;
+  PipelineDepth depth;
   // Connections that may be open at a time. A new one takes the place of the
   // most dispensable one (caller_limits.h), or is closed if there is none.
   std::size_t max_connections = 4096;
--- a/src/edge/http_session.cc
+++ b/src/edge/http_session.cc
@@ -30,11 +30,8 @@
 constexpr std::size_t kCheckedBodyBytes = std::size_t{64} << 10U;
 // A body in chunks from this length on gets memory for the largest body.
 constexpr std::size_t kReserveFrom = std::size_t{1} << 20U;
-// Maximum number of pending requests of one connection. Reading pauses at this
-// limit, so that further requests wait in the caller's buffers and not here.
-constexpr std::size_t kMaxPipelined = 32;
-// The same for bytes of bodies that are pending, and of responses that the
-// caller has not read.
+// Reading pauses at these bytes of bodies that are pending, and of responses
+// that the caller has not read.
 constexpr std::size_t kMaxPendingBodyBytes = std::size_t{256} << 10U;
 constexpr std::size_t kMaxUnsentBytes = std::size_t{64} << 10U;
 // Long enough for a caller in another data centre to read its response.
@@ -182,7 +179,7 @@
 }
 
 bool HttpSession::MayBeginRequest() const {
-  return this->pending.size() < kMaxPipelined &&
+  return this->pending.size() < this->listener->depth.requests &&
          this->pending_body_bytes < kMaxPendingBodyBytes &&
          this->UnsentBytes() < kMaxUnsentBytes;
 }
--- a/src/edge/metrics.cc
+++ b/src/edge/metrics.cc
@@ -93,6 +93,13 @@
   AppendValue(text, "abandoned_runs_dropped_total", "", "",
               crashes.CountDroppedRuns());
   AppendTable(text, "listener_total", "event", node.outbound.counters);
+  AppendTable(text, "readiness_listener_total", "event",
+              node.readiness.counters);
+  AppendTable(text, "admin_listener_total", "event", node.admin.counters);
+  AppendValue(text, "listener_connections", "", "",
+              node.outbound.CountSessions());
+  AppendValue(text, "memory_held_bytes", "", "", node.memory.Used());
+  AppendValue(text, "memory_bound_bytes", "", "", node.memory.Bounds().small);
   AppendTable(text, "upstream_connections_total", "event",
               node.gate.pool.counters);
   AppendTable(text, "links_total", "event", node.links.counters);
--- a/tests/process/hostile_client.h
+++ b/tests/process/hostile_client.h
@@ -45,6 +45,8 @@
   std::size_t bytes_per_step = kUnlimited;
   bool reads = false;
   bool reconnects = true;
+  // Resets each connection once all its bytes are sent.
+  bool resets = false;
 };
 
 // Plays one HostileClient. Not thread safe.
@@ -118,7 +120,17 @@
                                MSG_DONTWAIT | (reads ? 0 : MSG_PEEK));
     if (got == 0 || (got < 0 && errno != EAGAIN && errno != ENOTCONN))
       connection.ended = true;
-    return this->SendSome(connection) || (reads && got > 0);
+    const bool moved = this->SendSome(connection);
+    if (this->client.resets && this->NextBytes(connection.sent).empty())
+      Reset(connection);
+    return moved || (reads && got > 0);
+  }
+
+  static void Reset(Connection& connection) {
+    const linger at_once{1, 0};
+    ::setsockopt(connection.fd, SOL_SOCKET, SO_LINGER, &at_once,
+                 sizeof at_once);
+    connection.ended = true;
   }
 
   bool SendSome(Connection& connection) {
--- a/tests/process/hostile_clients_test.cc
+++ b/tests/process/hostile_clients_test.cc
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "edge/frames.h"
@@ -139,18 +140,39 @@
                 resident / 1'000'000);
 }
 
-void Play(const HostileClient& client) {
+// Plays that run side by side until this ends.
+class Plays {
+ public:
+  Plays(const std::vector<HostileClient>& clients,
+        const EdgePorts& ports,
+        Ms time) {
+    for (const HostileClient& client : clients) {
+      std::printf("%s\n", client.name.c_str());
+      this->threads.emplace_back([client, &ports, time] {
+        HostilePlay play(client, PortOf(ports, client.door));
+        play.Run(time);
+      });
+    }
+  }
+  ~Plays() {
+    for (std::thread& thread : this->threads)
+      thread.join();
+  }
+  Plays(const Plays&) = delete;
+  Plays& operator=(const Plays&) = delete;
+
+ private:
+  std::vector<std::thread> threads;
+};
+
+void Play(const std::vector<HostileClient>& clients) {
   WatchedFleet watched;
   EdgeVm& misused = watched.Misused();
   OrdinaryTraffic at_misused(misused);
   OrdinaryTraffic at_other(watched.Other());
   ReadinessProbe probe(misused);
   const double used_before = ProcessorSeconds(misused.node->Pid());
-  std::printf("%s\n", client.name.c_str());
-  {
-    HostilePlay play(client, PortOf(misused.ports, client.door));
-    play.Run(kPlayTime);
-  }
+  { const Plays plays(clients, misused.ports, kPlayTime); }
   std::printf("  %.1f s of processor time\n",
               ProcessorSeconds(misused.node->Pid()) - used_before);
   const double ready = probe.Stop();
@@ -162,6 +184,10 @@
   ExpectWithinMemory(watched);
 }
 
+void Play(const HostileClient& client) {
+  Play(std::vector<HostileClient>{client});
+}
+
 std::string HeadOf(const std::string& method,
                    const std::string& path,
                    const std::string& fields) {
@@ -385,6 +411,27 @@
 Test(hostile_clients, requests_ahead_on_a_route) {
   Play(AheadWithoutReading("/view/x", Door::kOutbound));
 }
+// Guards against callers with one request at a time that wait behind all those
+// that another one has sent ahead.
+Test(hostile_clients, requests_ahead_leave_others_half_of_their_rate) {
+  constexpr Ms kCalmTime{2000};
+  WatchedFleet watched;
+  EdgeVm& misused = watched.Misused();
+  const auto served_in = [&misused](Ms time) {
+    OrdinaryTraffic traffic(misused);
+    std::this_thread::sleep_for(time);
+    return static_cast<double>(traffic.Stop().served) /
+           static_cast<double>(time.count());
+  };
+  const double calm = served_in(kCalmTime);
+  HostilePlay play(AheadWithoutReading("/view/x", Door::kOutbound),
+                   misused.ports.outbound);
+  std::thread playing([&play] { play.Run(kPlayTime); });
+  const double meanwhile = served_in(kPlayTime);
+  playing.join();
+  std::printf("  %.3f of the calm rate\n", meanwhile / calm);
+  cr_expect_geq(meanwhile, calm / 2);
+}
 Test(hostile_clients, requests_ahead_without_a_route) {
   Play(AheadWithoutReading("/nowhere/x", Door::kOutbound));
 }
@@ -421,6 +468,72 @@
   Play(client);
 }
 
+// Clients that hold memory in different ways.
+std::vector<HostileClient> MixedClients() {
+  HostileClient crowd;
+  crowd.name = "silent crowd";
+  crowd.connections = 1000;
+  return {BodyWithLength("/load/x", 100, 1'000'000, 900'000),
+          BodyInChunks("/load/x", 4, 65536, kMaxBody / 65536),
+          AheadWithoutReading("/nowhere/x", Door::kOutbound), crowd};
+}
+
+// Guards against bounds that hold for each kind of client alone.
+Test(hostile_clients, several_kinds_at_once) {
+  Play(MixedClients());
+}
+
+// Guards against what a connection leaves behind that ends in the middle of a
+// head, of a body, or of requests whose responses are on the way.
+Test(hostile_clients, connections_that_are_reset_in_each_state) {
+  HostileClient head;
+  head.name = "reset within the head";
+  head.head = "POST /load/x HTTP/1.1\r\nHost: 127";
+  HostileClient body = BodyWithLength("/load/x", 1, 1'000'000, 500'000);
+  HostileClient ahead = AheadWithoutReading("/view/x", Door::kOutbound);
+  ahead.unit_bytes = ahead.unit.size() / 10;
+  std::vector<HostileClient> clients{head, body, ahead};
+  for (HostileClient& client : clients) {
+    client.connections = 4;
+    client.resets = true;
+    // Pauses between the connections.
+    client.bytes_per_step = 100'000;
+  }
+  Play(clients);
+}
+
+// Guards against a stop that clients hold up until the process is killed, with
+// the requests of all others.
+Test(hostile_clients, a_node_stops_in_time_beside_them) {
+  WatchedFleet watched;
+  EdgeVm& stopping = watched.Misused();
+  const Plays plays(MixedClients(), stopping.ports, kPlayTime + kRecovery);
+  std::this_thread::sleep_for(Ms(1500));
+  stopping.node->Signal(SIGTERM);
+  cr_expect_eq(stopping.node->WaitExit(Ms(6000)), 0);
+  ExpectWithinMemory(watched);
+}
+
+// Guards against a node that cannot start while clients wait for it: until it
+// has its configuration it has no limits but its own.
+Test(hostile_clients, a_node_starts_beside_them) {
+  WatchedFleet watched;
+  EdgeVm& starting = watched.Misused();
+  const Plays plays(MixedClients(), starting.ports, kPlayTime);
+  std::this_thread::sleep_for(Ms(1000));
+  (void)watched.watch->Stop();
+  starting.Restart();
+  watched.watch = std::make_unique<MemoryWatch>(
+      std::vector<WatchedProcess>{
+          {starting.node->Pid(), {starting.ports.outbound}}},
+      MachineBytes());
+  cr_expect(WaitUntil([&] { return starting.Ready(); }, kPlayTime));
+  OrdinaryTraffic traffic(starting);
+  std::this_thread::sleep_for(Ms(2000));
+  ExpectServed("after the start", starting.name, traffic.Stop());
+  ExpectWithinMemory(watched);
+}
+
 // Guards against connections to the link port that send a large frame without
 // having said which node they are.
 Test(hostile_clients, a_large_frame_of_nobody) {
--- a/tests/unit/caller_limits_test.cc
+++ b/tests/unit/caller_limits_test.cc
@@ -105,5 +105,17 @@
   }
 }
 
+Test(caller_limits, pipelining_shrinks_while_capacity_is_short_and_comes_back) {
+  PipelineDepth depth;
+  AdjustDepth(depth, 0);
+  cr_expect_eq(depth.requests, kMaxPipelined);
+  for (int i = 0; i < 10; ++i)
+    AdjustDepth(depth, 3);
+  cr_expect_eq(depth.requests, 4U);
+  for (int i = 0; i < 40; ++i)
+    AdjustDepth(depth, 0);
+  cr_expect_eq(depth.requests, kMaxPipelined);
+}
+
 }  // namespace
 }  // namespace teaselspread
