Callers: a large response without memory ends its connection

Cause: responses were taken whatever was held. 60 callers that read nothing, with responses of 8 MB, took their node over 160 MB within a second; it was ended with the requests of all others.

Change: a response of more than 256 KB for which there is no memory, after slow readers have made room, ends its caller's connection: the request may have run, so it cannot be refused. A result of another gate that finds no room is dropped as its bytes come, and its call ends as truncated, which is retried where that is allowed. Smaller responses always find room. A response is held once.

The watch tells apart what the kernel holds unread.

--- a/src/edge/frame_socket.cc
+++ b/src/edge/frame_socket.cc
@@ -208,14 +208,16 @@
 
 void FrameSocket::BeginLargeFrame(std::size_t length) {
   const auto* bytes = static_cast<const char*>(this->buffer.cdata().data());
-  const auto call = CallOfRun({bytes, kCallIdBytes});
+  const auto skippable = CallOf({bytes, kCallIdBytes});
   const bool held = this->large_frame_memory.GrowTo(length);
-  if (!held && call) {
+  if (!held && skippable) {
     this->skipped_bytes = length;
-    this->handlers.on_run_skipped(this, *call);
+    const bool is_run = skippable->kind == FrameKind::kRun;
+    (is_run ? this->handlers.on_run_skipped : this->handlers.on_result_skipped)(
+        this, skippable->call);
     return;
   }
-  // Only runs can be refused.
+  // Frames of other kinds come from nodes, and are few.
   this->large_frame_memory.GrowAnywayTo(length);
   this->large_frame_length = length;
   this->large_frame.reserve(length);
--- a/src/edge/frame_socket.h
+++ b/src/edge/frame_socket.h
@@ -31,8 +31,10 @@
   std::function<void(std::size_t bytes)> on_sent;
   std::function<void(FrameSocket*, FrameKind, std::size_t bytes)> on_queued;
   std::function<void(FrameSocket*, std::size_t bytes)> on_received;
-  // There is no memory for the frame of this call, which is not delivered.
+  // There is no memory for the run or the result of this call, which is not
+  // delivered.
   std::function<void(FrameSocket*, std::uint64_t call)> on_run_skipped;
+  std::function<void(FrameSocket*, std::uint64_t call)> on_result_skipped;
   // Counts large frames; null for no bound.
   MemoryAccount* memory = nullptr;
 };
--- a/src/edge/frames.cc
+++ b/src/edge/frames.cc
@@ -321,16 +321,17 @@
   }
 }
 
-std::optional<std::uint64_t> CallOfRun(std::string_view bytes) {
+std::optional<FrameCall> CallOf(std::string_view bytes) {
   try {
     io::stream<io::array_source> stream(bytes.data(), bytes.size());
     wire::Reader reader(stream);
     std::uint8_t index = 0;
     std::uint64_t call = 0;
     reader(index, call);
-    if (index != static_cast<std::uint8_t>(FrameKind::kRun))
+    const auto kind = static_cast<FrameKind>(index);
+    if (kind != FrameKind::kRun && kind != FrameKind::kResult)
       return std::nullopt;
-    return call;
+    return FrameCall{kind, call};
   } catch (const cereal::Exception&) {
     return std::nullopt;
   }
--- a/src/edge/frames.h
+++ b/src/edge/frames.h
@@ -300,7 +300,7 @@
 inline constexpr std::size_t kMaxLinkFrame = (64U << 20) + (1U << 20);
 // Maximum on a connection whose other end has not said which node it is.
 inline constexpr std::size_t kMaxFrameBeforeHello = std::size_t{64} << 10U;
-// Bytes of a frame that suffice for CallOfRun.
+// Bytes of a frame that suffice for CallOf.
 inline constexpr std::size_t kCallIdBytes = 16;
 
 // The frame with its length prefix. Not thread safe.
@@ -318,9 +318,15 @@
 // safe.
 [[nodiscard]] Result<LinkFrame> DecodeOwnedLinkFrame(std::string bytes);
 
-// The call of the run frame that begins so; none for another frame. Thread
-// safe.
-[[nodiscard]] std::optional<std::uint64_t> CallOfRun(std::string_view bytes);
+// A call, and whether a frame is its run or its result.
+struct FrameCall {
+  FrameKind kind = FrameKind::kRun;
+  std::uint64_t call = 0;
+};
+
+// The call of the run or the result that begins so; none for another frame.
+// Thread safe.
+[[nodiscard]] std::optional<FrameCall> CallOf(std::string_view bytes);
 
 }  // namespace teaselspread
 
--- a/src/edge/http_session.cc
+++ b/src/edge/http_session.cc
@@ -194,6 +194,22 @@
   this->growing = false;
 }
 
+bool HttpSession::HoldResponse(Exchange& exchange, std::size_t bytes) {
+  const std::size_t total = exchange.head_memory.Bytes() + bytes;
+  this->growing = true;
+  const bool held = exchange.head_memory.GrowTo(total);
+  this->growing = false;
+  if (held)
+    return true;
+  if (bytes <= kSmallHolder) {
+    exchange.head_memory.GrowAnywayTo(total);
+    return true;
+  }
+  this->listener->counters.Add(ListenerEvent::kNoMemory);
+  this->OnCallerDisconnected();
+  return false;
+}
+
 void HttpSession::Read() {
   if (this->reading || this->closed || this->discarded > kMaxDiscardedBytes)
     return;
@@ -382,6 +398,8 @@
   const auto after =
       exchange.close_after ? AfterMessage::kClose : AfterMessage::kKeep;
   this->output += TextOf(exchange.response, after, exchange.head_only);
+  exchange.response = {};
+  exchange.head_memory.ShrinkTo(0);
   exchange.session = nullptr;
 }
 
@@ -551,8 +569,8 @@
   exchange.responded = true;
   exchange.on_caller_disconnected = nullptr;
   exchange.close_after = exchange.close_after || response.close;
-  exchange.head_memory.GrowAnywayTo(exchange.head_memory.Bytes() +
-                                    response.body.size());
+  if (!exchange.session->HoldResponse(exchange, response.body.size()))
+    return;
   exchange.response = std::move(response);
   exchange.session->Flush();
 }
--- a/src/edge/http_session.h
+++ b/src/edge/http_session.h
@@ -52,6 +52,10 @@
   // Writes the responses that are next in the order of the requests.
   void Flush();
   void QueueResponse(Exchange& exchange);
+  // Counts the body of a response. False if there is no memory for it, and the
+  // connection has been closed: the request may have run, so it cannot be
+  // refused.
+  [[nodiscard]] bool HoldResponse(Exchange& exchange, std::size_t bytes);
   void WriteSome();
   void OnWritten();
   void Linger();
--- a/src/edge/links.cc
+++ b/src/edge/links.cc
@@ -111,6 +111,9 @@
   on.on_run_skipped = [this, lives](FrameSocket* from, std::uint64_t call) {
     IfAlive(lives, [&] { this->RefuseForMemory(from, call); });
   };
+  on.on_result_skipped = [this, lives](FrameSocket* from, std::uint64_t call) {
+    IfAlive(lives, [&] { this->FailForMemory(from, call); });
+  };
   on.memory = this->memory;
   on.on_sent = [this, lives](std::size_t bytes) {
     IfAlive(lives, [&] { this->counters.Add(LinkEvent::kBytesSent, bytes); });
@@ -274,6 +277,23 @@
   to->Send(result);
 }
 
+void Links::FailForMemory(FrameSocket* from, std::uint64_t call) {
+  Log(LogLevel::kWarning, "links", "result-dropped",
+      {{"node", from->node},
+       {"call", call},
+       {"reason", NameOf(ErrorKind::kMemoryBudget)},
+       {"held_bytes", this->memory->Used()}});
+  Peer* peer = this->Find(from->node);
+  if (peer == nullptr)
+    return;
+  ResultFrame failed;
+  failed.call_id = call;
+  failed.error = ErrorKind::kTruncated;
+  failed.execution = Execution::kUnknown;
+  failed.load = LoadOf(peer->status);
+  this->HandleResult(*peer, from, std::move(failed));
+}
+
 void Links::SetStatus(const GateStatus& new_status) {
   if (new_status == this->status)
     return;
--- a/src/edge/links.h
+++ b/src/edge/links.h
@@ -264,6 +264,8 @@
   // there is none.
   [[nodiscard]] bool HoldBody(RunFrame& run);
   void RefuseForMemory(FrameSocket* to, std::uint64_t call);
+  // Ends the call, whose result has been dropped for lack of memory.
+  void FailForMemory(FrameSocket* from, std::uint64_t call);
   // Closes the oldest of too many connections whose other ends have not said
   // which nodes they are.
   void LimitUnknownCallers();
--- a/standins/mesh_upstream.h
+++ b/standins/mesh_upstream.h
@@ -168,6 +168,9 @@
     const std::scoped_lock lock(this->gate);
     this->work_percent = percent;
   }
+  // Responses to requests have a body of this many bytes from now on; 0 for
+  // the name of the process.
+  void SetResponseBytes(std::size_t bytes) { this->response_bytes = bytes; }
   // Refuses all requests as not run.
   void Shed(bool shed) { this->shedding = shed; }
 
@@ -215,7 +218,10 @@
       connection.open = false;
       return connection.Break();
     }
-    Response response = TextAnswer(this->failing ? 500 : 200, this->Instance());
+    const std::size_t bytes = this->response_bytes;
+    Response response =
+        TextAnswer(this->failing ? 500 : 200,
+                   bytes == 0 ? this->Instance() : std::string(bytes, 'r'));
     response.set("X-Request-Id", id);
     if (this->signing)
       response.set("X-Response-Signature", "signed-" + id);
@@ -395,6 +401,7 @@
   std::string retry_after;
   std::atomic<bool> says_leaving{false};
   std::atomic<bool> health_says_leaving{false};
+  std::atomic<std::size_t> response_bytes{0};
   std::atomic<bool> shedding{false};
   std::atomic<bool> crashed{false};
   std::atomic<bool> draining{false};
--- a/tests/process/hostile_clients_test.cc
+++ b/tests/process/hostile_clients_test.cc
@@ -122,7 +122,9 @@
 
 void ExpectWithinMemory(WatchedFleet& watched) {
   for (const WatchedProcess& process : watched.watch->Stop()) {
-    std::printf("  peak %zu MB\n", process.peak_bytes / 1'000'000);
+    std::printf("  peak %zu MB, %zu of them not read\n",
+                process.peak_bytes / 1'000'000,
+                process.unread_bytes / 1'000'000);
     cr_expect(!process.ended_for_memory, "%zu MB",
               process.peak_bytes / 1'000'000);
   }
@@ -165,8 +167,11 @@
   std::vector<std::thread> threads;
 };
 
-void Play(const std::vector<HostileClient>& clients) {
+void Play(const std::vector<HostileClient>& clients,
+          std::size_t response_bytes = 0) {
   WatchedFleet watched;
+  for (const auto& vm : watched.fleet.vms)
+    vm->upstream.SetResponseBytes(response_bytes);
   EdgeVm& misused = watched.Misused();
   OrdinaryTraffic at_misused(misused);
   OrdinaryTraffic at_other(watched.Other());
@@ -399,6 +404,13 @@
   client.head = HeadOf("POST", "/load/x", LengthField(1000) + ManyFields());
   Play(client);
 }
+Test(hostile_clients, many_fields_on_many_connections) {
+  HostileClient client;
+  client.name = "many fields";
+  client.connections = 960;
+  client.head = HeadOf("GET", "/view/x", ManyFields());
+  Play(client);
+}
 Test(hostile_clients, many_fields_sent_ahead) {
   HostileClient client =
       Endless("many fields ahead", "", HeadOf("GET", "/view/x", ManyFields()));
@@ -432,6 +444,13 @@
   std::printf("  %.3f of the calm rate\n", meanwhile / calm);
   cr_expect_geq(meanwhile, calm / 2);
 }
+Test(hostile_clients, large_responses_that_nobody_reads) {
+  HostileClient client;
+  client.name = "large responses";
+  client.connections = 60;
+  client.head = HeadOf("GET", "/view/x", "");
+  Play({client}, 8'000'000);
+}
 Test(hostile_clients, requests_ahead_without_a_route) {
   Play(AheadWithoutReading("/nowhere/x", Door::kOutbound));
 }
--- a/tests/process/memory_watch.h
+++ b/tests/process/memory_watch.h
@@ -69,6 +69,8 @@
   // Bytes that wait in the kernel for these ports count as its memory.
   std::set<std::uint16_t> ports{};
   std::size_t peak_bytes = 0;
+  // Of `peak_bytes`, what waited in the kernel.
+  std::size_t unread_bytes = 0;
   bool ended_for_memory = false;
 };
 
@@ -108,10 +110,14 @@
 
   void Check(WatchedProcess& process,
              const std::map<std::uint16_t, std::size_t>& unread) const {
-    std::size_t bytes = ResidentBytes(process.pid);
+    std::size_t waiting = 0;
     for (const auto& [port, queued] : unread)
-      bytes += process.ports.contains(port) ? queued : 0;
-    process.peak_bytes = std::max(process.peak_bytes, bytes);
+      waiting += process.ports.contains(port) ? queued : 0;
+    const std::size_t bytes = ResidentBytes(process.pid) + waiting;
+    if (bytes > process.peak_bytes) {
+      process.peak_bytes = bytes;
+      process.unread_bytes = waiting;
+    }
     if (bytes <= this->limit || process.ended_for_memory)
       return;
     process.ended_for_memory = true;
