Callers: small receive buffers until a body has its memory

Cause: bytes that the kernel has received count toward the memory of the VM, and it took some 64 KB for each connection before the node could read or refuse anything. 2,000 connections that send 190 KB of 200 KB at once held 64 MB there beside the 88 MB that the account allows: 165 to 173 MB, and the node was ended.

Change: connections of callers start with a receive buffer of 16 KB, and get one of 128 KB when a body of more than 32 KB has its memory.

--- a/src/edge/http_listener.cc
+++ b/src/edge/http_listener.cc
@@ -19,6 +19,10 @@
 // How often all connections are checked for time-outs. A timer for each
 // connection would have to be set and cleared with each request.
 constexpr std::chrono::milliseconds kSweepInterval{500};
+// Bytes that the kernel receives for a connection before it is read. They count
+// toward the memory of the VM, and a crowd fills the buffers of all
+// connections.
+constexpr int kFirstReceiveBuffer = 16 * 1024;
 // Connections at which one search for a dispensable one looks. A crowd makes up
 // most of them, and a longer search would cost more than the crowd itself.
 constexpr std::size_t kExamined = 32;
@@ -57,6 +61,9 @@
   auto bound = ListenOn(this->acceptor, address);
   if (!bound)
     return bound;
+  boost::system::error_code ignored;  // the kernel's own size does as well
+  this->acceptor.set_option(
+      asio::socket_base::receive_buffer_size(kFirstReceiveBuffer), ignored);
   this->Accept();
   this->Sweep();
   return bound;
--- a/src/edge/http_session.cc
+++ b/src/edge/http_session.cc
@@ -25,6 +25,7 @@
 // A head of usual size. Each connection keeps a buffer of this size.
 constexpr std::size_t kHeadReadBytes = 4096;
 constexpr std::size_t kBodyReadBytes = 32768;
+constexpr int kBodyReceiveBuffer = 128 * 1024;
 // Requests with longer bodies are refused before they are received, if they can
 // be. Others are, after that, on a connection that stays open.
 constexpr std::size_t kCheckedBodyBytes = std::size_t{64} << 10U;
@@ -139,6 +140,16 @@
     body.reserve(longest);
 }
 
+void HttpSession::RaiseReceiveBuffer() {
+  if (this->receive_buffer_raised ||
+      this->request_memory.Bytes() < kBodyReadBytes)
+    return;
+  this->receive_buffer_raised = true;
+  boost::system::error_code ignored;  // affects throughput only
+  this->socket.set_option(
+      asio::socket_base::receive_buffer_size(kBodyReceiveBuffer), ignored);
+}
+
 ConnectionState HttpSession::State() const {
   const bool head = this->in_request && !this->parser->is_header_done();
   ConnectionState state;
@@ -285,6 +296,7 @@
       this->DispatchRequest();
       continue;
     }
+    this->RaiseReceiveBuffer();
     this->SendContinueIfDue();
     if (used > 0)
       continue;
--- a/src/edge/http_session.h
+++ b/src/edge/http_session.h
@@ -119,6 +119,8 @@
   // its memory grows.
   void ReserveForChunks();
   void FreeUnusedBuffer();
+  // Has the kernel receive more at a time, once there is memory for a body.
+  void RaiseReceiveBuffer();
   // Responds in the order of the requests; discards what follows.
   void RefuseAndClose(const HttpResponse& response);
   void OnCallerDisconnected();
@@ -156,6 +158,7 @@
   bool closed = false;
   bool continue_sent = false;
   bool head_checked = false;
+  bool receive_buffer_raised = false;
   bool lingering = false;
 };
 
--- a/tests/process/hostile_clients_test.cc
+++ b/tests/process/hostile_clients_test.cc
@@ -346,6 +346,9 @@
 Test(hostile_clients, many_bodies_that_stop_half_way) {
   Play(BodyWithLength("/load/x", 320, 1'000'000, 900'000));
 }
+Test(hostile_clients, thousands_of_small_bodies_that_stop_half_way) {
+  Play(BodyWithLength("/load/x", 2000, 200'000, 190'000));
+}
 Test(hostile_clients, bodies_sent_slowly) {
   HostileClient client = BodyWithLength("/load/x", 320, kMaxBody, kMaxBody);
   client.name += ", slowly";
