Memory account: room is not made while room is made

Change: a holder that asks while room is made gets none. memory_account room_is_not_made_while_room_is_made fails without it (it recurses until the test's third call).

--- a/src/edge/memory_account.cc
+++ b/src/edge/memory_account.cc
@@ -38,13 +38,22 @@
 bool MemoryAccount::Take(std::size_t more, std::size_t total) {
   const std::size_t bound = BoundOf(this->bounds, total);
   while (more > bound || this->used > bound - more) {
-    if (more > bound || !this->make_room())
+    if (more > bound || !this->MakeRoom())
       return false;
   }
   this->TakeAnyway(more);
   return true;
 }
 
+bool MemoryAccount::MakeRoom() {
+  if (this->making_room)
+    return false;
+  this->making_room = true;
+  const bool made = this->make_room();
+  this->making_room = false;
+  return made;
+}
+
 void MemoryAccount::TakeAnyway(std::size_t more) {
   this->used += more;
   this->most = std::max(this->most, this->used);
--- a/src/edge/memory_account.h
+++ b/src/edge/memory_account.h
@@ -56,12 +56,16 @@
   // the allocator should return its free memory to the kernel.
   [[nodiscard]] bool HasDropped();
 
-  // Ends the holder that delays longest; false if all make progress.
+  // Ends the slow holder that has most; false if none is slow. It may take
+  // memory itself, for a refusal; room is not made for that.
   std::function<bool()> make_room = [] { return false; };
 
  private:
+  [[nodiscard]] bool MakeRoom();
+
   MemoryBounds bounds;
   std::size_t used = 0;
+  bool making_room = false;
   // Most bytes in use since the last drop.
   std::size_t most = 0;
 };
--- a/tests/unit/memory_account_test.cc
+++ b/tests/unit/memory_account_test.cc
@@ -67,6 +67,24 @@
   cr_assert_eq(next.Bytes(), 500U);
 }
 
+// Guards against a node that runs out of stack: each request that is ended
+// writes a refusal, and room for that would be made by ending the next one.
+Test(memory_account, room_is_not_made_while_room_is_made) {
+  MemoryAccount account({1000, 1000, 1000});
+  MemoryHold slow(&account);
+  slow.GrowAnywayTo(5000);
+  int ended = 0;
+  account.make_room = [&] {
+    ++ended;
+    MemoryHold refusal(&account);
+    cr_expect(!refusal.GrowTo(10));
+    return ended < 3;
+  };
+  MemoryHold next(&account);
+  cr_expect(!next.GrowTo(500));
+  cr_expect_eq(ended, 3);
+}
+
 // Guards against bytes that stay counted, or are counted twice, when a request
 // passes from its connection to those that send it on.
 Test(memory_account, a_split_hold_is_counted_once) {
