Links: all nodes of a large fleet may connect before their Hello is read

Change: 1,024 such connections, with frames of at most 4 KB before the Hello, which has some hundred bytes: together no more memory than before.

--- a/src/edge/frames.h
+++ b/src/edge/frames.h
@@ -298,8 +298,9 @@
 // Maximum frame length: the largest body that a configuration may allow, plus
 // headers.
 inline constexpr std::size_t kMaxLinkFrame = (64U << 20) + (1U << 20);
-// Maximum on a connection whose other end has not said which node it is.
-inline constexpr std::size_t kMaxFrameBeforeHello = std::size_t{64} << 10U;
+// Maximum on a connection whose other end has not said which node it is: a
+// Hello and no more.
+inline constexpr std::size_t kMaxFrameBeforeHello = std::size_t{4} << 10U;
 // Bytes of a frame that suffice for CallOf.
 inline constexpr std::size_t kCallIdBytes = 16;
 
--- a/src/edge/link_connections.cc
+++ b/src/edge/link_connections.cc
@@ -28,9 +28,9 @@
 // to a VM without power. It gets no response, or one only a second after the VM
 // is back.
 constexpr Duration kStaleAttemptAfter = std::chrono::milliseconds(100);
-// Connections whose other ends have not said which nodes they are. Nodes say so
-// at once.
-constexpr std::size_t kMaxUnknownCallers = 64;
+// Connections whose other ends have not said which nodes they are. After a
+// start all nodes of a large fleet may connect before the first Hello is read.
+constexpr std::size_t kMaxUnknownCallers = 1024;
 constexpr std::int64_t kMicrosPerMilli = 1000;
 
 std::int64_t MillisSince(TimePoint then) {
