Sessions: what a connection holds is a file of its own

What counts and ends a connection's memory is now in http_session_memory.cc. A closed session gives its memory back at once; it was counted until the loop had called its handlers, so that several slow readers were ended where one was enough.

--- a/src/edge/http_session.cc
+++ b/src/edge/http_session.cc
@@ -22,15 +22,9 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
-// A head of usual size. Each connection keeps a buffer of this size.
-constexpr std::size_t kHeadReadBytes = 4096;
-constexpr std::size_t kBodyReadBytes = 32768;
-constexpr int kBodyReceiveBuffer = 128 * 1024;
 // Requests with longer bodies are refused before they are received, if they can
 // be. Others are, after that, on a connection that stays open.
 constexpr std::size_t kCheckedBodyBytes = std::size_t{64} << 10U;
-// A body in chunks from this length on gets memory for the largest body.
-constexpr std::size_t kReserveFrom = std::size_t{1} << 20U;
 // Reading pauses at these bytes of bodies that are pending, and of responses
 // that the caller has not read.
 constexpr std::size_t kMaxPendingBodyBytes = std::size_t{256} << 10U;
@@ -84,39 +78,6 @@
   this->request_memory.ShrinkTo(this->RequestMemory());
 }
 
-void HttpSession::FreeUnusedBuffer() {
-  // A read in progress writes into the buffer.
-  if (this->reading || this->buffer.size() > 0 ||
-      this->buffer.capacity() <= kHeadReadBytes)
-    return;
-  this->buffer.clear();
-  this->buffer.shrink_to_fit();
-}
-
-std::size_t HttpSession::RequestMemory() const {
-  const std::size_t buffered =
-      this->buffer.capacity() > kHeadReadBytes ? this->buffer.capacity() : 0;
-  if (!this->in_request || !this->parser->is_header_done())
-    return buffered;
-  const std::uint64_t declared = this->parser->content_length().value_or(0);
-  const std::size_t received = this->parser->get().body().size();
-  return buffered + this->head_memory +
-         std::max<std::size_t>(declared, received);
-}
-
-bool HttpSession::HoldRequest() {
-  if (this->head_memory == 0 && this->parser->is_header_done()) {
-    const auto& fields = this->parser->get().base();
-    const auto count =
-        static_cast<std::size_t>(std::distance(fields.begin(), fields.end()));
-    this->head_memory = HeadMemory(count, this->receiving.bytes);
-  }
-  this->growing = true;
-  const bool held = this->request_memory.GrowTo(this->RequestMemory());
-  this->growing = false;
-  return held;
-}
-
 bool HttpSession::CheckHeadOnce() {
   if (this->head_checked || !this->parser->is_header_done())
     return true;
@@ -131,25 +92,6 @@
   return !reason;
 }
 
-void HttpSession::ReserveForChunks() {
-  if (!this->parser->is_header_done() || this->parser->content_length())
-    return;
-  std::string& body = this->parser->get().body();
-  const std::size_t longest = this->listener->limits.max_body_bytes;
-  if (body.size() >= kReserveFrom && body.capacity() < longest)
-    body.reserve(longest);
-}
-
-void HttpSession::RaiseReceiveBuffer() {
-  if (this->receive_buffer_raised ||
-      this->request_memory.Bytes() < kBodyReadBytes)
-    return;
-  this->receive_buffer_raised = true;
-  boost::system::error_code ignored;  // affects throughput only
-  this->socket.set_option(
-      asio::socket_base::receive_buffer_size(kBodyReceiveBuffer), ignored);
-}
-
 ConnectionState HttpSession::State() const {
   const bool head = this->in_request && !this->parser->is_header_done();
   ConnectionState state;
@@ -161,66 +103,12 @@
   return state;
 }
 
-bool HttpSession::ReceivesSlowly(TimePoint now) const {
-  return this->in_request && !this->growing && !this->closed &&
-         this->intake != Intake::kClosed && IsSlow(this->receiving, now);
-}
-
-bool HttpSession::IsReadSlowly(TimePoint now) const {
-  return this->writing && !this->growing && !this->closed &&
-         IsSlow(this->sending, now);
-}
-
-std::size_t HttpSession::SlowBytes(TimePoint now) const {
-  std::size_t bytes = 0;
-  if (this->ReceivesSlowly(now))
-    bytes += this->request_memory.Bytes();
-  if (this->IsReadSlowly(now))
-    bytes += this->unsent_memory.Bytes();
-  return bytes;
-}
-
-void HttpSession::EndSlow(TimePoint now) {
-  if (!this->IsReadSlowly(now)) {
-    this->RefuseForMemory();
-    return;
-  }
-  this->listener->counters.Add(ListenerEvent::kNoMemory);
-  this->OnCallerDisconnected();
-}
-
 bool HttpSession::MayBeginRequest() const {
   return this->pending.size() < this->listener->depth.requests &&
          this->pending_body_bytes < kMaxPendingBodyBytes &&
          this->UnsentBytes() < kMaxUnsentBytes;
 }
 
-// What is written exists already; others make room for it if they can.
-void HttpSession::CountUnsent() {
-  this->growing = true;
-  const std::size_t unsent = this->UnsentBytes();
-  if (!this->unsent_memory.GrowTo(unsent))
-    this->unsent_memory.GrowAnywayTo(unsent);
-  this->unsent_memory.ShrinkTo(unsent);
-  this->growing = false;
-}
-
-bool HttpSession::HoldResponse(Exchange& exchange, std::size_t bytes) {
-  const std::size_t total = exchange.head_memory.Bytes() + bytes;
-  this->growing = true;
-  const bool held = exchange.head_memory.GrowTo(total);
-  this->growing = false;
-  if (held)
-    return true;
-  if (bytes <= kSmallHolder) {
-    exchange.head_memory.GrowAnywayTo(total);
-    return true;
-  }
-  this->listener->counters.Add(ListenerEvent::kNoMemory);
-  this->OnCallerDisconnected();
-  return false;
-}
-
 void HttpSession::Read() {
   if (this->reading || this->closed || this->discarded > kMaxDiscardedBytes)
     return;
@@ -527,6 +415,10 @@
   for (const ExchangePtr& exchange : this->pending)
     exchange->session = nullptr;
   this->pending.clear();
+  // What is left goes with the handlers of its reads and writes, which the loop
+  // calls next.
+  this->request_memory.ShrinkTo(0);
+  this->unsent_memory.ShrinkTo(0);
   if (this->listener != nullptr) {
     this->listener->sessions.erase(this);
     intrusive_ptr_release(this);
--- a/src/edge/http_session.h
+++ b/src/edge/http_session.h
@@ -24,6 +24,10 @@
 
 namespace teaselspread {
 
+// A head of usual size. Each connection keeps a buffer of this size.
+inline constexpr std::size_t kHeadReadBytes = 4096;
+inline constexpr std::size_t kBodyReadBytes = 32768;
+
 // What a connection still accepts.
 enum class Intake : std::uint8_t {
   kOpen,
