--- a/tests/contract/http_listener_test.cc
+++ b/tests/contract/http_listener_test.cc
@@ -511,6 +511,7 @@
         .starts_with("HTTP/1.1 200");
   };
   std::vector<RawSocket> crowd;
+  crowd.reserve(45);
   for (int i = 0; i < 30; ++i)
     crowd.push_back(RawSocket::ConnectTo(server.address.port));
   const RawSocket caller = RawSocket::ConnectTo(server.address.port);
