--- a/src/edge/http_session.cc
+++ b/src/edge/http_session.cc
@@ -78,12 +78,16 @@
   this->request_memory.ShrinkTo(this->RequestMemory());
 }
 
+std::size_t HttpSession::BodyBytes() const {
+  const std::size_t received = this->parser->get().body().size();
+  const std::uint64_t declared = this->parser->content_length().value_or(0);
+  return std::max<std::size_t>(received, declared);
+}
+
 bool HttpSession::CheckHeadOnce() {
   if (this->head_checked || !this->parser->is_header_done())
     return true;
-  const std::size_t received = this->parser->get().body().size();
-  const std::uint64_t declared = this->parser->content_length().value_or(0);
-  if (std::max<std::size_t>(received, declared) <= kCheckedBodyBytes)
+  if (this->BodyBytes() <= kCheckedBodyBytes)
     return true;
   this->head_checked = true;
   const auto reason = this->listener->check_head(this->HeadReceived());
--- a/src/edge/http_session.h
+++ b/src/edge/http_session.h
@@ -113,6 +113,9 @@
   // The request that is being received, without its body; empty before its head
   // has been received.
   [[nodiscard]] HttpRequest HeadReceived() const;
+  // Length of the body, or of what has been received of one in chunks.
+  // Precondition: the head has been received.
+  [[nodiscard]] std::size_t BodyBytes() const;
   // False if the request, which has a large body, has been refused.
   [[nodiscard]] bool CheckHeadOnce();
   // Takes the memory of the request that is being received; false if there is
--- a/src/edge/http_session_memory.cc
+++ b/src/edge/http_session_memory.cc
@@ -30,10 +30,7 @@
       this->buffer.capacity() > kHeadReadBytes ? this->buffer.capacity() : 0;
   if (!this->in_request || !this->parser->is_header_done())
     return buffered;
-  const std::uint64_t declared = this->parser->content_length().value_or(0);
-  const std::size_t received = this->parser->get().body().size();
-  return buffered + this->head_memory +
-         std::max<std::size_t>(declared, received);
+  return buffered + this->head_memory + this->BodyBytes();
 }
 
 bool HttpSession::HoldRequest() {
@@ -50,7 +47,7 @@
 }
 
 void HttpSession::ReserveForChunks() {
-  if (!this->parser->is_header_done() || this->parser->content_length())
+  if (!this->parser->is_header_done() || !this->parser->chunked())
     return;
   std::string& body = this->parser->get().body();
   const std::size_t longest = this->listener->limits.max_body_bytes;
