Tests, benchmarks: one place reads what a process uses

The processor time of a process was read from the kernel's text in callpath, fleet_usage and, new with the tests of hostile clients, in memory_watch. All three call process_usage.h now.

--- a/benchmark/callpath.cc
+++ b/benchmark/callpath.cc
@@ -5,12 +5,9 @@
 // without admission. One JSON line for each measurement.
 //
 //   build/callpath --seconds=8 --phases=latency,goodput
-#include <unistd.h>
 
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 #include <string>
 #include <vector>
 
@@ -19,6 +16,7 @@
 #include <absl/strings/str_cat.h>
 
 #include "process/fleet.h"
+#include "process/process_usage.h"
 
 ABSL_FLAG(int, seconds, 8, "length of each measurement");
 ABSL_FLAG(std::vector<std::string>,
@@ -54,25 +52,10 @@
   return averages[0];
 }
 
-// User and system time of a process so far.
-double CpuSeconds(pid_t pid) {
-  constexpr int kFirstTimeField = 14;
-  std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
-  const std::string text((std::istreambuf_iterator<char>(stat)), {});
-  std::istringstream fields(text.substr(text.rfind(')') + 2));
-  std::string skipped;
-  for (int field = 3; field < kFirstTimeField; ++field)
-    fields >> skipped;
-  double user = 0;
-  double system = 0;
-  fields >> user >> system;
-  return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
-}
-
 double NodesCpu(Fleet& fleet) {
   double sum = 0;
   for (std::size_t i = 0; i < fleet.size(); ++i)
-    sum += CpuSeconds(fleet.At(i).node->Pid());
+    sum += ProcessorSeconds(fleet.At(i).node->Pid());
   return sum;
 }
 
--- a/benchmark/fleet_usage.h
+++ b/benchmark/fleet_usage.h
@@ -2,12 +2,8 @@
 #ifndef TEASELSPREAD_BENCHMARK_FLEET_USAGE_H_
 #define TEASELSPREAD_BENCHMARK_FLEET_USAGE_H_
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <chrono>
-#include <fstream>
-#include <iterator>
 #include <map>
 #include <sstream>
 #include <string>
@@ -15,6 +11,7 @@
 
 #include "commands/log_reader.h"
 #include "process/fleet.h"
+#include "process/process_usage.h"
 #include "teaselspread/config.h"
 
 namespace teaselspread {
@@ -26,25 +23,9 @@
 };
 
 inline Usage UsageOf(pid_t pid) {
-  constexpr int kFirstTimeField = 14;
-  std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
-  std::string text((std::istreambuf_iterator<char>(stat)), {});
-  if (text.empty())
-    return {};
-  std::istringstream fields(text.substr(text.rfind(')') + 2));
-  std::string skipped;
-  for (int field = 3; field < kFirstTimeField; ++field)
-    fields >> skipped;
-  double user = 0;
-  double system = 0;
-  fields >> user >> system;
-  std::ifstream statm("/proc/" + std::to_string(pid) + "/statm");
-  double pages = 0;
-  double resident = 0;
-  statm >> pages >> resident;
-  const auto ticks = static_cast<double>(::sysconf(_SC_CLK_TCK));
-  const auto page = static_cast<double>(::sysconf(_SC_PAGESIZE));
-  return {(user + system) / ticks, resident * page / 1e6};
+  constexpr double kBytesPerMb = 1e6;
+  return {ProcessorSeconds(pid),
+          static_cast<double>(ResidentBytes(pid)) / kBytesPerMb};
 }
 
 // Sums over all nodes.
--- a/tests/process/memory_watch.h
+++ b/tests/process/memory_watch.h
@@ -4,7 +4,6 @@
 #define TEASELSPREAD_TESTS_PROCESS_MEMORY_WATCH_H_
 
 #include <signal.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
@@ -14,38 +13,14 @@
 #include <fstream>
 #include <map>
 #include <set>
-#include <sstream>
 #include <string>
 #include <thread>
 #include <utility>
 #include <vector>
 
-namespace teaselspread {
-
-// Resident bytes of a process; 0 if it has ended. Thread safe.
-inline std::size_t ResidentBytes(pid_t pid) {
-  std::ifstream file("/proc/" + std::to_string(pid) + "/statm");
-  std::size_t total = 0;
-  std::size_t resident = 0;
-  file >> total >> resident;
-  return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
-}
+#include "process/process_usage.h"
 
-// Seconds of processor time that a process has used. Thread safe.
-inline double ProcessorSeconds(pid_t pid) {
-  std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
-  std::string text((std::istreambuf_iterator<char>(file)), {});
-  constexpr int kFieldsBeforeUserTime = 11;
-  std::istringstream fields(
-      text.substr(std::min(text.rfind(')') + 1, text.size())));
-  std::string skipped;
-  for (int i = 0; i < kFieldsBeforeUserTime; ++i)
-    fields >> skipped;
-  double user = 0;
-  double system = 0;
-  fields >> user >> system;
-  return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
-}
+namespace teaselspread {
 
 // Bytes that the kernel has received for each local port and that have not been
 // read. Thread safe.
