Calls: one way to send a request, with or without a body held apart

Call, CallWithBody and Begin carried the same seven parameters, and two functions wrote a request's text.

--- a/src/edge/http_text.cc
+++ b/src/edge/http_text.cc
@@ -41,10 +41,6 @@
 
 }  // namespace
 
-std::string TextOf(const HttpRequest& request, std::string_view host) {
-  return HeadTextOf(request, host, request.body.size()) + request.body;
-}
-
 std::string HeadTextOf(const HttpRequest& request,
                        std::string_view host,
                        std::size_t body_bytes) {
--- a/src/edge/http_text.h
+++ b/src/edge/http_text.h
@@ -14,12 +14,9 @@
 // Whether the connection is kept open after a message.
 enum class AfterMessage : std::uint8_t { kKeep, kClose };
 
-// A request with a Content-Length for its body; a GET or HEAD without a body
-// gets none. Framing headers in `request` are replaced. Thread safe.
-[[nodiscard]] std::string TextOf(const HttpRequest& request,
-                                 std::string_view host);
-
-// The same up to the body, which has `body_bytes`. Thread safe.
+// A request up to its body, which has `body_bytes`, with a Content-Length for
+// it; a GET or HEAD without a body gets none. Framing headers in `request` are
+// replaced. Thread safe.
 [[nodiscard]] std::string HeadTextOf(const HttpRequest& request,
                                      std::string_view host,
                                      std::size_t body_bytes);
--- a/src/edge/loop_client.cc
+++ b/src/edge/loop_client.cc
@@ -477,9 +477,9 @@
                                  Duration reuse_within,
                                  CallHandler done,
                                  std::function<void()> on_bytes) {
-  return this->Begin(TextOf(request, ToString(this->address)), nullptr,
-                     request.method == "HEAD", std::move(request_id),
-                     reuse_within, std::move(done), std::move(on_bytes));
+  return this->CallWithBody(request, MakeRequestBody(request.body),
+                            std::move(request_id), reuse_within,
+                            std::move(done), std::move(on_bytes));
 }
 
 LoopConnection* LoopClient::CallWithBody(const HttpRequest& request,
@@ -488,20 +488,8 @@
                                          Duration reuse_within,
                                          CallHandler done,
                                          std::function<void()> on_bytes) {
-  const std::size_t body_bytes = BytesOf(body).size();
-  return this->Begin(HeadTextOf(request, ToString(this->address), body_bytes),
-                     std::move(body), request.method == "HEAD",
-                     std::move(request_id), reuse_within, std::move(done),
-                     std::move(on_bytes));
-}
-
-LoopConnection* LoopClient::Begin(std::string text,
-                                  RequestBodyPtr body,
-                                  bool head_only,
-                                  std::string request_id,
-                                  Duration reuse_within,
-                                  CallHandler done,
-                                  std::function<void()> on_bytes) {
+  std::string head =
+      HeadTextOf(request, ToString(this->address), BytesOf(body).size());
   LoopConnection* connection = this->TakeIdle(reuse_within);
   const bool fresh = connection == nullptr;
   this->counters.Add(fresh ? CallEvent::kOpened : CallEvent::kReused);
@@ -510,8 +498,9 @@
     intrusive_ptr_add_ref(connection);
     this->all.insert(connection);
   }
-  connection->Begin(std::move(text), std::move(body), std::move(request_id),
-                    head_only, std::move(done), std::move(on_bytes));
+  connection->Begin(std::move(head), std::move(body), std::move(request_id),
+                    request.method == "HEAD", std::move(done),
+                    std::move(on_bytes));
   if (fresh)
     connection->Open(this->address);
   return connection;
--- a/src/edge/loop_client.h
+++ b/src/edge/loop_client.h
@@ -80,8 +80,7 @@
                        CallHandler done,
                        std::function<void()> on_bytes = nullptr);
 
-  // The same for a request whose body is held apart; null for none.
-  // Precondition: `request` itself has none.
+  // The same with `body` in place of the request's own; null for none.
   LoopConnection* CallWithBody(const HttpRequest& request,
                                RequestBodyPtr body,
                                std::string request_id,
@@ -113,14 +112,6 @@
   friend class LoopConnection;
 
   LoopConnection* TakeIdle(Duration reuse_within);
-  // Sends `text` and, unless it is null, `body` behind it.
-  LoopConnection* Begin(std::string text,
-                        RequestBodyPtr body,
-                        bool head_only,
-                        std::string request_id,
-                        Duration reuse_within,
-                        CallHandler done,
-                        std::function<void()> on_bytes);
   void EndLargestAboveLimit();
 
   boost::asio::io_context& loop;
