Sessions: no sum to keep, one copy of a head, one order of connections

A request's head is copied by HeadReceived alone. The connection that gives way is the least of one pair, class and time, as before.

--- a/src/edge/http_listener.cc
+++ b/src/edge/http_listener.cc
@@ -112,7 +112,7 @@
 bool HttpListener::CloseDispensable() {
   const TimePoint now = SteadyNow();
   HttpSession* best = nullptr;
-  auto best_as = Dispensable::kNo;
+  std::pair best_rank{Dispensable::kNo, TimePoint::min()};
   auto at = this->sessions.upper_bound(this->last_examined);
   const std::size_t count = std::min(kExamined, this->sessions.size());
   for (std::size_t i = 0; i < count; ++i, ++at) {
@@ -121,12 +121,11 @@
     HttpSession* session = *at;
     this->last_examined = session;
     const ConnectionState state = session->State();
-    const Dispensable as = DispensableAs(state, now);
-    if (as > best_as || as == Dispensable::kNo ||
-        (as == best_as && state.since >= best->State().since))
+    const std::pair rank{DispensableAs(state, now), state.since};
+    if (rank >= best_rank)
       continue;
     best = session;
-    best_as = as;
+    best_rank = rank;
   }
   if (best == nullptr)
     return false;
--- a/src/edge/http_session.cc
+++ b/src/edge/http_session.cc
@@ -107,9 +107,16 @@
   return state;
 }
 
+std::size_t HttpSession::PendingBodyBytes() const {
+  std::size_t bytes = 0;
+  for (const ExchangePtr& exchange : this->pending)
+    bytes += exchange->body_bytes;
+  return bytes;
+}
+
 bool HttpSession::MayBeginRequest() const {
   return this->pending.size() < this->listener->depth.requests &&
-         this->pending_body_bytes < kMaxPendingBodyBytes &&
+         this->PendingBodyBytes() < kMaxPendingBodyBytes &&
          this->UnsentBytes() < kMaxUnsentBytes;
 }
 
@@ -162,15 +169,15 @@
 void HttpSession::Parse() {
   while (this->buffer.size() > 0 && this->intake != Intake::kClosed &&
          !this->closed && (this->in_request || this->MayBeginRequest())) {
+    const TimePoint now = SteadyNow();
     if (!this->in_request) {
       this->in_request = true;
-      const TimePoint now = SteadyNow();
       this->receiving = {now, now, 0};
     }
     boost::system::error_code error;
     const std::size_t used = this->parser->put(this->buffer.data(), error);
     this->buffer.consume(used);
-    OnMoved(this->receiving, used, SteadyNow());
+    OnMoved(this->receiving, used, now);
     if (error == http::error::need_more)
       error = {};
     if (error) {
@@ -229,9 +236,7 @@
   exchange->received_at = this->receiving.started;
   exchange->body_memory = this->request_memory.Split(message.body().size());
   exchange->head_memory = this->request_memory.Split(this->head_memory);
-  exchange->request.method = std::string(message.method_string());
-  exchange->request.target = std::string(message.target());
-  exchange->request.headers = HeadersOf(message);
+  exchange->request = this->HeadReceived();
   exchange->request.body = std::move(message.body());
   exchange->head_only = message.method() == http::verb::head;
   exchange->close_after = !message.keep_alive();
@@ -239,7 +244,6 @@
     this->intake = Intake::kClosed;
   this->used = true;
   exchange->body_bytes = exchange->request.body.size();
-  this->pending_body_bytes += exchange->body_bytes;
   this->pending.push_back(exchange);
   this->listener->counters.Add(ListenerEvent::kRequest);
   this->NewParser();
@@ -312,7 +316,6 @@
          this->UnsentBytes() < kMaxUnsentBytes) {
     const ExchangePtr exchange = this->pending.front();
     this->pending.pop_front();
-    this->pending_body_bytes -= exchange->body_bytes;
     this->QueueResponse(*exchange);
   }
   if (this->writing || this->output.empty() || this->closed)
--- a/src/edge/http_session.h
+++ b/src/edge/http_session.h
@@ -102,6 +102,8 @@
   // Whether the next request may be received. If not, it waits in the caller's
   // buffers.
   [[nodiscard]] bool MayBeginRequest() const;
+  // Of the bodies of all pending requests.
+  [[nodiscard]] std::size_t PendingBodyBytes() const;
   [[nodiscard]] std::size_t UnsentBytes() const {
     return this->output.size() + this->being_written.size() -
            this->sending.bytes;
@@ -148,8 +150,6 @@
   // The request takes memory at the moment, so it is not ended to free any.
   bool growing = false;
   std::deque<ExchangePtr> pending;
-  // Bytes of the bodies of `pending`.
-  std::size_t pending_body_bytes = 0;
   std::string output;
   std::string being_written;
   // Of `being_written`.
