--- a/src/edge/link_connections.cc
+++ b/src/edge/link_connections.cc
@@ -55,6 +55,7 @@
 
 void Links::BeginStop() {
   boost::system::error_code ignored;  // it may be closed already
+  this->accept_retry.cancel();
   this->acceptor.close(ignored);
   this->SendToCallers(PongFrame{kStoppingPong});
 }
