Limits: memory and descriptors of the VM are asked apart; one Retry-After

ReadMachineLimits read both figures and each of its two callers used one. The Retry-After of refusals for lack of memory stood in the entry and in the links.

--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -632,7 +632,7 @@
 EdgeNode::EdgeNode(const EdgeSettings& edge_settings,
                    const AdapterFactory& make_adapter)
     : settings(edge_settings),
-      memory(BoundsFor(ReadMachineLimits(this->settings).memory_bytes)),
+      memory(BoundsFor(MachineMemory(this->settings))),
       loop(1),
       adapter(MakeAdapter(make_adapter,
                           this->loop,
@@ -682,8 +682,7 @@
   this->memory.make_room = [this] { return this->outbound.EndLargestSlow(); };
   this->outbound.memory = &this->memory;
   this->links.memory = &this->memory;
-  const ConnectionShares shares =
-      SharesOf(ReadMachineLimits(this->settings).descriptors);
+  const ConnectionShares shares = SharesOf(MachineDescriptors(this->settings));
   this->outbound.max_connections = shares.outbound;
   for (HttpListener* listener :
        {&this->readiness, &this->admin, &this->metrics})
--- a/src/edge/entry_answers.cc
+++ b/src/edge/entry_answers.cc
@@ -27,8 +27,6 @@
 constexpr double kNewestOutcomeWeight = 0.15;
 // Weight of the newest response in the mean bytes of a route's responses.
 constexpr double kNewestResponseWeight = 0.1;
-// The memory is held by other requests, most of which take longer than others.
-constexpr Duration kMemoryRetryAfter = std::chrono::milliseconds(500);
 
 std::string FormatSeconds(Duration span) {
   return absl::StrFormat("%.3f",
--- a/src/edge/links.cc
+++ b/src/edge/links.cc
@@ -23,8 +23,6 @@
 using SocketPtr = boost::intrusive_ptr<FrameSocket>;
 
 constexpr std::chrono::milliseconds kTickInterval{100};
-// The memory is held by other requests, most of which take longer than others.
-constexpr std::uint32_t kMemoryRetryAfterMs = 500;
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(LinkEvent::kCount)>
     kNames = {"opened",        "accepted",        "connect-failed",
@@ -272,7 +270,8 @@
   result.call_id = call;
   result.error = ErrorKind::kMemoryBudget;
   result.execution = Execution::kNotRun;
-  result.retry_after_ms = kMemoryRetryAfterMs;
+  result.retry_after_ms = static_cast<std::uint32_t>(
+      kMemoryRetryAfter / std::chrono::milliseconds(1));
   result.load = LoadOf(this->status);
   to->Send(result);
 }
--- a/src/edge/machine_limits.cc
+++ b/src/edge/machine_limits.cc
@@ -29,16 +29,15 @@
 
 }  // namespace
 
-MachineLimits ReadMachineLimits(const EdgeSettings& settings) {
-  MachineLimits limits;
-  limits.memory_bytes =
-      settings.memory_mb > 0
-          ? static_cast<std::size_t>(settings.memory_mb) * kBytesPerMb
-          : ReportedMemory();
-  limits.descriptors = settings.max_fds > 0
-                           ? static_cast<std::size_t>(settings.max_fds)
-                           : ReportedDescriptors();
-  return limits;
+std::size_t MachineMemory(const EdgeSettings& settings) {
+  return settings.memory_mb > 0
+             ? static_cast<std::size_t>(settings.memory_mb) * kBytesPerMb
+             : ReportedMemory();
+}
+
+std::size_t MachineDescriptors(const EdgeSettings& settings) {
+  return settings.max_fds > 0 ? static_cast<std::size_t>(settings.max_fds)
+                              : ReportedDescriptors();
 }
 
 void ReturnLargeBlocks() {
--- a/src/edge/machine_limits.h
+++ b/src/edge/machine_limits.h
@@ -8,14 +8,13 @@
 
 namespace teaselspread {
 
-struct MachineLimits {
-  std::size_t memory_bytes = 0;
-  std::size_t descriptors = 0;
-};
-
-// The figures of the settings; for those that are 0, what the kernel reports.
-// Reads files. Thread safe.
-[[nodiscard]] MachineLimits ReadMachineLimits(const EdgeSettings& settings);
+// Memory of the VM in bytes: that of the settings, or what the kernel reports.
+// Thread safe.
+[[nodiscard]] std::size_t MachineMemory(const EdgeSettings& settings);
+
+// Descriptors that the process may open: those of the settings, or its limit.
+// Thread safe.
+[[nodiscard]] std::size_t MachineDescriptors(const EdgeSettings& settings);
 
 // Has the allocator return large blocks to the kernel as soon as they are
 // freed. By default it keeps up to twice the largest block for later, which
--- a/src/edge/memory_account.h
+++ b/src/edge/memory_account.h
@@ -6,10 +6,12 @@
 #ifndef TEASELSPREAD_SRC_EDGE_MEMORY_ACCOUNT_H_
 #define TEASELSPREAD_SRC_EDGE_MEMORY_ACCOUNT_H_
 
-#include <array>
+#include <chrono>
 #include <cstddef>
 #include <functional>
 
+#include "teaselspread/types.h"
+
 namespace teaselspread {
 
 // One holder may grow while the bytes of all holders stay below the bound for
@@ -27,6 +29,10 @@
 inline constexpr std::size_t kSmallHolder = std::size_t{256} << 10U;
 inline constexpr std::size_t kMediumHolder = std::size_t{2} << 20U;
 
+// Retry-After of refusals for lack of memory: it is held by other requests,
+// most of which take longer than others.
+inline constexpr Duration kMemoryRetryAfter = std::chrono::milliseconds(500);
+
 // The bounds on a VM with this much memory. Thread safe.
 [[nodiscard]] MemoryBounds BoundsFor(std::size_t machine_bytes);
 
