Tests: a restarted node is asked for requests once it reaches the other upstream

Cause, traced: 'refused reason=no-upstream' 98 ms after the node's start. The first link (to a node of another service) had brought the reminder and the configuration, the link to the only other upstream of the service came up 80 ms later. The test began its requests with the reminder.

Change: the test waits until the restarted node serves. It has become stricter where the rule is: runs at the leaving upstream are counted from the acknowledged leave on, so over both restarts, the late heartbeat and this wait, and not from the late heartbeat on.

--- a/tests/process/edge_test.cc
+++ b/tests/process/edge_test.cc
@@ -380,6 +380,7 @@
   leaving.upstream.BeSilent();
   std::this_thread::sleep_for(Ms(200));
   cr_assert(leaving.upstream.Leave(leaving.ports.admin));
+  const std::size_t before = leaving.upstream.Runs().size();
   fleet.store.SetFault(StoreFault::kReset);
   for (int restarts = 0; restarts < 2; ++restarts) {
     std::this_thread::sleep_for(Ms(300));
@@ -392,7 +393,11 @@
         Ms(3000));
   }
   (void)leaving.upstream.Beat(leaving.ports.admin);
-  const std::size_t before = leaving.upstream.Runs().size();
+  // Its links to the other nodes need not all be up when the first reminds it.
+  cr_assert(WaitUntil([&] {
+    return SendRequest(leaving, "GET", "/view/1", NextRequestId()).status ==
+           200;
+  }));
   for (int i = 0; i < 60; ++i) {
     const HttpResponse response =
         SendRequest(fleet.At(i % 3), "GET", "/view/1", NextRequestId());
