Limits: decisions about callers and the VM's figures are shared by both servers

caller_limits goes to src/http and machine_limits to src/base, where teaselnode's server can use them; the latter takes plain figures in place of a node's settings. In the tests, the requests of hostile clients, ordinary traffic and the readiness probe no longer ask for an edge node. No behaviour changes.

--- a/src/edge/machine_limits.cc
+++ b/src/base/machine_limits.cc
@@ -1,4 +1,4 @@
-#include "edge/machine_limits.h"
+#include "base/machine_limits.h"
 
 #include <malloc.h>
 #include <sys/resource.h>
@@ -29,15 +29,14 @@
 
 }  // namespace
 
-std::size_t MachineMemory(const EdgeSettings& settings) {
-  return settings.memory_mb > 0
-             ? static_cast<std::size_t>(settings.memory_mb) * kBytesPerMb
-             : ReportedMemory();
+std::size_t MachineMemory(double memory_mb) {
+  return memory_mb > 0 ? static_cast<std::size_t>(memory_mb) * kBytesPerMb
+                       : ReportedMemory();
 }
 
-std::size_t MachineDescriptors(const EdgeSettings& settings) {
-  return settings.max_fds > 0 ? static_cast<std::size_t>(settings.max_fds)
-                              : ReportedDescriptors();
+std::size_t MachineDescriptors(double max_fds) {
+  return max_fds > 0 ? static_cast<std::size_t>(max_fds)
+                     : ReportedDescriptors();
 }
 
 void ReturnLargeBlocks() {
--- a/src/edge/machine_limits.h
+++ b/src/base/machine_limits.h
@@ -1,20 +1,19 @@
 // What the VM gives to this process: memory and descriptors.
-#ifndef TEASELSPREAD_SRC_EDGE_MACHINE_LIMITS_H_
-#define TEASELSPREAD_SRC_EDGE_MACHINE_LIMITS_H_
+#ifndef TEASELSPREAD_SRC_BASE_MACHINE_LIMITS_H_
+#define TEASELSPREAD_SRC_BASE_MACHINE_LIMITS_H_
 
 #include <cstddef>
 
-#include "teaselspread/edge.h"
-
 namespace teaselspread {
 
-// Memory of the VM in bytes: that of the settings, or what the kernel reports.
-// Thread safe.
-[[nodiscard]] std::size_t MachineMemory(const EdgeSettings& settings);
+// Memory of the VM in bytes: `memory_mb` of the settings, or what the kernel
+// reports if that is 0. Thread safe.
+[[nodiscard]] std::size_t MachineMemory(double memory_mb);
 
-// Descriptors that the process may open: those of the settings, or its limit.
+// Descriptors that the process may open: `max_fds` of the settings, or its
+// limit if that is 0.
 // Thread safe.
-[[nodiscard]] std::size_t MachineDescriptors(const EdgeSettings& settings);
+[[nodiscard]] std::size_t MachineDescriptors(double max_fds);
 
 // Has the allocator return large blocks to the kernel as soon as they are
 // freed. By default it keeps up to twice the largest block for later, which
@@ -27,4 +26,4 @@
 
 }  // namespace teaselspread
 
-#endif  // TEASELSPREAD_SRC_EDGE_MACHINE_LIMITS_H_
+#endif  // TEASELSPREAD_SRC_BASE_MACHINE_LIMITS_H_
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -12,13 +12,13 @@
 #include <xxhash.h>
 
 #include "base/clock.h"
-#include "edge/caller_limits.h"
+#include "base/machine_limits.h"
 #include "edge/departure_exchange.h"
 #include "edge/frame_socket.h"
-#include "edge/machine_limits.h"
 #include "edge/node_list.h"
 #include "edge/order_copy.h"
 #include "edge/traffic_log.h"
+#include "http/caller_limits.h"
 #include "teaselspread/logging.h"
 #include "teaselspread/move_evaluators.h"
 
@@ -632,7 +632,7 @@
 EdgeNode::EdgeNode(const EdgeSettings& edge_settings,
                    const AdapterFactory& make_adapter)
     : settings(edge_settings),
-      memory(BoundsFor(MachineMemory(this->settings))),
+      memory(BoundsFor(MachineMemory(this->settings.memory_mb))),
       loop(1),
       adapter(MakeAdapter(make_adapter,
                           this->loop,
@@ -682,7 +682,8 @@
   this->memory.make_room = [this] { return this->outbound.EndLargestSlow(); };
   this->outbound.memory = &this->memory;
   this->links.memory = &this->memory;
-  const ConnectionShares shares = SharesOf(MachineDescriptors(this->settings));
+  const ConnectionShares shares =
+      SharesOf(MachineDescriptors(this->settings.max_fds));
   this->outbound.max_connections = shares.outbound;
   for (HttpListener* listener :
        {&this->readiness, &this->admin, &this->metrics})
--- a/src/edge/http_listener.h
+++ b/src/edge/http_listener.h
@@ -19,8 +19,8 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
-#include "edge/caller_limits.h"
 #include "edge/memory_account.h"
+#include "http/caller_limits.h"
 #include "teaselspread/counters.h"
 #include "teaselspread/error.h"
 #include "teaselspread/http.h"
--- a/src/edge/http_session.h
+++ b/src/edge/http_session.h
@@ -18,9 +18,9 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
-#include "edge/caller_limits.h"
 #include "edge/http_listener.h"
 #include "edge/memory_account.h"
+#include "http/caller_limits.h"
 
 namespace teaselspread {
 
--- a/src/edge/caller_limits.cc
+++ b/src/http/caller_limits.cc
@@ -1,4 +1,4 @@
-#include "edge/caller_limits.h"
+#include "http/caller_limits.h"
 
 #include <algorithm>
 
--- a/src/edge/caller_limits.h
+++ b/src/http/caller_limits.h
@@ -1,7 +1,7 @@
 // Decisions about what a connection of a caller may hold, and how slowly it may
 // send or read. Free functions on plain values; the caller tells the time.
-#ifndef TEASELSPREAD_SRC_EDGE_CALLER_LIMITS_H_
-#define TEASELSPREAD_SRC_EDGE_CALLER_LIMITS_H_
+#ifndef TEASELSPREAD_SRC_HTTP_CALLER_LIMITS_H_
+#define TEASELSPREAD_SRC_HTTP_CALLER_LIMITS_H_
 
 #include <chrono>
 #include <cstddef>
@@ -95,4 +95,4 @@
 
 }  // namespace teaselspread
 
-#endif  // TEASELSPREAD_SRC_EDGE_CALLER_LIMITS_H_
+#endif  // TEASELSPREAD_SRC_HTTP_CALLER_LIMITS_H_
--- a/tests/process/hostile_clients_test.cc
+++ b/tests/process/hostile_clients_test.cc
@@ -14,6 +14,7 @@
 
 #include "edge/frames.h"
 #include "process/edge_fleet.h"
+#include "process/hostile_requests.h"
 #include "process/memory_watch.h"
 #include "process/ordinary_traffic.h"
 
@@ -35,17 +36,6 @@
 // Time after which a node that the client has left serves as before.
 constexpr Ms kRecovery{3000};
 
-// Memory of each node's machine, in MB; most have the least.
-std::size_t MachineMb() {
-  constexpr std::size_t kLeastMb = 160;
-  const char* set = std::getenv("TEASELSPREAD_MACHINE_MB");
-  return set == nullptr ? kLeastMb : std::strtoul(set, nullptr, 10);
-}
-
-std::size_t MachineBytes() {
-  return MachineMb() * 1'000'000;
-}
-
 std::string ConfigWithLargeBodies() {
   std::string text = ConfigText("00000001");
   const std::string before = R"("maxBodyBytes":1000000)";
@@ -54,14 +44,6 @@
   return text;
 }
 
-// Room for as many sockets as the largest client has.
-void RaiseDescriptorLimit() {
-  rlimit descriptors{};
-  ::getrlimit(RLIMIT_NOFILE, &descriptors);
-  descriptors.rlim_cur = descriptors.rlim_max;
-  ::setrlimit(RLIMIT_NOFILE, &descriptors);
-}
-
 // Nodes on machines of MachineMb and kDescriptors. The client misuses node 0,
 // which has links to the other two.
 struct WatchedFleet {
@@ -193,85 +175,6 @@
   Play(std::vector<HostileClient>{client});
 }
 
-std::string HeadOf(const std::string& method,
-                   const std::string& path,
-                   const std::string& fields) {
-  return method + " " + path +
-         " HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: hostile\r\n"
-         "X-Deadline-Ms: 2000\r\n" +
-         fields + "\r\n";
-}
-
-std::string Repeated(const std::string& text, std::size_t count) {
-  std::string all;
-  all.reserve(text.size() * count);
-  for (std::size_t i = 0; i < count; ++i)
-    all += text;
-  return all;
-}
-
-std::string LengthField(std::size_t bytes) {
-  return "Content-Length: " + std::to_string(bytes) + "\r\n";
-}
-
-// A body with a length, of which `sent` bytes are sent.
-HostileClient BodyWithLength(const std::string& path,
-                             std::size_t connections,
-                             std::size_t length,
-                             std::size_t sent) {
-  HostileClient client;
-  client.name = "bodies of " + std::to_string(length) + " at " + path;
-  client.connections = connections;
-  client.head = HeadOf("POST", path, LengthField(length));
-  client.unit = std::string(65536, 'b');
-  client.unit_bytes = sent;
-  return client;
-}
-
-// A body of chunks of `chunk` bytes.
-HostileClient BodyInChunks(const std::string& path,
-                           std::size_t connections,
-                           std::size_t chunk,
-                           std::size_t chunks) {
-  char size[32];
-  std::snprintf(size, sizeof size, "%zx\r\n", chunk);
-  const std::string one = size + std::string(chunk, 'c') + "\r\n";
-  HostileClient client;
-  client.name = "chunks of " + std::to_string(chunk) + " at " + path;
-  client.connections = connections;
-  client.head = HeadOf("POST", path, "Transfer-Encoding: chunked\r\n");
-  client.unit = Repeated(one, std::max<std::size_t>(65536 / one.size(), 1));
-  client.unit_bytes = chunks == kUnlimited ? kUnlimited : one.size() * chunks;
-  client.tail = "0\r\n\r\n";
-  return client;
-}
-
-// What goes on without end after `head`.
-HostileClient Endless(const std::string& name,
-                      const std::string& head,
-                      const std::string& unit) {
-  HostileClient client;
-  client.name = name;
-  client.connections = 8;
-  client.head = head;
-  client.unit = unit;
-  client.unit_bytes = kUnlimited;
-  return client;
-}
-
-std::string ManyFields() {
-  constexpr std::size_t kFields = 3900;
-  return Repeated("a:\r\n", kFields);
-}
-
-// Requests that are sent ahead by a client that reads no response.
-HostileClient AheadWithoutReading(const std::string& path, Door door) {
-  HostileClient client = Endless("requests ahead at " + path, "",
-                                 Repeated(HeadOf("GET", path, ""), 100));
-  client.door = door;
-  return client;
-}
-
 // Sends the request as an ordinary client; the status.
 int SendLegalBody(const EdgeVm& vm, const std::string& framing) {
   const RawSocket caller = RawSocket::ConnectTo(vm.ports.outbound);
--- a/tests/process/ordinary_traffic.h
+++ b/tests/process/ordinary_traffic.h
@@ -12,12 +12,20 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "process/edge_fleet.h"
 
 namespace teaselspread {
 
+// Where ordinary callers send their requests.
+struct TrafficTarget {
+  Address address;
+  std::string view_path;
+  std::string upload_path;
+};
+
 // Requests of ordinary callers at one node. A request counts as served if it
 // got a 200 within its deadline, repeats included.
 struct OrdinaryOutcome {
@@ -36,7 +44,9 @@
 // Some 40 requests a second at one node, while it lives. Thread safe.
 class OrdinaryTraffic {
  public:
-  explicit OrdinaryTraffic(const EdgeVm& node) : vm(node) {
+  explicit OrdinaryTraffic(const EdgeVm& node)
+      : OrdinaryTraffic({node.Outbound(), "/view/x", "/load/x"}) {}
+  explicit OrdinaryTraffic(TrafficTarget sent_to) : target(std::move(sent_to)) {
     for (int i = 0; i < kCallers; ++i)
       this->callers.emplace_back([this, i] { this->Call(i); });
   }
@@ -95,14 +105,15 @@
         break;
       HttpRequest request;
       request.method = upload ? "POST" : "GET";
-      request.target = upload ? "/load/x" : "/view/x";
+      request.target =
+          upload ? this->target.upload_path : this->target.view_path;
       request.headers = {{"X-Request-Id", id + "-" + std::to_string(attempt)},
                          {"X-Deadline-Ms", std::to_string(left.count())}};
       if (upload)
         request.body = std::string(kUploadBytes, 'o');
       CallOptions options;
       options.timeout = left;
-      const auto answer = pool.Send(this->vm.Outbound(), request, options);
+      const auto answer = pool.Send(this->target.address, request, options);
       status = answer ? answer->status : 0;
       // An upload is repeated after a promise that it did not run, or if its
       // connection was closed unread; a view after any failure.
@@ -118,7 +129,7 @@
     return status;
   }
 
-  const EdgeVm& vm;
+  TrafficTarget target;
   std::atomic<bool> stopping{false};
   std::mutex gate;
   OrdinaryOutcome outcome;
@@ -129,7 +140,10 @@
 // of its own. Thread safe.
 class ReadinessProbe {
  public:
-  explicit ReadinessProbe(const EdgeVm& node) : vm(node) {
+  explicit ReadinessProbe(const EdgeVm& node)
+      : ReadinessProbe({"127.0.0.1", node.ports.readiness}, "/ready") {}
+  ReadinessProbe(Address checked, std::string path)
+      : address(std::move(checked)), target(std::move(path)) {
     this->thread = std::thread([this] { this->Probe(); });
   }
   ~ReadinessProbe() { (void)this->Stop(); }
@@ -150,18 +164,18 @@
     while (!this->stopping) {
       HttpClientPool pool(1);
       HttpRequest request;
-      request.target = "/ready";
+      request.target = this->target;
       CallOptions options;
       options.timeout = std::chrono::seconds(1);
-      const auto answer =
-          pool.Send({"127.0.0.1", this->vm.ports.readiness}, request, options);
+      const auto answer = pool.Send(this->address, request, options);
       ++this->checks;
       this->ready += answer && answer->status == 200 ? 1 : 0;
       std::this_thread::sleep_for(std::chrono::milliseconds(250));
     }
   }
 
-  const EdgeVm& vm;
+  Address address;
+  std::string target;
   std::atomic<bool> stopping{false};
   std::size_t checks = 0;
   std::size_t ready = 0;
--- a/tests/unit/caller_limits_test.cc
+++ b/tests/unit/caller_limits_test.cc
@@ -1,5 +1,5 @@
 // When a connection is too slow, on a virtual clock.
-#include "edge/caller_limits.h"
+#include "http/caller_limits.h"
 
 #include <criterion/criterion.h>
 
