teaselnode: what cannot be parsed yet is bounded

What callers saw: a node of 160 MB ended. One client with 8 connections that sent a chunk extension, or trailers, without end took it to 165 and 163 MB; 6 and 7 of some 210 ordinary requests were served.

Cause: ServerConnection::buffer had no bound. Heads and bodies have their limits, but chunk extensions and trailers stay in the buffer until they are whole.

Change: the buffer holds as much as a head may have, 16 KB at least; then 431, closed. Neither extensions nor trailers are used by callers inside the limits.

--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -24,6 +24,9 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr unsigned kHttp11 = 11;
+// Least bound on the bytes that wait to be parsed. Chunk extensions and
+// trailers are parsed when they are whole, whatever their size.
+constexpr std::size_t kMinUnparsedBytes = 16U << 10;
 // Bytes of a refused request that are read and dropped after the answer.
 constexpr std::size_t kMaxDiscard = 256U << 10;
 constexpr auto kDiscardTime = std::chrono::milliseconds(200);
@@ -97,6 +100,8 @@
   const std::size_t head_bytes =
       options.head_limit ? options.head_limit() : options.max_header_bytes;
   parser.header_limit(static_cast<std::uint32_t>(head_bytes));
+  this->buffer.max_size(
+      std::max({head_bytes, kMinUnparsedBytes, this->buffer.size()}));
   parser.body_limit(options.max_body_bytes);
   StreamLimits bounds;
   bounds.deadline = Clock::now() + options.head_timeout;
