teaselnode: frames that are not whole share one bound

What callers saw: a node of 160 MB ended (164 MB) when a client opened 64 connections to the control port and sent bytes without end; 10 of 210 ordinary requests were served.

Cause: 32 streams at a time of 16 MB each, 512 MB together, from anybody.

Change: all incomplete streams together hold 24 MB, one of the largest and some others; beyond that the largest one ends, so that the usual frames of a few KB go on. Counted as stream-no-memory. The list of streams outlives the transport, as streams do in handlers of the loop; the count before did not.

--- a/src/node/frame_transport.cc
+++ b/src/node/frame_transport.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/intrusive/list.hpp>
 
 #include <algorithm>
 #include <memory>
@@ -23,14 +24,16 @@
         "datagram-sent",    "datagram-received", "datagram-send-failed",
         "stream-sent",      "stream-received",   "stream-connect-failed",
         "stream-timed-out", "stream-too-long",   "stream-refused-too-many",
-        "bytes-sent",       "bytes-received"};
+        "stream-no-memory", "bytes-sent",        "bytes-received"};
 
 // A stream that has gone silent must not hold its buffer for ever. One whose
 // bytes come is waited for: broken off, all of them would have to come again.
 constexpr std::chrono::seconds kStreamSilenceLimit{5};
 constexpr std::size_t kMaxStreamBytes = 16U << 20;
 constexpr std::size_t kFirstStreamBuffer = 16U << 10;
-constexpr int kMaxStreamsIn = 32;
+constexpr std::size_t kMaxStreamsIn = 32;
+// Of all streams that are not whole yet: one of the largest, and some others.
+constexpr std::size_t kMaxStreamBytesInAll = 24U << 20;
 constexpr int kBindAttempts = 20;
 
 template <class Protocol>
@@ -67,14 +70,10 @@
   asio::steady_timer timer;
 };
 
-struct FrameTransport::Incoming : std::enable_shared_from_this<Incoming> {
-  Incoming(FrameTransport& owner, tcp::socket accepted)
-      : transport(owner), socket(std::move(accepted)), silence(owner.io) {
-    ++this->transport.streams_in;
-    ErrorCode ignored;  // no host is known then
-    this->host = this->socket.remote_endpoint(ignored).address().to_string();
-  }
-  ~Incoming() { --this->transport.streams_in; }
+struct FrameTransport::Incoming : std::enable_shared_from_this<Incoming>,
+                                  boost::intrusive::list_base_hook<> {
+  Incoming(FrameTransport& owner, tcp::socket accepted);
+  ~Incoming();
   Incoming(const Incoming&) = delete;
   Incoming& operator=(const Incoming&) = delete;
 
@@ -84,8 +83,11 @@
       ErrorCode ignored;
       self->socket.close(ignored);
     });
-    this->frame.resize(std::min(
-        kMaxStreamBytes + 1, std::max(kFirstStreamBuffer, this->filled * 2)));
+    const std::size_t wanted = std::min(
+        kMaxStreamBytes + 1, std::max(kFirstStreamBuffer, this->filled * 2));
+    if (wanted > this->frame.size() && !this->transport.MakeRoom(*this, wanted))
+      return;
+    this->frame.resize(wanted);
     this->socket.async_read_some(
         asio::buffer(this->frame.data() + this->filled,
                      this->frame.size() - this->filled),
@@ -95,7 +97,18 @@
         });
   }
 
+  // Its pending read ends with an error, and its memory is freed then.
+  void EndForMemory() {
+    this->transport.counters.Add(TransportEvent::kStreamNoMemory);
+    this->silence.End();
+    this->ended = true;
+    ErrorCode ignored;
+    this->socket.close(ignored);
+  }
+
   void Continue(ErrorCode error) {
+    if (this->ended)
+      return;
     if (this->filled > kMaxStreamBytes) {
       this->transport.counters.Add(TransportEvent::kStreamTooLong);
       this->silence.End();
@@ -117,13 +130,33 @@
   }
 
   FrameTransport& transport;
+  std::shared_ptr<IncomingList> list;
   tcp::socket socket;
   SilenceTimer silence;
   std::string host;
   std::string frame;
   std::size_t filled = 0;
+  bool ended = false;
+};
+
+struct FrameTransport::IncomingList {
+  boost::intrusive::list<Incoming> streams;
 };
 
+FrameTransport::Incoming::Incoming(FrameTransport& owner, tcp::socket accepted)
+    : transport(owner),
+      list(owner.incoming),
+      socket(std::move(accepted)),
+      silence(owner.io) {
+  this->list->streams.push_back(*this);
+  ErrorCode ignored;  // no host is known then
+  this->host = this->socket.remote_endpoint(ignored).address().to_string();
+}
+
+FrameTransport::Incoming::~Incoming() {
+  this->list->streams.erase(this->list->streams.iterator_to(*this));
+}
+
 struct FrameTransport::Outgoing : std::enable_shared_from_this<Outgoing> {
   Outgoing(FrameTransport& owner, std::string bytes)
       : transport(owner),
@@ -185,7 +218,30 @@
     : io(loop),
       handler(std::move(frame_handler)),
       datagram_socket(loop),
-      acceptor(loop) {}
+      acceptor(loop),
+      incoming(std::make_shared<IncomingList>()) {}
+
+FrameTransport::~FrameTransport() = default;
+
+bool FrameTransport::MakeRoom(Incoming& stream, std::size_t wanted) {
+  const auto size_of = [&](const Incoming& each) {
+    return &each == &stream ? wanted : each.ended ? 0 : each.frame.size();
+  };
+  while (true) {
+    std::size_t total = 0;
+    Incoming* largest = &stream;
+    for (Incoming& each : this->incoming->streams) {
+      total += size_of(each);
+      if (size_of(each) > size_of(*largest))
+        largest = &each;
+    }
+    if (total <= kMaxStreamBytesInAll)
+      return true;
+    largest->EndForMemory();
+    if (largest == &stream)
+      return false;
+  }
+}
 
 Result<Address> FrameTransport::Listen(const Address& address) {
   const auto wanted = EndpointOf<udp>(address);
@@ -276,7 +332,7 @@
       return;
     // An error here is a lack of descriptors, most likely: the streams under
     // way free them.
-    if (error || this->streams_in >= kMaxStreamsIn)
+    if (error || this->incoming->streams.size() >= kMaxStreamsIn)
       this->counters.Add(TransportEvent::kStreamRefusedTooMany);
     else
       std::make_shared<Incoming>(*this, std::move(socket))->Read();
--- a/src/node/frame_transport.h
+++ b/src/node/frame_transport.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -29,6 +30,7 @@
   kStreamTimedOut,
   kStreamTooLong,
   kStreamRefusedTooMany,
+  kStreamNoMemory,
   kBytesSent,
   kBytesReceived,
   kCount,
@@ -51,6 +53,9 @@
       std::function<void(const Address& from, std::string_view frame)>;
 
   FrameTransport(boost::asio::io_context& io, FrameHandler handler);
+  ~FrameTransport();
+  FrameTransport(const FrameTransport&) = delete;
+  FrameTransport& operator=(const FrameTransport&) = delete;
 
   // Called with the sender's IP number whenever bytes of a stream that is not
   // whole yet have come.
@@ -76,8 +81,12 @@
 
  private:
   struct Incoming;
+  struct IncomingList;
   struct Outgoing;
 
+  // Ends the largest streams until `stream` can grow to `wanted` bytes. False
+  // if that is one of them.
+  [[nodiscard]] bool MakeRoom(Incoming& stream, std::size_t wanted);
   void ReceiveDatagram();
   void AcceptStream();
 
@@ -89,7 +98,9 @@
   boost::asio::ip::tcp::acceptor acceptor;
   boost::asio::ip::udp::endpoint datagram_from;
   std::array<char, kReceiveBytes> datagram{};
-  int streams_in = 0;
+  // Streams that are not whole yet. They may outlive the transport in handlers
+  // of the loop.
+  std::shared_ptr<IncomingList> incoming;
   CounterTable<TransportEvent> counters;
 };
 
--- a/tests/process/hostile_node_clients_test.cc
+++ b/tests/process/hostile_node_clients_test.cc
@@ -73,6 +73,16 @@
   }
 
   [[nodiscard]] FleetVm& Misused() { return this->fleet.At(0); }
+
+  void ExpectWithinMemory() {
+    for (const WatchedProcess& process : this->watch->Stop()) {
+      std::printf("  peak %zu MB, %zu of them not read\n",
+                  process.peak_bytes / 1'000'000,
+                  process.unread_bytes / 1'000'000);
+      cr_expect(!process.ended_for_memory, "%zu MB",
+                process.peak_bytes / 1'000'000);
+    }
+  }
 };
 
 TrafficTarget TargetAt(const FleetVm& vm) {
@@ -110,13 +120,28 @@
   OrdinaryTraffic after(TargetAt(misused));
   std::this_thread::sleep_for(Ms(1000));
   ExpectServed("afterwards", after.Stop());
-  for (const WatchedProcess& process : watched.watch->Stop()) {
-    std::printf("  peak %zu MB, %zu of them not read\n",
-                process.peak_bytes / 1'000'000,
-                process.unread_bytes / 1'000'000);
-    cr_expect(!process.ended_for_memory, "%zu MB",
-              process.peak_bytes / 1'000'000);
-  }
+  watched.ExpectWithinMemory();
+}
+
+// Sends the largest body to the first node as an ordinary client.
+void ExpectLegalBodyServed(const HostileClient& body) {
+  WatchedNodes watched;
+  const RawSocket caller = RawSocket::ConnectTo(watched.Misused().http.port);
+  caller.Send(body.head + Repeated(body.unit, kMaxBody / 65536) + body.tail);
+  const std::string got = caller.ReadUntil([](const std::string& response) {
+    return response.find("\r\n\r\n") != std::string::npos;
+  });
+  cr_expect(got.starts_with("HTTP/1.1 200"), "%s", got.substr(0, 300).c_str());
+  watched.ExpectWithinMemory();
+}
+
+// Guards against a node that runs out of memory by one request inside the
+// limits, or that refuses it.
+Test(hostile_node_clients, the_largest_body_is_served) {
+  ExpectLegalBodyServed(BodyWithLength("/bundles/x", 1, kMaxBody, kMaxBody));
+}
+Test(hostile_node_clients, the_largest_body_in_chunks_is_served) {
+  ExpectLegalBodyServed(BodyInChunks("/bundles/x", 1, 65536, kMaxBody / 65536));
 }
 
 // Guards against bodies inside the limits that together take more memory than
@@ -131,6 +156,19 @@
   Play(BodyWithLength("/bundles/x", 320, 1'000'000, 900'000));
 }
 
+Test(hostile_node_clients, thousands_of_small_bodies_that_stop_half_way) {
+  Play(BodyWithLength("/bundles/x", 2000, 200'000, 190'000));
+}
+Test(hostile_node_clients, uploads_sent_ahead) {
+  const std::string upload =
+      HeadOf("POST", "/bundles/x", LengthField(4'000'000)) +
+      std::string(4'000'000, 'u');
+  HostileClient client = Endless("uploads ahead", "", upload);
+  client.unit_bytes = 32 * upload.size();
+  client.connections = 64;
+  Play(client);
+}
+
 // Guards against bodies beyond the limit, or where none is expected.
 Test(hostile_node_clients, bodies_without_a_route) {
   Play(BodyWithLength("/nowhere/x", 8, kMaxBody, kMaxBody));
@@ -161,5 +199,13 @@
   Play(AheadWithoutReading("/metrics", Door::kOutbound));
 }
 
+// Guards against connections to the control port that send frames without end.
+Test(hostile_node_clients, large_frames_of_nobody) {
+  HostileClient client = Endless("large frames", "", std::string(65536, 'l'));
+  client.connections = 64;
+  client.door = Door::kLink;
+  Play(client);
+}
+
 }  // namespace
 }  // namespace teaselspread
