teaselnode: a connection without a request gives way to a new one

Cause: the first 1,024 connections kept their threads until they were idle for 60 s (10 s within a head); all others got 503.

One with a request keeps its place. Counted as crowded-out.

--- a/include/teaselspread/http_server.h
+++ b/include/teaselspread/http_server.h
@@ -20,6 +20,7 @@
 enum class ServerEvent : std::uint8_t {
   kConnection,
   kConnectionRefused,
+  kCrowdedOut,
   kRequest,
   kMalformed,
   kHeadersTooLarge,
@@ -41,7 +42,8 @@
 struct HttpServerOptions {
   // Port 0 takes any free one.
   Address listen;
-  // Each connection has a thread; those beyond get 503 and are closed.
+  // Each connection has a thread. One beyond takes the place of one without a
+  // request; if there is none, it gets 503 and is closed.
   std::size_t max_connections = 1024;
   // Threads that wait ready for new connections.
   std::size_t spare_threads = 16;
--- /dev/null
+++ b/src/http/connection_table.h
@@ -0,0 +1,44 @@
+// The open connections of a server, and which of them gives way to a new one.
+#ifndef TEASELSPREAD_SRC_HTTP_CONNECTION_TABLE_H_
+#define TEASELSPREAD_SRC_HTTP_CONNECTION_TABLE_H_
+
+#include <mutex>
+
+#include <boost/intrusive/list.hpp>
+
+#include "http/caller_limits.h"
+
+namespace teaselspread {
+
+// Owned by the thread of its connection; guarded by the table.
+struct OpenConnection : boost::intrusive::list_base_hook<> {
+  int fd = -1;
+  ConnectionState state;
+  // Shut down in favour of another one.
+  bool ended = false;
+};
+
+// Thread safe.
+class ConnectionTable {
+ public:
+  // Precondition: `fd` stays open, and `connection` in place, until Remove.
+  void Add(OpenConnection& connection, int fd);
+  void Remove(OpenConnection& connection);
+
+  // It waits for its next request.
+  void OnIdle(OpenConnection& connection);
+  // The head of a request has been received on it.
+  void OnRequest(OpenConnection& connection);
+
+  // Shuts down the connection that can best be spared, which wakes its thread.
+  // False if all of them have requests.
+  [[nodiscard]] bool EndDispensable();
+
+ private:
+  std::mutex gate;
+  boost::intrusive::list<OpenConnection> connections;
+};
+
+}  // namespace teaselspread
+
+#endif  // TEASELSPREAD_SRC_HTTP_CONNECTION_TABLE_H_
--- a/src/http/connection_threads.cc
+++ b/src/http/connection_threads.cc
@@ -37,7 +37,14 @@
 
 std::size_t ConnectionThreads::Busy() const {
   const std::scoped_lock lock(this->gate);
-  return this->threads - this->idle + this->waiting.size();
+  return this->CountBusy();
+}
+
+bool ConnectionThreads::WaitUntilBelow(std::size_t count,
+                                       std::chrono::milliseconds timeout) {
+  std::unique_lock lock(this->gate);
+  return this->changed.wait_for(lock, timeout,
+                                [&] { return this->CountBusy() < count; });
 }
 
 // A new thread counts as idle until it takes its first socket.
@@ -66,6 +73,7 @@
     this->serve_socket(socket);
     lock.lock();
     ++this->idle;
+    this->changed.notify_all();
     if (this->idle > this->spare + this->waiting.size())
       break;
   }
--- a/src/http/connection_threads.h
+++ b/src/http/connection_threads.h
@@ -2,6 +2,7 @@
 #ifndef TEASELSPREAD_SRC_HTTP_CONNECTION_THREADS_H_
 #define TEASELSPREAD_SRC_HTTP_CONNECTION_THREADS_H_
 
+#include <chrono>
 #include <condition_variable>
 #include <cstddef>
 #include <deque>
@@ -33,7 +34,15 @@
   // Connections that are being served or wait for their thread.
   [[nodiscard]] std::size_t Busy() const;
 
+  // Waits until there are fewer connections than `count`. False if `timeout`
+  // passes before. Thread safe.
+  [[nodiscard]] bool WaitUntilBelow(std::size_t count,
+                                    std::chrono::milliseconds timeout);
+
  private:
+  [[nodiscard]] std::size_t CountBusy() const {
+    return this->threads - this->idle + this->waiting.size();
+  }
   // Precondition: the lock is held.
   bool AddThread();
   void Work();
--- a/src/http/listener.cc
+++ b/src/http/listener.cc
@@ -23,6 +23,10 @@
 constexpr int kBacklog = 1024;
 // Out of descriptors: waiting lets others close, spinning would not.
 constexpr auto kAcceptPause = std::chrono::milliseconds(10);
+// Time in which the thread of a connection that was shut down ends. Until then
+// nothing is accepted, so a crowd cannot open connections faster than others
+// end.
+constexpr auto kEndTime = std::chrono::milliseconds(500);
 
 Error UnusableAddress(const Address& address) {
   return {ErrorKind::kSettings, "can't listen on " + address.host + ":" +
@@ -111,12 +115,21 @@
 }
 
 void Listener::Start(int socket) {
-  if (this->threads->Busy() >= this->settings.options.max_connections ||
-      !this->threads->Serve(socket))
+  if (!this->MakeRoom() || !this->threads->Serve(socket))
     return this->Refuse(socket);
   this->settings.counters.Add(ServerEvent::kConnection);
 }
 
+bool Listener::MakeRoom() {
+  const std::size_t most = this->settings.options.max_connections;
+  if (this->threads->Busy() < most)
+    return true;
+  if (!this->settings.connections.EndDispensable())
+    return false;
+  this->settings.counters.Add(ServerEvent::kCrowdedOut);
+  return this->threads->WaitUntilBelow(most, kEndTime);
+}
+
 void Listener::Refuse(int socket) {
   this->settings.counters.Add(ServerEvent::kConnectionRefused);
   ServerConnection(socket, this->stop_fd, this->settings)
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -37,6 +37,7 @@
   void AcceptUntilStopped();
   void AcceptWaiting();
   void Start(int socket);
+  [[nodiscard]] bool MakeRoom();
   void Refuse(int socket);
 
   ServerSettings& settings;
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -10,10 +10,10 @@
 
 constexpr auto kEvents = static_cast<std::size_t>(ServerEvent::kCount);
 constexpr std::array<std::string_view, kEvents> kEventNames = {
-    "connection",    "connection-refused", "request",
-    "malformed",     "headers-too-large",  "body-too-large",
-    "memory-budget", "head-refused",       "request-cut",
-    "caller-silent", "answer-not-taken",   "handler-threw"};
+    "connection",   "connection-refused", "crowded-out",    "request",
+    "malformed",    "headers-too-large",  "body-too-large", "memory-budget",
+    "head-refused", "request-cut",        "caller-silent",  "answer-not-taken",
+    "handler-threw"};
 
 }  // namespace
 
@@ -26,7 +26,7 @@
   Impl(const HttpServerOptions& options,
        HttpHandler handler,
        HeadCheck check_head)
-      : settings{options, std::move(handler), std::move(check_head), {}},
+      : settings{options, std::move(handler), std::move(check_head), {}, {}},
         listener(this->settings) {}
 
   ServerSettings settings;
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -43,8 +43,10 @@
     : stream(socket), stop_fd(stop), settings(shared) {}
 
 void ServerConnection::Serve() {
+  this->settings.connections.Add(this->open, this->stream.Fd());
   while (this->ServeOne()) {
   }
+  this->settings.connections.Remove(this->open);
 }
 
 bool ServerConnection::Stopping() const {
@@ -56,6 +58,7 @@
 bool ServerConnection::WaitForRequest() {
   if (this->buffer.size() > 0)
     return true;
+  this->settings.connections.OnIdle(this->open);
   StreamLimits idle;
   idle.deadline = Clock::now() + this->settings.options.idle_timeout;
   idle.cancel_fd = this->stop_fd;
@@ -73,26 +76,34 @@
 bool ServerConnection::ServeOne() {
   if (!this->WaitForRequest())
     return false;
-  Parser parser;
-  if (const Result<void> head = this->ReadHead(parser); !head) {
-    if (head.error().kind != ErrorKind::kCancelled)
-      this->RefuseAndClose(head.error());
+  Result<Received> received = this->Receive();
+  if (!received) {
+    if (received.error().kind != ErrorKind::kCancelled)
+      this->RefuseAndClose(received.error());
     return false;
   }
-  HttpRequest request;
+  this->settings.counters.Add(ServerEvent::kRequest);
+  HttpResponse response = this->RunHandler(std::move(received->request));
+  return this->Write(std::move(response), received->keep_alive,
+                     received->head_only);
+}
+
+Result<ServerConnection::Received> ServerConnection::Receive() {
+  Parser parser;
+  if (const Result<void> head = this->ReadHead(parser); !head)
+    return tl::make_unexpected(head.error());
+  this->settings.connections.OnRequest(this->open);
+  Received received;
+  HttpRequest& request = received.request;
   request.method = std::string(parser.get().method_string());
   request.target = std::string(parser.get().target());
   request.headers = HeadersOf(parser.get());
   request.caller_fd = this->stream.Fd();
-  const bool keep_alive = parser.get().keep_alive();
-  const bool head_only = parser.get().method() == http::verb::head;
-  if (const Result<void> body = this->ReadBody(parser, request); !body) {
-    this->RefuseAndClose(body.error());
-    return false;
-  }
-  this->settings.counters.Add(ServerEvent::kRequest);
-  HttpResponse response = this->RunHandler(std::move(request));
-  return this->Write(std::move(response), keep_alive, head_only);
+  received.keep_alive = parser.get().keep_alive();
+  received.head_only = parser.get().method() == http::verb::head;
+  if (const Result<void> body = this->ReadBody(parser, request); !body)
+    return tl::make_unexpected(body.error());
+  return received;
 }
 
 Result<void> ServerConnection::ReadHead(Parser& parser) {
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -6,6 +6,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "http/connection_table.h"
 #include "http/poll_stream.h"
 #include "teaselspread/http_server.h"
 
@@ -17,6 +18,7 @@
   HttpHandler handler;
   HeadCheck check_head;
   ServerCounters counters;
+  ConnectionTable connections;
 };
 
 // Lives on its connection's thread. Not thread safe.
@@ -35,7 +37,16 @@
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+  // A whole request and how its connection goes on.
+  struct Received {
+    HttpRequest request;
+    bool keep_alive = false;
+    bool head_only = false;
+  };
+
   bool ServeOne();
+  // What the parser holds is freed when it returns.
+  [[nodiscard]] Result<Received> Receive();
   [[nodiscard]] bool WaitForRequest();
   [[nodiscard]] Result<void> ReadHead(Parser& parser);
   [[nodiscard]] Result<std::size_t> BodyLimit(const HttpRequest& head) const;
@@ -50,6 +61,7 @@
   int stop_fd;
   ServerSettings& settings;
   boost::beast::flat_buffer buffer;
+  OpenConnection open;
 };
 
 }  // namespace teaselspread
--- a/tests/process/hostile_node_clients_test.cc
+++ b/tests/process/hostile_node_clients_test.cc
@@ -24,6 +24,8 @@
 constexpr Ms kReadyTime{20'000};
 // Descriptors of a process on its machine.
 constexpr rlim_t kDescriptors = 4100;
+// More connections than a process has descriptors.
+constexpr std::size_t kCrowd = 4200;
 // Fraction of the ordinary requests that have to be served.
 constexpr double kServedRatio = 0.9;
 constexpr Ms kRecovery{3000};
@@ -199,6 +201,22 @@
   Play(AheadWithoutReading("/metrics", Door::kOutbound));
 }
 
+// Guards against crowds that take all connections of the process.
+Test(hostile_node_clients, a_silent_crowd) {
+  HostileClient client;
+  client.name = "silent crowd";
+  client.connections = kCrowd;
+  Play(client);
+}
+Test(hostile_node_clients, a_crowd_that_sends_heads_slowly) {
+  HostileClient client;
+  client.name = "slow heads";
+  client.connections = kCrowd;
+  client.head = HeadOf("GET", "/cases/1", "X-Fill: " + std::string(8000, 'f'));
+  client.bytes_per_step = 1;
+  Play(client);
+}
+
 // Guards against connections to the control port that send frames without end.
 Test(hostile_node_clients, large_frames_of_nobody) {
   HostileClient client = Endless("large frames", "", std::string(65536, 'l'));
