teaselnode: bodies take what the VM leaves, and leave memory to small ones

What callers saw: a node of 160 MB ended: 8 bodies in chunks of the largest size took it to 161 MB, chunks beyond the limit to 176 MB; 8 and 11 of some 210 ordinary requests were served.

Cause: the budget was 256 MB whatever the VM has; answers had a second one of the same size, since the budget was made twice; and a body in chunks was counted by its size, while the string that grows is copied and holds up to three times that.

Change: one budget, of the VM's memory less 64 MB (new setting memory_mb, or what the kernel reports), 256 MB at most as before. A body in chunks gets room for the largest one when it has 1 MiB, and gives back what it did not need. Large blocks go back to the kernel when they are freed.

Tests: eight_of_the_largest_bodies_in_chunks and chunks_beyond_the_limit failed before; now peaks 56 and 55 MB, all ordinary requests served. The largest body is served in calm, by length and in chunks (52 MB at both nodes). New unit tests of the budget. A VM of less than 207 MB refuses bodies of 64 MiB; one of 160 MB takes up to 44 MB.

--- a/include/teaselspread/memory_budget.h
+++ b/include/teaselspread/memory_budget.h
@@ -15,6 +15,11 @@
 
 namespace teaselspread {
 
+// Bytes of bodies that a process may hold on a VM with this much memory. Leaves
+// room for the process itself and for the threads of its connections. Thread
+// safe.
+[[nodiscard]] std::size_t BodyMemoryOf(std::size_t machine_bytes);
+
 // Requests may use half of a budget, answers all that is left: were requests
 // allowed all of it, each of them would hold its body while it waits for memory
 // for its answer, and none would ever end.
@@ -27,12 +32,17 @@
  public:
   explicit MemoryBudget(std::size_t bytes) : limit(bytes) {}
 
-  // False, with nothing taken, when fewer than `bytes` are free. Thread safe.
-  [[nodiscard]] bool Take(BudgetUse use, std::size_t bytes);
+  // False, with nothing taken, when fewer than `bytes` are free for a holder
+  // that has `held` already: small requests have memory that larger ones cannot
+  // take. Thread safe.
+  [[nodiscard]] bool Take(BudgetUse use,
+                          std::size_t bytes,
+                          std::size_t held = 0);
 
   // As Take, but waits until `deadline` for the bytes. Thread safe.
   [[nodiscard]] bool TakeBefore(BudgetUse use,
                                 std::size_t bytes,
+                                std::size_t held,
                                 std::chrono::steady_clock::time_point deadline);
 
   // Precondition: `bytes` were taken for `use`. Thread safe.
@@ -42,7 +52,9 @@
   [[nodiscard]] std::size_t Used() const;
 
  private:
-  [[nodiscard]] bool Fits(BudgetUse use, std::size_t bytes) const;
+  [[nodiscard]] bool Fits(BudgetUse use,
+                          std::size_t bytes,
+                          std::size_t held) const;
   [[nodiscard]] std::size_t& UsedBy(BudgetUse use) {
     return this->used.at(static_cast<std::size_t>(use));
   }
@@ -69,6 +81,9 @@
   // Holds `total` bytes in all; false when the budget is used up.
   [[nodiscard]] bool GrowTo(std::size_t total);
 
+  // Gives back all but `total` bytes, if it holds more.
+  void ShrinkTo(std::size_t total);
+
   // As GrowTo, but waits until `deadline`.
   [[nodiscard]] bool GrowToBefore(
       std::size_t total,
--- a/include/teaselspread/settings.h
+++ b/include/teaselspread/settings.h
@@ -63,6 +63,8 @@
   std::vector<Address> seeds;
   // The same for each other data centre.
   std::map<std::string, std::vector<Address>> remote_seeds;
+  // Memory of the VM for this process in MB; 0 for what the kernel reports.
+  double memory_mb = 0;
   LoggingSettings logging;
   TimingSettings timings;
 };
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -31,6 +31,10 @@
 constexpr std::size_t kMaxDiscard = 256U << 10;
 constexpr auto kDiscardTime = std::chrono::milliseconds(200);
 
+// From this size on, a body without a length gets room for the largest one. A
+// string that grows is copied, and takes twice its size meanwhile.
+constexpr std::size_t kGrowingBodyBytes = 1U << 20;
+
 bool MayHaveBody(int status) {
   constexpr int kNoContent = 204;
   constexpr int kNotModified = 304;
@@ -198,12 +202,18 @@
     http::read_some(this->stream, this->buffer, parser, error);
     if (error)
       return tl::make_unexpected(this->ReadError(error));
-    if (!held(parser.get().body().size())) {
+    std::string& body = parser.get().body();
+    const bool large = announced == 0 && body.size() >= kGrowingBodyBytes;
+    if (!held(large ? *limit : body.size())) {
       this->settings.counters.Add(ServerEvent::kMemoryBudget);
       return tl::make_unexpected(full);
     }
+    if (large)
+      body.reserve(*limit);
   }
   request.body = std::move(parser.get().body());
+  if (request.hold)
+    request.hold->ShrinkTo(request.body.size());
   return {};
 }
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -11,6 +11,7 @@
 #include <xxhash.h>
 #include <boost/asio/executor_work_guard.hpp>
 
+#include "base/machine_limits.h"
 #include "node/module_frames.h"
 #include "node/pages.h"
 #include "teaselspread/logging.h"
@@ -20,7 +21,6 @@
 namespace {
 
 constexpr std::size_t kConnectionsPerTarget = 130;
-constexpr std::size_t kBodyMemory = 256U << 20;
 // Room for the headers that nodes add to a request.
 constexpr std::size_t kNodeHeaderBytes = 4096;
 constexpr std::size_t kAnnounceConnections = 16;
@@ -267,7 +267,6 @@
   requests.moves = &node.moves;
   requests.claims = &node.claims;
   requests.clients = &node.clients;
-  requests.budget = MemoryBudgetPtr(new MemoryBudget(kBodyMemory));
   requests.upstream.address = node.settings.upstream;
   requests.members[self.id] = self;
   requests.gatekeeper.ready = false;
@@ -339,7 +338,9 @@
     return tl::make_unexpected(control.error());
   node.settings.control = *control;
   // The server takes its port first: members must learn the real one.
-  node.requests.budget = MemoryBudgetPtr(new MemoryBudget(kBodyMemory));
+  const std::size_t memory = MachineMemory(node.settings.memory_mb);
+  node.requests.budget =
+      MemoryBudgetPtr(new MemoryBudget(BodyMemoryOf(memory)));
   if (auto served = StartServer(node); !served)
     return served;
   if (auto served = StartAnnounceServer(node); !served)
@@ -373,6 +374,7 @@
 }  // namespace
 
 Result<void> RunNode(const NodeSettings& settings) {
+  ReturnLargeBlocks();
   const auto node = std::make_unique<Node>(settings);
   return Run(*node);
 }
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -238,6 +238,11 @@
     this->log_settings = std::move(lines);
   }
 
+  // More lines of the settings of nodes that start from now on.
+  void SetNodeSettings(std::string lines) {
+    this->node_settings = std::move(lines);
+  }
+
   FleetVm& At(std::size_t index) { return *this->vms.at(index); }
   [[nodiscard]] std::size_t size() const { return this->vms.size(); }
   [[nodiscard]] const Address& LogAddress() const { return this->log_address; }
@@ -291,7 +296,7 @@
       text << "remote_seeds:\n";
     for (const auto& [data_center, seeds] : remotes)
       text << "  " << data_center << ": " << seeds << "\n";
-    text << "logging:\n  level: info\n";
+    text << "logging:\n  level: info\n" << this->node_settings;
     return text.str();
   }
 
@@ -308,6 +313,7 @@
   std::string deployment;
   std::string folder;
   std::string log_settings;
+  std::string node_settings;
   int configs = 0;
   std::unique_ptr<Program> log;
   Address log_address;
--- a/tests/process/hostile_node_clients_test.cc
+++ b/tests/process/hostile_node_clients_test.cc
@@ -54,6 +54,8 @@
 
   WatchedNodes() {
     RaiseDescriptorLimit();
+    this->fleet.SetNodeSettings("memory_mb: " + std::to_string(MachineMb()) +
+                                "\n");
     this->fleet.Add("bole", "registry-desk", "v1");
     this->fleet.Add("bole", "bundle-works", "v1");
     cr_assert(this->fleet.Start());
@@ -151,6 +153,9 @@
 Test(hostile_node_clients, eight_of_the_largest_bodies) {
   Play(BodyWithLength("/bundles/x", 8, kMaxBody, kMaxBody));
 }
+Test(hostile_node_clients, eight_of_the_largest_bodies_in_chunks) {
+  Play(BodyInChunks("/bundles/x", 8, 65536, kMaxBody / 65536));
+}
 Test(hostile_node_clients, bodies_of_2_mb) {
   Play(BodyWithLength("/bundles/x", 64, 2'000'000, 2'000'000));
 }
@@ -172,6 +177,9 @@
 }
 
 // Guards against bodies beyond the limit, or where none is expected.
+Test(hostile_node_clients, chunks_beyond_the_limit) {
+  Play(BodyInChunks("/bundles/x", 8, 65536, kUnlimited));
+}
 Test(hostile_node_clients, bodies_without_a_route) {
   Play(BodyWithLength("/nowhere/x", 8, kMaxBody, kMaxBody));
 }
--- a/tests/unit/http_messages_test.cc
+++ b/tests/unit/http_messages_test.cc
@@ -66,5 +66,27 @@
   cr_assert(budget->Used() == 100);
 }
 
+// Guards against large bodies that leave no memory to small requests.
+Test(http_messages, large_requests_leave_memory_to_small_ones) {
+  constexpr std::size_t kMiB = std::size_t{1} << 20U;
+  const MemoryBudgetPtr budget(new MemoryBudget(64 * kMiB));
+  cr_assert(!budget->Take(BudgetUse::kRequest, 29 * kMiB));
+  cr_assert(budget->Take(BudgetUse::kRequest, 28 * kMiB));
+  cr_assert(!budget->Take(BudgetUse::kRequest, kMiB));
+  BudgetHold small(budget, BudgetUse::kRequest);
+  cr_assert(small.GrowTo(64U << 10));
+  cr_assert(!small.GrowTo(kMiB));
+  budget->Give(BudgetUse::kRequest, 28 * kMiB);
+}
+
+// Guards against a node that may hold more than its VM has, and against one
+// that can hold nothing on a small VM.
+Test(http_messages, bodies_take_what_the_vm_leaves) {
+  constexpr std::size_t kMb = 1'000'000;
+  cr_assert(BodyMemoryOf(160 * kMb) == 96 * kMb);
+  cr_assert(BodyMemoryOf(0) == 16U << 20);
+  cr_assert(BodyMemoryOf(64'000 * kMb) == 256U << 20);
+}
+
 }  // namespace
 }  // namespace teaselspread
