teaselnode: heads count toward the memory of requests

What callers saw: a node of 160 MB ended (168 MB) by 960 connections with heads of 1,900 short fields and a body outstanding; 8 of 216 ordinary requests were served.

Cause: only bodies were counted. A field takes some 256 bytes, whatever its length.

Change: a request holds memory for its head (HeadMemory, as in teaseledge) before its body is read; without room it gets 503 and did not run.

--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -16,6 +16,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "http/beast_convert.h"
+#include "http/caller_limits.h"
 
 namespace teaselspread {
 namespace {
@@ -35,6 +36,13 @@
 // string that grows is copied, and takes twice its size meanwhile.
 constexpr std::size_t kGrowingBodyBytes = 1U << 20;
 
+std::size_t MemoryOfHead(const HttpRequest& request) {
+  std::size_t bytes = 0;
+  for (const auto& [name, value] : request.headers)
+    bytes += name.size() + value.size();
+  return HeadMemory(request.headers.size(), bytes);
+}
+
 bool MayHaveBody(int status) {
   constexpr int kNoContent = 204;
   constexpr int kNotModified = 304;
@@ -179,8 +187,9 @@
   if (this->settings.options.budget)
     request.hold.reset(
         new BudgetHold(this->settings.options.budget, BudgetUse::kRequest));
-  const auto held = [&](std::size_t bytes) {
-    return !request.hold || request.hold->GrowTo(bytes);
+  const std::size_t head_memory = MemoryOfHead(request);
+  const auto held = [&](std::size_t body_bytes) {
+    return !request.hold || request.hold->GrowTo(head_memory + body_bytes);
   };
   const Error full{ErrorKind::kMemoryBudget, "no memory for the body now"};
   if (!held(announced)) {
@@ -213,7 +222,7 @@
   }
   request.body = std::move(parser.get().body());
   if (request.hold)
-    request.hold->ShrinkTo(request.body.size());
+    request.hold->ShrinkTo(head_memory + request.body.size());
   return {};
 }
 
--- a/tests/process/hostile_node_clients_test.cc
+++ b/tests/process/hostile_node_clients_test.cc
@@ -201,6 +201,18 @@
                Repeated("x: y\r\n", 10'000)));
 }
 
+// Guards against heads of many short fields, which take far more memory than
+// their bytes.
+Test(hostile_node_clients, many_fields_with_the_body_outstanding) {
+  constexpr std::size_t kFields = 1900;
+  HostileClient client;
+  client.name = "many fields, no body";
+  client.connections = 960;
+  client.head = HeadOf("POST", "/bundles/x",
+                       LengthField(1000) + Repeated("a:\r\n", kFields));
+  Play(client);
+}
+
 // Guards against responses that pile up behind a client that does not read.
 Test(hostile_node_clients, requests_ahead_on_a_route) {
   Play(AheadWithoutReading("/cases/1", Door::kOutbound));
