Tests: a connection is idle once its thread waits again

http_server::idle_connections_give_way_to_new_ones failed once, its first run beside a build: 503 connection-limit. The caller had its response, and the thread that had written it was not yet back at waiting for a request, so the connection still counted as busy. The refusal is true.

--- a/tests/contract/http_server_test.cc
+++ b/tests/contract/http_server_test.cc
@@ -258,11 +258,11 @@
   const RawSocket idle = RawSocket::ConnectTo(server->LocalAddress().port);
   idle.Send("GET / HTTP/1.1\r\n\r\n");
   idle.ReadUntil([](const std::string& bytes) { return !bytes.empty(); });
-  const RawSocket next = RawSocket::ConnectTo(server->LocalAddress().port);
-  next.Send("GET / HTTP/1.1\r\n\r\n");
-  const std::string answer =
-      next.ReadUntil([](const std::string& bytes) { return !bytes.empty(); });
-  cr_assert(answer.starts_with("HTTP/1.1 200"), "%s", answer.c_str());
+  // Its thread may not wait for the next request yet.
+  bool served = false;
+  for (int attempt = 0; attempt < 100 && !served; ++attempt)
+    served = AnswersWell(server->LocalAddress().port);
+  cr_assert(served);
   (void)idle.ReadToEnd();
   cr_assert(server->Counters().Get(ServerEvent::kCrowdedOut) == 1);
 }
