Tests of hostile clients: both programs' tests share clients and checks

The tests of teaselnode and of the node on a platform wrote the same clients (crowds, framing without end, uploads ahead, many fields) and the same checks (ordinary requests served, ready, within memory, one legal body) twice, and their constants too. Both use hostile_requests.h and the new hostile_checks.h now. Clients, bounds and assertions are the same; the line that is printed names the node within its first part.

--- a/tests/process/hostile_clients_test.cc
+++ b/tests/process/hostile_clients_test.cc
@@ -6,7 +6,6 @@
 #include <sys/resource.h>
 
 #include <cstdio>
-#include <cstdlib>
 #include <memory>
 #include <string>
 #include <thread>
@@ -14,6 +13,7 @@
 
 #include "edge/frames.h"
 #include "process/edge_fleet.h"
+#include "process/hostile_checks.h"
 #include "process/hostile_requests.h"
 #include "process/memory_watch.h"
 #include "process/ordinary_traffic.h"
@@ -26,15 +26,8 @@
 using Ms = std::chrono::milliseconds;
 
 constexpr std::size_t kMaxBody = std::size_t{64} << 20U;
-constexpr Ms kPlayTime{6000};
-// Descriptors of a process on its machine.
-constexpr std::size_t kDescriptors = 4100;
-// More connections than a process has descriptors.
-constexpr std::size_t kCrowd = 4200;
-// Fraction of the ordinary requests that have to be served.
-constexpr double kServedRatio = 0.9;
-// Time after which a node that the client has left serves as before.
-constexpr Ms kRecovery{3000};
+// Fields of one byte that fill the largest head.
+constexpr std::size_t kFields = 3900;
 
 std::string ConfigWithLargeBodies() {
   std::string text = ConfigText("00000001");
@@ -90,35 +83,13 @@
   return 0;
 }
 
-void ExpectServed(const char* when,
-                  const std::string& node,
-                  const OrdinaryOutcome& outcome) {
-  std::string failures;
-  for (const auto& [status, count] : outcome.failures)
-    failures += " " + std::to_string(status) + ":" + std::to_string(count);
-  std::printf("  %s, node %s: %zu of %zu ordinary requests served;%s\n", when,
-              node.c_str(), outcome.served, outcome.requests, failures.c_str());
-  cr_expect_geq(outcome.ServedRatio(), kServedRatio, "%s, node %s: %zu of %zu",
-                when, node.c_str(), outcome.served, outcome.requests);
-}
-
-void ExpectWithinMemory(WatchedFleet& watched) {
-  for (const WatchedProcess& process : watched.watch->Stop()) {
-    std::printf("  peak %zu MB, %zu of them not read\n",
-                process.peak_bytes / 1'000'000,
-                process.unread_bytes / 1'000'000);
-    cr_expect(!process.ended_for_memory, "%zu MB",
-              process.peak_bytes / 1'000'000);
-  }
-}
-
 void ExpectRecovery(WatchedFleet& watched) {
   EdgeVm& node = watched.Misused();
   cr_expect(WaitUntil([&] { return node.Ready(); }, kRecovery));
   std::this_thread::sleep_for(kRecovery);
   OrdinaryTraffic after(node);
   std::this_thread::sleep_for(Ms(1000));
-  ExpectServed("afterwards", node.name, after.Stop());
+  ExpectServed("afterwards, node " + node.name, after.Stop());
   const std::size_t resident = ResidentBytes(node.node->Pid());
   cr_expect_leq(resident, MachineBytes() / 2, "%zu MB are not given back",
                 resident / 1'000'000);
@@ -162,57 +133,38 @@
   { const Plays plays(clients, misused.ports, kPlayTime); }
   std::printf("  %.1f s of processor time\n",
               ProcessorSeconds(misused.node->Pid()) - used_before);
-  const double ready = probe.Stop();
-  std::printf("  ready at %.2f of the checks\n", ready);
-  cr_expect_geq(ready, kServedRatio);
-  ExpectServed("meanwhile", misused.name, at_misused.Stop());
-  ExpectServed("meanwhile", watched.Other().name, at_other.Stop());
+  ExpectReady(probe);
+  ExpectServed("meanwhile, node " + misused.name, at_misused.Stop());
+  ExpectServed("meanwhile, node " + watched.Other().name, at_other.Stop());
   ExpectRecovery(watched);
-  ExpectWithinMemory(watched);
+  ExpectWithinMemory(*watched.watch);
 }
 
 void Play(const HostileClient& client) {
   Play(std::vector<HostileClient>{client});
 }
 
-// Sends the request as an ordinary client; the status.
-int SendLegalBody(const EdgeVm& vm, const std::string& framing) {
-  const RawSocket caller = RawSocket::ConnectTo(vm.ports.outbound);
-  const bool chunked = framing == "chunks";
-  const HostileClient body =
-      chunked ? BodyInChunks("/load/x", 1, 65536, kMaxBody / 65536)
-              : BodyWithLength("/load/x", 1, kMaxBody, kMaxBody);
-  std::string bytes = body.head;
-  bytes += Repeated(body.unit, body.unit_bytes / body.unit.size());
-  bytes += body.tail;
-  caller.Send(bytes);
-  const std::string got = caller.ReadUntil([](const std::string& response) {
-    return response.find("\r\n\r\n") != std::string::npos;
-  });
-  return got.size() < 12 ? 0 : std::atoi(got.c_str() + 9);
-}
-
-void ExpectLegalBodyServed(std::size_t node, const std::string& framing) {
+void ExpectLegalBodyServed(std::size_t node, const HostileClient& body) {
   WatchedFleet watched;
   EdgeVm& works = watched.fleet.At(1);
-  cr_expect_eq(SendLegalBody(watched.fleet.At(node), framing), 200, "%s",
+  cr_expect_eq(StatusOf(body, watched.fleet.At(node).ports.outbound), 200, "%s",
                watched.fleet.WaitForLogs("hostile").c_str());
   const auto runs = works.upstream.Runs();
   cr_assert(!runs.empty());
   cr_expect_eq(runs.back().body_bytes, kMaxBody);
-  ExpectWithinMemory(watched);
+  ExpectWithinMemory(*watched.watch);
 }
 
 // Guards against a node that runs out of memory by one request inside the
 // limits.
 Test(hostile_clients, the_largest_body_is_served_by_the_own_gate) {
-  ExpectLegalBodyServed(1, "length");
+  ExpectLegalBodyServed(1, BodyWithLength("/load/x", 1, kMaxBody, kMaxBody));
 }
 Test(hostile_clients, the_largest_body_is_served_by_another_gate) {
-  ExpectLegalBodyServed(0, "length");
+  ExpectLegalBodyServed(0, BodyWithLength("/load/x", 1, kMaxBody, kMaxBody));
 }
 Test(hostile_clients, the_largest_body_in_chunks_is_served) {
-  ExpectLegalBodyServed(0, "chunks");
+  ExpectLegalBodyServed(0, BodyInChunks("/load/x", 1, 65536, kMaxBody / 65536));
 }
 
 // Guards against bodies inside the limits that together take more memory than
@@ -233,12 +185,7 @@
   Play(BodyInChunks("/load/x", 8, 1, kMaxBody));
 }
 Test(hostile_clients, uploads_sent_ahead) {
-  const std::string upload = HeadOf("POST", "/load/x", LengthField(4'000'000)) +
-                             std::string(4'000'000, 'u');
-  HostileClient client = Endless("uploads ahead", "", upload);
-  client.unit_bytes = 32 * upload.size();
-  client.connections = 4;
-  Play(client);
+  Play(UploadsAhead("/load/x", 4));
 }
 
 // Guards against bodies that stop or are sent slowly: they keep their memory
@@ -289,37 +236,27 @@
 
 // Guards against framing without end, which no limit on bodies covers.
 Test(hostile_clients, a_chunk_extension_without_end) {
-  Play(Endless(
-      "chunk extension",
-      HeadOf("POST", "/load/x", "Transfer-Encoding: chunked\r\n") + "1;x=",
-      std::string(65536, 'y')));
+  Play(ChunkExtensionWithoutEnd("/load/x"));
 }
 Test(hostile_clients, trailers_without_end) {
-  Play(Endless("trailers",
-               HeadOf("POST", "/load/x", "Transfer-Encoding: chunked\r\n") +
-                   "1\r\nb\r\n0\r\n",
-               Repeated("x: y\r\n", 10'000)));
+  Play(TrailersWithoutEnd("/load/x"));
 }
 
 // Guards against heads of many short fields, which take far more memory than
 // their bytes.
 Test(hostile_clients, many_fields_with_the_body_outstanding) {
-  HostileClient client;
-  client.name = "many fields, no body";
-  client.connections = 960;
-  client.head = HeadOf("POST", "/load/x", LengthField(1000) + ManyFields());
-  Play(client);
+  Play(ShortFieldsWithoutBody("/load/x", kFields));
 }
 Test(hostile_clients, many_fields_on_many_connections) {
   HostileClient client;
   client.name = "many fields";
   client.connections = 960;
-  client.head = HeadOf("GET", "/view/x", ManyFields());
+  client.head = HeadOf("GET", "/view/x", ShortFields(kFields));
   Play(client);
 }
 Test(hostile_clients, many_fields_sent_ahead) {
-  HostileClient client =
-      Endless("many fields ahead", "", HeadOf("GET", "/view/x", ManyFields()));
+  HostileClient client = Endless(
+      "many fields ahead", "", HeadOf("GET", "/view/x", ShortFields(kFields)));
   client.unit_bytes = 32 * client.unit.size();
   client.connections = 16;
   Play(client);
@@ -372,25 +309,16 @@
 
 // Guards against crowds that take all descriptors of the process.
 Test(hostile_clients, a_silent_crowd_at_the_outbound_address) {
-  HostileClient client;
-  client.name = "silent crowd";
-  client.connections = kCrowd;
-  Play(client);
+  Play(SilentCrowd());
 }
 Test(hostile_clients, a_silent_crowd_at_the_readiness_check) {
-  HostileClient client;
-  client.name = "silent crowd at the readiness check";
+  HostileClient client = SilentCrowd();
+  client.name += " at the readiness check";
   client.door = Door::kReadiness;
-  client.connections = kCrowd;
   Play(client);
 }
 Test(hostile_clients, a_crowd_that_sends_heads_slowly) {
-  HostileClient client;
-  client.name = "slow heads";
-  client.connections = kCrowd;
-  client.head = HeadOf("GET", "/view/x", "X-Fill: " + std::string(8000, 'f'));
-  client.bytes_per_step = 1;
-  Play(client);
+  Play(CrowdOfSlowHeads("/view/x"));
 }
 
 Test(hostile_clients, a_crowd_that_stops_within_small_bodies) {
@@ -400,17 +328,12 @@
   Play(BodyWithLength("/nowhere/x", kCrowd, 100'000, 100));
 }
 Test(hostile_clients, a_crowd_that_stops_within_its_second_head) {
-  HostileClient client;
-  client.name = "second heads that stop";
-  client.connections = kCrowd;
-  client.head = HeadOf("GET", "/nowhere/x", "") + "GET /view/x HTTP/1.1\r\n";
-  Play(client);
+  Play(CrowdOfSecondHeads("/view/x"));
 }
 
 // Clients that hold memory in different ways.
 std::vector<HostileClient> MixedClients() {
-  HostileClient crowd;
-  crowd.name = "silent crowd";
+  HostileClient crowd = SilentCrowd();
   crowd.connections = 1000;
   return {BodyWithLength("/load/x", 100, 1'000'000, 900'000),
           BodyInChunks("/load/x", 4, 65536, kMaxBody / 65536),
@@ -450,7 +373,7 @@
   std::this_thread::sleep_for(Ms(1500));
   stopping.node->Signal(SIGTERM);
   cr_expect_eq(stopping.node->WaitExit(Ms(6000)), 0);
-  ExpectWithinMemory(watched);
+  ExpectWithinMemory(*watched.watch);
 }
 
 // Guards against a node that cannot start while clients wait for it: until it
@@ -469,8 +392,8 @@
   cr_expect(WaitUntil([&] { return starting.Ready(); }, kPlayTime));
   OrdinaryTraffic traffic(starting);
   std::this_thread::sleep_for(Ms(2000));
-  ExpectServed("after the start", starting.name, traffic.Stop());
-  ExpectWithinMemory(watched);
+  ExpectServed("after the start, node " + starting.name, traffic.Stop());
+  ExpectWithinMemory(*watched.watch);
 }
 
 // Guards against connections to the link port that send a large frame without
--- a/tests/process/hostile_node_clients_test.cc
+++ b/tests/process/hostile_node_clients_test.cc
@@ -1,6 +1,7 @@
 // Clients that do not keep to the limits, at the doors of teaselnode: no
 // process may end, none may pass the memory of its machine, and ordinary
 // callers are served. Each test plays one client against one node.
+#include <cstddef>
 #include <string>
 
 #include "process/hostile_node_play.h"
@@ -13,14 +14,8 @@
 // Sends the largest body to the first node as an ordinary client.
 void ExpectLegalBodyServed(const HostileClient& body) {
   WatchedNodes watched;
-  const RawSocket caller = RawSocket::ConnectTo(watched.Misused().http.port);
-  caller.Send(body.head + Repeated(body.unit, kMaxNodeBody / 65536) +
-              body.tail);
-  const std::string got = caller.ReadUntil([](const std::string& response) {
-    return response.find("\r\n\r\n") != std::string::npos;
-  });
-  cr_expect(got.starts_with("HTTP/1.1 200"), "%s", got.substr(0, 300).c_str());
-  watched.ExpectWithinMemory();
+  cr_expect_eq(StatusOf(body, watched.Misused().http.port), 200);
+  ExpectWithinMemory(*watched.watch);
 }
 
 // Guards against a node that runs out of memory by one request inside the
@@ -48,18 +43,11 @@
 Test(hostile_node_clients, many_bodies_that_stop_half_way) {
   Play(BodyWithLength("/bundles/x", 320, 1'000'000, 900'000));
 }
-
 Test(hostile_node_clients, thousands_of_small_bodies_that_stop_half_way) {
   Play(BodyWithLength("/bundles/x", 2000, 200'000, 190'000));
 }
 Test(hostile_node_clients, uploads_sent_ahead) {
-  const std::string upload =
-      HeadOf("POST", "/bundles/x", LengthField(4'000'000)) +
-      std::string(4'000'000, 'u');
-  HostileClient client = Endless("uploads ahead", "", upload);
-  client.unit_bytes = 32 * upload.size();
-  client.connections = 64;
-  Play(client);
+  Play(UploadsAhead("/bundles/x", 64));
 }
 
 // Guards against bodies beyond the limit, or where none is expected.
@@ -75,28 +63,18 @@
 
 // Guards against framing without end, which no limit on bodies covers.
 Test(hostile_node_clients, a_chunk_extension_without_end) {
-  Play(Endless(
-      "chunk extension",
-      HeadOf("POST", "/bundles/x", "Transfer-Encoding: chunked\r\n") + "1;x=",
-      std::string(65536, 'y')));
+  Play(ChunkExtensionWithoutEnd("/bundles/x"));
 }
 Test(hostile_node_clients, trailers_without_end) {
-  Play(Endless("trailers",
-               HeadOf("POST", "/bundles/x", "Transfer-Encoding: chunked\r\n") +
-                   "1\r\nb\r\n0\r\n",
-               Repeated("x: y\r\n", 10'000)));
+  Play(TrailersWithoutEnd("/bundles/x"));
 }
 
 // Guards against heads of many short fields, which take far more memory than
 // their bytes.
 Test(hostile_node_clients, many_fields_with_the_body_outstanding) {
+  // They fill the largest head.
   constexpr std::size_t kFields = 1900;
-  HostileClient client;
-  client.name = "many fields, no body";
-  client.connections = 960;
-  client.head = HeadOf("POST", "/bundles/x",
-                       LengthField(1000) + Repeated("a:\r\n", kFields));
-  Play(client);
+  Play(ShortFieldsWithoutBody("/bundles/x", kFields));
 }
 
 // Guards against responses that pile up behind a client that does not read.
--- a/tests/process/hostile_node_play.h
+++ b/tests/process/hostile_node_play.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "process/fleet.h"
+#include "process/hostile_checks.h"
 #include "process/hostile_requests.h"
 #include "process/memory_watch.h"
 #include "process/ordinary_traffic.h"
@@ -21,15 +22,7 @@
 namespace teaselspread {
 
 inline constexpr std::size_t kMaxNodeBody = std::size_t{40} << 20U;
-inline constexpr std::chrono::milliseconds kPlayTime{6000};
 inline constexpr std::chrono::milliseconds kReadyTime{20'000};
-// Descriptors of a process on its machine.
-inline constexpr rlim_t kDescriptors = 4100;
-// More connections than a process has descriptors.
-inline constexpr std::size_t kCrowd = 4200;
-// Fraction of the ordinary requests that have to be served.
-inline constexpr double kServedRatio = 0.9;
-inline constexpr std::chrono::milliseconds kRecovery{3000};
 
 inline const char kNodeConfig[] = R"(deployment: test
 data_centers: [bole]
@@ -73,37 +66,17 @@
       processes.push_back(
           {vm.node->Pid(), {vm.http.port, vm.control.port, vm.announce.port}});
     }
-    this->watch = std::make_unique<MemoryWatch>(std::move(processes),
-                                                MachineMb() * 1'000'000);
+    this->watch =
+        std::make_unique<MemoryWatch>(std::move(processes), MachineBytes());
   }
 
   [[nodiscard]] FleetVm& Misused() { return this->fleet.At(0); }
-
-  void ExpectWithinMemory() {
-    for (const WatchedProcess& process : this->watch->Stop()) {
-      std::printf("  peak %zu MB, %zu of them not read\n",
-                  process.peak_bytes / 1'000'000,
-                  process.unread_bytes / 1'000'000);
-      cr_expect(!process.ended_for_memory, "%zu MB",
-                process.peak_bytes / 1'000'000);
-    }
-  }
 };
 
 inline TrafficTarget TargetAt(const FleetVm& vm) {
   return {vm.http, "/cases/1", "/bundles/1"};
 }
 
-inline void ExpectServed(const char* when, const OrdinaryOutcome& outcome) {
-  std::string failures;
-  for (const auto& [status, count] : outcome.failures)
-    failures += " " + std::to_string(status) + ":" + std::to_string(count);
-  std::printf("  %s: %zu of %zu ordinary requests served;%s\n", when,
-              outcome.served, outcome.requests, failures.c_str());
-  cr_expect_geq(outcome.ServedRatio(), kServedRatio, "%s: %zu of %zu", when,
-                outcome.served, outcome.requests);
-}
-
 inline void Play(const HostileClient& client) {
   WatchedNodes watched;
   FleetVm& misused = watched.Misused();
@@ -116,16 +89,14 @@
                                                         : misused.http.port);
     play.Run(kPlayTime);
   }
-  const double ready = probe.Stop();
-  std::printf("  ready at %.2f of the checks\n", ready);
-  cr_expect_geq(ready, kServedRatio);
+  ExpectReady(probe);
   ExpectServed("meanwhile", at_misused.Stop());
   ExpectServed("meanwhile, the other node", at_other.Stop());
   std::this_thread::sleep_for(kRecovery);
   OrdinaryTraffic after(TargetAt(misused));
   std::this_thread::sleep_for(std::chrono::milliseconds(1000));
   ExpectServed("afterwards", after.Stop());
-  watched.ExpectWithinMemory();
+  ExpectWithinMemory(*watched.watch);
 }
 
 }  // namespace teaselspread
--- a/tests/process/hostile_requests.h
+++ b/tests/process/hostile_requests.h
@@ -26,6 +26,11 @@
   return MachineMb() * 1'000'000;
 }
 
+// Descriptors of a process on its machine.
+inline constexpr std::size_t kDescriptors = 4100;
+// More connections than a process has descriptors.
+inline constexpr std::size_t kCrowd = 4200;
+
 // Room for as many sockets as the largest client has.
 inline void RaiseDescriptorLimit() {
   rlimit descriptors{};
@@ -100,9 +105,67 @@
   return client;
 }
 
-inline std::string ManyFields() {
-  constexpr std::size_t kFields = 3900;
-  return Repeated("a:\r\n", kFields);
+inline std::string ShortFields(std::size_t count) {
+  return Repeated("a:\r\n", count);
+}
+
+inline HostileClient ShortFieldsWithoutBody(const std::string& path,
+                                            std::size_t fields) {
+  HostileClient client;
+  client.name = "many fields, no body";
+  client.connections = 960;
+  client.head = HeadOf("POST", path, LengthField(1000) + ShortFields(fields));
+  return client;
+}
+
+inline HostileClient ChunkExtensionWithoutEnd(const std::string& path) {
+  return Endless(
+      "chunk extension",
+      HeadOf("POST", path, "Transfer-Encoding: chunked\r\n") + "1;x=",
+      std::string(65536, 'y'));
+}
+
+inline HostileClient TrailersWithoutEnd(const std::string& path) {
+  return Endless("trailers",
+                 HeadOf("POST", path, "Transfer-Encoding: chunked\r\n") +
+                     "1\r\nb\r\n0\r\n",
+                 Repeated("x: y\r\n", 10'000));
+}
+
+inline HostileClient UploadsAhead(const std::string& path,
+                                  std::size_t connections) {
+  const std::string upload = HeadOf("POST", path, LengthField(4'000'000)) +
+                             std::string(4'000'000, 'u');
+  HostileClient client = Endless("uploads ahead", "", upload);
+  client.unit_bytes = 32 * upload.size();
+  client.connections = connections;
+  return client;
+}
+
+inline HostileClient SilentCrowd() {
+  HostileClient client;
+  client.name = "silent crowd";
+  client.connections = kCrowd;
+  return client;
+}
+
+inline HostileClient CrowdOfSlowHeads(const std::string& path) {
+  HostileClient client;
+  client.name = "slow heads";
+  client.connections = kCrowd;
+  client.head = HeadOf("GET", path, "X-Fill: " + std::string(8000, 'f'));
+  client.bytes_per_step = 1;
+  return client;
+}
+
+// Each sends one request, and the begin of another one for `path`.
+inline HostileClient CrowdOfSecondHeads(const std::string& path) {
+  HostileClient client;
+  client.name = "second heads that stop";
+  client.connections = kCrowd;
+  client.head =
+      HeadOf("GET", "/nowhere/x", "") + "GET " + path + " HTTP/1.1\r\n";
+  return client;
 }
 
 // Requests that are sent ahead by a client that reads no response.
