teaselnode: a crowd does not delay a stop

Cause: the thread that accepts looked for the stop only when no connection waited.

Change: the stop is looked for with each connection; those that wait at the stop are accepted for 1 s at the most. Without a crowd all of them are, as before.

Test: hostile_node_clients::a_node_stops_in_time_beside_a_crowd, bound: the longest deadline of a route.

--- a/src/http/listener.cc
+++ b/src/http/listener.cc
@@ -31,6 +31,10 @@
 // end.
 constexpr auto kEndTime = std::chrono::milliseconds(500);
 
+// Time for connections that wait to be accepted when the server stops. A crowd
+// never lets their queue become empty.
+constexpr auto kDrainTime = std::chrono::seconds(1);
+
 Error UnusableAddress(const Address& address) {
   return {ErrorKind::kSettings, "can't listen on " + address.host + ":" +
                                     std::to_string(address.port) + ": " +
@@ -97,24 +101,24 @@
       {{this->listening, POLLIN, 0}, {this->stop_fd, POLLIN, 0}}};
   while (entries[1].revents == 0) {
     ::poll(entries.data(), entries.size(), -1);
-    this->AcceptWaiting();
+    if (entries[0].revents != 0)
+      this->AcceptOne();
   }
   // A connection left in the kernel's queue would be reset, and with it the
   // request that its caller may have sent already.
-  this->AcceptWaiting();
+  const auto until = std::chrono::steady_clock::now() + kDrainTime;
+  while (::poll(entries.data(), 1, 0) > 0 &&
+         std::chrono::steady_clock::now() < until)
+    this->AcceptOne();
   ::close(this->listening);
 }
 
-void Listener::AcceptWaiting() {
-  pollfd entry{this->listening, POLLIN, 0};
-  while (::poll(&entry, 1, 0) > 0) {
-    const int socket =
-        ::accept4(this->listening, nullptr, nullptr, SOCK_CLOEXEC);
-    if (socket >= 0)
-      this->Start(socket);
-    else if (errno == EMFILE || errno == ENFILE || errno == ENOMEM)
-      std::this_thread::sleep_for(kAcceptPause);
-  }
+void Listener::AcceptOne() {
+  const int socket = ::accept4(this->listening, nullptr, nullptr, SOCK_CLOEXEC);
+  if (socket >= 0)
+    this->Start(socket);
+  else if (errno == EMFILE || errno == ENFILE || errno == ENOMEM)
+    std::this_thread::sleep_for(kAcceptPause);
 }
 
 void Listener::Start(int socket) {
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -35,7 +35,7 @@
 
  private:
   void AcceptUntilStopped();
-  void AcceptWaiting();
+  void AcceptOne();
   void Start(int socket);
   [[nodiscard]] bool MakeRoom();
   void Refuse(int socket);
--- a/tests/process/hostile_node_clients_test.cc
+++ b/tests/process/hostile_node_clients_test.cc
@@ -1,8 +1,11 @@
 // Clients that do not keep to the limits, at the doors of teaselnode: no
 // process may end, none may pass the memory of its machine, and ordinary
 // callers are served. Each test plays one client against one node.
+#include <chrono>
+#include <csignal>
 #include <cstddef>
 #include <string>
+#include <thread>
 
 #include "process/hostile_node_play.h"
 
@@ -85,6 +88,24 @@
   Play(AheadWithoutReading("/metrics", Door::kOutbound));
 }
 
+// Guards against a stop that does not begin while connections wait to be
+// accepted.
+Test(hostile_node_clients, a_node_stops_in_time_beside_a_crowd) {
+  // The longest deadline of a route.
+  constexpr std::chrono::milliseconds kStopTime{10'000};
+  WatchedNodes watched;
+  FleetVm& stopping = watched.Misused();
+  std::thread crowd([port = stopping.http.port, kStopTime] {
+    HostilePlay play(BodyWithLength("/bundles/x", kCrowd, 1000, 100), port);
+    play.Run(kPlayTime + kStopTime);
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  stopping.node->Signal(SIGTERM);
+  cr_expect_eq(stopping.node->WaitExit(kStopTime), 0);
+  crowd.join();
+  ExpectWithinMemory(*watched.watch);
+}
+
 // Guards against connections to the control port that send frames without end.
 Test(hostile_node_clients, large_frames_of_nobody) {
   HostileClient client = Endless("large frames", "", std::string(65536, 'l'));
