--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -13,7 +13,6 @@
 constexpr double kMaxInterval = 3600;
 constexpr double kMinRetention = 1;
 constexpr double kMaxRetention = 366.0 * 86400;
-constexpr double kMaxMemoryMb = 1e9;
 
 Key Interval(std::string_view name, Duration& target) {
   return DurationKey(name, kMinInterval, kMaxInterval, target);
@@ -53,7 +52,7 @@
           LogKey(settings.log),
           AddressesKey("seeds", settings.seeds),
           RemoteSeedsKey("remote_seeds", settings.remote_seeds),
-          NumberKey("memory_mb", 0, kMaxMemoryMb, settings.memory_mb),
+          MemoryKey("memory_mb", settings.memory_mb),
           LoggingKey(settings.logging),
           TimingsKey(settings.timings)};
 }
--- a/src/config/settings_reader.cc
+++ b/src/config/settings_reader.cc
@@ -212,6 +212,11 @@
           }};
 }
 
+Key MemoryKey(std::string_view name, double& target) {
+  constexpr double kMaxMemoryMb = 1e6;
+  return NumberKey(name, 0, kMaxMemoryMb, target);
+}
+
 Key BoolKey(std::string_view name, bool& target) {
   return {name, kOptional, [&target](const Item& item) {
             const FieldRule rule{"", ScalarType::kBool, false, 0, 0};
--- a/src/config/settings_reader.h
+++ b/src/config/settings_reader.h
@@ -68,6 +68,8 @@
                                     double low,
                                     double high,
                                     double& target);
+// Memory of the VM in MB; optional.
+[[nodiscard]] SettingsKey MemoryKey(std::string_view name, double& target);
 [[nodiscard]] SettingsKey BoolKey(std::string_view name, bool& target);
 [[nodiscard]] SettingsKey LevelKey(std::string_view name, LogLevel& target);
 [[nodiscard]] SettingsKey FileKey(std::string_view name, std::string& target);
--- a/src/edge/edge_settings.cc
+++ b/src/edge/edge_settings.cc
@@ -10,7 +10,6 @@
 constexpr double kMinHeartbeatSeconds = 0.05;
 constexpr double kMaxHeartbeatSeconds = 60;
 constexpr double kMaxLineMbit = 1e6;
-constexpr double kMaxMemoryMb = 1e6;
 constexpr double kMaxDescriptors = 1e6;
 // Upper bound of weights and exponents; a weight of 0 disables its term.
 constexpr double kMaxWeight = 100;
@@ -46,7 +45,7 @@
           AddressKey("upstream", kRequired, settings.upstream),
           AddressKey("store", kRequired, settings.store),
           NumberKey("line_mbit", 0, kMaxLineMbit, settings.line_mbit),
-          NumberKey("memory_mb", 0, kMaxMemoryMb, settings.memory_mb),
+          MemoryKey("memory_mb", settings.memory_mb),
           NumberKey("max_fds", 0, kMaxDescriptors, settings.max_fds),
           DurationKey("heartbeat", kMinHeartbeatSeconds, kMaxHeartbeatSeconds,
                       settings.heartbeat),
