http: one length from which bodies in chunks are reserved; ranks are taken once

Both servers named that length and its reason apart. EndDispensable ranked each connection twice, with the lock of all connections' threads held; it does now what the listener on a platform does. Which connection gives way is unchanged: caller_limits, http_server and http_listener pass.

--- a/src/edge/http_session_memory.cc
+++ b/src/edge/http_session_memory.cc
@@ -11,8 +11,6 @@
 namespace {
 
 constexpr int kBodyReceiveBuffer = 128 * 1024;
-// A body in chunks from this length on gets memory for the largest body.
-constexpr std::size_t kReserveFrom = std::size_t{1} << 20U;
 
 }  // namespace
 
@@ -51,7 +49,7 @@
     return;
   std::string& body = this->parser->get().body();
   const std::size_t longest = this->listener->limits.max_body_bytes;
-  if (body.size() >= kReserveFrom && body.capacity() < longest)
+  if (body.size() >= kReserveChunksFrom && body.capacity() < longest)
     body.reserve(longest);
 }
 
--- a/src/http/caller_limits.h
+++ b/src/http/caller_limits.h
@@ -97,6 +97,10 @@
 // Leaves descriptors for files, links, the store and the upstream. Thread safe.
 [[nodiscard]] ConnectionShares SharesOf(std::size_t descriptors);
 
+// A body in chunks gets memory for the largest body from this length on: a
+// string that grows is copied, and takes twice its size meanwhile.
+inline constexpr std::size_t kReserveChunksFrom = std::size_t{1} << 20U;
+
 // Memory that a head of `fields` takes, which came in `bytes`. Short fields
 // take far more than their bytes. Thread safe.
 [[nodiscard]] std::size_t HeadMemory(std::size_t fields, std::size_t bytes);
--- a/src/http/connection_table.cc
+++ b/src/http/connection_table.cc
@@ -2,7 +2,7 @@
 
 #include <sys/socket.h>
 
-#include <tuple>
+#include <utility>
 
 #include "base/clock.h"
 
@@ -52,20 +52,19 @@
 EndResult ConnectionTable::EndDispensable() {
   const std::scoped_lock lock(this->gate);
   const TimePoint now = SteadyNow();
-  const auto rank = [now](const OpenConnection& connection) {
-    return std::tuple(DispensableAs(connection.state, now),
-                      connection.state.since);
-  };
   OpenConnection* chosen = nullptr;
+  std::pair best_rank{Dispensable::kNo, TimePoint::min()};
   EndResult otherwise = EndResult::kNone;
   for (OpenConnection& each : this->connections) {
     if (!each.state.busy)
       otherwise = EndResult::kSoon;
-    if (!each.ended && (chosen == nullptr || rank(each) < rank(*chosen)))
-      chosen = &each;
+    const std::pair rank{DispensableAs(each.state, now), each.state.since};
+    if (each.ended || rank >= best_rank)
+      continue;
+    chosen = &each;
+    best_rank = rank;
   }
-  if (chosen == nullptr ||
-      DispensableAs(chosen->state, now) == Dispensable::kNo)
+  if (chosen == nullptr)
     return otherwise;
   chosen->ended = true;
   ::shutdown(chosen->fd, SHUT_RDWR);
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -32,10 +32,6 @@
 constexpr std::size_t kMaxDiscard = 256U << 10;
 constexpr auto kDiscardTime = std::chrono::milliseconds(200);
 
-// From this size on, a body without a length gets room for the largest one. A
-// string that grows is copied, and takes twice its size meanwhile.
-constexpr std::size_t kGrowingBodyBytes = 1U << 20;
-
 std::size_t MemoryOfHead(const HttpRequest& request) {
   std::size_t bytes = 0;
   for (const auto& [name, value] : request.headers)
@@ -218,7 +214,7 @@
       return tl::make_unexpected(this->ReadError(error));
     this->settings.connections.OnBody(this->open, bytes);
     std::string& body = parser.get().body();
-    const bool large = announced == 0 && body.size() >= kGrowingBodyBytes;
+    const bool large = parser.chunked() && body.size() >= kReserveChunksFrom;
     if (!held(large ? *limit : body.size())) {
       this->settings.counters.Add(ServerEvent::kMemoryBudget);
       return tl::make_unexpected(full);
