--- a/src/node/frame_transport.cc
+++ b/src/node/frame_transport.cc
@@ -224,8 +224,10 @@
 FrameTransport::~FrameTransport() = default;
 
 bool FrameTransport::MakeRoom(Incoming& stream, std::size_t wanted) {
-  const auto size_of = [&](const Incoming& each) {
-    return &each == &stream ? wanted : each.ended ? 0 : each.frame.size();
+  const auto size_of = [&](const Incoming& each) -> std::size_t {
+    if (each.ended)
+      return 0;
+    return &each == &stream ? wanted : each.frame.size();
   };
   while (true) {
     std::size_t total = 0;
