--- a/review/mesh.h
+++ b/review/mesh.h
@@ -160,6 +160,8 @@
           ::recv(this->socket.native_handle(), part, sizeof part, 0);
       if (got <= 0) {
         this->open = false;
+        if (!parser.got_some())
+          return false;
         parser.put_eof(error);
         if (error || got < 0 || !parser.is_done())
           return false;
@@ -386,7 +388,13 @@
       const int fd = ::accept4(this->listener, nullptr, nullptr, SOCK_CLOEXEC);
       if (fd < 0)
         continue;
-      std::thread([this, fd] { this->Serve(fd); }).detach();
+      std::thread([this, fd] {
+        try {
+          this->Serve(fd);
+        } catch (const boost::system::system_error&) {
+          // The peer reset the connection before it was served.
+        }
+      }).detach();
     }
   }
 
