--- a/review/mesh.h
+++ b/review/mesh.h
@@ -581,7 +581,8 @@
             "\"lostMs\":200,\"configMs\":2000,\"rollbackSlackMs\":250,"
             "\"maxSkewMs\":5000,\"retryBudgetRatio\":0.2,\"budgetWindowS\":10,"
             "\"budgetSlack\":58,\"exposeShare\":0.1,\"exposeSlack\":50,"
-            "\"rollbackMs\":5000,\"recoverS\":15}'\n";
+            "\"rollbackMs\":5000,\"recoverS\":15,\"quotaWindowS\":5,"
+            "\"quotaOver\":0.1,\"quotaSlack\":20}'\n";
     file.close();
     (void)std::rename(next.c_str(), this->path.c_str());
   }
@@ -683,6 +684,8 @@
   std::string id;
   milliseconds deadline{3000};
   std::string body;
+  // Of a tenant; empty for none.
+  std::string key;
 };
 
 struct Answer {
@@ -697,6 +700,8 @@
       sent.method + " " + sent.target + " HTTP/1.1\r\nHost: " + sent.host +
       "\r\nX-Request-Id: " + sent.id +
       "\r\nX-Deadline-Ms: " + std::to_string(sent.deadline.count()) + "\r\n";
+  if (!sent.key.empty())
+    text += "Authorization: Bearer " + sent.key + "\r\n";
   if (sent.method != "GET")
     text += "Content-Length: " + std::to_string(sent.body.size()) + "\r\n";
   text += "\r\n" + sent.body;
@@ -727,7 +732,8 @@
 
 inline std::string ConfigText(const std::string& version,
                               const std::vector<Route>& routes,
-                              const std::vector<std::string>& services) {
+                              const std::vector<std::string>& services,
+                              const std::string& tenants = "") {
   std::string rules;
   for (const Route& route : routes) {
     rules += rules.empty() ? "" : ",";
@@ -749,7 +755,8 @@
          R"(","limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,)"
          R"("headerTimeoutMs":3000,"idleTimeoutMs":15000},)"
          R"("listeners":[{"hostname":"mesh.example","policy":[)" +
-         rules + R"(]}],"clusters":[)" + clusters + "]}";
+         rules + R"(]}],"clusters":[)" + clusters + "]" +
+         (tenants.empty() ? "" : R"(,"tenants":[)" + tenants + "]") + "}";
 }
 
 }  // namespace review
