--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -272,8 +272,12 @@
       OnPeerVersion(node, name, peer->status.held_version);
     }
   };
+  on.on_node_replaced = [&node](const std::string& name, const Hello& by) {
+    node.quota.OnNodeReplaced(name);
+    AddNode(node, by, NodeSource::kHello);
+  };
   on.on_hello = [&node](const Hello& hello) {
-    AddNode(node, hello);
+    AddNode(node, hello, NodeSource::kHello);
     UpdateQuotaPeer(node, hello.node);
     SendEvacuations(node, hello.node);
     SendDepartures(node, hello.node);
@@ -703,8 +707,8 @@
       static_cast<std::uint32_t>(edge_settings.line_mbit);
 }
 
-void AddNode(EdgeNode& node, const Hello& hello) {
-  node.links.Add(hello);
+void AddNode(EdgeNode& node, const Hello& hello, NodeSource source) {
+  node.links.Add(hello, source);
   // One with an unusable address cannot be reached and has no share of limits.
   if (node.links.Find(hello.node) != nullptr)
     node.quota.OnNodeKnown(hello.node);
--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -107,7 +107,7 @@
 void SendEvacuations(EdgeNode& node, const std::string& to);
 
 // Keeps a link to a node that the roster or its Hello names.
-void AddNode(EdgeNode& node, const Hello& hello);
+void AddNode(EdgeNode& node, const Hello& hello, NodeSource source);
 
 // Sends the current status to every node, if it changed.
 void SendStatus(EdgeNode& node);
--- a/src/edge/link_connections.cc
+++ b/src/edge/link_connections.cc
@@ -75,6 +75,7 @@
     this->callers.insert(caller);
     this->counters.Add(LinkEvent::kAccepted);
     caller->Start();
+    caller->Send(this->self);
     caller->Send(this->StatusFrame(kAllStatusParts, false));
     MarkSent(this->status_feed, caller->status_reader,
              TopicsCarried(kAllTopics, false), SteadyNow());
@@ -106,9 +107,11 @@
     this->CloseSocket(oldest, LinkEndReason::kNotNeeded);
 }
 
-void Links::Add(const Hello& node) {
+void Links::Add(const Hello& node, NodeSource source) {
   if (node.node == this->self.node)
     return;
+  if (source == NodeSource::kRecord && this->IsOutdated(node))
+    return;
   // The address comes from another process. If it is no IP number it has no
   // endpoint, and every attempt to connect would fail.
   if (const auto endpoint = TcpEndpointOf(node.link); !endpoint) {
@@ -116,6 +119,7 @@
         {{"node", node.node}, {"message", endpoint.error().message}});
     return;
   }
+  this->replaced_nodes.erase(node.node);
   const auto [found, added] = this->peers.try_emplace(node.node);
   Peer& peer = found->second;
   peer.node = node.node;
@@ -159,7 +163,7 @@
       open.insert(socket);
   }
   open.erase(nullptr);
-  if (found->second.connected)
+  if (std::exchange(found->second.connected, false))
     this->handlers.on_link_lost(node);
   this->peers.erase(node);
   for (FrameSocket* socket : open) {
@@ -171,6 +175,43 @@
   }
 }
 
+bool Links::IsOutdated(const Hello& record) const {
+  if (const auto known = this->peers.find(record.node);
+      known != this->peers.end())
+    return known->second.connected && known->second.link != record.link;
+  const auto replaced = this->replaced_nodes.find(record.node);
+  return replaced != this->replaced_nodes.end() &&
+         replaced->second == record.link;
+}
+
+// An address belongs to one node, the one that answers there. Without this, a
+// node that is gone would count as connected as soon as another one had its
+// address.
+void Links::HandleAcceptorHello(const std::string& wanted, const Hello& hello) {
+  Peer& peer = this->peers.at(wanted);
+  if (hello.node == wanted) {
+    peer.data_center = hello.data_center;
+    peer.line_mbit = hello.line_mbit;
+  }
+  std::vector<std::string> replaced_here;
+  for (const auto& [name, other] : this->peers) {
+    if (name != hello.node && other.link == peer.link)
+      replaced_here.push_back(name);
+  }
+  for (const std::string& name : replaced_here)
+    this->Replace(name, hello);
+}
+
+void Links::Replace(const std::string& node, const Hello& by) {
+  const Address address = this->peers.at(node).link;
+  this->counters.Add(LinkEvent::kOtherNode);
+  Log(LogLevel::kWarning, "links", "node-replaced",
+      {{"node", node}, {"by", by.node}, {"address", ToString(address)}});
+  this->replaced_nodes[node] = address;
+  this->Remove(node);
+  this->handlers.on_node_replaced(node, by);
+}
+
 void Links::Connect(Peer& peer) {
   auto* socket =
       new FrameSocket(tcp::socket(this->loop), this->SocketHandlers());
--- a/src/edge/links.cc
+++ b/src/edge/links.cc
@@ -25,10 +25,9 @@
 constexpr std::chrono::milliseconds kTickInterval{100};
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(LinkEvent::kCount)>
-    kNames = {"opened",        "accepted",        "connect-failed",
-              "lost",          "silent",          "responded",
-              "replaced",      "frames-received", "bytes-sent",
-              "bytes-received"};
+    kNames = {"opened",          "accepted",   "connect-failed", "lost",
+              "silent",          "responded",  "replaced",       "other-node",
+              "frames-received", "bytes-sent", "bytes-received"};
 
 bool UpstreamChanged(const GateStatus& a, const GateStatus& b) {
   return a.state != b.state || a.instance != b.instance ||
@@ -162,6 +161,11 @@
   Peer* peer = this->Find(from->node);
   if (peer == nullptr)
     return;
+  if (const auto* hello = std::get_if<Hello>(&frame)) {
+    if (from == peer->attempt)
+      this->HandleAcceptorHello(peer->node, *hello);
+    return;
+  }
   if (from == peer->attempt && std::holds_alternative<Status>(frame))
     this->UseAttempt(*peer);
   if (auto* result = std::get_if<ResultFrame>(&frame)) {
--- a/src/edge/links.h
+++ b/src/edge/links.h
@@ -43,6 +43,8 @@
   // A silent link responded, or was replaced by another connection.
   kResponded,
   kReplaced,
+  // Another node than the wanted one answered.
+  kOtherNode,
   kFramesReceived,
   kBytesSent,
   kBytesReceived,
@@ -72,6 +74,14 @@
 class FrameSocket;
 struct FrameSocketHandlers;
 
+// Where the name and address of a node come from.
+enum class NodeSource : std::uint8_t {
+  // The node itself, over a connection.
+  kHello,
+  // The store, or a list that another node sent. It may be out of date.
+  kRecord,
+};
+
 // State that this node keeps of another one.
 struct Peer {
   std::string node;
@@ -129,6 +139,10 @@
   std::function<
       void(const std::string& node, bool upstream_changed, std::uint8_t parts)>
       on_status;
+  // The address of `node` is now that of another one, which said so. All
+  // connections to `node` are closed.
+  std::function<void(const std::string& node, const Hello& by)>
+      on_node_replaced = [](const std::string&, const Hello&) {};
   // Another node opened a link and sent its Hello.
   std::function<void(const Hello&)> on_hello;
   // Returns the response for a node that holds the record with this digest.
@@ -169,8 +183,9 @@
     return this->callers.size();
   }
 
-  // Keeps a link open to this node; a new address replaces the old one.
-  void Add(const Hello& node);
+  // Keeps a link open to this node; a new address replaces the old one. A
+  // record is ignored if a connection has shown that it is out of date.
+  void Add(const Hello& node, NodeSource source);
   // Closes all connections to the node and removes it.
   void Remove(const std::string& node);
 
@@ -248,6 +263,11 @@
   void CloseSocket(FrameSocket* socket, LinkEndReason end);
   [[nodiscard]] FrameSocketHandlers SocketHandlers();
   void HandleServerFrame(FrameSocket* from, LinkFrame frame);
+  // The node that accepted a connection says which one it is.
+  void HandleAcceptorHello(const std::string& wanted, const Hello& hello);
+  // Another node has the address of `node`.
+  void Replace(const std::string& node, const Hello& by);
+  [[nodiscard]] bool IsOutdated(const Hello& record) const;
   void HandleResult(Peer& peer, FrameSocket* from, ResultFrame result);
   void HandleStatus(Peer& peer, Status frame);
   // The first status has arrived on the attempt.
@@ -290,6 +310,8 @@
   boost::asio::steady_timer tick;
   boost::asio::steady_timer accept_retry;
   std::map<std::string, Peer> peers;
+  // Nodes that have been replaced at these addresses.
+  std::map<std::string, Address> replaced_nodes;
   std::set<FrameSocket*> callers;
   // Silent connections that another one has replaced, until no call is in
   // flight on them.
--- a/src/edge/quota_service.cc
+++ b/src/edge/quota_service.cc
@@ -414,6 +414,11 @@
   this->SelectLenders();
 }
 
+void QuotaService::OnNodeReplaced(const std::string& node) {
+  OnNodeLeft(this->census, node, this->io.now());
+  this->SelectLenders();
+}
+
 void QuotaService::BeginLeaving() {
   this->self_leaving = true;
   if (!this->IsActive())
--- a/src/edge/quota_service.h
+++ b/src/edge/quota_service.h
@@ -131,6 +131,9 @@
   void OnLinkLost(const std::string& node);
   // The node announced a planned stop.
   void OnNodeLeaving(const std::string& node);
+  // Another node has its address, so it is not part of the deployment any more.
+  // Precondition: there is no link to it.
+  void OnNodeReplaced(const std::string& node);
   // This node begins a planned stop: it announces that and lends no more.
   void BeginLeaving();
 
--- a/src/edge/roster.cc
+++ b/src/edge/roster.cc
@@ -77,7 +77,7 @@
         }
         for (const StoredRecord& record : page.records) {
           if (const auto hello = HelloOf(record)) {
-            AddNode(node, *hello);
+            AddNode(node, *hello, NodeSource::kRecord);
           }
         }
         if (page.has_more && !page.records.empty()) {
@@ -165,7 +165,7 @@
         (SteadyNow() - node.started) / std::chrono::milliseconds(1)}});
   for (const Hello& listed : nodes) {
     if (node.links.Find(listed.node) == nullptr)
-      AddNode(node, listed);
+      AddNode(node, listed, NodeSource::kRecord);
   }
   node.quota.OnRosterKnown();
 }
--- a/tests/contract/links_test.cc
+++ b/tests/contract/links_test.cc
@@ -35,7 +35,7 @@
   Links* self = nullptr;
   LinkHandlers on;
   on.on_hello = [&](const Hello& hello) {
-    self->Add(hello);
+    self->Add(hello, NodeSource::kHello);
     hello_received = true;
   };
   on.on_status = [&](const std::string&, bool, std::uint8_t) {
@@ -59,7 +59,7 @@
   const auto bound = links.Listen({"127.0.0.1", 0});
   cr_assert(bound.has_value());
   own = *bound;
-  links.Add(Hello{"b-1", "b", peer.At()});
+  links.Add(Hello{"b-1", "b", peer.At()}, NodeSource::kRecord);
   const auto end = std::chrono::steady_clock::now() + 10s;
   while (!link_up && std::chrono::steady_clock::now() < end)
     io.run_for(10ms);
@@ -85,7 +85,7 @@
     const auto bound = this->server->Listen({"127.0.0.1", 0});
     cr_assert(bound.has_value());
     this->SetProcess("i-1", 7);
-    this->caller->Add(Hello{"b-1", "b", *bound});
+    this->caller->Add(Hello{"b-1", "b", *bound}, NodeSource::kRecord);
     cr_assert(this->RunUntil([this] { return this->Known().connected; }));
   }
 
@@ -241,7 +241,7 @@
     this->links = std::make_unique<Links>(this->io, on);
     this->links->self = {"a-1", "a", {}};
     cr_assert(this->links->Listen({"127.0.0.1", 0}).has_value());
-    this->links->Add(Hello{"b-1", "b", peer.At()});
+    this->links->Add(Hello{"b-1", "b", peer.At()}, NodeSource::kRecord);
     cr_assert(this->RunUntil([this] { return this->Target().connected; }));
     RunFrame run;
     run.call_id = kCall;
@@ -382,7 +382,7 @@
   Links borrower(io, borrows);
   borrower.self = {"a-1", "a", {}};
   cr_assert(!borrower.RequestTokens("b-1", {1, "shop", 3, 0}));
-  borrower.Add(Hello{"b-1", "b", *bound});
+  borrower.Add(Hello{"b-1", "b", *bound}, NodeSource::kRecord);
   cr_assert(!borrower.RequestTokens("b-1", {1, "shop", 3, 0}));
   const auto run_until = [&](const std::function<bool()>& done) {
     const auto end = std::chrono::steady_clock::now() + 10s;
--- a/tests/process/edge_fleet.h
+++ b/tests/process/edge_fleet.h
@@ -7,6 +7,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <iterator>
 #include <memory>
 #include <string>
 #include <vector>
@@ -45,27 +46,9 @@
          const EdgeVmOptions& node_options = {})
       : name(vm_name),
         service(options.service),
-        upstream(*new standin::MeshUpstream(options)) {
-    this->settings_path =
-        "/tmp/edge-" + std::to_string(::getpid()) + "-" + name;
-    const auto at = [](std::uint16_t port) {
-      return "127.0.0.1:" + std::to_string(port) + "\n";
-    };
-    std::ofstream file(this->settings_path);
-    file << "vm: " << name << "\ndata_center: " << data_center
-         << "\nservice: " << options.service
-         << "\noutbound: " << at(this->ports.outbound)
-         << "readiness: " << at(this->ports.readiness)
-         << "admin: " << at(this->ports.admin)
-         << "metrics: " << at(this->ports.metrics)
-         << "link: " << at(this->ports.link)
-         << "upstream: " << at(this->upstream.Port())
-         << "store: " << at(store_port) << "heartbeat: 1500ms\n"
-         << "agreed: " << node_options.agreed
-         << "\nline_mbit: " << node_options.line_mbit
-         << "\nmemory_mb: " << node_options.memory_mb
-         << "\nmax_fds: " << node_options.max_fds << "\n";
-    file.close();
+        upstream(*new standin::MeshUpstream(options)),
+        settings_path("/tmp/edge-" + std::to_string(::getpid()) + "-" + name) {
+    this->WriteSettings(data_center, store_port, node_options);
     this->Start();
     this->upstream.BeatTo(this->ports.admin);
   }
@@ -83,6 +66,16 @@
     this->Start();
   }
 
+  // Kills the node and starts one of another name at its addresses.
+  void ReplaceNode(const std::string& new_name) {
+    std::ifstream old_file(this->settings_path);
+    const std::string old((std::istreambuf_iterator<char>(old_file)), {});
+    std::ofstream(this->settings_path)
+        << "vm: " << new_name << old.substr(old.find('\n'));
+    this->name = new_name;
+    this->Restart();
+  }
+
   [[nodiscard]] Address Outbound() const {
     return {"127.0.0.1", this->ports.outbound};
   }
@@ -113,6 +106,29 @@
   standin::MeshUpstream& upstream;
   std::string settings_path;
   std::unique_ptr<Program> node;
+
+ private:
+  void WriteSettings(const std::string& data_center,
+                     std::uint16_t store_port,
+                     const EdgeVmOptions& node_options) const {
+    const auto at = [](std::uint16_t port) {
+      return "127.0.0.1:" + std::to_string(port) + "\n";
+    };
+    std::ofstream file(this->settings_path);
+    file << "vm: " << this->name << "\ndata_center: " << data_center
+         << "\nservice: " << this->service
+         << "\noutbound: " << at(this->ports.outbound)
+         << "readiness: " << at(this->ports.readiness)
+         << "admin: " << at(this->ports.admin)
+         << "metrics: " << at(this->ports.metrics)
+         << "link: " << at(this->ports.link)
+         << "upstream: " << at(this->upstream.Port())
+         << "store: " << at(store_port) << "heartbeat: 1500ms\n"
+         << "agreed: " << node_options.agreed
+         << "\nline_mbit: " << node_options.line_mbit
+         << "\nmemory_mb: " << node_options.memory_mb
+         << "\nmax_fds: " << node_options.max_fds << "\n";
+  }
 };
 
 // The configuration `version` with a route of each type. `extra` is the path
