--- a/include/teaselspread/upstream_lease.h
+++ b/include/teaselspread/upstream_lease.h
@@ -39,6 +39,8 @@
   kStale,
   // The process has announced that it leaves, which is final.
   kAlreadyLeaving,
+  // It counts once the process has confirmed that it is ready (ConfirmReady).
+  kUnconfirmed,
   kCount,
 };
 
@@ -81,8 +83,27 @@
   // When the process stops being slow after its start; none while that is not
   // known.
   std::optional<TimePoint> warm_at;
+  // Until then a heartbeat that says ready needs a confirmation; see
+  // RequireConfirmation.
+  TimePoint confirm_until;
+  // The process that has confirmed last that it is ready.
+  std::string confirmed_instance;
+  // The newest heartbeat that waits for a confirmation.
+  std::optional<UpstreamHeartbeat> unconfirmed;
 };
 
+// To be called when the node starts. It does not know whether the upstream
+// announced to its predecessor that it leaves, and a heartbeat that was sent
+// before that may still arrive. So for the maximum delay of a heartbeat, one
+// that says ready counts only once the process has confirmed that it is.
+void RequireConfirmation(UpstreamLease& lease, TimePoint now);
+
+// The process that listens says now that it is ready. Returns its heartbeat
+// that waited for this, to be applied again.
+[[nodiscard]] std::optional<UpstreamHeartbeat> ConfirmReady(
+    UpstreamLease& lease,
+    std::string_view instance);
+
 // Processes one heartbeat. A late one of an earlier process at the same address
 // must not restore that process: its requests would reach another process.
 [[nodiscard]] HeartbeatResult ApplyHeartbeat(UpstreamLease& lease,
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -327,6 +327,20 @@
   SendResponse(*exchange, StatusOnly(path_matches ? status : kNotFound));
 }
 
+void ProbeUpstream(EdgeNode& node) {
+  const SnapshotPtr& held = node.entry.CurrentSnapshot();
+  if (!held || node.stopping)
+    return;
+  const auto service = held->services.find(node.settings.service);
+  if (service == held->services.end())
+    return;
+  const std::string& health_path = service->second.health_path;
+  if (health_path.empty())
+    node.gate.WaiveConfirmation();
+  else
+    node.gate.Probe(health_path, node.settings.service);
+}
+
 void OnAdmin(EdgeNode& node, const ExchangePtr& exchange) {
   const auto call = node.adapter.decode_upstream_call(exchange->request);
   if (!call) {
@@ -347,6 +361,8 @@
   const auto& heartbeat = std::get<UpstreamHeartbeat>(*call);
   const HeartbeatResult result = node.gate.OnHeartbeat(heartbeat);
   node.heartbeats.Add(result);
+  if (result == HeartbeatResult::kUnconfirmed)
+    ProbeUpstream(node);
   if (result != HeartbeatResult::kAccepted) {
     Log(LogLevel::kWarning, "admin", "heartbeat-not-taken",
         {{"instance", heartbeat.instance},
@@ -378,15 +394,6 @@
   return entry.st_mtim.tv_sec * kNanosPerSecond + entry.st_mtim.tv_nsec;
 }
 
-void ProbeUpstream(EdgeNode& node) {
-  const SnapshotPtr& held = node.entry.CurrentSnapshot();
-  if (!held || node.stopping)
-    return;
-  const auto service = held->services.find(node.settings.service);
-  if (service != held->services.end())
-    node.gate.Probe(service->second.health_path, node.settings.service);
-}
-
 // The upstream's service, as the configuration names it, says how many requests
 // it bears while it is slow after its start.
 void UpdateStartPace(EdgeNode& node) {
@@ -518,7 +525,7 @@
       ReturnFreeMemory();
     RequestNodeListIfMissing(node);
     if (SteadyNow() - node.started < kProbeWindow ||
-        node.gate.Limit().per_second)
+        node.gate.Limit().per_second || node.gate.AwaitsConfirmation())
       ProbeUpstream(node);
     RefreshVersions(node);
     ChooseReaderRole(node);
@@ -594,6 +601,7 @@
   if (auto listening = ListenAll(node); !listening)
     return listening;
   node.gate.SetUpstreamAddress(node.settings.upstream);
+  node.gate.RequireConfirmation();
   const std::string& vm = node.settings.vm;
   const auto incarnation =
       static_cast<std::uint64_t>(SystemNow().time_since_epoch().count());
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -100,6 +100,13 @@
 
   // Receives a heartbeat; it has taken effect when this returns.
   [[nodiscard]] HeartbeatResult OnHeartbeat(const UpstreamHeartbeat& heartbeat);
+  // The node has just started; see upstream_lease.h. Call it before
+  // OnHeartbeat.
+  void RequireConfirmation();
+  // The upstream's service has no health check that could confirm a heartbeat.
+  void WaiveConfirmation();
+  // Whether a heartbeat waits for a confirmation by a health check.
+  [[nodiscard]] bool AwaitsConfirmation() const;
   // False when the process does not hold the lease.
   bool OnUpstreamLeaving(const LeaveCall& call);
   // Another node remembers that the process beside this one leaves. False if
@@ -203,7 +210,12 @@
       const HttpResponse& response) const;
   void OnProbeResponse(const std::string& service,
                        const HttpResponse& response);
+  // A process that does not hold the lease has responded to a health check.
   // `slots`: from the load header; 0 if not known.
+  void OnProbedProcess(const std::string& service,
+                       const HttpResponse& response,
+                       int slots);
+  // Precondition: `slots` is known.
   void RegisterProbed(const std::string& service,
                       const HttpResponse& response,
                       int slots);
--- a/src/edge/gate_upstream.cc
+++ b/src/edge/gate_upstream.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
@@ -34,12 +35,20 @@
 // Slots in use until the upstream has responded for the first time.
 constexpr int kSlotsUnheard = 4;
 
+// An upstream that leaves closes its connections, even if its health check says
+// that all is well; another one does so now and then.
+bool ConfirmsReady(const HttpResponse& response) {
+  constexpr int kOk = 200;
+  const std::string connection(FindHeader(response.headers, "Connection"));
+  return response.status == kOk && !absl::EqualsIgnoreCase(connection, "close");
+}
+
 }  // namespace
 
 bool Gate::NeedsProbe() const {
   if (this->probe_call != nullptr)
     return false;
-  if (!this->lease.current || !this->heard)
+  if (!this->lease.current || !this->heard || this->AwaitsConfirmation())
     return true;
   return NeedsHealthChecks(this->gatekeeper.limit) &&
          SteadyNow() - this->probed_at >= kLimitCheckInterval;
@@ -80,8 +89,8 @@
       FindHeader(response.headers, this->names.instance);
   const LoadReport load =
       this->ReadLoad(instance, kHealthCheckId, response.headers);
-  if (!this->lease.current)
-    this->RegisterProbed(service, response, load.slots.value_or(0));
+  if (!this->lease.current || this->AwaitsConfirmation())
+    this->OnProbedProcess(service, response, load.slots.value_or(0));
   this->HearLeaving(instance, kHealthCheckId, response.headers);
   if (!this->lease.current || this->lease.current->instance != instance)
     return;
@@ -116,12 +125,21 @@
     this->ApplyLease();
 }
 
-// The version and start time of the process stay unknown until its heartbeat,
-// which replaces this one whatever its sequence number.
-void Gate::RegisterProbed(const std::string& service,
-                          const HttpResponse& response,
-                          int slots) {
-  constexpr int kOk = 200;
+void Gate::RequireConfirmation() {
+  teaselspread::RequireConfirmation(this->lease, SteadyNow());
+}
+
+void Gate::WaiveConfirmation() {
+  this->lease.confirm_until = TimePoint{};
+}
+
+bool Gate::AwaitsConfirmation() const {
+  return this->lease.unconfirmed && SteadyNow() < this->lease.confirm_until;
+}
+
+void Gate::OnProbedProcess(const std::string& service,
+                           const HttpResponse& response,
+                           int slots) {
   const std::string_view instance =
       FindHeader(response.headers, this->names.instance);
   Log(LogLevel::kInfo, "gate", "upstream-probed",
@@ -129,10 +147,22 @@
        {"instance", instance},
        {"slots", slots},
        {"warm_up_ms", FindHeader(response.headers, this->names.warm_up_left)}});
-  if (response.status != kOk || instance.empty() || slots < 1)
+  if (!ConfirmsReady(response) || instance.empty())
     return;
+  if (const auto waiting = ConfirmReady(this->lease, instance))
+    (void)this->OnHeartbeat(*waiting);
+  else if (!this->lease.current && slots >= 1)
+    this->RegisterProbed(service, response, slots);
+}
+
+// The version and start time of the process stay unknown until its heartbeat,
+// which replaces this one whatever its sequence number.
+void Gate::RegisterProbed(const std::string& service,
+                          const HttpResponse& response,
+                          int slots) {
   UpstreamHeartbeat heartbeat;
-  heartbeat.instance = std::string(instance);
+  heartbeat.instance =
+      std::string(FindHeader(response.headers, this->names.instance));
   heartbeat.service = service;
   heartbeat.slots = slots;
   heartbeat.warm_up_remaining = this->WarmUpLeft(response);
--- a/src/upstream/upstream_lease.cc
+++ b/src/upstream/upstream_lease.cc
@@ -2,13 +2,14 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace teaselspread {
 namespace {
 
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(HeartbeatResult::kCount)>
-    kResultNames = {"taken", "stale", "already-leaving"};
+    kResultNames = {"taken", "stale", "already-leaving", "unconfirmed"};
 constexpr std::array<std::string_view, 4> kStateNames = {"none", "ready",
                                                          "leaving", "lost"};
 
@@ -51,8 +52,37 @@
   return false;
 }
 
+bool NeedsConfirmation(const UpstreamLease& lease,
+                       const UpstreamHeartbeat& heartbeat,
+                       TimePoint now) {
+  return !heartbeat.leaving && now < lease.confirm_until &&
+         heartbeat.instance != lease.confirmed_instance;
+}
+
+void KeepUnconfirmed(UpstreamLease& lease, const UpstreamHeartbeat& heartbeat) {
+  const auto& kept = lease.unconfirmed;
+  const bool is_late =
+      kept &&
+      (IsOlderProcess(heartbeat, *kept) ||
+       (SameProcess(heartbeat, *kept) && heartbeat.sequence < kept->sequence));
+  if (!is_late)
+    lease.unconfirmed = heartbeat;
+}
+
 }  // namespace
 
+void RequireConfirmation(UpstreamLease& lease, TimePoint now) {
+  lease.confirm_until = now + kMaxHeartbeatDelay;
+}
+
+std::optional<UpstreamHeartbeat> ConfirmReady(UpstreamLease& lease,
+                                              std::string_view instance) {
+  lease.confirmed_instance = instance;
+  if (!lease.unconfirmed || lease.unconfirmed->instance != instance)
+    return std::nullopt;
+  return std::exchange(lease.unconfirmed, std::nullopt);
+}
+
 std::string_view NameOf(HeartbeatResult result) {
   return kResultNames.at(static_cast<std::size_t>(result));
 }
@@ -66,6 +96,10 @@
                                TimePoint now) {
   if (!heartbeat.leaving && HasLeft(lease, heartbeat, now))
     return HeartbeatResult::kAlreadyLeaving;
+  if (NeedsConfirmation(lease, heartbeat, now)) {
+    KeepUnconfirmed(lease, heartbeat);
+    return HeartbeatResult::kUnconfirmed;
+  }
   // A heartbeat that was sent before its process crashed may arrive after it. A
   // process that has restarted under that name is slow.
   const bool may_be_late = lease.refused_connection && lease.current &&
@@ -93,6 +127,7 @@
     }
   }
   lease.current = heartbeat;
+  lease.unconfirmed.reset();
   lease.renewed_at = now;
   lease.refused_connection = false;
   lease.warm_at.reset();
--- a/standins/mesh_upstream.h
+++ b/standins/mesh_upstream.h
@@ -161,6 +161,8 @@
     this->says_leaving = true;
     this->health_says_leaving = in_health;
   }
+  // Status of health checks from now on, whatever the heartbeats say.
+  void AnswerHealthWith(unsigned status) { this->health_status = status; }
   // Reports this duration of work, in percent of the usual, in all responses
   // from now on; "" for three figures in the load header of health checks and
   // none in others. The work itself does not change.
@@ -321,7 +323,8 @@
 
   Response Health() {
     const bool leaves = this->draining || this->health_says_leaving;
-    Response response = TextAnswer(leaves ? 503 : 200, "");
+    Response response =
+        TextAnswer(leaves ? 503 : this->health_status.load(), "");
     if (!this->says_leaving || this->health_says_leaving)
       this->SayNeeds(response);
     response.set("X-Instance-Id", this->Instance());
@@ -401,6 +404,7 @@
   std::string retry_after;
   std::atomic<bool> says_leaving{false};
   std::atomic<bool> health_says_leaving{false};
+  std::atomic<unsigned> health_status{200};
   std::atomic<std::size_t> response_bytes{0};
   std::atomic<bool> shedding{false};
   std::atomic<bool> crashed{false};
--- a/tests/unit/upstream_lease_test.cc
+++ b/tests/unit/upstream_lease_test.cc
@@ -96,6 +96,66 @@
             HeartbeatResult::kAccepted);
 }
 
+// Guards against a leaving upstream that gets requests again: all nodes that
+// knew of its leave were killed, and a heartbeat from before it arrives.
+Test(upstream_lease, after_a_start_a_heartbeat_needs_a_confirmation) {
+  UpstreamLease lease;
+  RequireConfirmation(lease, kStart);
+  cr_assert(ApplyHeartbeat(lease, MakeHeartbeat("i-1", 5000, 21), kStart) ==
+            HeartbeatResult::kUnconfirmed);
+  cr_assert(StateOf(lease, kStart) == LeaseState::kNone);
+  cr_assert_not(ConfirmReady(lease, "i-2").has_value());
+  const auto waiting = ConfirmReady(lease, "i-1");
+  cr_assert(waiting.has_value());
+  cr_assert(ApplyHeartbeat(lease, *waiting, kStart) ==
+            HeartbeatResult::kAccepted);
+  cr_assert(StateOf(lease, kStart) == LeaseState::kReady);
+}
+
+Test(upstream_lease, a_confirmation_counts_for_later_heartbeats_too) {
+  UpstreamLease lease;
+  RequireConfirmation(lease, kStart);
+  cr_assert_not(ConfirmReady(lease, "i-1").has_value());
+  cr_assert(ApplyHeartbeat(lease, MakeHeartbeat("i-1", 5000, 21), kStart) ==
+            HeartbeatResult::kAccepted);
+}
+
+// Guards against an upstream whose health check fails for good and that would
+// stay out of service for ever: its heartbeats are not late any more.
+Test(upstream_lease, after_the_maximum_delay_no_confirmation_is_needed) {
+  UpstreamLease lease;
+  RequireConfirmation(lease, kStart);
+  cr_assert(ApplyHeartbeat(lease, MakeHeartbeat("i-1", 5000, 21),
+                           kStart + Ms(9999)) == HeartbeatResult::kUnconfirmed);
+  cr_assert(ApplyHeartbeat(lease, MakeHeartbeat("i-1", 5000, 22),
+                           kStart + Ms(10000)) == HeartbeatResult::kAccepted);
+}
+
+// Guards against a health check that brings back a process which announced its
+// leave after its heartbeat, or an older heartbeat than the newest one.
+Test(upstream_lease, a_leave_and_a_newer_heartbeat_hold_against_what_waited) {
+  UpstreamLease lease;
+  RequireConfirmation(lease, kStart);
+  (void)ApplyHeartbeat(lease, MakeHeartbeat("i-1", 5000, 22), kStart);
+  (void)ApplyHeartbeat(lease, MakeHeartbeat("i-1", 5000, 21), kStart);
+  (void)OnLeave(lease, "i-1", 5000, kStart);
+  const auto waiting = ConfirmReady(lease, "i-1");
+  cr_assert(waiting.has_value());
+  cr_assert(waiting->sequence == 22);
+  cr_assert(ApplyHeartbeat(lease, *waiting, kStart) ==
+            HeartbeatResult::kAlreadyLeaving);
+}
+
+Test(upstream_lease, a_heartbeat_that_leaves_needs_no_confirmation) {
+  UpstreamLease lease;
+  RequireConfirmation(lease, kStart);
+  UpstreamHeartbeat leaving = MakeHeartbeat("i-1", 5000, 21);
+  leaving.leaving = true;
+  cr_assert(ApplyHeartbeat(lease, leaving, kStart) ==
+            HeartbeatResult::kAccepted);
+  cr_assert(StateOf(lease, kStart) == LeaseState::kLeaving);
+}
+
 // A limit that an upstream named is forgotten when another process holds its
 // address, and not when the first heartbeat completes what is known of it.
 Test(upstream_lease, processes_are_told_apart_by_name_and_start_time) {
