--- a/src/edge/loop_client.cc
+++ b/src/edge/loop_client.cc
@@ -115,6 +115,9 @@
   void OnReadError(boost::system::error_code error);
   void OnBytes(std::size_t bytes);
   void Parse();
+  // Whether a response without a length ends with the connection. A cut looks
+  // the same once a failed write has consumed the socket's error.
+  [[nodiscard]] bool BodyMayEndHere(boost::system::error_code error) const;
   // False if the call has failed for its response's length.
   bool CheckLength();
   void SetHeld(std::size_t bytes);
@@ -140,6 +143,7 @@
   bool connected = false;
   bool reading = false;
   bool writing = false;
+  bool write_failed = false;
   bool busy = false;
   bool must_close = false;
   bool closed = false;
@@ -215,7 +219,8 @@
           return;
         // A failed write does not end the call: a response that explains the
         // failure may follow. The read decides.
-        self->must_close = self->must_close || bool{error};
+        self->write_failed = bool{error};
+        self->must_close = self->must_close || self->write_failed;
         self->ReleaseIfIdle();
       });
 }
@@ -262,7 +267,7 @@
     return;
   }
   this->must_close = true;
-  if (error == asio::error::eof && this->parser->got_some()) {
+  if (this->BodyMayEndHere(error)) {
     boost::system::error_code parse_error;
     this->parser->put_eof(parse_error);
     if (!parse_error && this->parser->is_done() && this->HandleResponse())
@@ -274,6 +279,11 @@
       Execution::kUnknown, CallEvent::kTruncated);
 }
 
+bool LoopConnection::BodyMayEndHere(boost::system::error_code error) const {
+  const bool request_sent = !this->writing && !this->write_failed;
+  return error == asio::error::eof && request_sent && this->parser->got_some();
+}
+
 void LoopConnection::Parse() {
   while (this->busy && this->buffer.size() > 0) {
     boost::system::error_code error;
