--- a/src/edge/links.cc
+++ b/src/edge/links.cc
@@ -12,6 +12,7 @@
 #include "edge/endpoint.h"
 #include "edge/frame_socket.h"
 #include "edge/link_health.h"
+#include "http/response_head.h"
 #include "teaselspread/logging.h"
 #include "teaselspread/settings.h"
 
@@ -217,6 +218,13 @@
   this->EndCall(peer, *from, result.call_id);
   if (from == peer.socket)
     ApplyLoad(peer, result.load);
+  // A gate of another release may pass on what this one would not.
+  if (result.has_response &&
+      !IsFinalStatus(static_cast<unsigned>(result.response.status))) {
+    result.has_response = false;
+    result.error = ErrorKind::kWrongResponse;
+    result.execution = Execution::kUnknown;
+  }
   this->handlers.on_result(name, std::move(result));
 }
 
--- a/src/edge/loop_client.cc
+++ b/src/edge/loop_client.cc
@@ -9,6 +9,7 @@
 #include <exception>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -23,6 +24,7 @@
 #include "base/clock.h"
 #include "edge/http_text.h"
 #include "http/beast_convert.h"
+#include "http/response_head.h"
 #include "teaselspread/logging.h"
 #include "teaselspread/settings.h"
 
@@ -115,6 +117,9 @@
   void OnReadError(boost::system::error_code error);
   void OnBytes(std::size_t bytes);
   void Parse();
+  // False if the call has failed, since the head that was received as `text`
+  // can't be trusted.
+  bool TakeHead(std::string_view text);
   // Whether a response without a length ends with the connection. A cut looks
   // the same once a failed write has consumed the socket's error.
   [[nodiscard]] bool BodyMayEndHere(boost::system::error_code error) const;
@@ -284,10 +289,32 @@
   return error == asio::error::eof && request_sent && this->parser->got_some();
 }
 
+bool LoopConnection::TakeHead(std::string_view text) {
+  const auto& message = this->parser->get();
+  const HeadFault fault = HasFoldedLine(text)
+                              ? HeadFault::kFoldedLine
+                              : FaultOf(message.result_int(), message);
+  if (fault == HeadFault::kNone)
+    return true;
+  Log(LogLevel::kWarning, "calls", "response-malformed",
+      {{"id", this->request_id},
+       {"fault", NameOf(fault)},
+       {"status", message.result_int()}});
+  this->FailCall(ErrorKind::kWrongResponse, Execution::kUnknown,
+                 CallEvent::kMalformedResponse);
+  return false;
+}
+
 void LoopConnection::Parse() {
   while (this->busy && this->buffer.size() > 0) {
     boost::system::error_code error;
-    const std::size_t used = this->parser->put(this->buffer.data(), error);
+    const bool in_head = !this->parser->is_header_done();
+    const auto received = this->buffer.cdata();
+    const std::size_t used = this->parser->put(received, error);
+    const std::string_view text(static_cast<const char*>(received.data()),
+                                used);
+    if (in_head && this->parser->is_header_done() && !this->TakeHead(text))
+      return;
     this->buffer.consume(used);
     if (error && error != http::error::need_more) {
       this->FailCall(ErrorKind::kWrongResponse, Execution::kUnknown,
@@ -344,15 +371,13 @@
 // Returns whether the call has ended. A response to another request and an
 // interim one are dropped, since the expected one may follow.
 bool LoopConnection::HandleResponse() {
-  constexpr unsigned kFirstFinal = 200;
   constexpr unsigned kFirstNonSuccess = 300;
-  const auto& message = this->parser->get();
-  const unsigned status = message.result_int();
-  if (status < kFirstFinal) {
+  const unsigned status = this->parser->get().result_int();
+  if (IsInterimStatus(status)) {
     this->NewParser();
     return false;
   }
-  const auto echoed = message["X-Request-Id"];
+  const auto echoed = this->parser->get()["X-Request-Id"];
   const bool success = status < kFirstNonSuccess;
   const bool id_differs = echoed.empty() ? success : echoed != this->request_id;
   const bool mismatched = !this->request_id.empty() && id_differs;
--- a/src/http/exchange.cc
+++ b/src/http/exchange.cc
@@ -23,6 +23,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "http/beast_convert.h"
+#include "http/response_head.h"
 
 namespace teaselspread {
 namespace {
@@ -32,7 +33,6 @@
 using Parser = http::response_parser<http::string_body>;
 
 constexpr unsigned kHttp11 = 11;
-constexpr int kFirstFinalStatus = 200;
 constexpr std::uint32_t kMaxAnswerHeaderBytes = 16384;
 
 std::string TextOf(const Address& address) {
@@ -105,7 +105,7 @@
   return {};
 }
 
-// Skips 1xx answers, which precede the real one.
+// Skips interim answers, which precede the real one.
 boost::system::error_code ReadHead(PollStream& stream,
                                    boost::beast::flat_buffer& buffer,
                                    std::optional<Parser>& parser,
@@ -118,7 +118,7 @@
     parser->body_limit(options.max_body_bytes);
     parser->skip(request.method == "HEAD");
     http::read_header(stream, buffer, *parser, error);
-  } while (!error && parser->get().result_int() < kFirstFinalStatus);
+  } while (!error && IsInterimStatus(parser->get().result_int()));
   return error;
 }
 
@@ -207,6 +207,12 @@
   std::optional<Parser> parser;
   if (const auto error = ReadHead(stream, buffer, parser, request, options))
     return failed(FailureOf(stream, sent_before, error));
+  if (const HeadFault fault =
+          FaultOf(parser->get().result_int(), parser->get());
+      fault != HeadFault::kNone) {
+    return failed({ErrorKind::kWrongResponse,
+                   "the answer's head: " + std::string(NameOf(fault))});
+  }
   HttpResponse response;
   response.status = static_cast<int>(parser->get().result_int());
   response.headers = HeadersOf(parser->get());
--- a/tests/contract/links_test.cc
+++ b/tests/contract/links_test.cc
@@ -221,6 +221,7 @@
 struct CallingNode {
   boost::asio::io_context io;
   int results = 0;
+  bool has_response = false;
   int silent_reports = 0;
   bool link_lost = false;
   CallIds lost;
@@ -230,6 +231,7 @@
     LinkHandlers on = QuietHandlers();
     on.on_result = [this](const std::string&, const ResultFrame& result) {
       this->results += result.call_id == kCall ? 1 : 0;
+      this->has_response = result.has_response;
     };
     on.on_link_lost = [this](const std::string&) { this->link_lost = true; };
     on.on_calls_lost = [this](const std::string&, const CallIds& calls) {
@@ -353,6 +355,24 @@
   cr_expect_eq(node.Target().in_flight, 0U);
 }
 
+// Guards against a status that no client knows, from a gate of a release that
+// passes it on.
+Test(links, a_result_with_an_unknown_status_is_no_response) {
+  for (const int status : {0, 199, 200, 599, 600}) {
+    ScriptedPeer peer([&peer, status](const RawSocket& socket, int) {
+      SendFrame(socket, Status{kAllStatusParts, {}});
+      ResultFrame result = ResultOf(kCall);
+      result.response.status = status;
+      SendFrame(socket, result);
+      peer.StaySilent(socket);
+    });
+    CallingNode node(peer);
+    cr_assert(node.RunUntil([&] { return node.results > 0; }));
+    const bool known = status >= 200 && status < 600;
+    cr_expect_eq(node.has_response, known, "%d", status);
+  }
+}
+
 // A request that waits for tokens must not wait for anything but the answer,
 // and a link must not end because of the frames.
 Test(links, a_token_request_is_answered_and_a_leave_arrives) {
