--- a/tests/contract/platform_test.cc
+++ b/tests/contract/platform_test.cc
@@ -61,6 +61,56 @@
   cr_assert(snapshot->services.at("works").slow_start_per_second == 0);
 }
 
+// Guards against a route that serves nothing, and against a node that counts on
+// a meaningless number, because one field of a record is out of range.
+Test(platform, fields_out_of_range_take_their_defaults) {
+  const RouteConfig defaults;
+  for (const char* number : {"1e300", "-1e300", "99999999999999999999", "-5",
+                             "18446744073709551615", "9223372036854775807"}) {
+    std::string text = R"({"version": "00000001",
+      "limits": {"headerTimeoutMs": N, "idleTimeoutMs": N},
+      "listeners": [{"hostname": "h", "policy": [
+        {"name": "r", "match": {"pathPrefix": "/"}, "aimMs": N,
+         "action": {"service": "desk", "timeoutMs": N, "maxAttempts": N,
+                    "weightedBackends": [{"service": "desk", "weight": N}]}}]}],
+      "clusters": [{"name": "desk", "maxConnections": N, "warmupS": N,
+                    "warmupPerS": N}]})";
+    for (std::size_t at = text.find('N'); at != std::string::npos;
+         at = text.find('N', at))
+      text.replace(at, 1, number);
+    const SnapshotPtr snapshot = DecodeSnapshot(text);
+    cr_assert(snapshot->routes.size() == 1, "%s", number);
+    const RouteConfig& route = snapshot->routes[0];
+    cr_expect(route.deadline == defaults.deadline, "%s", number);
+    cr_expect(route.aim == defaults.aim, "%s", number);
+    cr_expect_eq(route.max_attempts, defaults.max_attempts, "%s", number);
+    cr_expect(route.split.empty(), "%s", number);
+    const ServiceConfig& desk = snapshot->services.at("desk");
+    cr_expect_eq(desk.connections, ServiceConfig{}.connections, "%s", number);
+    cr_expect(desk.warm_up == ServiceConfig{}.warm_up, "%s", number);
+    cr_expect_eq(desk.slow_start_per_second, 0, "%s", number);
+    cr_expect(snapshot->limits.idle_timeout == LimitsConfig{}.idle_timeout,
+              "%s", number);
+  }
+}
+
+// Guards against an upstream whose slots are taken for another number, or below
+// 0, after its heartbeat was acknowledged.
+Test(platform, a_heartbeat_with_a_capacity_out_of_range_is_refused) {
+  for (const char* capacity : {"2147483648", "4294967297", "0", "-1",
+                               "99999999999999999999", "1e9", "2.5"}) {
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/instances/i-1/heartbeat";
+    request.body =
+        std::string(R"({"info":{"service":"s","version":"v","capacity":)") +
+        capacity + R"(},"status":{"state":"ready","seq":1}})";
+    const auto call = DecodeUpstreamCall(request);
+    cr_assert_not(call.has_value(), "%s", capacity);
+    cr_expect(call.error().kind == ErrorKind::kBadRequest, "%s", capacity);
+  }
+}
+
 // Guards against accounts whose callers are refused because an omitted field or
 // a field of another type made their item unreadable.
 Test(platform, accounts_are_decoded) {
