Orders: nodes that are no readers check now and then

Cause: nodes leave the reading of the operators' orders to two of their data centre.

Change: of n nodes in a data centre each that is no reader reads once at a random moment in n x 30 to 60 s. So about every 45 s one of them looks, whatever n is (135 s with three nodes), and what it finds spreads as usual.

Test: stream_watch::a_node_that_is_no_reader_checks_now_and_then.

--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -44,6 +44,9 @@
 // read all other orders: the store may fail between two pages and stay away.
 // Other nodes have told it of evacuations by then, on links that they opened.
 constexpr Duration kOrdersGrace = std::chrono::seconds(2);
+// Interval at which a node of a data centre that is no reader of the operators'
+// stream checks whether the readers have missed something.
+constexpr Duration kOrderCheckInterval = std::chrono::seconds(30);
 // Fraction of the slack on requests to a slow upstream that its gate uses. The
 // rest is for requests that take unequally long from the gate to the upstream.
 constexpr double kUsedSlack = 0.5;
@@ -197,6 +200,8 @@
       near.push_back({name, peer.status.store_unavailable, peer.line_mbit});
   }
   const ReaderPeer self{node.settings.vm, false, node.links.self.line_mbit};
+  // However many nodes a data centre has, one of them checks in this time.
+  node.orders.SetCheckInterval(kOrderCheckInterval * (near.size() + 1));
   node.orders.SetRole(RoleOf(self, near));
   node.links.SetReadsOrders(node.orders.Role() != ReaderRole::kNonReader);
 }
--- a/src/edge/stream_watch.cc
+++ b/src/edge/stream_watch.cc
@@ -34,6 +34,7 @@
       stream(of),
       on_record(std::move(handler)),
       timer(io),
+      check_timer(io),
       rng(std::random_device{}()) {
   this->backoff.base = kMinRetryDelay;
   this->backoff.cap = kMaxRetryDelay;
@@ -47,6 +48,8 @@
       {{"stream", NameOf(this->stream)},
        {"from", NameOf(before)},
        {"to", NameOf(new_role)}});
+  if (!this->ReadsStream())
+    this->ScheduleCheck();
   // The first reader does not wait for a pending read that was sent with a
   // longer wait time.
   const bool attempt_now = !this->busy || new_role == ReaderRole::kFirst;
@@ -60,6 +63,29 @@
   return this->role != ReaderRole::kNonReader;
 }
 
+void StreamWatch::ScheduleCheck() {
+  if (this->check_interval <= Duration{0})
+    return;
+  std::uniform_int_distribution<Duration::rep> delay(
+      this->check_interval.count(), 2 * this->check_interval.count());
+  this->check_timer.expires_after(Duration(delay(this->rng)));
+  this->check_timer.async_wait(
+      [this, lives = this->alive](boost::system::error_code error) {
+        if (!error && *lives)
+          this->Check();
+      });
+}
+
+void StreamWatch::Check() {
+  if (this->ReadsStream())
+    return;
+  if (this->newest_read && !this->busy) {
+    this->NextRound();
+    this->Attempt();
+  }
+  this->ScheduleCheck();
+}
+
 void StreamWatch::RunAfter(Duration wait, std::function<void()> task) {
   this->timer.expires_after(wait);
   this->timer.async_wait([lives = this->alive, task = std::move(task)](
@@ -88,13 +114,16 @@
   this->timer.cancel();
 }
 
+// While the store is unreachable, a query only checks whether it is back: the
+// store must respond at once instead of waiting for new records.
+Duration StreamWatch::ReadWait() const {
+  const bool may_wait = this->newest_read && this->store_reachable &&
+                        !this->overdue && this->ReadsStream();
+  return may_wait ? ReadWaitOf(this->role) : Duration{0};
+}
+
 void StreamWatch::Attempt() {
-  // While the store is unreachable, the query only checks whether it is back:
-  // the store must respond at once instead of waiting for new records.
-  const Duration wait =
-      this->newest_read && this->store_reachable && !this->overdue
-          ? ReadWaitOf(this->role)
-          : Duration{0};
+  const Duration wait = this->ReadWait();
   this->busy = true;
   if (this->attempts++ == 0)
     this->round_started_at = SteadyNow();
--- a/src/edge/stream_watch.h
+++ b/src/edge/stream_watch.h
@@ -58,6 +58,11 @@
   // read in flight.
   void SetRole(ReaderRole new_role);
 
+  // In the role kNonReader, reads once at a random moment between one and two
+  // such intervals after the last read: whatever keeps the readers from their
+  // task, or from being chosen, must not last. 0 for never.
+  void SetCheckInterval(Duration interval) { this->check_interval = interval; }
+
   // Whether the last call had a response in time.
   [[nodiscard]] bool StoreReachable() const { return this->store_reachable; }
   [[nodiscard]] ReaderRole Role() const { return this->role; }
@@ -66,6 +71,10 @@
 
  private:
   [[nodiscard]] bool ReadsStream() const;
+  // Time for which the next read may wait for new records.
+  [[nodiscard]] Duration ReadWait() const;
+  void ScheduleCheck();
+  void Check();
   void Attempt();
   void NextRound();
   void OnOverdue();
@@ -84,6 +93,8 @@
   RecordStream stream;
   RecordHandler on_record;
   boost::asio::steady_timer timer;
+  boost::asio::steady_timer check_timer;
+  Duration check_interval{};
   ReaderRole role = ReaderRole::kFirst;
   // Attempts of one round send the same query; the first response ends it.
   std::uint64_t round = 0;
--- a/tests/unit/stream_watch_test.cc
+++ b/tests/unit/stream_watch_test.cc
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <chrono>
 #include <string>
 #include <utility>
 #include <vector>
@@ -52,5 +53,25 @@
   cr_assert(watch.StoreReachable());
 }
 
+// Guards against a change that a node never learns of, because those that are
+// chosen to read it do not.
+Test(stream_watch, a_node_that_is_no_reader_checks_now_and_then) {
+  boost::asio::io_context loop;
+  PagedStore paged;
+  std::vector<std::string> delivered;
+  StreamWatch watch(
+      loop, paged.store, RecordStream::kOrders,
+      [&](const StoredRecord& record) { delivered.push_back(record.value); });
+  watch.SetCheckInterval(std::chrono::milliseconds(20));
+  watch.SetRole(ReaderRole::kNonReader);
+  watch.Start();
+  loop.poll();
+  paged.pages.push_back(PageOf({{"config", "7"}}, 1));
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  while (delivered.empty() && std::chrono::steady_clock::now() < end)
+    loop.run_for(std::chrono::milliseconds(5));
+  cr_assert(delivered == std::vector<std::string>{"7"});
+}
+
 }  // namespace
 }  // namespace teaselspread
