--- a/src/edge/gate.cc
+++ b/src/edge/gate.cc
@@ -286,6 +286,18 @@
     done(RefusedFrame(id, refusal));
 }
 
+void Gate::RefuseWaiting(ErrorKind kind) {
+  std::vector<std::uint64_t> waiting;
+  for (const auto& [id, run] : this->runs) {
+    if (run.started == TimePoint{})
+      waiting.push_back(id);
+  }
+  for (const std::uint64_t id : waiting) {
+    CancelWaiting(this->gatekeeper, id);
+    this->Refuse(id, {id, kind, kMinRetryAfter});
+  }
+}
+
 void Gate::StartQueued(std::uint64_t id) {
   const auto found = this->runs.find(id);
   if (found != this->runs.end() && this->RefuseSuspect(id, found->second)) {
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -245,8 +245,11 @@
   [[nodiscard]] int UsableSlots() const;
   // A health check named no limit; see AllowTrial.
   void AllowTrialRequests();
-  // Another process holds the lease.
+  // Another process holds the lease than `before`.
+  void OnAnotherProcess(const UpstreamHeartbeat& before, bool announced);
   void ForgetLimit();
+  // Refuses all requests that wait.
+  void RefuseWaiting(ErrorKind kind);
   // The limit has changed: reports it, and applies it to what waits.
   void OnLimitSet();
   void MarkHeard();
--- a/src/edge/gate_upstream.cc
+++ b/src/edge/gate_upstream.cc
@@ -200,14 +200,8 @@
       before && HasAnnouncedLeave(this->lease, before->instance);
   const HeartbeatResult result =
       ApplyHeartbeat(this->lease, heartbeat, SteadyNow());
-  if (before && IsAnotherProcess(*before, *this->lease.current)) {
-    this->crash_evidence.OnUpstreamGone(
-        {CrashSign::kReplaced, before->instance, announced}, {});
-    this->process_since = SteadyNow();
-    this->gatekeeper.speed = {};
-    this->work_level = {};
-    this->ForgetLimit();
-  }
+  if (before && IsAnotherProcess(*before, *this->lease.current))
+    this->OnAnotherProcess(*before, announced);
   this->ApplyLease();
   if (result == HeartbeatResult::kAccepted && heartbeat.leaving && !announced)
     this->on_departure({heartbeat.instance, heartbeat.born_ms});
@@ -215,6 +209,18 @@
   return result;
 }
 
+// What waits was placed at the process before. The new one may belong to
+// another service, and would run it as the instance that it is told to be.
+void Gate::OnAnotherProcess(const UpstreamHeartbeat& before, bool announced) {
+  this->RefuseWaiting(ErrorKind::kNotReady);
+  this->crash_evidence.OnUpstreamGone(
+      {CrashSign::kReplaced, before.instance, announced}, {});
+  this->process_since = SteadyNow();
+  this->gatekeeper.speed = {};
+  this->work_level = {};
+  this->ForgetLimit();
+}
+
 void Gate::ForgetLimit() {
   const NamedLimit before = std::exchange(this->gatekeeper.limit, {});
   if (!before.per_second)
--- a/tests/contract/gate_test.cc
+++ b/tests/contract/gate_test.cc
@@ -120,6 +120,32 @@
   cr_assert_eq(test.gate.CountRunning(), 0U, "its slot is free");
 }
 
+// Guards against a request that runs at an upstream of another service: it
+// waited for one that fell silent, and whose address the other one has got.
+Test(gate, what_waits_for_a_process_is_not_run_by_the_next_one) {
+  std::atomic<int> requests{0};
+  ScriptedPeer upstream([&](const RawSocket& socket, int) {
+    (void)ScriptedPeer::ReadHead(socket);
+    ++requests;
+    upstream.StaySilent(socket);
+  });
+  TestGate test(upstream.At());
+  std::optional<ResultFrame> refused;
+  test.gate.Run(1, FrameFor("/view/1"), [](const ResultFrame&) {});
+  test.gate.Run(2, FrameFor("/view/2"),
+                [&](const ResultFrame& result) { refused = result; });
+  cr_assert_eq(CountWaiting(test.gate.AdmissionState()), 1);
+  UpstreamHeartbeat next = HeartbeatOf("i-2", 2);
+  next.service = "works";
+  cr_assert(test.gate.OnHeartbeat(next) == HeartbeatResult::kAccepted);
+  cr_assert(refused.has_value(), "it still waits");
+  cr_assert_eq(refused->error, ErrorKind::kNotReady);
+  cr_assert_eq(refused->execution, Execution::kNotRun);
+  cr_assert_eq(CountWaiting(test.gate.AdmissionState()), 0);
+  test.RunUntil([&] { return requests > 0; });
+  cr_assert_eq(requests, 1);
+}
+
 // Guards against a request that goes on crashing upstreams because a response
 // which says that it did not run counts as proof that it is harmless.
 Test(gate, a_response_without_a_run_clears_no_suspicion) {
