--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -32,6 +32,10 @@
 constexpr Duration kStopNotice = std::chrono::milliseconds(2300);
 // The process exits at least this long before the platform would kill it.
 constexpr Duration kStopReserve = std::chrono::milliseconds(700);
+// A request that is received later than this after the stop began runs only if
+// its deadline passes before the end of the process. Clients are told to go
+// elsewhere long before, and one that is broken off at work may have run.
+constexpr Duration kDeadlineNotice = std::chrono::seconds(3);
 // Requests that have not been received whole this long before the end of the
 // process are refused.
 constexpr Duration kPartialNotice = std::chrono::milliseconds(1000);
@@ -465,7 +469,7 @@
       {{"open", node.outbound.CountPending()},
        {"partial", node.outbound.CountPartial()}});
   node.outbound.CloseIntake();
-  node.entry.RefuseLateRequests();
+  node.entry.SetLateAdmission(LateAdmission::kWithinAim);
 }
 
 // While there is time for their callers to read the response and to go
@@ -482,6 +486,8 @@
   if (passed < kStopNotice)
     return false;
   CloseIntake(node);
+  if (passed >= kDeadlineNotice)
+    node.entry.SetLateAdmission(LateAdmission::kWithinDeadline);
   if (now >= EndOf(node) - kPartialNotice)
     RefusePartialRequests(node);
   // A caller closes its link once it has the results of all its calls, so until
--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -146,15 +146,27 @@
                  request.method, PathOf(request));
   if (route == nullptr)
     return Fail(ErrorKind::kNoRoute, "");
-  if (!this->MayRunBeforeEnd(*route))
+  if (!this->MayRunBeforeEnd(request, *route))
     return Fail(ErrorKind::kLeaving, "received-late");
   return route;
 }
 
-bool Entry::MayRunBeforeEnd(const RouteConfig& route) const {
+bool Entry::MayRunBeforeEnd(const HttpRequest& request,
+                            const RouteConfig& route) const {
+  if (this->late_admission == LateAdmission::kAll)
+    return true;
+  const bool by_aim = this->late_admission == LateAdmission::kWithinAim &&
+                      route.aim > Duration::zero();
   const Duration needed =
-      route.aim > Duration::zero() ? route.aim : route.deadline;
-  return !this->refuses_late || SteadyNow() + needed <= *this->end;
+      by_aim ? route.aim : this->TimeToAnswer(request, route);
+  return SteadyNow() + needed <= *this->end - kLastAnswerTime;
+}
+
+Duration Entry::TimeToAnswer(const HttpRequest& request,
+                             const RouteConfig& route) const {
+  return TimeToRespond(
+      route.deadline,
+      ParseDeadline(FindHeader(request.headers, this->names.deadline)));
 }
 
 void Entry::AcquireToken(std::uint64_t id) {
@@ -248,8 +260,8 @@
   const RouteConfig& route = *pending.route;
   const auto requested =
       ParseDeadline(FindHeader(headers, this->names.deadline));
-  pending.deadline =
-      pending.exchange->received_at + TimeToRespond(route.deadline, requested);
+  pending.deadline = pending.exchange->received_at +
+                     this->TimeToAnswer(pending.exchange->request, route);
   if (!requested || pending.nested)
     return;
   DeadlineHistory& history = this->deadline_histories[route.name];
--- a/src/edge/entry.h
+++ b/src/edge/entry.h
@@ -137,6 +137,16 @@
   PlacementSettings placement;
 };
 
+// Which requests a process that stops still runs.
+enum class LateAdmission : std::uint8_t {
+  kAll,
+  // Those whose route's aim, or whose deadline without one, is met before the
+  // end.
+  kWithinAim,
+  // Those whose deadline is met before the end: none is broken off.
+  kWithinDeadline,
+};
+
 // Not thread safe.
 class Entry {
  public:
@@ -163,9 +173,10 @@
   // The process stops, and closes all connections at `process_end`: no request
   // waits or runs until then, whatever its deadline.
   void BeginStop(TimePoint process_end);
-  // From now on a request runs only if its route's aim, or its time-out without
-  // one, is met before the end. Precondition: BeginStop was called.
-  void RefuseLateRequests() { this->refuses_late = true; }
+  // Which requests are still run. Precondition: BeginStop was called.
+  void SetLateAdmission(LateAdmission admission) {
+    this->late_admission = admission;
+  }
 
   void HandleRequest(const ExchangePtr& exchange);
 
@@ -217,7 +228,11 @@
   void ReleaseToken(std::uint64_t id, const PendingRequest& pending);
   // Sends an identified request for the first time, unless it is shed.
   void BeginAttempts(std::uint64_t id);
-  [[nodiscard]] bool MayRunBeforeEnd(const RouteConfig& route) const;
+  [[nodiscard]] bool MayRunBeforeEnd(const HttpRequest& request,
+                                     const RouteConfig& route) const;
+  // Time from the arrival of a request until its response is due.
+  [[nodiscard]] Duration TimeToAnswer(const HttpRequest& request,
+                                      const RouteConfig& route) const;
   void SetTimes(PendingRequest& pending);
   // Ends the request at its deadline, or shortly before the process ends.
   void StartTimer(std::uint64_t id, PendingRequest& pending);
@@ -315,7 +330,7 @@
   std::map<std::string, RetryBudget> retry_budgets;
   // When the process ends; none before it has begun to stop.
   std::optional<TimePoint> end;
-  bool refuses_late = false;
+  LateAdmission late_admission = LateAdmission::kAll;
   Rng rng;
 };
 
--- a/tests/process/edge_test.cc
+++ b/tests/process/edge_test.cc
@@ -546,6 +546,24 @@
   cr_expect_eq(fleet.At(0).node->WaitExit(Ms(6000)), 0);
 }
 
+// Guards against an upload that is received late in a stop, passed on, and
+// broken off at the end of the process while its upstream works on it.
+Test(edge, an_upload_received_late_in_a_stop_is_refused_as_not_run) {
+  EdgeFleet fleet(LongTimeouts());
+  cr_assert(fleet.WaitUntilReady());
+  fleet.At(1).upstream.SetWork(Ms(4000));
+  const std::string late = NextRequestId();
+  const RawSocket caller = RawSocket::ConnectTo(fleet.At(0).ports.outbound);
+  caller.Send(UploadHead(late, 4) + "ab");
+  fleet.At(0).node->Signal(SIGTERM);
+  std::this_thread::sleep_for(Ms(3500));
+  caller.Send("cd");
+  const std::string refusal = caller.ReadToEnd();
+  cr_expect(refusal.starts_with("HTTP/1.1 503 "), "%s", refusal.c_str());
+  cr_expect_eq(CountRuns(fleet, late), 0);
+  cr_expect_eq(fleet.At(0).node->WaitExit(Ms(6000)), 0);
+}
+
 // Guards against requests that wait for an upstream when a node stops and whose
 // connections end without a response.
 Test(edge, requests_that_wait_when_a_node_stops_are_answered) {
