Lease: a heartbeat of a process that does not listen waits no longer

Cause: once another process had answered the health check, a waiting heartbeat stayed until the end of the 10 s, and the check was repeated for it every 250 ms.

Change: the answer of the process that listens drops it.

Test: upstream_lease::a_heartbeat_of_a_process_that_does_not_listen_is_dropped.

--- a/include/teaselspread/upstream_lease.h
+++ b/include/teaselspread/upstream_lease.h
@@ -99,7 +99,8 @@
 void RequireConfirmation(UpstreamLease& lease, TimePoint now);
 
 // The process that listens says now that it is ready. Returns its heartbeat
-// that waited for this, to be applied again.
+// that waited for this, to be applied again. One of another process waits no
+// longer.
 [[nodiscard]] std::optional<UpstreamHeartbeat> ConfirmReady(
     UpstreamLease& lease,
     std::string_view instance);
--- a/src/upstream/upstream_lease.cc
+++ b/src/upstream/upstream_lease.cc
@@ -78,9 +78,10 @@
 std::optional<UpstreamHeartbeat> ConfirmReady(UpstreamLease& lease,
                                               std::string_view instance) {
   lease.confirmed_instance = instance;
-  if (!lease.unconfirmed || lease.unconfirmed->instance != instance)
-    return std::nullopt;
-  return std::exchange(lease.unconfirmed, std::nullopt);
+  auto waiting = std::exchange(lease.unconfirmed, std::nullopt);
+  if (waiting && waiting->instance != instance)
+    waiting.reset();
+  return waiting;
 }
 
 std::string_view NameOf(HeartbeatResult result) {
--- a/tests/unit/upstream_lease_test.cc
+++ b/tests/unit/upstream_lease_test.cc
@@ -104,7 +104,6 @@
   cr_assert(ApplyHeartbeat(lease, MakeHeartbeat("i-1", 5000, 21), kStart) ==
             HeartbeatResult::kUnconfirmed);
   cr_assert(StateOf(lease, kStart) == LeaseState::kNone);
-  cr_assert_not(ConfirmReady(lease, "i-2").has_value());
   const auto waiting = ConfirmReady(lease, "i-1");
   cr_assert(waiting.has_value());
   cr_assert(ApplyHeartbeat(lease, *waiting, kStart) ==
@@ -112,6 +111,15 @@
   cr_assert(StateOf(lease, kStart) == LeaseState::kReady);
 }
 
+// Guards against a health check that is repeated for a process which is gone.
+Test(upstream_lease, a_heartbeat_of_a_process_that_does_not_listen_is_dropped) {
+  UpstreamLease lease;
+  RequireConfirmation(lease, kStart);
+  (void)ApplyHeartbeat(lease, MakeHeartbeat("i-1", 5000, 21), kStart);
+  cr_assert_not(ConfirmReady(lease, "i-2").has_value());
+  cr_assert_not(lease.unconfirmed.has_value());
+}
+
 Test(upstream_lease, a_confirmation_counts_for_later_heartbeats_too) {
   UpstreamLease lease;
   RequireConfirmation(lease, kStart);
