--- a/tests/process/edge_fleet.h
+++ b/tests/process/edge_fleet.h
@@ -34,6 +34,9 @@
   // 0 for what the kernel reports.
   std::size_t memory_mb = 0;
   std::size_t max_fds = 0;
+  // Where the node finds its upstream; 0 for the stand-in, which sends the
+  // heartbeats in any case.
+  std::uint16_t upstream_port = 0;
 };
 
 // One VM: an upstream and the node beside it, which can be restarted.
@@ -114,6 +117,9 @@
     const auto at = [](std::uint16_t port) {
       return "127.0.0.1:" + std::to_string(port) + "\n";
     };
+    const std::uint16_t upstream_port = node_options.upstream_port != 0
+                                            ? node_options.upstream_port
+                                            : this->upstream.Port();
     std::ofstream file(this->settings_path);
     file << "vm: " << this->name << "\ndata_center: " << data_center
          << "\nservice: " << this->service
@@ -122,8 +128,8 @@
          << "admin: " << at(this->ports.admin)
          << "metrics: " << at(this->ports.metrics)
          << "link: " << at(this->ports.link)
-         << "upstream: " << at(this->upstream.Port())
-         << "store: " << at(store_port) << "heartbeat: 1500ms\n"
+         << "upstream: " << at(upstream_port) << "store: " << at(store_port)
+         << "heartbeat: 1500ms\n"
          << "agreed: " << node_options.agreed
          << "\nline_mbit: " << node_options.line_mbit
          << "\nmemory_mb: " << node_options.memory_mb
