Tests: deep and odd bodies of records, heartbeats, reports and settings

Not played before: bodies nested 30,000 deep below the limit on size, at each decoder of the platform, and spans of the settings that no clock can hold.

--- a/tests/contract/platform_test.cc
+++ b/tests/contract/platform_test.cc
@@ -111,6 +111,55 @@
   }
 }
 
+// Guards against a process that ends, or stops following the store, because of
+// one odd entry of another writer.
+Test(platform, deep_and_odd_bodies_are_errors) {
+  constexpr std::size_t kDepth = 30'000;
+  const std::string deep_list =
+      std::string(kDepth, '[') + std::string(kDepth, ']');
+  std::string deep_object;
+  for (std::size_t i = 0; i < kDepth; ++i)
+    deep_object += R"({"a":)";
+  deep_object += "1" + std::string(kDepth, '}');
+  const std::string inside = R"({"version":"00000001","limits":)" + deep_list +
+                             R"(,"listeners":)" + deep_object + "}";
+  for (const std::string& body :
+       {deep_list, deep_object, inside, std::string("null"), std::string("7"),
+        std::string("\"\\ud800\""), std::string("[1e400]"),
+        std::string("\xff\xfe"), std::string(1, '\0')}) {
+    for (const char* key : {"config", "rollout/desk"})
+      (void)DecodeOrder({key, body});
+    cr_expect_not(DecodeReport({"rollout/desk", body}).has_value());
+    HttpRequest request;
+    request.method = "POST";
+    request.body = body;
+    request.target = "/instances/i-1/heartbeat";
+    cr_expect_not(DecodeUpstreamCall(request).has_value());
+    request.target = "/instances/i-1/leave";
+    cr_expect(DecodeUpstreamCall(request).has_value());
+    EdgeSettings settings;
+    settings.agreed = body;
+    ApplyAgreedBounds(settings);
+    cr_expect(settings.stop_grace == EdgeSettings{}.stop_grace);
+  }
+}
+
+// Guards against a span of the settings that no clock can hold.
+Test(platform, agreed_bounds_out_of_range_are_limited) {
+  for (const char* bound : {"graceS=1e300", "graceS=inf", "graceS=99999999"}) {
+    EdgeSettings settings;
+    settings.agreed = bound;
+    ApplyAgreedBounds(settings);
+    cr_expect(settings.stop_grace == std::chrono::hours(24), "%s", bound);
+  }
+  for (const char* bound : {"graceS=-1", "graceS=nan", "graceS=-1e300"}) {
+    EdgeSettings settings;
+    settings.agreed = bound;
+    ApplyAgreedBounds(settings);
+    cr_expect(settings.stop_grace == Duration{0}, "%s", bound);
+  }
+}
+
 // Guards against accounts whose callers are refused because an omitted field or
 // a field of another type made their item unreadable.
 Test(platform, accounts_are_decoded) {
