--- a/tests/process/busy_stop_test.cc
+++ b/tests/process/busy_stop_test.cc
@@ -23,7 +23,7 @@
  public:
   std::string NextId() {
     const std::scoped_lock lock(this->gate);
-    const std::string id = "s-" + std::to_string(this->sent.size());
+    std::string id = "s-" + std::to_string(this->sent.size());
     this->sent.insert(id);
     return id;
   }
