--- a/tests/contract/replaced_nodes_test.cc
+++ b/tests/contract/replaced_nodes_test.cc
@@ -82,7 +82,7 @@
 
   // Starts "b-1", and "c-9" in its place once "a-1" has a link to it.
   Address ReplaceLinked() {
-    const Address at = this->Start("b-1", {"127.0.0.1", 0});
+    Address at = this->Start("b-1", {"127.0.0.1", 0});
     this->Self().Add({"b-1", "a", at}, NodeSource::kRecord);
     cr_assert(this->RunUntil([this] { return this->IsConnected("b-1"); }));
     this->Stop("b-1");
