Entry: a request's deadline header is read once

Cause: since each request's header was looked up and parsed twice, for a function that served a stop alone.

--- a/src/edge/entry.cc
+++ b/src/edge/entry.cc
@@ -158,17 +158,13 @@
   const bool by_aim = this->late_admission == LateAdmission::kWithinAim &&
                       route.aim > Duration::zero();
   const Duration needed =
-      by_aim ? route.aim : this->TimeToAnswer(request, route);
+      by_aim ? route.aim
+             : TimeToRespond(route.deadline,
+                             ParseDeadline(FindHeader(request.headers,
+                                                      this->names.deadline)));
   return SteadyNow() + needed <= *this->end - kLastAnswerTime;
 }
 
-Duration Entry::TimeToAnswer(const HttpRequest& request,
-                             const RouteConfig& route) const {
-  return TimeToRespond(
-      route.deadline,
-      ParseDeadline(FindHeader(request.headers, this->names.deadline)));
-}
-
 void Entry::AcquireToken(std::uint64_t id) {
   PendingRequest& waiting = this->pending_requests.at(id);
   waiting.token = TokenState::kWaiting;
@@ -260,8 +256,8 @@
   const RouteConfig& route = *pending.route;
   const auto requested =
       ParseDeadline(FindHeader(headers, this->names.deadline));
-  pending.deadline = pending.exchange->received_at +
-                     this->TimeToAnswer(pending.exchange->request, route);
+  pending.deadline =
+      pending.exchange->received_at + TimeToRespond(route.deadline, requested);
   if (!requested || pending.nested)
     return;
   DeadlineHistory& history = this->deadline_histories[route.name];
--- a/src/edge/entry.h
+++ b/src/edge/entry.h
@@ -230,9 +230,6 @@
   void BeginAttempts(std::uint64_t id);
   [[nodiscard]] bool MayRunBeforeEnd(const HttpRequest& request,
                                      const RouteConfig& route) const;
-  // Time from the arrival of a request until its response is due.
-  [[nodiscard]] Duration TimeToAnswer(const HttpRequest& request,
-                                      const RouteConfig& route) const;
   void SetTimes(PendingRequest& pending);
   // Ends the request at its deadline, or shortly before the process ends.
   void StartTimer(std::uint64_t id, PendingRequest& pending);
