Tests: one loop until a condition holds, one announced leave

Cause: the loop stood three times, the steps of a leave twice. Change: run_until.h and EdgeVm::AnnounceLeave; the bounds and assertions are the same.

--- a/tests/contract/links_test.cc
+++ b/tests/contract/links_test.cc
@@ -17,6 +17,7 @@
 #include "base/clock.h"
 #include "contract/frame_reader.h"
 #include "contract/raw_socket.h"
+#include "contract/run_until.h"
 #include "teaselspread/upstream_speed.h"
 
 namespace teaselspread {
@@ -123,10 +124,7 @@
   }
 
   bool RunUntil(const std::function<bool()>& condition) {
-    const auto end = std::chrono::steady_clock::now() + 10s;
-    while (!condition() && std::chrono::steady_clock::now() < end)
-      this->io.run_for(5ms);
-    return condition();
+    return teaselspread::RunUntil(this->io, condition);
   }
 
   // What the caller knew of the speed when the result came.
@@ -253,10 +251,7 @@
   [[nodiscard]] const Peer& Target() const { return *this->links->Find("b-1"); }
 
   bool RunUntil(const std::function<bool()>& condition) {
-    const auto end = std::chrono::steady_clock::now() + 10s;
-    while (!condition() && std::chrono::steady_clock::now() < end)
-      this->io.run_for(5ms);
-    return condition();
+    return teaselspread::RunUntil(this->io, condition);
   }
 };
 
--- a/tests/contract/replaced_nodes_test.cc
+++ b/tests/contract/replaced_nodes_test.cc
@@ -3,7 +3,6 @@
 
 #include <criterion/criterion.h>
 
-#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -13,11 +12,11 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "contract/run_until.h"
+
 namespace teaselspread {
 namespace {
 
-using namespace std::chrono_literals;
-
 constexpr std::uint64_t kCall = 7;
 
 // Nodes on one loop, each with the links that it keeps.
@@ -74,10 +73,7 @@
   }
 
   bool RunUntil(const std::function<bool()>& condition) {
-    const auto end = std::chrono::steady_clock::now() + 10s;
-    while (!condition() && std::chrono::steady_clock::now() < end)
-      this->io.run_for(5ms);
-    return condition();
+    return teaselspread::RunUntil(this->io, condition);
   }
 
   // Starts "b-1", and "c-9" in its place once "a-1" has a link to it.
--- a/tests/process/edge_fleet.h
+++ b/tests/process/edge_fleet.h
@@ -79,6 +79,15 @@
     this->Restart();
   }
 
+  // The upstream sends no heartbeat any more and announces that it leaves; true
+  // when that was acknowledged.
+  bool AnnounceLeave() {
+    this->upstream.BeSilent();
+    // A heartbeat that is under way arrives before the leave.
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    return this->upstream.Leave(this->ports.admin);
+  }
+
   [[nodiscard]] Address Outbound() const {
     return {"127.0.0.1", this->ports.outbound};
   }
--- a/tests/process/edge_test.cc
+++ b/tests/process/edge_test.cc
@@ -377,9 +377,7 @@
   EdgeFleet fleet;
   cr_assert(fleet.WaitUntilReady());
   EdgeVm& leaving = fleet.At(0);
-  leaving.upstream.BeSilent();
-  std::this_thread::sleep_for(Ms(200));
-  cr_assert(leaving.upstream.Leave(leaving.ports.admin));
+  cr_assert(leaving.AnnounceLeave());
   const std::size_t before = leaving.upstream.Runs().size();
   fleet.store.SetFault(StoreFault::kReset);
   for (int restarts = 0; restarts < 2; ++restarts) {
--- a/tests/process/leave_after_kill_test.cc
+++ b/tests/process/leave_after_kill_test.cc
@@ -53,9 +53,7 @@
   EdgeFleet fleet;
   cr_assert(fleet.WaitUntilReady());
   EdgeVm& leaving = fleet.At(0);
-  leaving.upstream.BeSilent();
-  std::this_thread::sleep_for(Ms(200));
-  cr_assert(leaving.upstream.Leave(leaving.ports.admin));
+  cr_assert(leaving.AnnounceLeave());
   leaving.upstream.AnswerHealthWith(503);
   const std::size_t before = leaving.upstream.Runs().size();
   KillAndStartAll(fleet);
